Lay down the whole path, thin

Cause: nothing stood yet; every later part needs the package borders and the shared types. Change: a workspace of packages; core types, configuration with patches, wire messages, callers' interface, agent, entry, fakes, the command line, a demonstration and tests of the whole path. Conclusion: requests go through entry and agent to the engine and stream back; the packages can be widened side by side.

--- /dev/null
+++ b/crates/benches/src/lib.rs
@@ -0,0 +1,1 @@
+//! Benches and the load and experiment tool.
--- /dev/null
+++ b/crates/callers/src/ask.rs
@@ -0,0 +1,238 @@
+//! What a caller asks, read from an HTTP request.
+
+use std::fmt;
+
+use serde_json::Value;
+use trillium::{Conn, KnownHeaderName, Method};
+
+use snipemast_config::KeyHash;
+use snipemast_core::prelude::*;
+
+use crate::problem::{Problem, ProblemKind};
+
+/// The result of reading what a caller asks.
+pub type Result<T> = std::result::Result<T, AskError>;
+
+/// A request to a service, read and checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// What is asked for.
+    pub target: Target,
+    /// The HTTP method.
+    pub method: Method,
+    /// The path and query towards the backend server.
+    pub path: String,
+    /// The content type of the body, where there is one.
+    pub content: Option<String>,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The caller's key for a non-idempotent request.
+    pub key: Option<RequestKey>,
+}
+
+/// What a request is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A completion by the model behind this service.
+    Model {
+        /// The service.
+        service: ServiceId,
+        /// Whether the answer is streamed.
+        stream: bool,
+    },
+    /// A call of a plain service.
+    Plain {
+        /// The service.
+        service: ServiceId,
+    },
+}
+
+impl Target {
+    /// The service that is asked for.
+    pub fn service(&self) -> &ServiceId {
+        match self {
+            Self::Model { service, .. } | Self::Plain { service } => service,
+        }
+    }
+}
+
+/// Why a request can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AskError {
+    /// There is no bearer key.
+    KeyMissing,
+    /// Nothing stands at this path.
+    PathUnknown,
+    /// The path takes another method.
+    MethodWrong,
+    /// The body is longer than this limit.
+    BodyTooLarge(Size),
+    /// The body broke off.
+    BodyCut,
+    /// The body is not JSON.
+    BodyMalformed(String),
+    /// A field of the body is missing or has the wrong shape.
+    FieldWrong(String),
+    /// A header has the wrong shape.
+    HeaderWrong(String),
+}
+
+impl fmt::Display for AskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::KeyMissing => f.write_str("the Authorization header holds no bearer key"),
+            Self::PathUnknown => f.write_str("nothing stands at this path"),
+            Self::MethodWrong => f.write_str("the path takes another method"),
+            Self::BodyTooLarge(limit) => write!(f, "the body is over {limit}"),
+            Self::BodyCut => f.write_str("the body broke off"),
+            Self::BodyMalformed(why) => write!(f, "the body is not JSON: {why}"),
+            Self::FieldWrong(field) => write!(f, "the field {field:?} is missing or malformed"),
+            Self::HeaderWrong(name) => write!(f, "the header {name:?} is malformed"),
+        }
+    }
+}
+
+impl std::error::Error for AskError {}
+
+impl From<AskError> for Problem {
+    fn from(error: AskError) -> Self {
+        let kind = match error {
+            AskError::KeyMissing => ProblemKind::Unauthorized,
+            AskError::PathUnknown => ProblemKind::NotFound,
+            AskError::MethodWrong => ProblemKind::Method,
+            AskError::BodyTooLarge(_) => ProblemKind::TooLarge,
+            AskError::BodyCut
+            | AskError::BodyMalformed(_)
+            | AskError::FieldWrong(_)
+            | AskError::HeaderWrong(_) => ProblemKind::Malformed,
+        };
+        Problem::new(kind, error)
+    }
+}
+
+/// The hash of the bearer key that a request carries.
+pub fn bearer(conn: &Conn) -> Result<KeyHash> {
+    let header = conn
+        .request_headers()
+        .get_str(KnownHeaderName::Authorization);
+    let key = header
+        .and_then(|h| h.strip_prefix("Bearer "))
+        .map(str::trim);
+    key.filter(|k| !k.is_empty())
+        .map(KeyHash::of)
+        .ok_or(AskError::KeyMissing)
+}
+
+impl Ask {
+    /// Reads a request to a service.
+    pub async fn read(conn: &mut Conn, limit: Size) -> Result<Self> {
+        let path = conn.path().to_string();
+        let key = key(conn)?;
+        match path.as_str() {
+            "/v1/completions" | "/v1/chat/completions" => {
+                let body = body(conn, limit).await?;
+                Self::completion(conn, path, body, key)
+            }
+            _ => {
+                let (service, rest) = service_path(&path)?;
+                let body = body(conn, limit).await?;
+                Ok(Self::plain(conn, service, rest, body, key))
+            }
+        }
+    }
+
+    fn completion(
+        conn: &Conn,
+        path: String,
+        body: Vec<u8>,
+        key: Option<RequestKey>,
+    ) -> Result<Self> {
+        if conn.method() != Method::Post {
+            return Err(AskError::MethodWrong);
+        }
+        let document: Value =
+            serde_json::from_slice(&body).map_err(|e| AskError::BodyMalformed(e.to_string()))?;
+        let wrong = |field: &str| AskError::FieldWrong(field.into());
+        let name = document["model"].as_str().ok_or_else(|| wrong("model"))?;
+        let service = name.parse().map_err(|_| wrong("model"))?;
+        let stream = match &document["stream"] {
+            Value::Null => false,
+            Value::Bool(stream) => *stream,
+            _ => return Err(wrong("stream")),
+        };
+        let target = Target::Model { service, stream };
+        let content = Some("application/json".into());
+        Ok(Self {
+            target,
+            method: Method::Post,
+            path,
+            content,
+            body,
+            key,
+        })
+    }
+
+    fn plain(
+        conn: &Conn,
+        service: ServiceId,
+        mut path: String,
+        body: Vec<u8>,
+        key: Option<RequestKey>,
+    ) -> Self {
+        if !conn.querystring().is_empty() {
+            path = format!("{path}?{}", conn.querystring());
+        }
+        let content = conn.request_headers().get_str(KnownHeaderName::ContentType);
+        let content = content.map(String::from);
+        Self {
+            target: Target::Plain { service },
+            method: conn.method(),
+            path,
+            content,
+            body,
+            key,
+        }
+    }
+}
+
+/// Splits `/services/{service}/{rest}`.
+fn service_path(path: &str) -> Result<(ServiceId, String)> {
+    let rest = path
+        .strip_prefix("/services/")
+        .ok_or(AskError::PathUnknown)?;
+    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = name.parse().map_err(|_| AskError::PathUnknown)?;
+    Ok((service, format!("/{rest}")))
+}
+
+fn key(conn: &Conn) -> Result<Option<RequestKey>> {
+    let Some(text) = conn.request_headers().get_str("idempotency-key") else {
+        return Ok(None);
+    };
+    // The header is a quoted string in the draft standard; most callers send it bare.
+    let key = text.trim_matches('"').parse();
+    key.map(Some)
+        .map_err(|_| AskError::HeaderWrong("idempotency-key".into()))
+}
+
+async fn body(conn: &mut Conn, limit: Size) -> Result<Vec<u8>> {
+    let too_large = AskError::BodyTooLarge(limit);
+    let announced = conn
+        .request_headers()
+        .get_str(KnownHeaderName::ContentLength);
+    let announced = announced.and_then(|n| n.parse().ok()).unwrap_or(0u64);
+    if announced > limit.as_bytes() {
+        return Err(too_large);
+    }
+    let body = conn
+        .request_body()
+        .await
+        .with_max_len(limit.as_bytes())
+        .read_bytes()
+        .await;
+    match body {
+        Ok(bytes) => Ok(bytes),
+        Err(trillium::Error::ReceivedBodyTooLong(_)) => Err(too_large),
+        Err(_) => Err(AskError::BodyCut),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,46 @@
+//! The `snipemast` binary: a thin command line over the other packages.
+
+mod args;
+mod client;
+mod demo;
+mod serve;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::args::{Args, Command};
+
+/// Exit codes that a script can use.
+mod exit {
+    /// What was asked for was refused.
+    pub(crate) const REFUSED: u8 = 1;
+    /// The command line or a file is faulty.
+    pub(crate) const USAGE: u8 = 2;
+    /// A process can't be reached or started.
+    pub(crate) const UNREACHABLE: u8 = 3;
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    if args.version {
+        println!("snipemast {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match args.command {
+        Some(Command::Serve(args)) => serve::serve(&args),
+        Some(Command::Check(args)) => serve::check(&args),
+        Some(Command::Patch(args)) => client::patch(&args),
+        Some(Command::Config(args)) => client::config(&args),
+        Some(Command::Status(args)) => client::status(&args),
+        Some(Command::Demo(args)) => demo::demo(&args),
+        None => {
+            eprintln!(
+                "{}\n\nCommands:\n{}",
+                Args::usage(),
+                Args::command_list().unwrap_or("")
+            );
+            ExitCode::from(exit::USAGE)
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/events.rs
@@ -0,0 +1,290 @@
+//! The numbered events of all processes, and the bounded ring that keeps them.
+//!
+//! Every log line and every entry of the time line carries one [`Event`]. The catalogue in
+//! `docs/EVENTS.md` is held against [`Event::ALL`] by a test.
+
+use std::collections::VecDeque;
+use std::fmt;
+
+use parking_lot::Mutex;
+
+use crate as snipemast_core;
+use crate::data;
+use crate::hlc::{HybridClock, Stamp};
+use crate::ids::ProcessId;
+
+macro_rules! events {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal;)+) => {
+        data! {
+            /// A kind of event, known by its number.
+            #[derive(Copy, PartialOrd, Ord, Hash)]
+            #[serde(into = "u16", try_from = "u16")]
+            pub enum Event {
+                $($(#[doc = $doc])+ $name = $number,)+
+            }
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &'static [Event] = &[$(Event::$name,)+];
+
+            /// The name that stands in logs and in the catalogue.
+            pub const fn name(self) -> &'static str {
+                match self {
+                    $(Event::$name => stringify!($name),)+
+                }
+            }
+
+            /// What the event says.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(Event::$name => concat!($($doc),+),)+
+                }
+            }
+        }
+    };
+}
+
+events! {
+    /// A process started.
+    ProcessStarted = 100;
+    /// A process began its graceful shutdown.
+    DrainBegun = 101;
+    /// A process ended with nothing in flight.
+    ProcessEnded = 102;
+    /// A process ended with requests still in flight, at the bound of its shutdown.
+    DrainExpired = 103;
+    /// Settings were refused.
+    SettingsRefused = 104;
+    /// A request arrived from a caller.
+    RequestReceived = 200;
+    /// A request was refused before it ran.
+    RequestRefused = 201;
+    /// A backend server was chosen for a request.
+    RequestRouted = 202;
+    /// A request was sent to an agent.
+    RequestDispatched = 203;
+    /// The first bytes of an answer reached the entry.
+    AnswerBegun = 204;
+    /// An answer was delivered in whole.
+    AnswerDelivered = 205;
+    /// An answer ended in a typed error.
+    AnswerFailed = 206;
+    /// An attempt failed and the request was tried again.
+    RequestRetried = 207;
+    /// A connection went silent and was retired.
+    ConnectionRetired = 208;
+    /// A stream was resumed from an offset on a new connection.
+    StreamResumed = 209;
+    /// A lost attempt was settled with its agent.
+    AttemptSettled = 210;
+    /// A frame for another dispatch or offset was dropped.
+    FrameDropped = 211;
+    /// A caller went away before its answer was whole.
+    CallerGone = 212;
+    /// An agent took a dispatch into its ledger.
+    DispatchAccepted = 300;
+    /// An agent refused a dispatch as not run.
+    DispatchRefused = 301;
+    /// A dispatch finished on the backend server.
+    DispatchFinished = 302;
+    /// A dispatch failed on the backend server.
+    DispatchFailed = 303;
+    /// A dispatch id was barred before it arrived.
+    DispatchBarred = 304;
+    /// A dispatch was cancelled on the backend server.
+    DispatchCancelled = 305;
+    /// A backend server died.
+    ServerDied = 306;
+    /// A request fingerprint gained suspicion.
+    RequestSuspected = 307;
+    /// A request fingerprint was quarantined.
+    RequestQuarantined = 308;
+    /// A key was claimed for a non-idempotent request.
+    KeyClaimed = 309;
+    /// A resend with a known key was attached to its first run.
+    KeyAttached = 310;
+    /// A patch was accepted and got its version.
+    PatchAccepted = 400;
+    /// A patch was refused.
+    PatchRefused = 401;
+    /// A version of the configuration came into force in a process.
+    VersionApplied = 402;
+    /// A process was elected control leader.
+    LeaderElected = 403;
+    /// A control leader stepped down.
+    LeaderEnded = 404;
+    /// A voter was added, promoted or removed.
+    VoterChanged = 405;
+    /// A snapshot of the control state was written.
+    SnapshotWritten = 406;
+    /// A damaged data folder was refused.
+    StorageRefused = 407;
+    /// An order with an old fencing number was refused.
+    OrderRefused = 408;
+    /// An order was passed to a backend server.
+    OrderPassed = 409;
+    /// A member joined the view.
+    MemberJoined = 500;
+    /// A member began to drain.
+    MemberDraining = 501;
+    /// A member left or was removed from the view.
+    MemberRemoved = 502;
+    /// A member or zone can't be reached, and is remembered.
+    MemberUnreachable = 503;
+    /// Two processes with one identity were found.
+    IdentityClash = 504;
+    /// A new expert map was proposed.
+    MapProposed = 600;
+    /// A rank promised to enter no step without a verdict.
+    MapPromised = 601;
+    /// A new expert map was committed.
+    MapCommitted = 602;
+    /// A new expert map was aborted.
+    MapAborted = 603;
+    /// A group was held at a step for want of a verdict.
+    GroupHeld = 604;
+    /// A group started again on another set of ranks.
+    GroupRestarted = 605;
+    /// A rebalancing move was planned.
+    MovePlanned = 606;
+    /// A rebalancing move was considered and not made.
+    MoveDeclined = 607;
+    /// A workspace went over a limit.
+    LimitReached = 700;
+    /// A backend server was ejected as an outlier.
+    ServerEjected = 701;
+    /// A backend server came back from ejection.
+    ServerReturned = 702;
+    /// Requests spill into another zone.
+    ZoneSpilled = 703;
+}
+
+impl Event {
+    /// The number of the event.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl From<Event> for u16 {
+    fn from(event: Event) -> Self {
+        event.number()
+    }
+}
+
+impl TryFrom<u16> for Event {
+    type Error = UnknownEvent;
+
+    fn try_from(number: u16) -> Result<Self, UnknownEvent> {
+        let found = Self::ALL.iter().find(|e| e.number() == number);
+        found.copied().ok_or(UnknownEvent { number })
+    }
+}
+
+/// A number that no event has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnknownEvent {
+    /// The number.
+    pub number: u16,
+}
+
+impl fmt::Display for UnknownEvent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no event has the number {}", self.number)
+    }
+}
+
+impl std::error::Error for UnknownEvent {}
+
+data! {
+    /// One event that happened in one process.
+    pub struct Record {
+        /// When, in hybrid logical time.
+        pub stamp: Stamp,
+        /// Where.
+        pub process: ProcessId,
+        /// What.
+        pub event: Event,
+        /// The request, patch, group or member it is about.
+        pub subject: String,
+        /// Further facts in words.
+        pub detail: String,
+    }
+}
+
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            stamp,
+            process,
+            event,
+            subject,
+            detail,
+        } = self;
+        write!(
+            f,
+            "{stamp} {process} {} {} {subject} {detail}",
+            event.number(),
+            event.name()
+        )
+    }
+}
+
+/// A process's last events: the oldest fall out when the ring is full.
+#[derive(Debug)]
+pub struct Ring {
+    process: ProcessId,
+    clock: HybridClock,
+    bound: usize,
+    records: Mutex<VecDeque<Record>>,
+}
+
+impl Ring {
+    /// An empty ring for this process that keeps at most `bound` records.
+    pub fn new(process: ProcessId, bound: usize) -> Self {
+        let records = Mutex::new(VecDeque::with_capacity(bound.min(1_024)));
+        Self {
+            process,
+            clock: HybridClock::new(),
+            bound: bound.max(1),
+            records,
+        }
+    }
+
+    /// The process whose events these are.
+    pub fn process(&self) -> &ProcessId {
+        &self.process
+    }
+
+    /// The clock that stamps the records.
+    pub fn clock(&self) -> &HybridClock {
+        &self.clock
+    }
+
+    /// Keeps an event, stamped now.
+    pub fn record(&self, event: Event, subject: impl fmt::Display, detail: impl fmt::Display) {
+        let record = Record {
+            stamp: self.clock.tick(),
+            process: self.process.clone(),
+            event,
+            subject: subject.to_string(),
+            detail: detail.to_string(),
+        };
+        let mut records = self.records.lock();
+        if records.len() == self.bound {
+            records.pop_front();
+        }
+        records.push_back(record);
+    }
+
+    /// The records since a stamp, oldest first.
+    pub fn since(&self, stamp: Stamp) -> Vec<Record> {
+        self.records
+            .lock()
+            .iter()
+            .filter(|r| r.stamp >= stamp)
+            .cloned()
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,26 @@
+//! Ids, units, errors, clocks and events shared by every package.
+//!
+//! - [`macros`](crate::data): the derives that most types share, and the id types.
+//! - [`ids`]: who and what a message speaks of.
+//! - [`units`]: sizes, durations and rates with their text forms.
+//! - [`time`]: monotonic moments, passed into the decision packages.
+//! - [`hlc`]: hybrid logical clocks, which order events over processes.
+//! - [`events`]: the numbered events and the bounded ring that keeps them.
+//! - [`outcome`]: what a caller may conclude about a request.
+//! - [`server`]: what a backend server offers and reports.
+//! - [`logs`]: structured logs, one numbered event a line.
+
+mod macros;
+
+pub mod events;
+pub mod hlc;
+pub mod ids;
+pub mod logs;
+pub mod outcome;
+pub mod prelude;
+pub mod server;
+pub mod time;
+pub mod units;
+
+#[doc(hidden)]
+pub use serde;
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,15 @@
+//! The types that most modules use.
+
+pub use crate::data;
+pub use crate::events::{Event, Record, Ring};
+pub use crate::hlc::{HybridClock, Stamp};
+pub use crate::ids::{
+    AdapterId, Ballot, DispatchId, Fence, GroupId, GroupIncarnation, HostId, Incarnation, Index,
+    MapVersion, ModelId, OperatorId, PatchId, ProcessId, RegionId, RequestId, RequestKey, ServerId,
+    ServiceId, Step, Term, Version, WorkspaceId, ZoneId,
+};
+pub use crate::logs::Journal;
+pub use crate::outcome::Outcome;
+pub use crate::server::{Capabilities, LoadReport, Offer, Rank, ServerInfo};
+pub use crate::time::{Clock, Moment};
+pub use crate::units::{Rate, Size, Span};
--- /dev/null
+++ b/crates/entry/src/front.rs
@@ -0,0 +1,140 @@
+//! The HTTP interface towards callers.
+
+use std::sync::Arc;
+
+use serde_json::json;
+use trillium::{async_trait, Body, Conn, Handler, KnownHeaderName, Status};
+
+use snipemast_callers::ask::bearer;
+use snipemast_callers::problem::{Problem, ProblemKind, OUTCOME_HEADER, REQUEST_HEADER};
+use snipemast_callers::{Ask, Target};
+use snipemast_config::{Config, Service};
+use snipemast_core::prelude::*;
+use snipemast_wire::{pipe, spawn};
+
+use crate::relay::{begin, Begun};
+use crate::shared::Shared;
+
+/// Pieces of an answer that wait for a slow caller before no more are read.
+const PIPE_BOUND: usize = 16;
+
+/// Filler in front of a stream: the HTTP library holds a response's first bytes back until
+/// about this many have come, and the first token would wait with them.
+const PADDING: usize = 1_024;
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct Front {
+    shared: Arc<Shared>,
+}
+
+impl Front {
+    /// Serves callers from this state.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn answer(&self, mut conn: Conn) -> Conn {
+        match self.serve(&mut conn).await {
+            Ok(Reply { begun, stream }) => write(conn, begun, stream).await,
+            Err(problem) => {
+                self.shared
+                    .journal
+                    .record(Event::RequestRefused, conn.path(), &problem);
+                problem.answer(conn)
+            }
+        }
+    }
+
+    async fn serve(&self, conn: &mut Conn) -> Result<Reply, Problem> {
+        let config = self.shared.config();
+        let workspace = authorize(&config, conn)?;
+        let ask = Ask::read(conn, self.shared.settings.limits.body).await?;
+        let stream = matches!(ask.target, Target::Model { stream: true, .. });
+        let begun = begin(&self.shared, &config, workspace, ask).await?;
+        Ok(Reply { begun, stream })
+    }
+
+    fn models(&self, conn: Conn) -> Conn {
+        let config = self.shared.config();
+        if let Err(problem) = authorize(&config, &conn) {
+            return problem.answer(conn);
+        }
+        let models = config
+            .services
+            .iter()
+            .filter(|(_, s)| matches!(s, Service::Model { .. }));
+        let data: Vec<_> = models
+            .map(|(id, _)| json!({ "id": id, "object": "model" }))
+            .collect();
+        let list = json!({ "object": "list", "data": data });
+        conn.with_response_header(KnownHeaderName::ContentType, "application/json")
+            .ok(list.to_string())
+    }
+
+    fn ready(&self, conn: Conn) -> Conn {
+        if self.shared.is_draining() {
+            conn.with_status(Status::ServiceUnavailable)
+                .with_body("draining\n")
+                .halt()
+        } else {
+            conn.ok("ready\n")
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Front {
+    async fn run(&self, conn: Conn) -> Conn {
+        match conn.path() {
+            "/healthz" => conn.ok("ok\n"),
+            "/readyz" => self.ready(conn),
+            "/v1/models" => self.models(conn),
+            _ => self.answer(conn).await,
+        }
+    }
+}
+
+struct Reply {
+    begun: Begun,
+    stream: bool,
+}
+
+fn authorize(config: &Config, conn: &Conn) -> Result<WorkspaceId, Problem> {
+    let hash = bearer(conn)?;
+    let unknown = || Problem::new(ProblemKind::Unauthorized, "the key belongs to no workspace");
+    config.workspace_of(&hash).cloned().ok_or_else(unknown)
+}
+
+async fn write(conn: Conn, begun: Begun, stream: bool) -> Conn {
+    let Begun {
+        status,
+        headers,
+        rest,
+    } = begun;
+    let request = rest.request().to_string();
+    let mut conn = conn
+        .with_status(status)
+        .with_response_header(REQUEST_HEADER, request);
+    for header in headers {
+        conn = conn.with_response_header(header.name, header.value);
+    }
+    if !stream {
+        return match rest.whole().await {
+            Ok(body) => conn
+                .with_response_header(OUTCOME_HEADER, Outcome::Ran.as_str())
+                .with_body(body)
+                .halt(),
+            Err(problem) => problem.answer(conn),
+        };
+    }
+    let (writer, reader) = pipe(PIPE_BOUND);
+    spawn(async move {
+        let filler = format!(":{:PADDING$}\n\n", "");
+        if writer.send(filler.into_bytes()).await.is_ok() {
+            rest.pass(writer).await;
+        }
+    })
+    .detach();
+    conn.with_body(Body::new_streaming(reader, None)).halt()
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,22 @@
+//! The entry host process: takes callers' requests and brings back whole answers.
+//!
+//! - [`process`]: start, drain, stop.
+//! - [`shared`]: what all requests of the process share.
+//! - [`registry`]: the agents that announced themselves.
+//! - [`front`]: the HTTP interface towards callers.
+//! - [`relay`]: one request's way to a backend server and its answer's way back.
+//! - [`own`]: the interface towards the system's own processes.
+//! - [`desk`]: the interface towards operators.
+//! - [`follow`]: keeps up with the configuration of a control host.
+
+pub mod desk;
+pub mod follow;
+pub mod front;
+pub mod own;
+pub mod process;
+pub mod registry;
+pub mod relay;
+pub mod shared;
+
+pub use process::{Entry, EntryError};
+pub use shared::Shared;
--- /dev/null
+++ b/crates/entry/src/own.rs
@@ -0,0 +1,84 @@
+//! The interface towards the system's own processes.
+
+use std::sync::Arc;
+
+use trillium::{async_trait, Conn, Handler, Status};
+
+use snipemast_core::prelude::*;
+use snipemast_wire::message::path;
+use snipemast_wire::serve::{malformed, message, reply};
+use snipemast_wire::{Announce, Announced, ConfigPoll, ConfigReply};
+
+use crate::shared::Shared;
+
+/// How often a waiting poll looks for a later configuration.
+const POLL_STEP: Span = Span::from_millis(20);
+
+/// Serves the system's own processes.
+#[derive(Debug)]
+pub struct Own {
+    shared: Arc<Shared>,
+}
+
+impl Own {
+    /// Serves them from this state.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn announce(&self, mut conn: Conn) -> Conn {
+        let Some(announce) = message::<Announce>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let (agent, server) = (announce.agent.clone(), announce.info.server.clone());
+        if self.shared.registry.renew(announce) {
+            self.shared
+                .journal
+                .record(Event::MemberJoined, agent, server);
+        }
+        let entry = self.shared.process.clone();
+        reply(
+            conn,
+            &Announced {
+                entry,
+                lease: self.shared.settings.limits.lease,
+            },
+        )
+    }
+
+    async fn config(&self, mut conn: Conn) -> Conn {
+        let Some(poll) = message::<ConfigPoll>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let mut waited = Span::default();
+        while self.shared.config().version <= poll.after && waited < poll.wait {
+            smol::Timer::after(POLL_STEP.as_duration()).await;
+            waited = Span::from_micros(waited.as_micros() + POLL_STEP.as_micros());
+        }
+        let config = self.shared.config();
+        if config.version > poll.after {
+            reply(conn, &ConfigReply::Whole(Box::new(config.as_ref().clone())))
+        } else {
+            reply(conn, &ConfigReply::Unchanged)
+        }
+    }
+
+    async fn events(&self, mut conn: Conn) -> Conn {
+        let Some(since) = message::<Stamp>(&mut conn).await else {
+            return malformed(conn);
+        };
+        reply(conn, &self.shared.journal.ring().since(since))
+    }
+}
+
+#[async_trait]
+impl Handler for Own {
+    async fn run(&self, conn: Conn) -> Conn {
+        match conn.path() {
+            path::ANNOUNCE => self.announce(conn).await,
+            path::CONFIG => self.config(conn).await,
+            path::EVENTS => self.events(conn).await,
+            _ => conn.with_status(Status::NotFound).halt(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine.rs
@@ -0,0 +1,176 @@
+//! A model engine that speaks the protocol of `docs/SERVERS.md`.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use serde_json::{json, Value};
+use trillium::{async_trait, Conn, Handler, Status};
+
+use snipemast_core::prelude::*;
+use snipemast_servers::protocol;
+use snipemast_wire::{pipe, spawn, PipeWriter};
+
+/// Filler behind the first event: the HTTP library holds a response's first bytes back.
+const PADDING: usize = 1_024;
+
+/// A fake model engine.
+#[derive(Debug, Clone)]
+pub struct FakeEngine {
+    info: ServerInfo,
+    tokens: u32,
+    pace: Span,
+    running: Arc<AtomicU32>,
+}
+
+impl FakeEngine {
+    /// An engine that describes itself so.
+    pub fn new(info: ServerInfo) -> Self {
+        Self {
+            info,
+            tokens: 16,
+            pace: Span::default(),
+            running: Arc::default(),
+        }
+    }
+
+    /// Answers with this many tokens.
+    #[must_use]
+    pub fn with_tokens(mut self, tokens: u32) -> Self {
+        self.tokens = tokens;
+        self
+    }
+
+    /// Waits this long before each token.
+    #[must_use]
+    pub fn with_pace(mut self, pace: Span) -> Self {
+        self.pace = pace;
+        self
+    }
+
+    fn load(&self) -> LoadReport {
+        let running = self.running.load(Ordering::Relaxed);
+        let slots = self.info.slots.max(1);
+        LoadReport {
+            running: running.min(slots),
+            waiting: running.saturating_sub(slots),
+            step: Span::from_millis(5),
+            ..LoadReport::default()
+        }
+    }
+
+    async fn complete(&self, mut conn: Conn) -> Conn {
+        let body = conn
+            .request_body()
+            .await
+            .read_bytes()
+            .await
+            .unwrap_or_default();
+        let Ok(request) = serde_json::from_slice::<Value>(&body) else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        let count = request["max_tokens"]
+            .as_u64()
+            .map_or(self.tokens, |n| n as u32);
+        if request["stream"].as_bool().unwrap_or(false) {
+            self.stream(conn, count)
+        } else {
+            self.whole(conn, &request, count).await
+        }
+    }
+
+    async fn whole(&self, conn: Conn, request: &Value, count: u32) -> Conn {
+        let _running = Running::new(&self.running);
+        self.wait(u64::from(count)).await;
+        let words: Vec<String> = (0..count).map(word).collect();
+        let answer = json!({
+            "object": "text_completion",
+            "model": request["model"],
+            "served_by": self.info.server,
+            "choices": [{ "index": 0, "text": words.concat(), "finish_reason": "stop" }],
+            "usage": { "completion_tokens": count },
+        });
+        conn.with_response_header("content-type", "application/json")
+            .ok(answer.to_string())
+    }
+
+    fn stream(&self, conn: Conn, count: u32) -> Conn {
+        let (writer, reader) = pipe(64);
+        let engine = self.clone();
+        spawn(async move { engine.write_events(writer, count).await }).detach();
+        let body = trillium::Body::new_streaming(reader, None);
+        conn.with_response_header("content-type", "text/event-stream")
+            .with_status(Status::Ok)
+            .with_body(body)
+            .halt()
+    }
+
+    async fn write_events(&self, writer: PipeWriter, count: u32) {
+        let _running = Running::new(&self.running);
+        for n in 0..count {
+            self.wait(1).await;
+            let mut event = token_event(n);
+            if n == 0 {
+                event.push_str(&format!(":{:PADDING$}\n\n", ""));
+            }
+            if writer.send(event.into_bytes()).await.is_err() {
+                return;
+            }
+        }
+        // A reader that left before the end needs no end.
+        let _ = writer.send(b"data: [DONE]\n\n".to_vec()).await;
+    }
+
+    async fn wait(&self, tokens: u64) {
+        if self.pace > Span::default() {
+            smol::Timer::after(self.pace.times(tokens).as_duration()).await;
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for FakeEngine {
+    async fn run(&self, conn: Conn) -> Conn {
+        match conn.path() {
+            protocol::INFO => answer_json(conn, &self.info),
+            protocol::LOAD => answer_json(conn, &self.load()),
+            "/v1/completions" | "/v1/chat/completions" => self.complete(conn).await,
+            _ => conn.with_status(Status::NotFound).halt(),
+        }
+    }
+}
+
+/// Answers with a JSON document.
+pub(crate) fn answer_json<T: serde::Serialize>(conn: Conn, value: &T) -> Conn {
+    let text = serde_json::to_string(value).expect("descriptions are plain data");
+    conn.with_response_header("content-type", "application/json")
+        .ok(text)
+}
+
+fn token_event(n: u32) -> String {
+    let data = json!({ "choices": [{ "index": 0, "text": word(n) }] });
+    format!("data: {data}\n\n")
+}
+
+fn word(n: u32) -> String {
+    format!("w{n} ")
+}
+
+/// Counts a request while it runs, also when its reader leaves early.
+struct Running {
+    count: Arc<AtomicU32>,
+}
+
+impl Running {
+    fn new(count: &Arc<AtomicU32>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self {
+            count: Arc::clone(count),
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/groups/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert map agreement and rebalancing decisions.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leases, gossip and the time line.
--- /dev/null
+++ b/crates/operators/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP and JSON interface towards operators.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Interfaces towards the platform: balancer, weight store, metrics sink.
--- /dev/null
+++ b/crates/requests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Dispatch, ledger, settle, keys and crash decisions.
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of server, limits and overload decisions.
--- /dev/null
+++ b/crates/servers/src/protocol.rs
@@ -0,0 +1,8 @@
+//! Paths, headers and JSON shapes of the protocol towards backend servers.
+
+/// `GET`: the server's [`ServerInfo`](snipemast_core::server::ServerInfo).
+pub const INFO: &str = "/engine/info";
+/// `GET`: the server's [`LoadReport`](snipemast_core::server::LoadReport).
+pub const LOAD: &str = "/engine/load";
+/// The header that names the attempt a call belongs to.
+pub const DISPATCH_HEADER: &str = "snipemast-dispatch";
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,141 @@
+//! The typed messages between the system's own processes.
+
+use std::net::SocketAddr;
+
+use snipemast_config::Config;
+use snipemast_core::data;
+use snipemast_core::prelude::*;
+
+/// Paths of the messages on each process's HTTP server.
+pub mod path {
+    /// An agent announces itself to an entry: [`Announce`](super::Announce).
+    pub const ANNOUNCE: &str = "/own/announce";
+    /// An entry sends a request to an agent: [`Dispatch`](super::Dispatch).
+    pub const DISPATCH: &str = "/own/dispatch";
+    /// An entry resumes an answer stream: [`ResumeFrom`](super::ResumeFrom).
+    pub const RESUME: &str = "/own/resume";
+    /// An entry settles a lost attempt: [`Settle`](super::Settle).
+    pub const SETTLE: &str = "/own/settle";
+    /// An entry cancels an attempt: [`Cancel`](super::Cancel).
+    pub const CANCEL: &str = "/own/cancel";
+    /// A process polls for the configuration: [`ConfigPoll`](super::ConfigPoll).
+    pub const CONFIG: &str = "/own/config";
+    /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
+    pub const EVENTS: &str = "/own/events";
+}
+
+data! {
+    /// An agent's word about itself and its backend server.
+    pub struct Announce {
+        /// The agent.
+        pub agent: ProcessId,
+        /// Where the agent listens.
+        pub address: SocketAddr,
+        /// Its availability zone.
+        pub zone: ZoneId,
+        /// Its region.
+        pub region: RegionId,
+        /// What its backend server offers.
+        pub info: ServerInfo,
+        /// The backend server's load.
+        pub load: LoadReport,
+        /// Whether it refuses new dispatches.
+        pub draining: bool,
+    }
+
+    /// The entry's answer to an announcement.
+    pub struct Announced {
+        /// The entry that took it.
+        pub entry: ProcessId,
+        /// How long the lease runs.
+        pub lease: Span,
+    }
+
+    /// A header of a call or answer.
+    pub struct Header {
+        /// The lower-case name.
+        pub name: String,
+        /// The value.
+        pub value: String,
+    }
+
+    /// What the backend server is asked.
+    pub struct Call {
+        /// The HTTP method.
+        pub method: String,
+        /// The path and query on the backend server.
+        pub path: String,
+        /// The headers to pass on.
+        pub headers: Vec<Header>,
+        /// The body.
+        #[serde(with = "serde_bytes")]
+        pub body: Vec<u8>,
+    }
+
+    /// One attempt to run a request, addressed to one incarnation of an agent.
+    pub struct Dispatch {
+        /// The attempt.
+        pub id: DispatchId,
+        /// The request that it is for.
+        pub request: RequestId,
+        /// The agent it is meant for: another incarnation refuses it.
+        pub agent: ProcessId,
+        /// The time left to its deadline when it was sent.
+        pub left: Span,
+        /// The workspace that pays.
+        pub workspace: WorkspaceId,
+        /// Whether it may run more than once.
+        pub idempotent: bool,
+        /// What to ask.
+        pub call: Call,
+    }
+
+    /// Continue the answer of a dispatch from an offset.
+    pub struct ResumeFrom {
+        /// The attempt.
+        pub id: DispatchId,
+        /// The bytes of the answer's body that have arrived.
+        pub offset: u64,
+    }
+
+    /// What became of an attempt? An id that never arrived is barred before the answer.
+    pub struct Settle {
+        /// The attempt.
+        pub id: DispatchId,
+    }
+
+    /// The agent's word on an attempt.
+    #[derive(Copy)]
+    pub enum Settled {
+        /// It runs.
+        Running,
+        /// It finished, and its answer can be resumed.
+        Finished,
+        /// It ran and failed.
+        Failed,
+        /// It did not run and never will.
+        Barred,
+    }
+
+    /// Stop an attempt: nobody reads its answer.
+    pub struct Cancel {
+        /// The attempt.
+        pub id: DispatchId,
+    }
+
+    /// Tell me of a configuration later than mine, or wait.
+    pub struct ConfigPoll {
+        /// The version that the asker has.
+        pub after: Version,
+        /// How long the answer may wait for a later one.
+        pub wait: Span,
+    }
+
+    /// The answer to a poll.
+    pub enum ConfigReply {
+        /// Nothing later within the wait.
+        Unchanged,
+        /// A later configuration, whole.
+        Whole(Box<Config>),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/serve.rs
@@ -0,0 +1,87 @@
+//! The server side: bind, read a message, write one.
+
+use std::future::Future;
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use smol::Task;
+use trillium::{Conn, Handler, HttpConfig, Status};
+use trillium_smol::Stopper;
+
+use crate::codec::{decode, encode};
+use crate::pipe::PipeReader;
+
+/// The largest message that a process reads, in bytes.
+pub const MAX_MESSAGE: u64 = 32 << 20;
+
+/// A server that listens: its address, and the handle that stops it.
+#[derive(Debug)]
+pub struct Listening {
+    address: SocketAddr,
+    stopper: Stopper,
+    task: Task<()>,
+}
+
+impl Listening {
+    /// The address that was bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no new connection and ends once every request has its answer.
+    pub async fn stop(self) {
+        self.stopper.stop();
+        self.task.await;
+    }
+}
+
+/// Binds the address, port 0 for any, and serves it in the background.
+pub async fn listen(address: SocketAddr, handler: impl Handler) -> std::io::Result<Listening> {
+    let listener = std::net::TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    listener.set_nonblocking(true)?;
+    let listener = smol::net::TcpListener::try_from(listener)?;
+    let stopper = Stopper::new();
+    let server = trillium_smol::config()
+        .with_prebound_server(listener)
+        .without_signals()
+        .with_nodelay()
+        .with_stopper(stopper.clone())
+        .with_http_config(HttpConfig::default().with_received_body_max_len(MAX_MESSAGE))
+        .run_async(handler);
+    Ok(Listening {
+        address,
+        stopper,
+        task: spawn(server),
+    })
+}
+
+/// Runs a task on the executor that the HTTP servers run on.
+pub fn spawn<T: Send + 'static>(work: impl Future<Output = T> + Send + 'static) -> Task<T> {
+    trillium_smol::async_global_executor::spawn(work)
+}
+
+/// Reads the message of a request, or nothing where it is not one.
+pub async fn message<T: DeserializeOwned>(conn: &mut Conn) -> Option<T> {
+    let bytes = conn.request_body().await.read_bytes().await.ok()?;
+    decode(&bytes).ok()
+}
+
+/// Answers with a message.
+pub fn reply<T: Serialize>(conn: Conn, message: &T) -> Conn {
+    conn.with_status(Status::Ok)
+        .with_body(encode(message))
+        .halt()
+}
+
+/// Answers that the request is not the expected message.
+pub fn malformed(conn: Conn) -> Conn {
+    conn.with_status(Status::BadRequest).halt()
+}
+
+/// Answers with a stream of frames.
+pub fn stream(conn: Conn, frames: PipeReader) -> Conn {
+    let body = trillium::Body::new_streaming(frames, None);
+    conn.with_status(Status::Ok).with_body(body).halt()
+}
