Choose servers by own requests and aged reports

Cause: a request went to the server with the fewest requests of its own entry, whatever others had sent.

Change: a table of servers with pools for each offer; two seeded draws compared on own requests, aged reports, step time and ramp; zones with spill and hysteresis, subsets by seat, prefix affinity with a load bound, ejection with a bounded share, slow start and stall detection. The entry holds it in shards under locks.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,12 +3,14 @@
 //! - [`process`]: start, drain, stop.
 //! - [`shared`]: what all requests of the process share.
 //! - [`registry`]: the agents that announced themselves.
+//! - [`choose`]: the routing state, in shards, and the choice of a server.
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`desk`]: the interface towards operators.
 //! - [`follow`]: keeps up with the configuration of a control host.
 
+pub mod choose;
 pub mod desk;
 pub mod follow;
 pub mod front;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -12,6 +12,7 @@
 use snipemast_settings::EntrySettings;
 use snipemast_wire::{listen, spawn, Listening};
 
+use crate::choose::sync_forever;
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
@@ -69,12 +70,13 @@
             .record(Event::ProcessStarted, &shared.process, callers.address());
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let expire = spawn(expire_forever(Arc::clone(&shared)));
+        let sync = spawn(sync_forever(Arc::clone(&shared)));
         Ok(Self {
             shared,
             callers,
             own,
             operators,
-            tasks: vec![follow, expire],
+            tasks: vec![follow, expire, sync],
         })
     }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,16 +1,16 @@
 //! One request's way to a backend server, and its answer's way back.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use snipemast_callers::problem::{Problem, ProblemKind};
 use snipemast_callers::{Ask, Target};
 use snipemast_config::{Config, Service};
 use snipemast_core::prelude::*;
+use snipemast_routing::{Ended, Wanted};
 use snipemast_wire::message::path;
 use snipemast_wire::{Call, Dispatch, Frame, FrameReader, Header, PipeWriter, Stream};
 
-use crate::registry::{Member, Wanted};
+use crate::choose::{choose, Picked};
 use crate::shared::{InFlight, Shared};
 
 /// The result of one step of a request.
@@ -36,7 +36,7 @@
     shared: Arc<Shared>,
     request: RequestId,
     frames: FrameReader<Stream>,
-    member: Arc<Member>,
+    member: Picked,
     offset: u64,
     _running: InFlight,
 }
@@ -54,10 +54,7 @@
         .record(Event::RequestReceived, &request, ask.target.service());
     let (wanted, idempotent) = wanted(config, &ask)?;
     let running = shared.enter();
-    let member = shared
-        .registry
-        .choose(&wanted, &[])
-        .ok_or_else(|| unavailable(&ask))?;
+    let member = choose(shared, &wanted, None, &[]).map_err(|_| unavailable(&ask))?;
     shared
         .journal
         .record(Event::RequestRouted, &request, &member.announce.info.server);
@@ -73,7 +70,6 @@
     let timeout = shared.settings.limits.silence;
     let stream = member.peer.open(path::DISPATCH, &dispatch, timeout).await;
     let stream = stream.map_err(|e| lost(e.current_context()))?;
-    member.inflight.fetch_add(1, Ordering::Relaxed);
     let frames = FrameReader::new(stream);
     let shared = Arc::clone(shared);
     let mut rest = Rest {
@@ -180,6 +176,7 @@
         loop {
             match self.next().await? {
                 Frame::Head { status, headers } => {
+                    self.member.first();
                     let event = Event::AnswerBegun;
                     self.shared.journal.record(event, &self.request, status);
                     return Ok((status, headers));
@@ -240,6 +237,7 @@
         loop {
             match self.next().await? {
                 Frame::Data { offset, bytes } if offset == self.offset => {
+                    self.member.moved();
                     self.offset += bytes.len() as u64;
                     return Ok(Some(bytes));
                 }
@@ -249,6 +247,7 @@
                         .record(Event::FrameDropped, &self.request, offset);
                 }
                 Frame::End { total, .. } if total == self.offset => {
+                    self.member.done(Ended::Answered);
                     self.shared
                         .journal
                         .record(Event::AnswerDelivered, &self.request, total);
@@ -265,13 +264,11 @@
     }
 
     async fn next(&mut self) -> Result<Frame> {
-        self.frames.next().await.map_err(|_| cut())
-    }
-}
-
-impl Drop for Rest {
-    fn drop(&mut self) {
-        self.member.inflight.fetch_sub(1, Ordering::Relaxed);
+        let frame = self.frames.next().await;
+        if matches!(frame, Err(_) | Ok(Frame::Failed { .. })) {
+            self.member.done(Ended::Failed);
+        }
+        frame.map_err(|_| cut())
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,8 +9,10 @@
 use snipemast_config::{Config, Patch, Verdict};
 use snipemast_control::Machine;
 use snipemast_core::prelude::*;
+use snipemast_routing::Place;
 use snipemast_settings::EntrySettings;
 
+use crate::choose::Chooser;
 use crate::registry::Registry;
 
 /// The state of an entry process.
@@ -24,6 +26,8 @@
     pub journal: Journal,
     /// The agents that announced themselves.
     pub registry: Registry,
+    /// The choice of a backend server.
+    pub chooser: Arc<Chooser>,
     config: ArcSwap<Config>,
     machine: Option<Mutex<Machine>>,
     counter: AtomicU64,
@@ -39,11 +43,17 @@
             .as_ref()
             .map(|_| Mutex::new(Machine::default()));
         let registry = Registry::new(settings.limits.lease);
+        let place = Place {
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+        };
+        let chooser = Arc::new(Chooser::new(place, &process, journal.clone()));
         Self {
             settings,
             process,
             journal,
             registry,
+            chooser,
             config: ArcSwap::from_pointee(Config::default()),
             machine,
             counter: AtomicU64::new(0),
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,485 @@
+//! The choice of a server for one request.
+
+use std::collections::{BTreeMap, HashMap};
+
+use snipemast_core::prelude::*;
+
+use crate::hash::{mix, stable};
+use crate::health::{Ended, Health, HealthPolicy};
+use crate::load::Load;
+use crate::pick::{group_steps, means, View};
+use crate::pool::{Near, Place, Pool, SpillPolicy, TIERS};
+use crate::prefix::{Hints, Prefix, PrefixPolicy};
+use crate::server::{Facts, Server};
+use crate::subset::Seat;
+use crate::wanted::Wanted;
+
+/// How servers are weighed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Policy {
+    /// How many servers are drawn and compared.
+    pub draws: usize,
+    /// The age at which half of a report's word on other entries is believed.
+    pub fade: Span,
+    /// How old a tier's means may be.
+    pub refresh: Span,
+    /// When a server is held for ill.
+    pub health: HealthPolicy,
+    /// When requests spill into another zone.
+    pub spill: SpillPolicy,
+    /// How far a cached prefix may draw requests.
+    pub prefix: PrefixPolicy,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            draws: 2,
+            fade: Span::from_millis(1_000),
+            refresh: Span::from_millis(20),
+            health: HealthPolicy::default(),
+            spill: SpillPolicy::default(),
+            prefix: PrefixPolicy::default(),
+        }
+    }
+}
+
+/// A server's position in the table; it is reused after the server left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Slot(pub(crate) u32);
+
+/// What is asked of the choice.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// What the server must offer.
+    pub wanted: &'a Wanted,
+    /// What its engine must be able to do.
+    pub needs: Capabilities,
+    /// The prompt's prefix.
+    pub prefix: Option<Prefix>,
+    /// The servers that were tried and are left out.
+    pub tried: &'a [ProcessId],
+}
+
+impl<'a> Query<'a> {
+    /// Asks for a server that offers this.
+    pub fn new(wanted: &'a Wanted) -> Self {
+        Self {
+            wanted,
+            needs: Capabilities::default(),
+            prefix: None,
+            tried: &[],
+        }
+    }
+
+    /// Prefers a server that has this prefix in its cache.
+    #[must_use]
+    pub fn with_prefix(mut self, prefix: Option<Prefix>) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
+    /// Leaves out the servers that were tried.
+    #[must_use]
+    pub fn with_tried(mut self, tried: &'a [ProcessId]) -> Self {
+        self.tried = tried;
+        self
+    }
+
+    /// Asks for a server whose engine can do this.
+    #[must_use]
+    pub fn with_needs(mut self, needs: Capabilities) -> Self {
+        self.needs = needs;
+        self
+    }
+}
+
+/// A server that was chosen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The server.
+    pub slot: Slot,
+    /// Requests that run or wait there, a slot, as far as one can tell.
+    pub load: f64,
+    /// How near it is.
+    pub near: Near,
+}
+
+/// Why no server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoServer {
+    /// Nothing offers it.
+    Unloaded,
+    /// What offers it is draining, suspect, ejected, unable or tried.
+    Unfit,
+}
+
+/// Something that an operator should see.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Notice {
+    /// A server was ejected.
+    Ejected(ServerId, Cause),
+    /// A server came back from its ejection.
+    Returned(ServerId),
+    /// Requests begin to spill out of a tier, or stop.
+    Spilled(Near, bool),
+}
+
+/// Why a server was ejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cause {
+    /// It failed requests in a row.
+    Failures,
+    /// It has work and shows no progress.
+    Stalled,
+}
+
+/// One entry's table of servers, and the choice among them.
+#[derive(Debug)]
+pub struct Router {
+    pub(crate) policy: Policy,
+    pub(crate) servers: Vec<Option<Server>>,
+    pub(crate) pools: HashMap<Wanted, Pool>,
+    place: Place,
+    seat: Option<Seat>,
+    hosts: BTreeMap<HostId, u32>,
+    groups: BTreeMap<GroupId, u32>,
+    group_steps: Vec<f64>,
+    hints: Hints,
+    seed: u64,
+    count: u64,
+    notices: Vec<Notice>,
+}
+
+impl Router {
+    /// An empty table for an entry at this place; the seed makes its draws its own.
+    pub fn new(place: Place, seed: u64) -> Self {
+        Self {
+            policy: Policy::default(),
+            servers: Vec::new(),
+            pools: HashMap::new(),
+            place,
+            seat: None,
+            hosts: BTreeMap::new(),
+            groups: BTreeMap::new(),
+            group_steps: Vec::new(),
+            hints: Hints::new(PrefixPolicy::default().hints),
+            seed,
+            count: 0,
+            notices: Vec::new(),
+        }
+    }
+
+    /// Weighs servers by this policy.
+    #[must_use]
+    pub fn with_policy(mut self, policy: Policy) -> Self {
+        self.policy = policy;
+        self.hints = Hints::new(policy.prefix.hints);
+        self
+    }
+
+    /// Takes the entry's seat among those of its zone, or none for all servers.
+    pub fn sit(&mut self, seat: Option<Seat>) {
+        if self.seat != seat {
+            self.seat = seat;
+            self.relist();
+        }
+    }
+
+    /// Takes what an agent announced.
+    ///
+    /// `fresh` says that the server itself is new, not merely this entry's knowledge of it: a
+    /// restarted entry must not treat the whole fleet as cold.
+    pub fn upsert(&mut self, now: Moment, facts: Facts, fresh: bool) -> Slot {
+        if let Some(&at) = self.hosts.get(&facts.agent.host) {
+            if self.refresh_facts(at, &facts) {
+                return Slot(at);
+            }
+            self.remove(&facts.agent.host);
+        }
+        let group = facts.info.rank.as_ref().map(|r| self.group(&r.group));
+        let at = self.vacant();
+        self.hosts.insert(facts.agent.host.clone(), at);
+        self.servers[at as usize] = Some(Server {
+            load: Load::new(),
+            health: Health::new(now, fresh),
+            suspect: false,
+            seed: stable(&facts.info.server),
+            group,
+            facts,
+        });
+        self.relist();
+        Slot(at)
+    }
+
+    /// Takes new facts of a known process; false where it is another process.
+    fn refresh_facts(&mut self, at: u32, facts: &Facts) -> bool {
+        let Some(server) = self.servers[at as usize].as_mut() else {
+            return false;
+        };
+        if server.facts.agent != facts.agent {
+            return false;
+        }
+        let listed = server.facts.is_listed_like(facts);
+        server.facts = facts.clone();
+        if !listed {
+            let group = facts.info.rank.as_ref().map(|r| r.group.clone());
+            let group = group.map(|g| self.group(&g));
+            if let Some(server) = self.servers[at as usize].as_mut() {
+                server.group = group;
+            }
+            self.relist();
+        }
+        true
+    }
+
+    /// Forgets a server that left.
+    pub fn remove(&mut self, host: &HostId) {
+        if let Some(at) = self.hosts.remove(host) {
+            self.servers[at as usize] = None;
+            self.hints.forget_server(at);
+            self.relist();
+        }
+    }
+
+    /// Notes whether membership doubts that a server is alive.
+    pub fn suspect(&mut self, host: &HostId, suspect: bool) {
+        if let Some(server) = self.by_host(host) {
+            server.suspect = suspect;
+        }
+    }
+
+    /// Takes a load report.
+    pub fn report(&mut self, now: Moment, host: &HostId, report: &LoadReport) {
+        let Some(server) = self.by_host(host) else {
+            return;
+        };
+        let before = server.load.restarts();
+        server.load.report(now, report);
+        if report.restarts > before && server.load.restarts() == report.restarts {
+            server.health.restarted(now);
+            let at = self.hosts[host];
+            self.hints.forget_server(at);
+        }
+    }
+
+    /// Takes a server's word that its cache gained or lost a prefix.
+    ///
+    /// Such events come late and with gaps, so they only ever hint: a gap in their numbers drops
+    /// all hints of that server, and an answer that shows no cached tokens drops that one.
+    pub fn cached(&mut self, host: &HostId, number: u64, prefix: Prefix, held: bool) {
+        if let Some(&at) = self.hosts.get(host) {
+            self.hints.note(at, number, prefix, held);
+        }
+    }
+
+    /// Takes an answer's word on whether its prefix was found in the cache.
+    pub fn reconcile(&mut self, slot: Slot, prefix: Prefix, hit: bool) {
+        if !hit {
+            self.hints.forget(slot.0, prefix);
+        }
+    }
+
+    /// Counts a request as sent.
+    pub fn sent(&mut self, now: Moment, slot: Slot) {
+        if let Some(server) = self.server_mut(slot) {
+            if server.load.own() == 0 {
+                server.health.begin(now);
+            }
+            server.load.sent(now);
+        }
+    }
+
+    /// Notes the first sign of an answer, after this long.
+    pub fn first(&mut self, now: Moment, slot: Slot, took: Span) {
+        if let Some(server) = self.server_mut(slot) {
+            server.health.first(now, took);
+        }
+    }
+
+    /// Notes that an answer moved on.
+    pub fn moved(&mut self, now: Moment, slot: Slot) {
+        if let Some(server) = self.server_mut(slot) {
+            server.health.begin(now);
+        }
+    }
+
+    /// Counts a request as ended; `agent` guards against a slot that was reused meanwhile.
+    pub fn ended(&mut self, now: Moment, slot: Slot, agent: &ProcessId, how: Ended) {
+        let policy = self.policy.health;
+        let Some(server) = self.server_mut(slot) else {
+            return;
+        };
+        if server.facts.agent != *agent {
+            return;
+        }
+        server.load.ended(now);
+        if server.health.ended(now, how, &policy) {
+            self.eject(now, slot.0, Cause::Failures);
+        }
+    }
+
+    /// What happened since the last call that an operator should see.
+    pub fn notices(&mut self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices)
+    }
+
+    /// The agent of a server.
+    pub fn agent(&self, slot: Slot) -> Option<&ProcessId> {
+        self.servers
+            .get(slot.0 as usize)?
+            .as_ref()
+            .map(|s| &s.facts.agent)
+    }
+
+    /// The slots of all servers that take work for this, and how full they are.
+    pub fn capacity(&mut self, now: Moment, wanted: &Wanted) -> Option<(f64, f64)> {
+        self.refresh(now, wanted);
+        let pool = self.pools.get(wanted)?;
+        let slots: f64 = pool.tiers.iter().map(|t| t.means.slots).sum();
+        let load: f64 = pool
+            .tiers
+            .iter()
+            .map(|t| t.means.load * t.means.slots)
+            .sum();
+        Some((slots, load))
+    }
+
+    /// Chooses a server; the caller says [`sent`](Self::sent) when it goes there.
+    pub fn choose(&mut self, now: Moment, query: &Query<'_>) -> Result<Choice, NoServer> {
+        self.refresh(now, query.wanted);
+        self.count = self.count.wrapping_add(1);
+        let draw = mix(self.seed ^ self.count);
+        let pool = self.pools.get(query.wanted).ok_or(NoServer::Unloaded)?;
+        let view = View {
+            policy: &self.policy,
+            servers: &self.servers,
+            steps: &self.group_steps,
+            hints: &self.hints,
+            pool,
+            query,
+            now,
+        };
+        let found = view.choose(draw);
+        if let Some(stalled) = found.stalled {
+            self.eject(now, stalled, Cause::Stalled);
+        }
+        found.choice.ok_or(NoServer::Unfit)
+    }
+
+    fn eject(&mut self, now: Moment, at: u32, cause: Cause) {
+        if !self.may_eject(now, at) {
+            return;
+        }
+        let policy = self.policy.health;
+        if let Some(server) = self.servers[at as usize].as_mut() {
+            server.health.eject(now, &policy);
+            let notice = Notice::Ejected(server.facts.info.server.clone(), cause);
+            self.notices.push(notice);
+        }
+    }
+
+    /// Whether each pool of the server would keep enough of its servers.
+    ///
+    /// Where something common to all makes requests fail, every server looks ill; ejecting them
+    /// all would turn slow answers into none. The share bounds what a wrong verdict can cost.
+    fn may_eject(&self, now: Moment, at: u32) -> bool {
+        self.pools.values().all(|pool| {
+            let mut of_pool = pool.tiers.iter().flat_map(|t| &t.list);
+            if !of_pool.clone().any(|&n| n == at) {
+                return true;
+            }
+            let out = |n: u32| {
+                self.servers[n as usize]
+                    .as_ref()
+                    .is_some_and(|s| s.health.is_ejected(now))
+            };
+            let bound = (pool.len() as f64 * self.policy.health.share) as usize;
+            let count = of_pool.by_ref().filter(|&&n| out(n)).count();
+            count < bound
+        })
+    }
+
+    fn server_mut(&mut self, slot: Slot) -> Option<&mut Server> {
+        self.servers.get_mut(slot.0 as usize)?.as_mut()
+    }
+
+    fn by_host(&mut self, host: &HostId) -> Option<&mut Server> {
+        let at = *self.hosts.get(host)?;
+        self.servers[at as usize].as_mut()
+    }
+
+    fn vacant(&mut self) -> u32 {
+        let free = self.servers.iter().position(Option::is_none);
+        let at = free.unwrap_or(self.servers.len());
+        if at == self.servers.len() {
+            self.servers.push(None);
+        }
+        at as u32
+    }
+
+    fn group(&mut self, group: &GroupId) -> u32 {
+        let next = self.groups.len() as u32;
+        let at = *self.groups.entry(group.clone()).or_insert(next);
+        self.group_steps.resize(self.groups.len(), 0.0);
+        at
+    }
+
+    /// Builds the pools' lists anew: rare, so it may take its time.
+    fn relist(&mut self) {
+        let spilling: HashMap<Wanted, [bool; TIERS]> = self
+            .pools
+            .drain()
+            .map(|(wanted, pool)| (wanted, pool.tiers.each_ref().map(|t| t.spilling)))
+            .collect();
+        // In the order of names, so that all entries shuffle the same list.
+        for &at in self.hosts.values() {
+            let Some(server) = &self.servers[at as usize] else {
+                continue;
+            };
+            let near = Near::of(&self.place, server) as usize;
+            for wanted in server.wanted() {
+                let pool = self.pools.entry(wanted).or_default();
+                pool.tiers[near].list.push(at);
+            }
+        }
+        for (wanted, pool) in &mut self.pools {
+            for (n, tier) in pool.tiers.iter_mut().enumerate() {
+                tier.spilling = spilling.get(wanted).is_some_and(|s| s[n]);
+                if let Some(seat) = self.seat {
+                    seat.cut(&mut tier.list);
+                }
+            }
+        }
+    }
+
+    /// Works out the means of a pool's tiers where they are too old.
+    fn refresh(&mut self, now: Moment, wanted: &Wanted) {
+        let Some(pool) = self.pools.get_mut(wanted) else {
+            return;
+        };
+        let due = |m: Moment| now.since(m) >= self.policy.refresh;
+        if !pool.refreshed.is_none_or(due) {
+            return;
+        }
+        pool.refreshed = Some(now);
+        for server in pool.tiers.iter().flat_map(|t| &t.list) {
+            let Some(server) = self.servers[*server as usize].as_mut() else {
+                continue;
+            };
+            if server.health.take_return(now) {
+                let id = server.facts.info.server.clone();
+                self.notices.push(Notice::Returned(id));
+            }
+        }
+        group_steps(&mut self.group_steps, &self.servers, pool);
+        for (near, tier) in Near::ALL.into_iter().zip(&mut pool.tiers) {
+            let listed = tier.list.iter();
+            let servers = listed.filter_map(|&at| self.servers[at as usize].as_ref());
+            tier.means = means(servers, now);
+            if let Some(spilling) = tier.judge(&self.policy.spill) {
+                self.notices.push(Notice::Spilled(near, spilling));
+            }
+        }
+    }
+}
