--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,9 +2,33 @@
 //!
 //! - [`machine`]: the state machine that patches are applied to.
 //! - [`apply`]: what the replicated log asks of a state machine.
+//! - [`node`]: one voter of the replicated log, without disk, wire or clock.
+//!   `election`, `replicate`, `install`, `change` and `role` are its parts.
+//! - [`voters`]: who votes, and how that may change.
+//! - [`entry`]: what stands in the log and on the disk.
+//! - [`log`]: the log in memory.
+//! - [`message`]: what voters say to each other.
+//! - [`timing`]: timeouts, bounds and chance.
 
 pub mod apply;
+pub mod entry;
+pub mod log;
 pub mod machine;
+pub mod message;
+pub mod node;
+pub mod timing;
+pub mod voters;
+
+mod change;
+mod election;
+mod install;
+mod replicate;
+mod role;
 
 pub use apply::{RestoreError, StateMachine};
+pub use entry::{Hard, LogEntry, Payload, Snapshot, Stored, Write};
 pub use machine::Machine;
+pub use message::{Envelope, Message};
+pub use node::{Boot, Input, Node, Note, Output, Refusal, Ticket};
+pub use timing::{Chance, Timing};
+pub use voters::{ChangeError, ClusterId, Seat, VoterChange, VoterId, Voters};
--- /dev/null
+++ b/crates/control/src/voters.rs
@@ -0,0 +1,237 @@
+//! Who votes: voters, learners, and the one change at a time that is allowed.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::net::SocketAddr;
+
+use snipemast_core::data;
+use snipemast_core::number_ids;
+use snipemast_core::prelude::*;
+
+/// The result of changing the voters.
+pub type Result<T> = std::result::Result<T, ChangeError>;
+
+/// How many hosts may be set aside for control.
+pub const MAX_VOTERS: usize = 7;
+
+number_ids! {
+    /// A voter or learner, drawn at random when its data folder is made.
+    ///
+    /// The id belongs to the folder, not to the host: a host whose disk was wiped comes back
+    /// under another id and has no vote until it is added again.
+    VoterId;
+    /// The first set of voters, drawn when it was formed; other clusters' messages are dropped.
+    ClusterId;
+}
+
+data! {
+    /// Where a voter or learner is.
+    pub struct Seat {
+        /// Its host.
+        pub host: HostId,
+        /// Its availability zone.
+        pub zone: ZoneId,
+        /// Where the system's own processes reach it.
+        pub address: SocketAddr,
+    }
+
+    /// The voters and learners.
+    #[derive(Default, Hash)]
+    pub struct Voters {
+        /// Whose disks count towards a quorum.
+        pub voters: BTreeMap<VoterId, Seat>,
+        /// Who copies the log and has no vote yet.
+        pub learners: BTreeMap<VoterId, Seat>,
+    }
+
+    /// One change of the voters, taken alone.
+    pub enum VoterChange {
+        /// A host begins to copy the log.
+        Learn {
+            /// Its id.
+            id: VoterId,
+            /// Where it is.
+            seat: Seat,
+        },
+        /// A learner that has caught up becomes a voter.
+        Promote {
+            /// Its id.
+            id: VoterId,
+        },
+        /// A voter or learner leaves.
+        Remove {
+            /// Its id.
+            id: VoterId,
+        },
+    }
+
+    /// Why a change of the voters was refused.
+    #[derive(Hash)]
+    pub enum ChangeError {
+        /// Another change is not committed yet.
+        Pending,
+        /// The leader has committed nothing in its term yet.
+        Early,
+        /// The id is already a voter or learner.
+        Known(VoterId),
+        /// The id is neither voter nor learner.
+        Unknown(VoterId),
+        /// The learner has not caught up.
+        Behind {
+            /// What its disk holds.
+            held: Index,
+            /// What it must hold.
+            needed: Index,
+        },
+        /// One zone would hold more than half of the voters.
+        Crowded(ZoneId),
+        /// There would be no voter left.
+        Empty,
+        /// There would be more than [`MAX_VOTERS`].
+        Full,
+    }
+}
+
+impl std::hash::Hash for Seat {
+    fn hash<H: std::hash::Hasher>(&self, state: &mut H) {
+        (&self.host, &self.zone, &self.address).hash(state);
+    }
+}
+
+impl fmt::Display for VoterChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Learn { id, seat } => write!(f, "{} learns as {id}", seat.host),
+            Self::Promote { id } => write!(f, "{id} becomes a voter"),
+            Self::Remove { id } => write!(f, "{id} leaves"),
+        }
+    }
+}
+
+impl fmt::Display for ChangeError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Pending => f.write_str("another change of the voters is not committed yet"),
+            Self::Early => f.write_str("the leader has committed nothing in its term yet"),
+            Self::Known(id) => write!(f, "{id} is already a voter or learner"),
+            Self::Unknown(id) => write!(f, "{id} is neither voter nor learner"),
+            Self::Behind { held, needed } => {
+                write!(f, "the learner holds the log up to {held} of {needed}")
+            }
+            Self::Crowded(zone) => write!(f, "{zone} would hold more than half of the voters"),
+            Self::Empty => f.write_str("no voter would be left"),
+            Self::Full => write!(f, "there would be more than {MAX_VOTERS} voters"),
+        }
+    }
+}
+
+impl std::error::Error for ChangeError {}
+
+impl Voters {
+    /// These voters and no learner.
+    pub fn new(voters: BTreeMap<VoterId, Seat>) -> Self {
+        Self {
+            voters,
+            learners: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the id has a vote.
+    pub fn is_voter(&self, id: VoterId) -> bool {
+        self.voters.contains_key(&id)
+    }
+
+    /// Whether the id is a voter or learner.
+    pub fn knows(&self, id: VoterId) -> bool {
+        self.is_voter(id) || self.learners.contains_key(&id)
+    }
+
+    /// Where a voter or learner is.
+    pub fn seat(&self, id: VoterId) -> Option<&Seat> {
+        self.voters.get(&id).or_else(|| self.learners.get(&id))
+    }
+
+    /// Everyone but the given one.
+    pub fn others(&self, id: VoterId) -> Vec<VoterId> {
+        let all = self.voters.keys().chain(self.learners.keys());
+        all.copied().filter(|v| *v != id).collect()
+    }
+
+    /// How many voters are more than half.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether these ids hold more than half of the votes.
+    pub fn is_quorum(&self, ids: &BTreeSet<VoterId>) -> bool {
+        let votes = ids.iter().filter(|id| self.is_voter(**id)).count();
+        votes >= self.majority()
+    }
+
+    /// The highest value that a majority of the voters has reached.
+    pub fn agreed<T: Ord + Copy>(&self, value: impl Fn(VoterId) -> T) -> Option<T> {
+        let mut values: Vec<T> = self.voters.keys().map(|id| value(*id)).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.majority() - 1).copied()
+    }
+
+    /// The zone that holds more than half of the votes of three or more voters.
+    pub fn crowded(&self) -> Option<&ZoneId> {
+        if self.voters.len() < 3 {
+            return None;
+        }
+        let mut zones = BTreeMap::new();
+        for seat in self.voters.values() {
+            *zones.entry(&seat.zone).or_insert(0) += 1;
+        }
+        zones
+            .into_iter()
+            .find(|(_, n)| *n >= self.majority())
+            .map(|(zone, _)| zone)
+    }
+
+    /// The voters after a change, where its form allows it.
+    ///
+    /// Failure guarded against: the loss of one zone takes the majority along. A change that
+    /// puts more than half of the votes into one zone is refused, unless they were there before.
+    pub fn with_change(&self, change: &VoterChange) -> Result<Self> {
+        let mut next = self.clone();
+        match change {
+            VoterChange::Learn { id, .. } if self.knows(*id) => {
+                return Err(ChangeError::Known(*id));
+            }
+            VoterChange::Learn { id, seat } => {
+                next.learners.insert(*id, seat.clone());
+            }
+            VoterChange::Promote { id } => {
+                let seat = next.learners.remove(id).ok_or(ChangeError::Unknown(*id))?;
+                next.voters.insert(*id, seat);
+            }
+            VoterChange::Remove { id } if !self.knows(*id) => {
+                return Err(ChangeError::Unknown(*id));
+            }
+            VoterChange::Remove { id } => {
+                next.voters.remove(id);
+                next.learners.remove(id);
+            }
+        }
+        next.check_against(self)?;
+        Ok(next)
+    }
+
+    fn check_against(&self, previous: &Self) -> Result<()> {
+        if self.voters.is_empty() {
+            return Err(ChangeError::Empty);
+        }
+        if self.voters.len() > MAX_VOTERS {
+            return Err(ChangeError::Full);
+        }
+        let grown = self.voters.len() > previous.voters.len();
+        match self.crowded() {
+            Some(zone) if grown && previous.crowded().is_none() => {
+                Err(ChangeError::Crowded(zone.clone()))
+            }
+            _ => Ok(()),
+        }
+    }
+}
