Share entries between versions and name every fault of a patch

Cause: a patch re-parsed the whole document, a refusal named the first fault only, and anyone could write before the first operator was configured. Change: sections share their entries between versions; a patch touches what it names; every fault is listed with its path; deltas are values; the machine keeps first verdicts, a bounded history and fencing numbers, and implements the log's StateMachine; the first operator's key comes from the control host's settings.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -257,6 +257,7 @@
         control: Some(ControlSettings {
             data: "data".into(),
             voters: Vec::new(),
+            operator: None,
         }),
         data: None,
         statsd: None,
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,14 +1,18 @@
 //! Checks of a whole document: every fault is found, each with its path.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::fmt;
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
-use crate::document::{Config, Group, Service};
+use crate::delta::Delta;
+use crate::document::{Config, Operator, Role, Service, Workspace};
 use crate::secret::KeyHash;
 
+/// The largest weight of a workspace.
+const MAX_WEIGHT: u32 = 1_000_000;
+
 data! {
     /// One fault of a document or patch.
     pub struct Fault {
@@ -31,6 +35,10 @@
         Doubled(String),
         /// The path can't be patched.
         ReadOnly,
+        /// Nothing has a field of this name.
+        Unknown,
+        /// A field that must be there is not.
+        Missing,
     }
 }
 
@@ -58,89 +66,208 @@
             Self::Impossible(why) => write!(f, "impossible: {why}"),
             Self::Doubled(other) => write!(f, "also stands at {other}"),
             Self::ReadOnly => f.write_str("can't be patched"),
+            Self::Unknown => f.write_str("nothing has a field of this name"),
+            Self::Missing => f.write_str("is missing"),
         }
     }
 }
 
-/// Finds every fault of a document.
+/// Finds every fault of a whole document.
 pub fn check(config: &Config) -> Vec<Fault> {
+    let empty = Config::default();
+    let mut whole = Delta::between(&empty, config);
+    whole.to = config.version.max(Version::new(1));
     let mut faults = Vec::new();
-    check_keys(config, &mut faults);
-    check_weights(config, &mut faults);
-    for (id, service) in &config.services {
-        check_service(config, id, service, &mut faults);
+    check_change(&empty, config, &whole, &mut faults);
+    faults
+}
+
+/// Finds every fault that a change brings into a document without faults.
+///
+/// Only what the change can have broken is looked at: of the workspaces those that it names, of
+/// the small sections all that refer to each other.
+pub fn check_change(before: &Config, after: &Config, delta: &Delta, faults: &mut Vec<Fault>) {
+    for (id, workspace) in &delta.workspaces.set {
+        check_workspace(id, workspace, faults);
     }
-    for (id, group) in &config.groups {
-        check_group(config, id, group, &mut faults);
+    check_keys(before, after, delta, faults);
+    check_operators(after, faults);
+    for (id, service) in &after.services {
+        check_service(after, id, service, faults);
+    }
+    check_groups(after, faults);
+    check_servers(after, faults);
+    check_keepers(before, after, faults);
+}
+
+fn impossible(path: String, why: &str) -> Fault {
+    Fault::new(path, FaultKind::Impossible(why.into()))
+}
+
+fn check_workspace(id: &WorkspaceId, workspace: &Workspace, faults: &mut Vec<Fault>) {
+    let path = format!("workspaces.{id}");
+    if workspace.weight == 0 {
+        let why = "a weight of 0 gives no share";
+        faults.push(impossible(format!("{path}.weight"), why));
+    }
+    if workspace.weight > MAX_WEIGHT {
+        let why = "a weight is at most 1000000";
+        faults.push(impossible(format!("{path}.weight"), why));
+    }
+    let limits = &workspace.limits;
+    if limits.concurrency == Some(0) {
+        let why = "0 requests in flight admit nothing";
+        faults.push(impossible(format!("{path}.limits.concurrency"), why));
+    }
+    for (name, rate) in [("requests", limits.requests), ("tokens", limits.tokens)] {
+        if rate.is_some_and(|r| r.as_per_second() <= 0.0) {
+            let why = "a rate of 0 admits nothing";
+            faults.push(impossible(format!("{path}.limits.{name}"), why));
+        }
     }
-    check_keepers(config, &mut faults);
-    faults
 }
 
 /// A key that two workspaces share would let one read the other's answers.
-fn check_keys(config: &Config, faults: &mut Vec<Fault>) {
-    let mut seen: BTreeMap<&KeyHash, String> = BTreeMap::new();
-    for (id, workspace) in &config.workspaces {
+fn check_keys(before: &Config, after: &Config, delta: &Delta, faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<&KeyHash, String> = HashMap::new();
+    for (id, workspace) in &delta.workspaces.set {
         for (n, key) in workspace.keys.iter().enumerate() {
             let path = format!("workspaces.{id}.keys.{n}");
-            if let Some(other) = seen.insert(key, path.clone()) {
+            let other = seen
+                .insert(key, path.clone())
+                .or_else(|| untouched_owner(before, after, delta, key));
+            if let Some(other) = other {
                 faults.push(Fault::new(path, FaultKind::Doubled(other)));
             }
         }
     }
 }
 
-fn check_weights(config: &Config, faults: &mut Vec<Fault>) {
-    for (id, workspace) in &config.workspaces {
-        if workspace.weight == 0 {
-            let why = FaultKind::Impossible("a weight of 0 gives no share".into());
-            faults.push(Fault::new(format!("workspaces.{id}.weight"), why));
-        }
-        if workspace.limits.concurrency == Some(0) {
-            let why = FaultKind::Impossible("0 requests in flight admit nothing".into());
-            faults.push(Fault::new(
-                format!("workspaces.{id}.limits.concurrency"),
-                why,
-            ));
+/// Where a key stands in a workspace that the change leaves alone.
+fn untouched_owner(
+    before: &Config,
+    after: &Config,
+    delta: &Delta,
+    key: &KeyHash,
+) -> Option<String> {
+    let owner = before.workspace_of(key)?;
+    if delta.workspaces.set.contains_key(owner) {
+        return None;
+    }
+    let keys = &after.workspaces.get(owner)?.keys;
+    let n = keys.iter().position(|k| k == key)?;
+    Some(format!("workspaces.{owner}.keys.{n}"))
+}
+
+/// Operators none of whom may write could never be changed again.
+fn check_operators(config: &Config, faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<&KeyHash, &OperatorId> = HashMap::new();
+    for (id, operator) in &config.operators {
+        if let Some(other) = seen.insert(&operator.key, id) {
+            let kind = FaultKind::Doubled(format!("operators.{other}.key"));
+            faults.push(Fault::new(format!("operators.{id}.key"), kind));
         }
     }
+    let writes = |o: &Operator| o.role == Role::Write;
+    if !config.operators.is_empty() && !config.operators.values().any(writes) {
+        let why = "no operator could write any more";
+        faults.push(impossible("operators".into(), why));
+    }
 }
 
 fn check_service(config: &Config, id: &ServiceId, service: &Service, faults: &mut Vec<Fault>) {
-    let Service::Model { model, adapter, .. } = service else {
-        return;
-    };
+    match service {
+        Service::Model { model, adapter, .. } => {
+            let path = format!("services.{id}");
+            check_model(config, &path, model, adapter.as_ref(), faults);
+        }
+        Service::Plain { idempotent } => {
+            let relative = idempotent.iter().enumerate();
+            for (n, _) in relative.filter(|(_, prefix)| !prefix.starts_with('/')) {
+                let why = "a path prefix begins with /";
+                faults.push(impossible(format!("services.{id}.idempotent.{n}"), why));
+            }
+        }
+    }
+}
+
+fn check_model(
+    config: &Config,
+    path: &str,
+    model: &ModelId,
+    adapter: Option<&AdapterId>,
+    faults: &mut Vec<Fault>,
+) {
     let Some(found) = config.models.get(model) else {
         let kind = FaultKind::Dangling(model.to_string());
-        faults.push(Fault::new(format!("services.{id}.model"), kind));
+        faults.push(Fault::new(format!("{path}.model"), kind));
         return;
     };
-    if let Some(adapter) = adapter.as_ref().filter(|a| !found.adapters.contains(a)) {
+    if let Some(adapter) = adapter.filter(|a| !found.adapters.contains(a)) {
         let kind = FaultKind::Dangling(adapter.to_string());
-        faults.push(Fault::new(format!("services.{id}.adapter"), kind));
+        faults.push(Fault::new(format!("{path}.adapter"), kind));
     }
 }
 
-fn check_group(config: &Config, id: &GroupId, group: &Group, faults: &mut Vec<Fault>) {
-    if !config.models.contains_key(&group.model) {
-        let kind = FaultKind::Dangling(group.model.to_string());
-        faults.push(Fault::new(format!("groups.{id}.model"), kind));
-    }
-    if group.ranks.is_empty() {
-        let kind = FaultKind::Impossible("a group needs a rank".into());
-        faults.push(Fault::new(format!("groups.{id}.ranks"), kind));
+/// A backend server that is a rank twice would have to step in two places at once.
+fn check_groups(config: &Config, faults: &mut Vec<Fault>) {
+    let mut seen: HashMap<&ServerId, String> = HashMap::new();
+    for (id, group) in &config.groups {
+        check_model(config, &format!("groups.{id}"), &group.model, None, faults);
+        if group.ranks.is_empty() {
+            let why = "a group needs a rank";
+            faults.push(impossible(format!("groups.{id}.ranks"), why));
+        }
+        if group.weights.skew.max(group.weights.disturbance) > 1_000 {
+            let why = "a weight is at most 1000";
+            faults.push(impossible(format!("groups.{id}.weights"), why));
+        }
+        for (n, server) in group.ranks.iter().enumerate() {
+            let path = format!("groups.{id}.ranks.{n}");
+            if let Some(other) = seen.insert(server, path.clone()) {
+                faults.push(Fault::new(path, FaultKind::Doubled(other)));
+            }
+        }
     }
-    if group.weights.skew.max(group.weights.disturbance) > 1_000 {
-        let kind = FaultKind::Impossible("a weight is at most 1000".into());
-        faults.push(Fault::new(format!("groups.{id}.weights"), kind));
+}
+
+fn check_servers(config: &Config, faults: &mut Vec<Fault>) {
+    for (id, server) in &config.servers {
+        for (n, model) in server.models.iter().enumerate() {
+            let path = format!("servers.{id}.models.{n}");
+            if !config.models.contains_key(model) {
+                faults.push(Fault::new(path, FaultKind::Dangling(model.to_string())));
+            } else if server.models[..n].contains(model) {
+                let first = server.models.iter().position(|m| m == model).unwrap_or(0);
+                let kind = FaultKind::Doubled(format!("servers.{id}.models.{first}"));
+                faults.push(Fault::new(path, kind));
+            }
+        }
     }
 }
 
-fn check_keepers(config: &Config, faults: &mut Vec<Fault>) {
-    for (n, [a, b, c]) in config.keepers.iter().enumerate() {
+/// Failure guarded against: claims of request keys that are lost because a shard's majority
+/// moved at once. It shows as a non-idempotent request that runs twice. A shard changes one of
+/// its three hosts in a version, so that two of them always know its claims.
+fn check_keepers(before: &Config, after: &Config, faults: &mut Vec<Fault>) {
+    for (n, [a, b, c]) in after.keepers.iter().enumerate() {
         if a == b || b == c || a == c {
-            let kind = FaultKind::Impossible("three different hosts keep a shard".into());
-            faults.push(Fault::new(format!("keepers.{n}"), kind));
+            let why = "three different hosts keep a shard";
+            faults.push(impossible(format!("keepers.{n}"), why));
+        }
+    }
+    if before.keepers.is_empty() || before.keepers == after.keepers {
+        return;
+    }
+    if before.keepers.len() != after.keepers.len() {
+        let why = "the number of shards stays as it was first set";
+        faults.push(impossible("keepers".into(), why));
+        return;
+    }
+    for (n, (old, new)) in before.keepers.iter().zip(&after.keepers).enumerate() {
+        if new.iter().filter(|host| !old.contains(host)).count() > 1 {
+            let why = "a shard moves one host at a time";
+            faults.push(impossible(format!("keepers.{n}"), why));
         }
     }
 }
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -1,11 +1,14 @@
 //! The document that operators patch: who may ask for what, and what serves it.
 
-use std::collections::BTreeMap;
-
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+use crate::index::KeyIndex;
 use crate::secret::KeyHash;
+use crate::section::Section;
+
+/// The workspaces of a configuration.
+pub type Workspaces = Section<WorkspaceId, Workspace>;
 
 data! {
     /// One numbered version of the whole configuration.
@@ -15,17 +18,23 @@
         /// The number of this version; 0 is the empty configuration.
         pub version: Version,
         /// Who may patch.
-        pub operators: BTreeMap<OperatorId, Operator>,
+        pub operators: Section<OperatorId, Operator>,
         /// Who may call.
-        pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+        pub workspaces: Workspaces,
         /// What callers address by name.
-        pub services: BTreeMap<ServiceId, Service>,
+        pub services: Section<ServiceId, Service>,
         /// What model engines can load.
-        pub models: BTreeMap<ModelId, Model>,
+        pub models: Section<ModelId, Model>,
         /// Groups of ranks that step together.
-        pub groups: BTreeMap<GroupId, Group>,
+        pub groups: Section<GroupId, Group>,
+        /// What is asked of single backend servers.
+        #[serde(skip_serializing_if = "Section::is_empty")]
+        pub servers: Section<ServerId, Server>,
         /// For each shard of request keys, the three hosts that keep its claims.
         pub keepers: Vec<[HostId; 3]>,
+        /// The owners of the workspaces' keys, filled on first use.
+        #[serde(skip)]
+        pub owners: KeyIndex,
     }
 
     /// An operator's key and role.
@@ -122,6 +131,31 @@
         pub frozen: bool,
     }
 
+    /// What is asked of one backend server.
+    #[derive(Default)]
+    #[serde(deny_unknown_fields, default)]
+    pub struct Server {
+        /// Whether it refuses orders with an old fencing number by itself; where this says
+        /// nothing, the server's own word counts.
+        pub fencing: Option<bool>,
+        /// The role that it is to have.
+        pub role: Option<ServerRole>,
+        /// The models that it is to have loaded; nothing is unloaded that is not ordered away.
+        pub models: Vec<ModelId>,
+    }
+
+    /// What a model engine does for requests.
+    #[derive(Copy, PartialOrd, Ord, Hash)]
+    #[serde(rename_all = "lowercase")]
+    pub enum ServerRole {
+        /// It runs whole requests.
+        Whole,
+        /// It reads prompts and hands their KV cache on.
+        Prefill,
+        /// It generates from KV caches that others filled.
+        Decode,
+    }
+
     /// What the rebalancer weighs, each from 0 to 1000.
     #[derive(Copy)]
     #[serde(deny_unknown_fields)]
@@ -145,18 +179,19 @@
 impl Config {
     /// Finds the workspace that a bearer key belongs to.
     pub fn workspace_of(&self, key: &KeyHash) -> Option<&WorkspaceId> {
-        let owns = |w: &Workspace| w.keys.iter().any(|k| k.matches(key));
-        self.workspaces
-            .iter()
-            .find(|(_, w)| owns(w))
-            .map(|(id, _)| id)
+        self.owners.owner(&self.workspaces, key)
+    }
+
+    /// Finds the operator that a bearer key belongs to.
+    pub fn operator_of(&self, key: &KeyHash) -> Option<(&OperatorId, &Operator)> {
+        self.operators.iter().find(|(_, o)| o.key.matches(key))
     }
 }
 
-fn one() -> u32 {
+pub(crate) fn one() -> u32 {
     1
 }
 
-fn yes() -> bool {
+pub(crate) fn yes() -> bool {
     true
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,18 +1,35 @@
 //! The numbered configuration: its document, its patches and their checks.
 //!
 //! - [`document`]: workspaces, services, models and groups, as one [`Config`](document::Config).
+//! - [`section`]: entries by name, which versions share until one of them changes.
 //! - [`patch`]: a change against a numbered version, taken whole or refused whole.
+//! - [`merge`]: JSON merge patches (RFC 7396).
+//! - [`strict`]: JSON in which no object names a field twice.
 //! - [`check`]: every fault of a document, each with its path.
+//! - [`delta`]: what changed between two versions, as a value of its own.
+//! - [`index`]: the index from bearer keys to workspaces.
 //! - [`secret`]: hashes of keys, compared in constant time.
+//! - [`wall`]: wall-clock times, which are shown to people and decide nothing.
 
 pub mod check;
+pub mod delta;
 pub mod document;
+pub mod index;
+pub mod merge;
 pub mod patch;
+mod read;
 pub mod secret;
+pub mod section;
+pub mod strict;
+pub mod wall;
 
 pub use check::{Fault, FaultKind};
+pub use delta::{Changes, Delta, DeltaError};
 pub use document::{
-    Config, Group, GroupWeights, Limits, Model, Operator, Role, Service, Workspace,
+    Config, Group, GroupWeights, Limits, Model, Operator, Role, Server, ServerRole, Service,
+    Workspace, Workspaces,
 };
-pub use patch::{Patch, Refusal, Verdict};
+pub use patch::{Change, Patch, Refusal, Verdict};
 pub use secret::KeyHash;
+pub use section::Section;
+pub use wall::WallTime;
--- /dev/null
+++ b/crates/config/src/merge.rs
@@ -0,0 +1,48 @@
+//! JSON merge patches (RFC 7396): objects by key, `null` removes, anything else replaces.
+
+use serde_json::{Map, Value};
+
+/// Merges a patch into a value.
+pub fn merge(target: &mut Value, patch: &Value) {
+    let Value::Object(changes) = patch else {
+        *target = patch.clone();
+        return;
+    };
+    if !target.is_object() {
+        *target = Value::Object(Map::new());
+    }
+    let Value::Object(fields) = target else {
+        return;
+    };
+    for (key, change) in changes {
+        if change.is_null() {
+            fields.remove(key);
+        } else {
+            merge(fields.entry(key.clone()).or_insert(Value::Null), change);
+        }
+    }
+}
+
+/// The patch that leads from one value to another; nothing where they are equal.
+pub fn between(old: &Value, new: &Value) -> Option<Value> {
+    if old == new {
+        return None;
+    }
+    let (Value::Object(before), Value::Object(after)) = (old, new) else {
+        return Some(new.clone());
+    };
+    let mut changes = Map::new();
+    for key in before.keys().filter(|k| !after.contains_key(*k)) {
+        changes.insert(key.clone(), Value::Null);
+    }
+    for (key, value) in after {
+        let change = match before.get(key) {
+            Some(old) => between(old, value),
+            None => Some(value.clone()),
+        };
+        if let Some(change) = change {
+            changes.insert(key.clone(), change);
+        }
+    }
+    Some(Value::Object(changes))
+}
--- a/crates/config/src/patch.rs
+++ b/crates/config/src/patch.rs
@@ -1,14 +1,22 @@
 //! Patches: a change against a numbered version, taken whole or refused whole.
 
 use std::fmt;
+use std::str::FromStr;
 
-use serde_json::Value;
+use serde::Serialize;
+use serde_json::{Map, Value};
 
 use snipemast_core::data;
+use snipemast_core::ids::IdError;
 use snipemast_core::prelude::*;
 
-use crate::check::{check, Fault, FaultKind};
+use crate::check::{check_change, Fault, FaultKind};
+use crate::delta::{Changes, Delta};
 use crate::document::Config;
+use crate::merge::{between, merge};
+use crate::read::Read;
+use crate::section::Section;
+use crate::strict;
 
 /// The result of applying a patch.
 pub type Result<T> = std::result::Result<T, Refusal>;
@@ -36,11 +44,13 @@
             /// The version in force.
             current: Version,
         },
-        /// The document would have these faults.
+        /// The patch or the document that it would lead to has these faults.
         Faulty {
             /// Every fault that was found.
             faults: Vec<Fault>,
         },
+        /// The id was used before, for another patch.
+        Reused,
     }
 
     /// What became of a patch.
@@ -67,67 +77,174 @@
                 let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
                 f.write_str(&lines.join("; "))
             }
+            Self::Reused => f.write_str("the id was used before, for another patch"),
         }
     }
 }
 
 impl std::error::Error for Refusal {}
 
+/// A patch that was found whole and not yet brought into force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Change {
+    /// The next version.
+    pub config: Config,
+    /// What leads to it.
+    pub delta: Delta,
+}
+
 impl Patch {
+    /// Reads a patch from JSON; a field that is named twice or that no patch has is a fault.
+    pub fn parse(text: &[u8]) -> std::result::Result<Self, Vec<Fault>> {
+        let value = strict::parse(text)?;
+        let note = |e: serde_json::Error| {
+            let fault = Fault::new("", FaultKind::Malformed(e.to_string()));
+            vec![fault]
+        };
+        serde_json::from_value(value).map_err(note)
+    }
+
+    /// The patch that leads from one configuration to the content of another.
+    pub fn between(id: PatchId, reason: String, from: &Config, to: &Config) -> Self {
+        let content = |config: &Config| {
+            let mut value = serde_json::to_value(config).unwrap_or_default();
+            if let Value::Object(sections) = &mut value {
+                sections.remove("version");
+            }
+            value
+        };
+        let set = between(&content(from), &content(to));
+        Self {
+            id,
+            base: from.version,
+            reason,
+            set: set.unwrap_or_else(|| Value::Object(Map::new())),
+        }
+    }
+
     /// The configuration with the whole patch in force, under the next version.
     pub fn apply(&self, config: &Config) -> Result<Config> {
+        self.prepare(config).map(|change| change.config)
+    }
+
+    /// The next version and what leads to it; only what the patch names is touched.
+    pub fn prepare(&self, config: &Config) -> Result<Change> {
         if self.base != config.version {
             return Err(Refusal::Conflict {
                 current: config.version,
             });
         }
-        let mut next = self.merged(config)?;
-        next.version = config.version.next();
-        let faults = check(&next);
+        let mut faults = Vec::new();
+        let delta = self.plan(config, &mut faults);
+        let next = delta
+            .apply(config)
+            .expect("the delta was made from this version");
+        check_change(config, &next, &delta, &mut faults);
         if faults.is_empty() {
-            Ok(next)
+            Ok(Change {
+                config: next,
+                delta,
+            })
         } else {
             Err(Refusal::Faulty { faults })
         }
     }
 
-    fn merged(&self, config: &Config) -> Result<Config> {
-        let malformed = |path: &str, why: String| Refusal::Faulty {
-            faults: vec![Fault::new(path, FaultKind::Malformed(why))],
-        };
+    /// What the patch changes; entries with faults stay as they are.
+    fn plan(&self, config: &Config, faults: &mut Vec<Fault>) -> Delta {
+        let mut delta = Delta::new(config.version, config.version.next());
         let Value::Object(sections) = &self.set else {
-            return Err(malformed("set", "a patch sets an object".into()));
+            let why = "a patch sets an object".into();
+            faults.push(Fault::new("set", FaultKind::Malformed(why)));
+            return delta;
         };
-        if sections.contains_key("version") {
-            let fault = Fault::new("version", FaultKind::ReadOnly);
-            return Err(Refusal::Faulty {
-                faults: vec![fault],
-            });
+        for (name, value) in sections {
+            match name.as_str() {
+                "operators" => delta.operators = plan(name, value, &config.operators, faults),
+                "workspaces" => delta.workspaces = plan(name, value, &config.workspaces, faults),
+                "services" => delta.services = plan(name, value, &config.services, faults),
+                "models" => delta.models = plan(name, value, &config.models, faults),
+                "groups" => delta.groups = plan(name, value, &config.groups, faults),
+                "servers" => delta.servers = plan(name, value, &config.servers, faults),
+                "keepers" => delta.keepers = plan_keepers(value, config, faults),
+                "version" => faults.push(Fault::new(name, FaultKind::ReadOnly)),
+                _ => faults.push(Fault::new(name, FaultKind::Unknown)),
+            }
         }
-        let mut document =
-            serde_json::to_value(config).map_err(|e| malformed("", e.to_string()))?;
-        merge(&mut document, &self.set);
-        serde_json::from_value(document).map_err(|e| malformed("set", e.to_string()))
+        delta
     }
 }
 
-/// Merges as RFC 7396 says: objects by key, `null` removes, anything else replaces.
-fn merge(target: &mut Value, patch: &Value) {
-    let Value::Object(changes) = patch else {
-        *target = patch.clone();
-        return;
+/// What a patch changes in one section.
+fn plan<K, V>(
+    section: &str,
+    value: &Value,
+    current: &Section<K, V>,
+    faults: &mut Vec<Fault>,
+) -> Changes<K, V>
+where
+    K: FromStr<Err = IdError> + Ord + Clone,
+    V: Read + Serialize + PartialEq,
+{
+    let mut changes = Changes::default();
+    let entries = match value {
+        Value::Null => {
+            changes.removed = current.keys().cloned().collect();
+            return changes;
+        }
+        Value::Object(entries) => entries,
+        _ => {
+            let why = FaultKind::Malformed("a section is an object of entries".into());
+            faults.push(Fault::new(section, why));
+            return changes;
+        }
     };
-    if !target.is_object() {
-        *target = Value::Object(serde_json::Map::new());
+    for (name, patch) in entries {
+        let path = format!("{section}.{name}");
+        match name.parse::<K>() {
+            Ok(name) => plan_entry(&path, name, patch, current, &mut changes, faults),
+            Err(e) => faults.push(Fault::new(path, FaultKind::Malformed(e.to_string()))),
+        }
     }
-    let Value::Object(fields) = target else {
+    changes
+}
+
+fn plan_entry<K, V>(
+    path: &str,
+    name: K,
+    patch: &Value,
+    current: &Section<K, V>,
+    changes: &mut Changes<K, V>,
+    faults: &mut Vec<Fault>,
+) where
+    K: Ord + Clone,
+    V: Read + Serialize + PartialEq,
+{
+    let before = current.get(&name);
+    if patch.is_null() {
+        if before.is_some() {
+            changes.removed.insert(name);
+        }
         return;
-    };
-    for (key, change) in changes {
-        if change.is_null() {
-            fields.remove(key);
-        } else {
-            merge(fields.entry(key.clone()).or_insert(Value::Null), change);
+    }
+    let stored = before.map(|entry| serde_json::to_value(entry).unwrap_or_default());
+    let mut merged = stored.unwrap_or(Value::Null);
+    merge(&mut merged, patch);
+    if let Some(entry) = V::read(path, merged, faults) {
+        if before != Some(&entry) {
+            changes.set.insert(name, entry);
         }
     }
 }
+
+fn plan_keepers(
+    value: &Value,
+    config: &Config,
+    faults: &mut Vec<Fault>,
+) -> Option<Vec<[HostId; 3]>> {
+    let table = match value {
+        Value::Null => Vec::new(),
+        table => Read::read("keepers", table.clone(), faults)?,
+    };
+    (table != config.keepers).then_some(table)
+}
--- /dev/null
+++ b/crates/control/src/machine/verdicts.rs
@@ -0,0 +1,70 @@
+//! The first verdict of each patch id.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use snipemast_config::{KeyHash, Patch, Refusal, Verdict};
+use snipemast_core::prelude::*;
+
+/// How many verdicts are remembered: some days of patches.
+const BOUND: usize = 4_096;
+
+data! {
+    /// What a patch says, in short: two patches with one digest are the same.
+    #[derive(Copy)]
+    pub struct PatchDigest(KeyHash);
+
+    /// The first verdict of each patch id; the oldest are forgotten.
+    #[derive(Default)]
+    pub struct Verdicts {
+        known: BTreeMap<PatchId, Known>,
+        order: VecDeque<PatchId>,
+    }
+
+    /// A verdict, and of which patch.
+    struct Known {
+        digest: PatchDigest,
+        verdict: Verdict,
+    }
+}
+
+impl PatchDigest {
+    /// The digest of a patch of this author.
+    pub fn of(patch: &Patch, author: Option<&OperatorId>) -> Self {
+        let author = author.map_or("", OperatorId::as_str);
+        let Patch {
+            id,
+            base,
+            reason,
+            set,
+        } = patch;
+        let text = format!("{id}\n{author}\n{base}\n{}\n{reason}\n{set}", reason.len());
+        Self(KeyHash::of(&text))
+    }
+}
+
+impl Verdicts {
+    /// The verdict on an id, for a patch with this digest.
+    ///
+    /// Failure guarded against: two operators choose one id, and the second is told that its
+    /// patch was accepted when the first one's was. Another digest under a known id is refused.
+    pub fn find(&self, id: &PatchId, digest: &PatchDigest) -> Option<Verdict> {
+        let known = self.known.get(id)?;
+        if known.digest == *digest {
+            return Some(known.verdict.clone());
+        }
+        Some(Verdict::Refused {
+            refusal: Refusal::Reused,
+        })
+    }
+
+    /// Remembers the verdict on an id that had none.
+    pub fn keep(&mut self, id: PatchId, digest: PatchDigest, verdict: Verdict) {
+        self.order.push_back(id.clone());
+        self.known.insert(id, Known { digest, verdict });
+        if self.order.len() > BOUND {
+            if let Some(oldest) = self.order.pop_front() {
+                self.known.remove(&oldest);
+            }
+        }
+    }
+}
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -7,7 +7,7 @@
 
 use snipemast_callers::ask::bearer;
 use snipemast_callers::problem::{Problem, ProblemKind};
-use snipemast_config::{Patch, Role, Verdict};
+use snipemast_config::{KeyHash, Operator, Patch, Role, Verdict};
 
 use crate::shared::Shared;
 
@@ -23,23 +23,27 @@
         Self { shared }
     }
 
-    /// Before the first patch there is no operator yet, and anyone may write it.
+    /// Lets an operator in whose key has the role.
+    ///
+    /// Failure guarded against: before the first patch no operator is configured, and whoever
+    /// reaches the address first makes itself one. Until then only the key from the control
+    /// host's own settings may write.
     fn authorize(&self, conn: &Conn, role: Role) -> Result<(), Problem> {
         let config = self.shared.config();
-        if config.operators.is_empty() {
-            return Ok(());
-        }
         let hash = bearer(conn)?;
-        let may = |o: &&snipemast_config::Operator| {
-            o.key.matches(&hash) && (role == Role::Read || o.role == Role::Write)
+        let may = |o: &Operator| role == Role::Read || o.role == Role::Write;
+        let known = match config.operator_of(&hash) {
+            Some((_, operator)) => may(operator),
+            None => config.operators.is_empty() && self.is_first(&hash),
         };
         let unknown = || Problem::new(ProblemKind::Unauthorized, "the key has no such role");
-        config
-            .operators
-            .values()
-            .find(may)
-            .map(|_| ())
-            .ok_or_else(unknown)
+        known.then_some(()).ok_or_else(unknown)
+    }
+
+    fn is_first(&self, hash: &KeyHash) -> bool {
+        let control = self.shared.settings.control.as_ref();
+        let first = control.and_then(|c| c.operator.as_ref());
+        first.is_some_and(|key| key.matches(hash))
     }
 
     async fn patch(&self, mut conn: Conn) -> Conn {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 
 use snipemast_config::{Config, Patch, Verdict};
-use snipemast_control::Machine;
+use snipemast_control::machine::{Machine, Submission};
 use snipemast_core::prelude::*;
 use snipemast_settings::EntrySettings;
 
@@ -77,7 +77,8 @@
         let machine = self.machine.as_ref()?;
         let (verdict, config) = {
             let mut machine = machine.lock();
-            (machine.submit(patch), Arc::clone(machine.config()))
+            let submission = Submission::new(patch.clone());
+            (machine.submit(&submission), Arc::clone(machine.config()))
         };
         let event = match &verdict {
             Verdict::Accepted { .. } => Event::PatchAccepted,
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use snipemast_config::KeyHash;
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -47,6 +48,10 @@
         pub data: PathBuf,
         /// The `own` addresses of every voter at the first start.
         pub voters: Vec<SocketAddr>,
+        /// The hash of the key that may write until the configuration names operators; without
+        /// it nobody may.
+        #[serde(default)]
+        pub operator: Option<KeyHash>,
     }
 
     /// Bounds and timeouts of an entry host.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -179,6 +179,7 @@
         control: Some(ControlSettings {
             data: "data".into(),
             voters: Vec::new(),
+            operator: None,
         }),
         data: None,
         statsd: None,
