--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use serde_json::{json, Value};
+use trillium::Handler;
 use trillium_client::{Client, Conn, KnownHeaderName};
 use trillium_smol::ClientConfig;
 
@@ -78,11 +79,22 @@
             version: "1".into(),
             adapters: Vec::new(),
         };
-        let fake = listen(loopback(), FakeEngine::new(info(name, offer))).await;
+        self.add_fake(name, FakeEngine::new(info(name, offer)))
+            .await;
+    }
+
+    /// Adds any backend server and its agent.
+    pub async fn add_fake(&mut self, name: &str, fake: impl Handler) {
+        let fake = listen(loopback(), fake).await;
         self.add_agent(name, fake.expect("a fake starts on port 0"))
             .await;
     }
 
+    /// Where the backend server listens that was added at this place.
+    pub fn fake(&self, place: usize) -> SocketAddr {
+        self.fakes[place].address()
+    }
+
     /// Adds a plain service and its agent.
     pub async fn add_service(&mut self, name: &str, service: &str) {
         let fake = FakeService::new(info(
