--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -22,6 +22,7 @@
         // A server that does not report is announced with the load of an idle one; the entry's
         // own counts of what it sent carry the choice until the next report.
         let load = gate.engine().load().await.unwrap_or_default();
+        gate.report(load);
         let announce = Announce {
             agent: gate.process().clone(),
             address,
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -1,23 +1,31 @@
-//! The gate: takes dispatches, passes them to the backend server, frames the answer.
+//! The gate: the one way to a backend server.
+//!
+//! - [`shards`]: the ledger in shards, each under its own lock, with whom to wake.
+//! - [`work`]: runs a dispatch on the backend server and keeps its answer.
+//! - [`relay`]: reads a kept answer and frames it for an entry.
+//! - [`handler`]: the endpoints for the system's own processes.
+
+pub mod handler;
+mod relay;
+pub mod shards;
+mod work;
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
 
-use futures_lite::{AsyncReadExt, FutureExt};
-use trillium::{async_trait, Conn, Handler, Status};
+use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
-use snipemast_servers::{Answer, Engine};
+use snipemast_requests::LedgerLimits;
+use snipemast_servers::Engine;
 use snipemast_settings::agent::AgentLimits;
-use snipemast_wire::frame::{Failure, Refused};
-use snipemast_wire::message::path;
-use snipemast_wire::serve::{malformed, message, reply, stream};
-use snipemast_wire::{pipe, spawn, Dispatch, Frame, FrameWriter, PipeWriter};
 
-/// The pieces of an answer that wait for a slow entry before the engine's answer is not read on.
-const PIPE_BOUND: usize = 16;
-/// The largest piece that is read from the backend server at once.
-const PIECE: usize = 16 << 10;
+use shards::Shards;
+
+pub use handler::GateHandler;
+
+/// The longest part of one answer that is kept.
+const ANSWER: usize = 1 << 20;
 
 /// The one gate in front of a backend server.
 #[derive(Debug)]
@@ -26,6 +34,9 @@
     engine: Engine,
     limits: AgentLimits,
     journal: Journal,
+    shards: Shards,
+    suspect: Mutex<Option<DispatchId>>,
+    load: Mutex<LoadReport>,
     draining: AtomicBool,
     running: AtomicU32,
 }
@@ -33,13 +44,21 @@
 impl Gate {
     /// A gate in front of this engine.
     pub fn new(process: ProcessId, engine: Engine, limits: AgentLimits, journal: Journal) -> Self {
-        let draining = AtomicBool::new(false);
+        let ledger = LedgerLimits {
+            entries: limits.ledger as usize,
+            bytes: limits.answers.as_bytes() as usize,
+            answer: ANSWER,
+        };
+        let shards = Shards::new(&process, ledger);
         Self {
             process,
             engine,
             limits,
             journal,
-            draining,
+            shards,
+            suspect: Mutex::new(None),
+            load: Mutex::default(),
+            draining: AtomicBool::new(false),
             running: AtomicU32::new(0),
         }
     }
@@ -59,8 +78,14 @@
         &self.journal
     }
 
+    /// The ledger of dispatches.
+    pub fn shards(&self) -> &Shards {
+        &self.shards
+    }
+
     /// Refuses new dispatches from now on.
     pub fn drain(&self) {
+        self.shards.drain();
         if !self.draining.swap(true, Ordering::SeqCst) {
             self.journal.record(Event::DrainBegun, &self.process, "");
         }
@@ -71,172 +96,77 @@
         self.draining.load(Ordering::SeqCst)
     }
 
+    /// Dispatches that run, or whose answer nobody has read to its end yet.
+    pub fn running(&self) -> u32 {
+        self.running.load(Ordering::SeqCst)
+    }
+
     /// Waits until nothing is in flight; false where the bound passed first.
     pub async fn wait_empty(&self, bound: Span) -> bool {
-        let step = Span::from_millis(10);
-        let mut waited = Span::default();
-        while self.running.load(Ordering::SeqCst) > 0 {
-            if waited >= bound {
+        let clock = Clock::new();
+        let end = clock.now() + bound;
+        while self.running() > 0 {
+            if clock.now() >= end {
                 return false;
             }
-            smol::Timer::after(step.as_duration()).await;
-            waited = Span::from_micros(waited.as_micros() + step.as_micros());
+            smol::Timer::after(Span::from_millis(10).as_duration()).await;
         }
         true
     }
 
-    /// Whether the dispatch is refused, and why.
-    fn refusal(&self, dispatch: &Dispatch) -> Option<Refused> {
-        if dispatch.agent != self.process {
-            Some(Refused::Incarnation)
-        } else if self.is_draining() {
-            Some(Refused::Draining)
-        } else if dispatch.left == Span::default() {
-            Some(Refused::Late)
-        } else {
-            None
-        }
+    /// Takes the backend server's latest report.
+    pub fn report(&self, load: LoadReport) {
+        *self.load.lock() = load;
     }
 
-    /// Runs a dispatch and writes its frames.
-    async fn run(&self, dispatch: Dispatch, frames: PipeWriter) {
-        let Dispatch {
-            id, call, request, ..
-        } = dispatch;
-        self.journal.record(Event::DispatchAccepted, &request, &id);
-        if frames
-            .send(FrameWriter::accepted(id.clone()))
-            .await
-            .is_err()
-        {
-            return;
+    /// The latest report, with the gate's own fresh count of what runs.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.running(),
+            waiting: 0,
+            ..*self.load.lock()
         }
-        let work = async { self.engine.call(&id, call).await.ok() };
-        let Some(answer) = self.beating(work, &frames).await else {
-            self.fail(&request, &frames, Failure::Broken).await;
-            return;
-        };
-        self.relay(&request, answer, &frames).await;
     }
 
-    /// Waits for work, with a beat to the entry whenever it takes long.
-    async fn beating<T>(
-        &self,
-        work: impl std::future::Future<Output = Option<T>>,
-        frames: &PipeWriter,
-    ) -> Option<T> {
-        let beats = async {
-            loop {
-                smol::Timer::after(self.limits.beat.as_duration()).await;
-                if frames
-                    .send(FrameWriter::encode(&Frame::Beat))
-                    .await
-                    .is_err()
-                {
-                    return None;
-                }
-            }
-        };
-        work.or(beats).await
+    /// Counts a piece of work until the guard is dropped.
+    fn enter(self: &Arc<Self>) -> InFlight {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        InFlight {
+            gate: Arc::clone(self),
+        }
     }
 
-    async fn relay(&self, request: &RequestId, mut answer: Answer, frames: &PipeWriter) {
-        let head = Frame::Head {
-            status: answer.status(),
-            headers: answer.headers(),
-        };
-        if frames.send(FrameWriter::encode(&head)).await.is_err() {
-            answer.abort();
-            return;
-        }
-        let mut offset = 0;
-        let mut buffer = vec![0; PIECE];
-        loop {
-            let read = async { Some(answer.read(&mut buffer).await) };
-            let count = match self.beating(read, frames).await {
-                Some(Ok(count)) => count,
-                Some(Err(_)) => return self.fail(request, frames, Failure::Broken).await,
-                None => return answer.abort(),
-            };
-            if count == 0 {
-                break;
-            }
-            let data = Frame::Data {
-                offset,
-                bytes: buffer[..count].to_vec(),
-            };
-            offset += count as u64;
-            if frames.send(FrameWriter::encode(&data)).await.is_err() {
-                return answer.abort();
+    /// Takes the one place for suspects; false where another suspect has it.
+    ///
+    /// Failure guarded against: two suspects side by side when the backend server dies again.
+    /// It shows as two requests under the same suspicion, of which one is innocent.
+    fn take_suspect(&self, id: &DispatchId) -> bool {
+        let mut suspect = self.suspect.lock();
+        match suspect.as_ref() {
+            Some(other) => other == id,
+            None => {
+                *suspect = Some(id.clone());
+                true
             }
         }
-        let end = Frame::End {
-            total: offset,
-            checksum: 0,
-            load: LoadReport::default(),
-        };
-        // An entry that left before the end needs no end.
-        let _ = frames.send(FrameWriter::encode(&end)).await;
-        self.journal
-            .record(Event::DispatchFinished, request, offset);
     }
 
-    async fn fail(&self, request: &RequestId, frames: &PipeWriter, reason: Failure) {
-        self.journal.record(Event::DispatchFailed, request, reason);
-        // An entry that left needs no reason.
-        let _ = frames
-            .send(FrameWriter::encode(&Frame::Failed { reason }))
-            .await;
+    fn free_suspect(&self, id: &DispatchId) {
+        let mut suspect = self.suspect.lock();
+        if suspect.as_ref() == Some(id) {
+            *suspect = None;
+        }
     }
 }
 
-/// Serves the gate to the system's own processes.
+/// Work in flight.
 #[derive(Debug)]
-pub struct GateHandler {
+struct InFlight {
     gate: Arc<Gate>,
 }
 
-impl GateHandler {
-    /// Serves this gate.
-    pub fn new(gate: Arc<Gate>) -> Self {
-        Self { gate }
-    }
-
-    async fn dispatch(&self, mut conn: Conn) -> Conn {
-        let Some(dispatch) = message::<Dispatch>(&mut conn).await else {
-            return malformed(conn);
-        };
-        let gate = Arc::clone(&self.gate);
-        if let Some(reason) = gate.refusal(&dispatch) {
-            gate.journal
-                .record(Event::DispatchRefused, &dispatch.request, reason);
-            return conn.ok(FrameWriter::encode(&Frame::Refused { reason }));
-        }
-        gate.running.fetch_add(1, Ordering::SeqCst);
-        let (writer, reader) = pipe(PIPE_BOUND);
-        spawn(async move {
-            gate.run(dispatch, writer).await;
-            gate.running.fetch_sub(1, Ordering::SeqCst);
-        })
-        .detach();
-        stream(conn, reader)
-    }
-
-    async fn events(&self, mut conn: Conn) -> Conn {
-        let Some(since) = message::<Stamp>(&mut conn).await else {
-            return malformed(conn);
-        };
-        reply(conn, &self.gate.journal.ring().since(since))
-    }
-}
-
-#[async_trait]
-impl Handler for GateHandler {
-    async fn run(&self, conn: Conn) -> Conn {
-        match conn.path() {
-            path::DISPATCH => self.dispatch(conn).await,
-            path::EVENTS => self.events(conn).await,
-            _ => conn.with_status(Status::NotFound).halt(),
-        }
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.gate.running.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- /dev/null
+++ b/crates/agent/src/gate/handler.rs
@@ -0,0 +1,154 @@
+//! The endpoints for the system's own processes.
+
+use std::sync::Arc;
+
+use trillium::{async_trait, Conn, Handler, Status};
+
+use snipemast_core::prelude::*;
+use snipemast_requests::{Arrival, Arrived};
+use snipemast_wire::frame::{Frame, Part, Refused, Tag};
+use snipemast_wire::message::path;
+use snipemast_wire::serve::{malformed, message, reply, stream};
+use snipemast_wire::{
+    pipe, spawn, Cancel, Dispatch, FrameWriter, ResumeFrom, Settle, Settled, Settlement,
+};
+
+use super::relay::Relay;
+use super::work::Work;
+use super::Gate;
+
+/// The batches of frames that wait for a slow entry before no more are made.
+const PIPE_BOUND: usize = 4;
+
+/// Serves the gate to the system's own processes.
+#[derive(Debug)]
+pub struct GateHandler {
+    gate: Arc<Gate>,
+}
+
+impl GateHandler {
+    /// Serves this gate.
+    pub fn new(gate: Arc<Gate>) -> Self {
+        Self { gate }
+    }
+
+    async fn dispatch(&self, mut conn: Conn) -> Conn {
+        let Some(dispatch) = message::<Dispatch>(&mut conn).await else {
+            return malformed(conn);
+        };
+        match self.take(dispatch) {
+            Ok(id) => self.relay(conn, id, 0),
+            Err((id, reason)) => refuse(conn, &id, reason),
+        }
+    }
+
+    /// Takes a dispatch into the ledger and starts its work, unless it runs already.
+    fn take(&self, dispatch: Dispatch) -> Result<DispatchId, (DispatchId, Refused)> {
+        let (gate, id) = (&self.gate, dispatch.id.clone());
+        if dispatch.suspect && !gate.take_suspect(&id) {
+            return Err((id, Refused::Suspect));
+        }
+        let arrival = Arrival {
+            id: id.clone(),
+            agent: dispatch.agent.clone(),
+            left: dispatch.left,
+            keep: dispatch.keep,
+            suspect: dispatch.suspect,
+        };
+        match gate.shards.arrive(&arrival) {
+            (Arrived::Run, Some(ring)) => {
+                gate.journal
+                    .record(Event::DispatchAccepted, &dispatch.request, &id);
+                self.start(dispatch, ring);
+                Ok(id)
+            }
+            (Arrived::Run | Arrived::Attach, _) => Ok(id),
+            (Arrived::Refused(reason), _) => {
+                gate.free_suspect(&id);
+                gate.journal
+                    .record(Event::DispatchRefused, &dispatch.request, reason);
+                Err((id, reason))
+            }
+        }
+    }
+
+    fn start(&self, dispatch: Dispatch, ring: async_channel::Receiver<()>) {
+        let work = Work::new(Arc::clone(&self.gate), &dispatch, ring);
+        let guard = self.gate.enter();
+        spawn(async move {
+            work.run(dispatch.call).await;
+            drop(guard);
+        })
+        .detach();
+    }
+
+    async fn resume(&self, mut conn: Conn) -> Conn {
+        let Some(ResumeFrom { id, agent, offset }) = message(&mut conn).await else {
+            return malformed(conn);
+        };
+        if agent != self.gate.process {
+            return refuse(conn, &id, Refused::Incarnation);
+        }
+        if !self.gate.shards.knows(&id) {
+            return refuse(conn, &id, Refused::Unknown);
+        }
+        self.relay(conn, id, offset)
+    }
+
+    fn relay(&self, conn: Conn, id: DispatchId, offset: u64) -> Conn {
+        let (writer, reader) = pipe(PIPE_BOUND);
+        let relay = Relay::new(Arc::clone(&self.gate), id, offset, writer);
+        let guard = self.gate.enter();
+        spawn(async move {
+            relay.run().await;
+            drop(guard);
+        })
+        .detach();
+        stream(conn, reader)
+    }
+
+    async fn settle(&self, mut conn: Conn) -> Conn {
+        let Some(Settle { id, agent, keep }) = message(&mut conn).await else {
+            return malformed(conn);
+        };
+        let settled = self.gate.shards.settle(&id, &agent, keep);
+        if settled == Settled::Barred {
+            self.gate.journal.record(Event::DispatchBarred, &id, "");
+        }
+        reply(conn, &Settlement { id, settled })
+    }
+
+    async fn cancel(&self, mut conn: Conn) -> Conn {
+        let Some(Cancel { id, agent, keep }) = message(&mut conn).await else {
+            return malformed(conn);
+        };
+        let settled = self.gate.shards.cancel(&id, &agent, keep);
+        reply(conn, &Settlement { id, settled })
+    }
+
+    async fn events(&self, mut conn: Conn) -> Conn {
+        let Some(since) = message::<Stamp>(&mut conn).await else {
+            return malformed(conn);
+        };
+        reply(conn, &self.gate.journal.ring().since(since))
+    }
+}
+
+fn refuse(conn: Conn, id: &DispatchId, reason: Refused) -> Conn {
+    let frame = Frame::new(Tag::of(id), Part::Refused { reason });
+    conn.ok(FrameWriter::encode(&frame))
+}
+
+#[async_trait]
+impl Handler for GateHandler {
+    async fn run(&self, conn: Conn) -> Conn {
+        match conn.path() {
+            path::DISPATCH => self.dispatch(conn).await,
+            path::RESUME => self.resume(conn).await,
+            path::SETTLE => self.settle(conn).await,
+            path::CANCEL => self.cancel(conn).await,
+            path::EVENTS => self.events(conn).await,
+            _ => conn.with_status(Status::NotFound).halt(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/attempt.rs
@@ -0,0 +1,387 @@
+//! The shell around one request's decisions: connections, timers and the choice of a server.
+
+use std::collections::VecDeque;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use futures_lite::FutureExt;
+
+use snipemast_core::prelude::*;
+use snipemast_requests::plan::Link;
+use snipemast_requests::{
+    Header, Input, Loss, Output, Outputs, Plan, RequestMachine, Target, Verdict,
+};
+use snipemast_wire::message::path;
+use snipemast_wire::peer::Result as PeerResult;
+use snipemast_wire::{
+    spawn, Call, Cancel, Dispatch, FrameReader, Peer, PeerError, PeerErrorKind, ResumeFrom, Settle,
+    Settlement, Stream,
+};
+
+use crate::registry::{Member, Wanted};
+use crate::shared::Shared;
+
+/// What a request asks for.
+#[derive(Debug)]
+pub struct Order {
+    /// The request.
+    pub request: RequestId,
+    /// The workspace that pays.
+    pub workspace: WorkspaceId,
+    /// What a backend server must offer.
+    pub wanted: Wanted,
+    /// The caller's key.
+    pub key: Option<RequestKey>,
+    /// What to ask the backend server.
+    pub call: Call,
+}
+
+/// What a request gives to its caller next.
+#[derive(Debug)]
+pub enum Step {
+    /// The head of the answer.
+    Head(u16, Vec<Header>),
+    /// The next bytes of the body.
+    Data(Vec<u8>),
+    /// The answer is whole.
+    End,
+    /// The answer is not whole.
+    Failed(Verdict),
+}
+
+/// One request that is under way.
+#[derive(Debug)]
+pub struct Run {
+    shared: Arc<Shared>,
+    order: Order,
+    plan: Plan,
+    machine: RequestMachine,
+    queue: Outputs,
+    reader: Option<(Link, FrameReader<Stream>)>,
+    peer: Option<Arc<Peer>>,
+    member: Option<Arc<Member>>,
+    tried: Vec<ProcessId>,
+    timer: smol::Timer,
+    armed: Moment,
+}
+
+impl Run {
+    /// Begins a request.
+    pub fn start(shared: Arc<Shared>, plan: Plan, order: Order) -> Self {
+        shared.retries.lock().earn();
+        let mut run = Self {
+            shared,
+            order,
+            plan,
+            machine: RequestMachine::new(plan),
+            queue: VecDeque::new(),
+            reader: None,
+            peer: None,
+            member: None,
+            tried: Vec::new(),
+            timer: smol::Timer::never(),
+            armed: Moment::NEVER,
+        };
+        run.feed(Input::Start);
+        run
+    }
+
+    /// The request.
+    pub fn request(&self) -> &RequestId {
+        &self.order.request
+    }
+
+    /// What the caller gets next.
+    pub async fn next(&mut self) -> Step {
+        loop {
+            while let Some(output) = self.queue.pop_front() {
+                if let Some(step) = self.perform(output).await {
+                    return step;
+                }
+            }
+            let input = self.wait().await;
+            self.feed(input);
+        }
+    }
+
+    /// The next bytes of the body, where they have come already.
+    pub fn ready(&mut self) -> Option<Vec<u8>> {
+        if self.queue.is_empty() {
+            let (link, reader) = self.reader.as_mut()?;
+            let frame = reader.ready().ok()??;
+            let input = Input::Frame(*link, frame);
+            self.feed(input);
+        }
+        match self.queue.pop_front()? {
+            Output::Data(bytes) => Some(bytes),
+            other => {
+                self.queue.push_front(other);
+                None
+            }
+        }
+    }
+
+    /// Ends the request because its caller left.
+    pub fn leave(mut self) {
+        self.abandon();
+    }
+
+    fn abandon(&mut self) {
+        if self.machine.is_done() {
+            return;
+        }
+        self.record(Event::CallerGone, "");
+        self.feed(Input::CallerGone);
+        while let Some(output) = self.queue.pop_front() {
+            if let Output::Cancel(target) = output {
+                self.cancel(target);
+            }
+        }
+        self.hang_up();
+    }
+
+    fn feed(&mut self, input: Input) {
+        let now = self.shared.clock.now();
+        self.machine.handle(now, input, &mut self.queue);
+    }
+
+    async fn wait(&mut self) -> Input {
+        self.arm();
+        let timer = &mut self.timer;
+        let tick = async {
+            timer.await;
+            Input::Tick
+        };
+        let input = match &mut self.reader {
+            Some((link, reader)) => {
+                let read = async {
+                    match reader.next().await {
+                        Ok(frame) => Input::Frame(*link, frame),
+                        Err(_) => Input::Lost(*link, Loss::Broken),
+                    }
+                };
+                read.or(tick).await
+            }
+            None => tick.await,
+        };
+        match input {
+            Input::Tick => self.armed = Moment::NEVER,
+            Input::Lost(..) => self.hang_up(),
+            _ => {}
+        }
+        input
+    }
+
+    /// Sets the timer where it would ring too late; one that rings early does no harm, and
+    /// setting it anew for each frame would cost more than the frame.
+    fn arm(&mut self) {
+        let wake = self.machine.wake();
+        if wake < self.armed {
+            let left = self.shared.clock.now().until(wake);
+            self.timer.set_after(left.as_duration());
+            self.armed = wake;
+        }
+    }
+
+    async fn perform(&mut self, output: Output) -> Option<Step> {
+        match output {
+            Output::Choose => self.choose(),
+            Output::Claim(target, number) => self.claim(target, number).await,
+            Output::Dispatch(link, target) => self.dispatch(link, target).await,
+            Output::Settle(link, target) => self.settle(link, target).await,
+            Output::Resume(link, target, offset) => self.resume(link, target, offset).await,
+            Output::Cancel(target) => self.cancel(target),
+            Output::Retire(target) => self.retire(&target),
+            Output::Crashed(target) => self.record(Event::ServerDied, &target.agent),
+            Output::Dropped => self.record(Event::FrameDropped, ""),
+            Output::Head(status, headers) => {
+                self.record(Event::AnswerBegun, status);
+                return Some(Step::Head(status, headers));
+            }
+            Output::Data(bytes) => return Some(Step::Data(bytes)),
+            Output::End(_) => {
+                self.record(Event::AnswerDelivered, "");
+                self.let_go();
+                return Some(Step::End);
+            }
+            Output::Fail(verdict) => {
+                self.hang_up();
+                self.let_go();
+                return Some(Step::Failed(verdict));
+            }
+        }
+        None
+    }
+
+    fn choose(&mut self) {
+        self.hang_up();
+        let again = self.machine.attempts() > 0;
+        if again && !self.shared.retries.lock().spend() {
+            return self.feed(Input::NoServer);
+        }
+        let Some(member) = self.pick() else {
+            return self.feed(Input::NoServer);
+        };
+        self.let_go();
+        member.inflight.fetch_add(1, Ordering::Relaxed);
+        let agent = member.announce.agent.clone();
+        let event = match again {
+            true => Event::RequestRetried,
+            false => Event::RequestRouted,
+        };
+        self.record(event, &member.announce.info.server);
+        self.tried.push(agent.clone());
+        self.peer = Some(Arc::clone(&member.peer));
+        self.member = Some(member);
+        let id = self.shared.next_dispatch();
+        self.feed(Input::Chosen(Target { id, agent }));
+    }
+
+    /// An agent that was not tried yet, or any where all were.
+    fn pick(&self) -> Option<Arc<Member>> {
+        let registry = &self.shared.registry;
+        let fresh = registry.choose(&self.order.wanted, &self.tried);
+        fresh.or_else(|| registry.choose(&self.order.wanted, &[]))
+    }
+
+    async fn claim(&mut self, _target: Target, _number: u64) {
+        self.feed(Input::Claimed(snipemast_requests::Claimed::Won));
+    }
+
+    async fn dispatch(&mut self, link: Link, target: Target) {
+        self.record(Event::RequestDispatched, &target.id);
+        let message = Dispatch {
+            id: target.id,
+            request: self.order.request.clone(),
+            agent: target.agent,
+            left: self.left(),
+            keep: Span::default(),
+            workspace: self.order.workspace.clone(),
+            idempotent: self.plan.idempotent,
+            keyed: self.plan.keyed,
+            suspect: false,
+            call: self.order.call.clone(),
+        };
+        let Some(peer) = self.peer.clone() else {
+            return self.feed(Input::Lost(link, Loss::Unsent));
+        };
+        let opened = peer.open(path::DISPATCH, &message, self.plan.silence).await;
+        self.opened(link, opened);
+    }
+
+    async fn resume(&mut self, link: Link, target: Target, offset: u64) {
+        let message = ResumeFrom {
+            id: target.id,
+            agent: target.agent,
+            offset,
+        };
+        let Some(peer) = self.peer.clone() else {
+            return self.feed(Input::Lost(link, Loss::Unsent));
+        };
+        let opened = peer
+            .open_fresh(path::RESUME, &message, self.plan.silence)
+            .await;
+        if opened.is_ok() {
+            self.record(Event::StreamResumed, offset);
+        }
+        self.opened(link, opened);
+    }
+
+    fn opened(&mut self, link: Link, opened: PeerResult<Stream>) {
+        match opened {
+            Ok(stream) => self.reader = Some((link, FrameReader::new(stream))),
+            Err(report) => self.feed(Input::Lost(link, loss(report.current_context()))),
+        }
+    }
+
+    async fn settle(&mut self, link: Link, target: Target) {
+        let message = Settle {
+            id: target.id,
+            agent: target.agent,
+            keep: self.left(),
+        };
+        let Some(peer) = self.peer.clone() else {
+            return self.feed(Input::Lost(link, Loss::Unsent));
+        };
+        let settlement = peer
+            .call_fresh::<_, Settlement>(path::SETTLE, &message, self.plan.silence)
+            .await;
+        match settlement {
+            Ok(Settlement { id, settled }) => {
+                self.record(Event::AttemptSettled, format_args!("{id} {settled:?}"));
+                self.feed(Input::Settled(link, id, settled));
+            }
+            Err(report) => self.feed(Input::Lost(link, loss(report.current_context()))),
+        }
+    }
+
+    /// Tells the agent in the background that nobody waits; a word that is lost costs only work.
+    fn cancel(&self, target: Target) {
+        let Some(peer) = self.peer.clone() else {
+            return;
+        };
+        let message = Cancel {
+            id: target.id,
+            agent: target.agent,
+            keep: self.shared.settings.limits.deadline,
+        };
+        let timeout = self.plan.silence;
+        spawn(async move {
+            // An agent that can't be told finds out by itself that nobody reads.
+            let _ = peer
+                .call_fresh::<_, Settlement>(path::CANCEL, &message, timeout)
+                .await;
+        })
+        .detach();
+    }
+
+    fn retire(&mut self, target: &Target) {
+        self.hang_up();
+        self.record(Event::ConnectionRetired, &target.agent);
+        if let Some(peer) = &self.peer {
+            peer.retire();
+        }
+    }
+
+    /// Closes the connection under the current stream.
+    fn hang_up(&mut self) {
+        if let Some((_, reader)) = self.reader.take() {
+            reader.into_inner().abort();
+        }
+    }
+
+    /// No longer counts the request at its agent.
+    fn let_go(&mut self) {
+        if let Some(member) = self.member.take() {
+            member.inflight.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+
+    fn left(&self) -> Span {
+        self.shared.clock.now().until(self.plan.deadline)
+    }
+
+    fn record(&self, event: Event, detail: impl std::fmt::Display) {
+        self.shared
+            .journal
+            .record(event, &self.order.request, detail);
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.abandon();
+        self.let_go();
+    }
+}
+
+/// Whether a call surely never reached the other process.
+fn loss(error: &PeerError) -> Loss {
+    match error.kind {
+        PeerErrorKind::Unreachable => Loss::Unsent,
+        PeerErrorKind::Broken
+        | PeerErrorKind::Timeout
+        | PeerErrorKind::Status(_)
+        | PeerErrorKind::Malformed => Loss::Broken,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,10 +5,12 @@
 //! - [`registry`]: the agents that announced themselves.
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
+//! - [`attempt`]: the shell around one request's decisions.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`desk`]: the interface towards operators.
 //! - [`follow`]: keeps up with the configuration of a control host.
 
+pub mod attempt;
 pub mod desk;
 pub mod follow;
 pub mod front;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -1,16 +1,18 @@
 //! One request's way to a backend server, and its answer's way back.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use futures_lite::FutureExt;
+
 use snipemast_callers::problem::{Problem, ProblemKind};
 use snipemast_callers::{Ask, Target};
 use snipemast_config::{Config, Service};
 use snipemast_core::prelude::*;
-use snipemast_wire::message::path;
-use snipemast_wire::{Call, Dispatch, Frame, FrameReader, Header, PipeWriter, Stream};
+use snipemast_requests::{Plan, Reason, Verdict};
+use snipemast_wire::{Call, Header, PipeWriter};
 
-use crate::registry::{Member, Wanted};
+use crate::attempt::{Order, Run, Step};
+use crate::registry::Wanted;
 use crate::shared::{InFlight, Shared};
 
 /// The result of one step of a request.
@@ -18,6 +20,12 @@
 
 /// How long a caller that comes back is asked to wait when nothing can take its request.
 const RETRY_AFTER: Span = Span::from_secs(1);
+/// How often a request is dispatched at most.
+const ATTEMPTS: u32 = 3;
+/// The longest body that is held for a caller that doesn't stream.
+const HELD_BODY: usize = 32 << 20;
+/// The bytes of pieces that go to a caller at once.
+const BATCH: usize = 16 << 10;
 
 /// The head of an answer, and the frames of its body that follow.
 #[derive(Debug)]
@@ -34,10 +42,7 @@
 #[derive(Debug)]
 pub struct Rest {
     shared: Arc<Shared>,
-    request: RequestId,
-    frames: FrameReader<Stream>,
-    member: Arc<Member>,
-    offset: u64,
+    run: Run,
     _running: InFlight,
 }
 
@@ -54,42 +59,49 @@
         .record(Event::RequestReceived, &request, ask.target.service());
     let (wanted, idempotent) = wanted(config, &ask)?;
     let running = shared.enter();
-    let member = shared
-        .registry
-        .choose(&wanted, &[])
-        .ok_or_else(|| unavailable(&ask))?;
-    shared
-        .journal
-        .record(Event::RequestRouted, &request, &member.announce.info.server);
-    let dispatch = Dispatch {
-        id: shared.next_dispatch(),
-        request: request.clone(),
-        agent: member.announce.agent.clone(),
-        left: shared.settings.limits.deadline,
+    let plan = plan(shared, &ask, idempotent);
+    let key = ask.key.clone();
+    let order = Order {
+        request,
         workspace,
-        idempotent,
+        wanted,
+        key,
         call: call(config, ask)?,
     };
-    let timeout = shared.settings.limits.silence;
-    let stream = member.peer.open(path::DISPATCH, &dispatch, timeout).await;
-    let stream = stream.map_err(|e| lost(e.current_context()))?;
-    member.inflight.fetch_add(1, Ordering::Relaxed);
-    let frames = FrameReader::new(stream);
-    let shared = Arc::clone(shared);
-    let mut rest = Rest {
-        shared,
-        request,
-        frames,
-        member,
-        offset: 0,
-        _running: running,
-    };
-    let (status, headers) = rest.head().await?;
-    Ok(Begun {
-        status,
-        headers,
-        rest,
-    })
+    let mut run = Run::start(Arc::clone(shared), plan, order);
+    loop {
+        match run.next().await {
+            Step::Head(status, headers) => {
+                let rest = Rest {
+                    shared: Arc::clone(shared),
+                    run,
+                    _running: running,
+                };
+                return Ok(Begun {
+                    status,
+                    headers,
+                    rest,
+                });
+            }
+            Step::Failed(verdict) => return Err(problem(verdict)),
+            // The head goes first, so neither comes here.
+            Step::Data(_) | Step::End => {}
+        }
+    }
+}
+
+fn plan(shared: &Shared, ask: &Ask, idempotent: bool) -> Plan {
+    let limits = &shared.settings.limits;
+    Plan {
+        idempotent,
+        stream: matches!(ask.target, Target::Model { stream: true, .. }),
+        // Idempotent requests need no claim: a second run does no harm.
+        keyed: ask.key.is_some() && !idempotent,
+        deadline: shared.clock.now() + limits.deadline,
+        attempts: ATTEMPTS,
+        silence: limits.silence,
+        body: HELD_BODY,
+    }
 }
 
 /// What a backend server must offer, and whether the request may run more than once.
@@ -173,121 +185,92 @@
 impl Rest {
     /// The request that is answered.
     pub fn request(&self) -> &RequestId {
-        &self.request
-    }
-
-    async fn head(&mut self) -> Result<(u16, Vec<Header>)> {
-        loop {
-            match self.next().await? {
-                Frame::Head { status, headers } => {
-                    let event = Event::AnswerBegun;
-                    self.shared.journal.record(event, &self.request, status);
-                    return Ok((status, headers));
-                }
-                Frame::Refused { reason } => {
-                    return Err(
-                        Problem::new(ProblemKind::Unavailable, reason).with_retry(RETRY_AFTER)
-                    );
-                }
-                Frame::Failed { reason } => return Err(failed(reason)),
-                Frame::Accepted { .. } | Frame::Beat | Frame::Data { .. } | Frame::End { .. } => {}
-            }
-        }
+        self.run.request()
     }
 
     /// Reads the whole body.
     pub async fn whole(mut self) -> Result<Vec<u8>> {
         let mut body = Vec::new();
-        while let Some(bytes) = self.piece().await? {
-            body.extend_from_slice(&bytes);
+        loop {
+            match self.run.next().await {
+                Step::Head(..) => {}
+                Step::Data(bytes) if body.is_empty() => body = bytes,
+                Step::Data(bytes) => body.extend_from_slice(&bytes),
+                Step::End => return Ok(body),
+                Step::Failed(verdict) => return Err(problem(verdict)),
+            }
         }
-        Ok(body)
     }
 
     /// Passes the body on piece by piece; a failure becomes the stream's last event.
     pub async fn pass(mut self, out: PipeWriter) {
         loop {
-            match self.piece().await {
-                Ok(Some(bytes)) => {
-                    if out.send(bytes).await.is_err() {
-                        let Self {
-                            shared,
-                            request,
-                            frames,
-                            ..
-                        } = &mut self;
-                        shared.journal.record(Event::CallerGone, request, "");
-                        let _ = frames;
-                        return;
+            let step = async { Some(self.run.next().await) };
+            let gone = async {
+                out.closed().await;
+                None
+            };
+            match step.or(gone).await {
+                Some(Step::Head(..)) => {}
+                Some(Step::Data(bytes)) => {
+                    let batch = self.batch(bytes);
+                    if out.send(batch).await.is_err() {
+                        return self.run.leave();
                     }
                 }
-                Ok(None) => return,
-                Err(problem) => {
-                    self.shared
-                        .journal
-                        .record(Event::AnswerFailed, &self.request, &problem);
-                    // A caller that left needs no reason.
-                    let _ = out.send(problem.to_event().into_bytes()).await;
-                    out.cut().await;
-                    return;
-                }
+                Some(Step::End) => return,
+                Some(Step::Failed(verdict)) => return self.break_off(verdict, &out).await,
+                None => return self.run.leave(),
             }
         }
     }
 
-    /// The next piece of the body, or nothing at its end.
-    async fn piece(&mut self) -> Result<Option<Vec<u8>>> {
-        loop {
-            match self.next().await? {
-                Frame::Data { offset, bytes } if offset == self.offset => {
-                    self.offset += bytes.len() as u64;
-                    return Ok(Some(bytes));
-                }
-                Frame::Data { offset, .. } => {
-                    self.shared
-                        .journal
-                        .record(Event::FrameDropped, &self.request, offset);
-                }
-                Frame::End { total, .. } if total == self.offset => {
-                    self.shared
-                        .journal
-                        .record(Event::AnswerDelivered, &self.request, total);
-                    return Ok(None);
-                }
-                Frame::End { .. } => return Err(cut()),
-                Frame::Failed { reason } => return Err(failed(reason)),
-                Frame::Beat
-                | Frame::Accepted { .. }
-                | Frame::Head { .. }
-                | Frame::Refused { .. } => {}
-            }
+    /// Adds the pieces that have come already: many tokens go out in one write.
+    fn batch(&mut self, mut bytes: Vec<u8>) -> Vec<u8> {
+        while bytes.len() < BATCH {
+            let Some(more) = self.run.ready() else {
+                break;
+            };
+            bytes.extend_from_slice(&more);
         }
+        bytes
     }
 
-    async fn next(&mut self) -> Result<Frame> {
-        self.frames.next().await.map_err(|_| cut())
+    /// Ends the stream in a typed error and no terminator.
+    ///
+    /// Failure guarded against: a partial answer that looks whole. It shows as a stream that
+    /// ends in order after half its tokens; the error event and the cut body tell it apart.
+    async fn break_off(&self, verdict: Verdict, out: &PipeWriter) {
+        let problem = problem(verdict);
+        self.shared
+            .journal
+            .record(Event::AnswerFailed, self.run.request(), &problem);
+        // A caller that left needs no reason.
+        let _ = out.send(problem.to_event().into_bytes()).await;
+        out.cut().await;
     }
 }
 
-impl Drop for Rest {
-    fn drop(&mut self) {
-        self.member.inflight.fetch_sub(1, Ordering::Relaxed);
+/// A verdict in the form that callers get.
+pub fn problem(verdict: Verdict) -> Problem {
+    let Verdict { reason, outcome } = verdict;
+    let kind = match reason {
+        Reason::KeyReused => ProblemKind::KeyReused,
+        Reason::Quarantined => ProblemKind::Quarantined,
+        Reason::Late | Reason::Failed(snipemast_requests::Failure::Late) => ProblemKind::Late,
+        Reason::NoServer | Reason::Refused(_) | Reason::KeyUnsure | Reason::SuspectRuns => {
+            ProblemKind::Unavailable
+        }
+        Reason::Lost if outcome == Outcome::NotRun => ProblemKind::Unavailable,
+        Reason::Lost
+        | Reason::Failed(_)
+        | Reason::Corrupt
+        | Reason::TooLong
+        | Reason::CallerGone => ProblemKind::Failed,
+    };
+    let problem = Problem::new(kind, reason).with_outcome(outcome);
+    match kind {
+        ProblemKind::Unavailable => problem.with_retry(RETRY_AFTER),
+        _ => problem,
     }
 }
-
-fn unavailable(ask: &Ask) -> Problem {
-    let detail = format!("no backend server for {}", ask.target.service());
-    Problem::new(ProblemKind::Unavailable, detail).with_retry(RETRY_AFTER)
-}
-
-fn lost(error: &snipemast_wire::PeerError) -> Problem {
-    Problem::new(ProblemKind::Failed, error).with_outcome(Outcome::Unknown)
-}
-
-fn failed(reason: impl std::fmt::Display) -> Problem {
-    Problem::new(ProblemKind::Failed, reason).with_outcome(Outcome::Ran)
-}
-
-fn cut() -> Problem {
-    Problem::new(ProblemKind::Failed, "the answer was cut").with_outcome(Outcome::Unknown)
-}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -9,10 +9,14 @@
 use snipemast_config::{Config, Patch, Verdict};
 use snipemast_control::Machine;
 use snipemast_core::prelude::*;
+use snipemast_requests::RetryBudget;
 use snipemast_settings::EntrySettings;
 
 use crate::registry::Registry;
 
+/// Retries that may come at once, before the share of traffic bounds them.
+const RETRY_RESERVE: u64 = 100;
+
 /// The state of an entry process.
 #[derive(Debug)]
 pub struct Shared {
@@ -24,6 +28,10 @@
     pub journal: Journal,
     /// The agents that announced themselves.
     pub registry: Registry,
+    /// The clock that requests' deadlines are on.
+    pub clock: Clock,
+    /// What is left for retries.
+    pub retries: Mutex<RetryBudget>,
     config: ArcSwap<Config>,
     machine: Option<Mutex<Machine>>,
     counter: AtomicU64,
@@ -44,6 +52,8 @@
             process,
             journal,
             registry,
+            clock: Clock::new(),
+            retries: Mutex::new(RetryBudget::new(RETRY_RESERVE)),
             config: ArcSwap::from_pointee(Config::default()),
             machine,
             counter: AtomicU64::new(0),
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -1,1 +1,28 @@
-//! Dispatch, ledger, settle, keys and crash decisions.
+//! Decisions about requests: each answer once and whole, without sockets or clocks.
+//!
+//! - [`answer`]: the frames of an answer, and the agent's word on an attempt.
+//! - [`ledger`]: an agent's memory of dispatches, bounded in time and memory.
+//! - [`kept`]: the part of one answer that an agent keeps for resuming.
+//! - [`assembler`]: puts an answer together again, by offset and checksum.
+//! - [`request`]: one request at its entry: dispatch, settle, resume, retry.
+//! - [`plan`]: what a request may do, and what it asks its shell to do.
+//! - [`verdict`]: how a request ended where its answer is not whole.
+//! - [`budget`]: the share of traffic that may be retries.
+
+pub mod answer;
+pub mod assembler;
+pub mod budget;
+pub mod kept;
+pub mod ledger;
+pub mod plan;
+pub mod request;
+pub mod verdict;
+
+pub use answer::{Failure, Frame, Header, Part, Refused, Settled, Tag};
+pub use assembler::{Assembled, Assembler, Piece};
+pub use budget::RetryBudget;
+pub use kept::Kept;
+pub use ledger::{Arrival, Arrived, Ledger, LedgerLimits, Read};
+pub use plan::{Claimed, Input, Link, Loss, Output, Plan, Target};
+pub use request::{Outputs, RequestMachine};
+pub use verdict::{Reason, Verdict};
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -30,6 +30,12 @@
     rmp_serde::to_vec_named(message).expect("messages hold nothing that MessagePack can't")
 }
 
+/// Encodes a message behind bytes that are already there.
+pub fn encode_into<T: Serialize>(message: &T, bytes: &mut Vec<u8>) {
+    rmp_serde::encode::write_named(bytes, message)
+        .expect("messages hold nothing that MessagePack can't");
+}
+
 /// Decodes a message.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
     rmp_serde::from_slice(bytes).map_err(|e| CodecError {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,18 +1,17 @@
 //! The answer stream from agent to entry: frames that name their dispatch and offset.
 //!
 //! Each frame is a four-byte big-endian length and one MessagePack [`Frame`]. A stream that
-//! ends without [`Frame::End`], [`Frame::Failed`] or [`Frame::Refused`] was cut.
+//! ends without [`Part::End`], [`Part::Failed`] or [`Part::Refused`] was cut.
 
 use std::fmt;
 
-use futures_lite::io::BufReader;
 use futures_lite::{AsyncRead, AsyncReadExt};
 
-use snipemast_core::data;
 use snipemast_core::prelude::*;
 
-use crate::codec::{decode, encode, CodecError};
-use crate::message::Header;
+use crate::codec::{decode, encode_into, CodecError};
+
+pub use snipemast_requests::{Failure, Frame, Part, Refused, Tag};
 
 /// The result of reading a frame.
 pub type Result<T> = std::result::Result<T, FrameError>;
@@ -20,6 +19,12 @@
 /// The largest frame that a reader accepts, in bytes.
 pub const MAX_FRAME: usize = 1 << 20;
 
+/// The bytes of a frame's length.
+const PREFIX: usize = 4;
+
+/// Room for a frame without data.
+const SMALL_FRAME: usize = 96;
+
 /// How much is read from a stream at once.
 ///
 /// The HTTP library can't read a chunked body into buffers of a few bytes.
@@ -31,115 +36,6 @@
 /// without the padding an entry would not hear that its dispatch was accepted.
 pub const PADDING: usize = 1_024;
 
-data! {
-    /// One frame of an answer.
-    pub enum Frame {
-        /// The dispatch stands in the ledger.
-        Accepted {
-            /// The attempt that the stream answers.
-            id: DispatchId,
-            /// Filler; see [`PADDING`].
-            #[serde(with = "serde_bytes")]
-            padding: Vec<u8>,
-        },
-        /// The backend server began to answer.
-        Head {
-            /// The HTTP status.
-            status: u16,
-            /// The headers to pass on.
-            headers: Vec<Header>,
-        },
-        /// A piece of the answer's body.
-        Data {
-            /// The bytes of the body that came before.
-            offset: u64,
-            /// The piece.
-            #[serde(with = "serde_bytes")]
-            bytes: Vec<u8>,
-        },
-        /// The backend server is at work; nothing new.
-        Beat,
-        /// The body is whole.
-        End {
-            /// The length of the whole body.
-            total: u64,
-            /// The CRC-32 of the whole body.
-            checksum: u32,
-            /// The backend server's load, fresh.
-            load: LoadReport,
-        },
-        /// The backend server failed in the middle.
-        Failed {
-            /// How.
-            reason: Failure,
-        },
-        /// The agent refused: it did not run.
-        Refused {
-            /// Why.
-            reason: Refused,
-        },
-    }
-
-    /// How a dispatch failed on the backend server.
-    #[derive(Copy)]
-    #[serde(rename_all = "kebab-case")]
-    pub enum Failure {
-        /// The connection to the backend server broke.
-        Broken,
-        /// The backend server sent nothing for too long.
-        Silent,
-        /// The answer's time ran out.
-        Late,
-        /// The attempt was cancelled.
-        Cancelled,
-    }
-
-    /// Why an agent refused a dispatch as not run.
-    #[derive(Copy)]
-    #[serde(rename_all = "kebab-case")]
-    pub enum Refused {
-        /// It was addressed to another incarnation.
-        Incarnation,
-        /// The agent drains.
-        Draining,
-        /// Its deadline had passed.
-        Late,
-        /// Its id was barred by a settle.
-        Barred,
-        /// The ledger is full.
-        Full,
-        /// The backend server does not answer.
-        Unreachable,
-        /// The id is not known, and nothing of it is kept.
-        Unknown,
-    }
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Broken => "the connection to the backend server broke",
-            Self::Silent => "the backend server went silent",
-            Self::Late => "the deadline passed",
-            Self::Cancelled => "the attempt was cancelled",
-        })
-    }
-}
-
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::Incarnation => "addressed to another incarnation of the agent",
-            Self::Draining => "the backend server is leaving",
-            Self::Late => "the deadline had passed",
-            Self::Barred => "the attempt was settled as not run",
-            Self::Full => "the agent's ledger is full",
-            Self::Unreachable => "the backend server does not answer",
-            Self::Unknown => "the agent does not know the attempt",
-        })
-    }
-}
-
 /// Why a frame could not be read.
 #[derive(Debug)]
 pub enum FrameError {
@@ -170,59 +66,113 @@
 impl FrameWriter {
     /// The bytes of a frame.
     pub fn encode(frame: &Frame) -> Vec<u8> {
-        let body = encode(frame);
-        let mut bytes = Vec::with_capacity(body.len() + 4);
-        bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
-        bytes.extend_from_slice(&body);
+        let mut bytes = Vec::with_capacity(capacity(&frame.part));
+        Self::append(frame, &mut bytes);
         bytes
     }
 
+    /// Adds the bytes of a frame to those of others.
+    pub fn append(frame: &Frame, bytes: &mut Vec<u8>) {
+        let start = bytes.len();
+        bytes.extend_from_slice(&[0; PREFIX]);
+        encode_into(frame, bytes);
+        let length = (bytes.len() - start - PREFIX) as u32;
+        bytes[start..start + PREFIX].copy_from_slice(&length.to_be_bytes());
+    }
+
     /// The bytes of a stream's first frame.
-    pub fn accepted(id: DispatchId) -> Vec<u8> {
-        Self::encode(&Frame::Accepted {
-            id,
-            padding: vec![0; PADDING],
-        })
+    pub fn accepted(id: &DispatchId) -> Vec<u8> {
+        let padding = vec![0; PADDING];
+        Self::encode(&Frame::new(Tag::of(id), Part::Accepted { padding }))
+    }
+}
+
+/// About how many bytes a frame takes.
+fn capacity(part: &Part) -> usize {
+    match part {
+        Part::Data { bytes, .. } => bytes.len() + SMALL_FRAME,
+        Part::Accepted { padding } => padding.len() + SMALL_FRAME,
+        _ => SMALL_FRAME,
     }
 }
 
 /// Reads frames off a byte stream.
+///
+/// [`FrameReader::next`] may be dropped at any moment without losing a byte: what has come
+/// stays in the reader's own buffer, so it can be raced with a timer.
 #[derive(Debug)]
 pub struct FrameReader<R> {
-    input: BufReader<R>,
+    input: R,
     buffer: Vec<u8>,
+    start: usize,
+    end: usize,
 }
 
 impl<R: AsyncRead + Unpin> FrameReader<R> {
     /// Reads frames from this stream.
     pub fn new(input: R) -> Self {
         Self {
-            input: BufReader::with_capacity(READ_BUFFER, input),
-            buffer: Vec::new(),
+            input,
+            buffer: vec![0; READ_BUFFER],
+            start: 0,
+            end: 0,
         }
     }
 
     /// The next frame.
     pub async fn next(&mut self) -> Result<Frame> {
-        let mut prefix = [0; 4];
-        self.input
-            .read_exact(&mut prefix)
-            .await
-            .map_err(FrameError::Cut)?;
-        let length = u32::from_be_bytes(prefix) as usize;
+        loop {
+            if let Some(frame) = self.ready()? {
+                return Ok(frame);
+            }
+            self.make_room();
+            let room = &mut self.buffer[self.end..];
+            let count = self.input.read(room).await.map_err(FrameError::Cut)?;
+            if count == 0 {
+                return Err(FrameError::Cut(std::io::ErrorKind::UnexpectedEof.into()));
+            }
+            self.end += count;
+        }
+    }
+
+    /// The next frame, where it has come already.
+    pub fn ready(&mut self) -> Result<Option<Frame>> {
+        let Some(length) = self.length() else {
+            return Ok(None);
+        };
         if length > MAX_FRAME {
             return Err(FrameError::Oversized(length));
         }
-        self.buffer.resize(length, 0);
-        self.input
-            .read_exact(&mut self.buffer)
-            .await
-            .map_err(FrameError::Cut)?;
-        decode(&self.buffer).map_err(FrameError::Malformed)
+        let from = self.start + PREFIX;
+        let to = from + length;
+        if self.end < to {
+            return Ok(None);
+        }
+        let frame = decode(&self.buffer[from..to]).map_err(FrameError::Malformed)?;
+        self.start = to;
+        Ok(Some(frame))
     }
 
     /// The stream below; frames that were read ahead are lost.
     pub fn into_inner(self) -> R {
-        self.input.into_inner()
+        self.input
+    }
+
+    /// The length of the next frame, once its prefix has come.
+    fn length(&self) -> Option<usize> {
+        let prefix = self.buffer[self.start..self.end].first_chunk()?;
+        Some(u32::from_be_bytes(*prefix) as usize)
+    }
+
+    /// Moves the rest to the front and makes room for the frame that it begins.
+    fn make_room(&mut self) {
+        self.buffer.copy_within(self.start..self.end, 0);
+        self.end -= self.start;
+        self.start = 0;
+        let wanted = self.length().map_or(0, |length| length + PREFIX);
+        let room = wanted.max(self.end) + READ_BUFFER;
+        if self.buffer.len() < room {
+            self.buffer.resize(room, 0);
+        }
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,11 +14,11 @@
 pub mod pipe;
 pub mod serve;
 
-pub use codec::{decode, encode, CodecError};
-pub use frame::{Frame, FrameReader, FrameWriter};
+pub use codec::{decode, encode, encode_into, CodecError};
+pub use frame::{Frame, FrameReader, FrameWriter, Part};
 pub use message::{
     Announce, Announced, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom,
-    Settle, Settled,
+    Settle, Settled, Settlement,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -6,6 +6,8 @@
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+pub use snipemast_requests::{Header, Settled};
+
 /// Paths of the messages on each process's HTTP server.
 pub mod path {
     /// An agent announces itself to an entry: [`Announce`](super::Announce).
@@ -51,14 +53,6 @@
         pub lease: Span,
     }
 
-    /// A header of a call or answer.
-    pub struct Header {
-        /// The lower-case name.
-        pub name: String,
-        /// The value.
-        pub value: String,
-    }
-
     /// What the backend server is asked.
     pub struct Call {
         /// The HTTP method.
@@ -84,8 +78,14 @@
         pub left: Span,
         /// The workspace that pays.
         pub workspace: WorkspaceId,
+        /// How long the agent must remember it at least.
+        pub keep: Span,
         /// Whether it may run more than once.
         pub idempotent: bool,
+        /// Whether a resend may come for the answer after the caller left.
+        pub keyed: bool,
+        /// Whether the request is suspected of crashing backend servers.
+        pub suspect: bool,
         /// What to ask.
         pub call: Call,
     }
@@ -94,6 +94,8 @@
     pub struct ResumeFrom {
         /// The attempt.
         pub id: DispatchId,
+        /// The agent that took it.
+        pub agent: ProcessId,
         /// The bytes of the answer's body that have arrived.
         pub offset: u64,
     }
@@ -102,25 +104,28 @@
     pub struct Settle {
         /// The attempt.
         pub id: DispatchId,
+        /// The agent it was sent to.
+        pub agent: ProcessId,
+        /// How long its sender may still use the id.
+        pub keep: Span,
     }
 
     /// The agent's word on an attempt.
-    #[derive(Copy)]
-    pub enum Settled {
-        /// It runs.
-        Running,
-        /// It finished, and its answer can be resumed.
-        Finished,
-        /// It ran and failed.
-        Failed,
-        /// It did not run and never will.
-        Barred,
+    pub struct Settlement {
+        /// The attempt.
+        pub id: DispatchId,
+        /// What became of it.
+        pub settled: Settled,
     }
 
-    /// Stop an attempt: nobody reads its answer.
+    /// Stop an attempt: nobody reads its answer. One that never arrived is barred.
     pub struct Cancel {
         /// The attempt.
         pub id: DispatchId,
+        /// The agent it was sent to.
+        pub agent: ProcessId,
+        /// How long its sender may still use the id.
+        pub keep: Span,
     }
 
     /// Tell me of a configuration later than mine, or wait.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -41,7 +41,9 @@
 /// What went wrong with a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerErrorKind {
-    /// The process could not be reached or broke the connection off.
+    /// The process could not be reached: no byte was sent.
+    Unreachable,
+    /// The process broke the connection off.
     Broken,
     /// The deadline passed.
     Timeout,
@@ -59,6 +61,7 @@
             kind,
         } = self;
         match kind {
+            PeerErrorKind::Unreachable => write!(f, "{address}{path}: no connection"),
             PeerErrorKind::Broken => write!(f, "{address}{path}: the connection broke"),
             PeerErrorKind::Timeout => write!(f, "{address}{path}: no answer in time"),
             PeerErrorKind::Status(code) => write!(f, "{address}{path}: status {code}"),
@@ -97,12 +100,36 @@
 
     /// Sends a message and waits for its answer.
     pub async fn call<Q, A>(&self, path: &str, message: &Q, timeout: Span) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let client = self.client.load_full();
+        self.call_over(&client, path, message, timeout).await
+    }
+
+    /// Sends a message on a connection of its own and waits for its answer.
+    pub async fn call_fresh<Q, A>(&self, path: &str, message: &Q, timeout: Span) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        self.call_over(&lone_client(), path, message, timeout).await
+    }
+
+    async fn call_over<Q, A>(
+        &self,
+        client: &Client,
+        path: &str,
+        message: &Q,
+        timeout: Span,
+    ) -> Result<A>
     where
         Q: Serialize,
         A: DeserializeOwned,
     {
         let bytes = self
-            .within(path, timeout, self.exchange(path, encode(message)))
+            .within(path, timeout, self.exchange(client, path, encode(message)))
             .await?;
         decode(&bytes).map_err(|e| {
             self.error(path, PeerErrorKind::Malformed)
@@ -116,15 +143,36 @@
         path: &str,
         message: &Q,
         timeout: Span,
+    ) -> Result<Stream> {
+        let client = self.client.load_full();
+        self.open_over(&client, path, message, timeout).await
+    }
+
+    /// Sends a message on a connection of its own and returns the answer's body as a stream.
+    pub async fn open_fresh<Q: Serialize>(
+        &self,
+        path: &str,
+        message: &Q,
+        timeout: Span,
+    ) -> Result<Stream> {
+        self.open_over(&lone_client(), path, message, timeout).await
+    }
+
+    async fn open_over<Q: Serialize>(
+        &self,
+        client: &Client,
+        path: &str,
+        message: &Q,
+        timeout: Span,
     ) -> Result<Stream> {
         let conn = self
-            .within(path, timeout, self.send(path, encode(message)))
+            .within(path, timeout, self.send(client, path, encode(message)))
             .await?;
         Ok(Stream { conn })
     }
 
-    async fn exchange(&self, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
-        let mut conn = self.send(path, body).await?;
+    async fn exchange(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
+        let mut conn = self.send(client, path, body).await?;
         let bytes = conn.response_body().read_bytes().await;
         bytes.map_err(|e| {
             self.error(path, PeerErrorKind::Broken)
@@ -132,14 +180,10 @@
         })
     }
 
-    async fn send(&self, path: &str, body: Vec<u8>) -> Result<Conn> {
+    async fn send(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Conn> {
         let url = format!("http://{}{path}", self.address);
-        let client = self.client.load_full();
         let conn = client.post(url.as_str()).with_body(body).await;
-        let conn = conn.map_err(|e| {
-            self.error(path, PeerErrorKind::Broken)
-                .attach(e.to_string())
-        })?;
+        let conn = conn.map_err(|e| self.error(path, kind(&e)).attach(e.to_string()))?;
         match conn.status() {
             Some(status) if status.is_success() => Ok(conn),
             status => {
@@ -171,6 +215,21 @@
     }
 }
 
+/// Whether an error came before the first byte was sent.
+fn kind(error: &trillium_client::Error) -> PeerErrorKind {
+    match error {
+        trillium_client::Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            PeerErrorKind::Unreachable
+        }
+        _ => PeerErrorKind::Broken,
+    }
+}
+
+/// A client whose connections are used once.
+fn lone_client() -> Client {
+    Client::new(ClientConfig::default().with_nodelay(true))
+}
+
 fn fresh_client() -> Client {
     Client::new(ClientConfig::default().with_nodelay(true)).with_default_pool()
 }
@@ -187,8 +246,9 @@
     /// The HTTP library would read an abandoned body to its end to save the connection, which
     /// for a stream of tokens means that nobody learns it was abandoned.
     pub fn abort(mut self) {
+        // The library looks at the answer's headers when it decides about the connection.
         self.conn
-            .request_headers_mut()
+            .response_headers_mut()
             .insert(KnownHeaderName::Connection, "close");
     }
 }
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use smol::Task;
-use trillium::{Conn, Handler, HttpConfig, Status};
+use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Status};
 use trillium_smol::Stopper;
 
 use crate::codec::{decode, encode};
@@ -70,11 +70,17 @@
 
 /// Answers with a message.
 pub fn reply<T: Serialize>(conn: Conn, message: &T) -> Conn {
-    conn.with_status(Status::Ok)
+    keep_alive(conn)
+        .with_status(Status::Ok)
         .with_body(encode(message))
         .halt()
 }
 
+/// Says that the connection can be used again; the client keeps it in its pool only then.
+fn keep_alive(conn: Conn) -> Conn {
+    conn.with_response_header(KnownHeaderName::Connection, "keep-alive")
+}
+
 /// Answers that the request is not the expected message.
 pub fn malformed(conn: Conn) -> Conn {
     conn.with_status(Status::BadRequest).halt()
@@ -83,5 +89,8 @@
 /// Answers with a stream of frames.
 pub fn stream(conn: Conn, frames: PipeReader) -> Conn {
     let body = trillium::Body::new_streaming(frames, None);
-    conn.with_status(Status::Ok).with_body(body).halt()
+    keep_alive(conn)
+        .with_status(Status::Ok)
+        .with_body(body)
+        .halt()
 }
