Admit by fair share and measure routing against four baselines

Cause: nothing bounded what runs or waits, and no figure said how good the choice is.

Change: a lane for each pool with weighted fair queueing, deadlines and early refusal; limits with token buckets; the split of limits by told demand; a retry budget; wishes to load; status facts. A queue fake of continuous-batching servers under a virtual clock, four baselines, and the bench.

--- /dev/null
+++ b/crates/benches/benches/routing.rs
@@ -0,0 +1,465 @@
+//! Routing and admission against four baselines, before a small fake of servers.
+//!
+//! Virtual time for everything but the cost of a decision. Baselines run in the same run, with
+//! the same arrivals.
+
+use std::hint::black_box;
+use std::time::Instant;
+
+use snipemast_benches::policies::{facts, name, wanted, Baseline, Options, Ours, Rule};
+use snipemast_benches::queue::{run, Fault, Micros, Outcome, Setup};
+use snipemast_benches::report::{BenchArgs, Figures};
+use snipemast_benches::splits;
+use snipemast_core::prelude::*;
+use snipemast_routing::{Place, Prefix, Query, Router, Seat};
+
+const SECOND: Micros = 1_000_000;
+
+fn main() {
+    let args = BenchArgs::parse();
+    let mut figures = Figures::new();
+    let small = small();
+    let full = capacity(&small);
+    figures.add("capacity_tokens_s", full);
+    calm(args, &small, full, &mut figures);
+    lags(&small, full, &mut figures);
+    overload(&small, full, &mut figures);
+    flood(&small, full, &mut figures);
+    burst(&small, full, &mut figures);
+    gray(&small, full, &mut figures);
+    subsets(args, &mut figures);
+    splits::measure(&mut figures);
+    decision(&mut figures);
+    figures.print(args);
+}
+
+/// 9 entries before 16 servers of 32 slots.
+fn small() -> Setup {
+    Setup {
+        entries: 9,
+        servers: 16,
+        slots: 32,
+        base: 5_000.0,
+        each: 100.0,
+        prompt: 5_000.0,
+        tokens: 100.0,
+        rates: vec![(0, 300.0)],
+        lag: SECOND / 2,
+        pace: SECOND / 10,
+        deadline: 10 * SECOND,
+        again: 0,
+        workspaces: zipf(10),
+        prefixes: 400,
+        faults: Vec::new(),
+        length: 50 * SECOND,
+        warm: 10 * SECOND,
+        seed: 1,
+    }
+}
+
+/// 350 entries before 600 servers, or a quarter of it.
+fn large(args: BenchArgs) -> Setup {
+    let (entries, servers) = if args.quick { (88, 150) } else { (350, 600) };
+    Setup {
+        entries,
+        servers,
+        base: 18_000.0,
+        each: 200.0,
+        prompt: 20_000.0,
+        tokens: 400.0,
+        pace: SECOND,
+        deadline: 60 * SECOND,
+        workspaces: zipf(200),
+        prefixes: 20_000,
+        length: 60 * SECOND,
+        warm: 35 * SECOND,
+        ..small()
+    }
+}
+
+fn zipf(count: usize) -> Vec<f64> {
+    (1..=count).map(|n| 1.0 / n as f64).collect()
+}
+
+fn at_load(setup: &Setup, full: f64, part: f64) -> Setup {
+    Setup {
+        rates: vec![(0, part * full / setup.tokens)],
+        ..setup.clone()
+    }
+}
+
+fn ours(setup: &Setup, options: &Options) -> Outcome {
+    let count = setup.workspaces.len();
+    let entry = |n| Ours::new(n, setup.servers, setup.slots, count, options.clone());
+    run(setup, (0..setup.entries).map(entry).collect())
+}
+
+fn baseline(setup: &Setup, rule: Rule) -> Outcome {
+    let entry = |n| Baseline::new(rule, setup.servers, n as u64 + 7);
+    run(setup, (0..setup.entries).map(entry).collect())
+}
+
+fn quantile(values: &[Micros], q: f64) -> f64 {
+    let mut values = values.to_vec();
+    values.sort_unstable();
+    let at = ((values.len() as f64 * q) as usize).min(values.len().saturating_sub(1));
+    values.get(at).map_or(f64::NAN, |v| *v as f64)
+}
+
+/// Tokens a second that the servers give when there is always more to do.
+fn capacity(setup: &Setup) -> f64 {
+    let full = f64::from(setup.slots) / (setup.base + setup.each * f64::from(setup.slots)) * 1e6;
+    let rate = 1.5 * full * setup.servers as f64 / setup.tokens;
+    let setup = Setup {
+        rates: vec![(0, rate)],
+        deadline: 10_000 * SECOND,
+        faults: Vec::new(),
+        again: 0,
+        ..setup.clone()
+    };
+    let options = Options {
+        lane: None,
+        ..Options::default()
+    };
+    let rates = [ours(&setup, &options), baseline(&setup, Rule::RoundRobin)];
+    let rates = rates.iter().map(|o| mean_good(&setup, o));
+    rates.fold(0.0, f64::max)
+}
+
+fn mean_good(setup: &Setup, outcome: &Outcome) -> f64 {
+    let from = (setup.warm / SECOND) as usize;
+    let to = (setup.length / SECOND) as usize;
+    outcome.good[from..to].iter().sum::<f64>() / (to - from) as f64
+}
+
+/// The scenarios without overload at 500 ms lag: wait against the baselines.
+fn calm(args: BenchArgs, small: &Setup, full: f64, figures: &mut Figures) {
+    let slow = vec![(20 * SECOND, Fault::Slow(3, 4.0))];
+    let zone = (0..16)
+        .filter(|n| n % 3 == 1)
+        .map(|n| (20 * SECOND, Fault::Down(n)))
+        .collect();
+    let steady = at_load(small, full, 0.9);
+    let few = Setup {
+        prefixes: 40,
+        ..at_load(small, full, 0.9)
+    };
+    let slowed = Setup {
+        faults: slow,
+        ..at_load(small, full, 0.8)
+    };
+    let lost = Setup {
+        faults: zone,
+        ..at_load(small, full, 0.55)
+    };
+    let wave = Setup {
+        faults: restart_wave(),
+        ..at_load(small, full, 0.75)
+    };
+    let big = large(args);
+    let big = at_load(&big, capacity_of_large(&big), 0.9);
+    let wide = Options {
+        subset: Some(24),
+        zones: 4,
+        ..Options::default()
+    };
+    let near = Options::default();
+    let all = [
+        ("steady", &steady, &near),
+        ("skewed", &few, &near),
+        ("slowed", &slowed, &near),
+        ("zone_lost", &lost, &near),
+        ("restarts", &wave, &near),
+        ("large", &big, &wide),
+    ];
+    let (mut robin, mut least, mut extra) = (0.0, 0.0, 0.0_f64);
+    for (label, setup, options) in all {
+        let mine = ours(setup, options);
+        let wait = quantile(&mine.waits, 0.99);
+        let other = |rule| baseline(setup, rule);
+        let (a, b) = (other(Rule::RoundRobin), other(Rule::LeastReport));
+        let (c, d) = (other(Rule::Random), other(Rule::TwoReports));
+        robin += wait / quantile(&a.waits, 0.99) / all.len() as f64;
+        least += wait / quantile(&b.waits, 0.99) / all.len() as f64;
+        extra = extra.max(mine.resent as f64 / mine.asked as f64);
+        let named = [
+            ("ours", &mine),
+            ("robin", &a),
+            ("least", &b),
+            ("random", &c),
+            ("two", &d),
+        ];
+        for (who, outcome) in named {
+            describe(&format!("{label}_{who}"), outcome, figures);
+        }
+        if label == "slowed" {
+            figures.add("slowed_excess_after_2s", excess(&mine, 3, 22 * SECOND));
+            figures.add("slowed_excess_after_2s_robin", excess(&a, 3, 22 * SECOND));
+        }
+    }
+    figures.add("wait_p99_vs_round_robin", robin);
+    figures.add("wait_p99_vs_least_report", least);
+    figures.add("extra_attempts", extra);
+}
+
+fn capacity_of_large(setup: &Setup) -> f64 {
+    // A twentieth of the servers: a server's output does not depend on how many others there are.
+    let part = Setup {
+        entries: 18,
+        servers: 30,
+        prefixes: 1_000,
+        ..setup.clone()
+    };
+    capacity(&part) * setup.servers as f64 / part.servers as f64
+}
+
+/// One server after the other drains, is gone for two seconds, and comes back cold.
+fn restart_wave() -> Vec<(Micros, Fault)> {
+    let one = |n: usize| {
+        let from = (15 + 2 * n as u64) * SECOND;
+        [
+            (from, Fault::Drain(n)),
+            (from + 3 * SECOND, Fault::Down(n)),
+            (from + 5 * SECOND, Fault::Up(n)),
+        ]
+    };
+    (0..14).flat_map(one).collect()
+}
+
+fn describe(label: &str, o: &Outcome, figures: &mut Figures) {
+    let ms = |values: &[Micros], q| quantile(values, q) / 1e3;
+    figures.add(&format!("{label}_wait_p50_ms"), ms(&o.waits, 0.5));
+    figures.add(&format!("{label}_wait_p99_ms"), ms(&o.waits, 0.99));
+    figures.add(&format!("{label}_first_p95_ms"), ms(&o.firsts, 0.95));
+    figures.add(&format!("{label}_between_p95_ms"), ms(&o.betweens, 0.95));
+    figures.add(
+        &format!("{label}_prefix_hits"),
+        o.hits as f64 / o.waits.len() as f64,
+    );
+    figures.add(&format!("{label}_met"), o.met as f64 / o.asked as f64);
+}
+
+/// What is sent to a server from a moment on for three seconds, against its part by speed.
+fn excess(outcome: &Outcome, server: usize, from: Micros) -> f64 {
+    let tenths = &outcome.sends[(from / 100_000) as usize..][..30];
+    let own: u32 = tenths.iter().map(|t| t[server]).sum();
+    let all: u32 = tenths.iter().flatten().sum();
+    let count = tenths[0].len() as f64;
+    let others = f64::from(all - own) / (count - 1.0);
+    f64::from(own) / (others / 4.0)
+}
+
+/// The wait at other lags.
+fn lags(small: &Setup, full: f64, figures: &mut Figures) {
+    for (label, lag) in [
+        ("100ms", SECOND / 10),
+        ("500ms", SECOND / 2),
+        ("2s", 2 * SECOND),
+    ] {
+        let setup = Setup {
+            lag,
+            ..at_load(small, full, 0.9)
+        };
+        let mine = ours(&setup, &Options::default());
+        let robin = baseline(&setup, Rule::RoundRobin);
+        let least = baseline(&setup, Rule::LeastReport);
+        let two = baseline(&setup, Rule::TwoReports);
+        for (who, o) in [
+            ("ours", &mine),
+            ("robin", &robin),
+            ("least", &least),
+            ("two", &two),
+        ] {
+            figures.add(
+                &format!("lag_{label}_{who}_p99_ms"),
+                quantile(&o.waits, 0.99) / 1e3,
+            );
+        }
+    }
+}
+
+/// Twice the load: what is still answered in time, and who gets it.
+fn overload(small: &Setup, full: f64, figures: &mut Figures) {
+    let setup = Setup {
+        again: 3,
+        ..at_load(small, full, 2.0)
+    };
+    let mine = ours(&setup, &Options::default());
+    let robin = baseline(&setup, Rule::RoundRobin);
+    figures.add("goodput_2x", mean_good(&setup, &mine) / full);
+    figures.add("goodput_2x_robin", mean_good(&setup, &robin) / full);
+    // The level up to which the capacity covers every workspace's demand.
+    let demands: Vec<f64> = {
+        let sum: f64 = setup.workspaces.iter().sum();
+        setup.workspaces.iter().map(|w| 2.0 * w / sum).collect()
+    };
+    let level = fair_level(&demands);
+    let kept = |o: &Outcome| {
+        let within = demands
+            .iter()
+            .zip(&o.shares)
+            .filter(|(d, _)| **d < 0.95 * level);
+        within
+            .map(|(_, (asked, got))| got / asked)
+            .fold(1.0, f64::min)
+    };
+    figures.add("share_kept", kept(&mine));
+    figures.add("share_kept_robin", kept(&robin));
+    let over = |o: &Outcome| {
+        let over = demands.iter().zip(&o.shares).filter(|(d, _)| **d > level);
+        jain(&over.map(|(_, s)| s.1).collect::<Vec<_>>())
+    };
+    figures.add("jain_2x", over(&mine));
+    figures.add("jain_2x_robin", over(&robin));
+    describe("twice_ours", &mine, figures);
+}
+
+fn fair_level(demands: &[f64]) -> f64 {
+    let (mut low, mut high) = (0.0, 1.0);
+    for _ in 0..50 {
+        let level = (low + high) / 2.0;
+        let used: f64 = demands.iter().map(|d| d.min(level)).sum();
+        if used > 1.0 {
+            high = level;
+        } else {
+            low = level;
+        }
+    }
+    low
+}
+
+fn jain(values: &[f64]) -> f64 {
+    let sum: f64 = values.iter().sum();
+    let squares: f64 = values.iter().map(|v| v * v).sum();
+    sum * sum / (values.len() as f64 * squares)
+}
+
+/// One workspace asks for twice the capacity: what the others feel of it.
+fn flood(small: &Setup, full: f64, figures: &mut Figures) {
+    let mut workspaces = vec![0.05; 10];
+    let calm = Setup {
+        workspaces: workspaces.clone(),
+        ..at_load(small, full, 0.5)
+    };
+    workspaces.push(2.0);
+    let flooded = Setup {
+        workspaces,
+        again: 3,
+        ..at_load(small, full, 2.5)
+    };
+    let others = |o: &Outcome| quantile(&o.wholes[..10].concat(), 0.99);
+    let waits = |setup: &Setup| others(&ours(setup, &Options::default()));
+    // The servers are full, so each step is longer: that is the price of the other's work, not of
+    // its queue. A full pool without a flood is the fair comparison; both are printed.
+    let busy = Setup {
+        workspaces: vec![0.09; 11],
+        ..at_load(small, full, 0.95)
+    };
+    let flooded = waits(&flooded);
+    figures.add("flood_p99_vs_idle", flooded / waits(&calm));
+    figures.add("flood_p99_vs_busy", flooded / waits(&busy));
+}
+
+/// A burst of three times the load, with callers that send again.
+fn burst(small: &Setup, full: f64, figures: &mut Figures) {
+    let usual = 0.8 * full / small.tokens;
+    let rates = vec![(0, usual), (20 * SECOND, 3.0 * usual), (30 * SECOND, usual)];
+    let setup = Setup {
+        rates,
+        again: 5,
+        deadline: 4 * SECOND,
+        length: 100 * SECOND,
+        ..small.clone()
+    };
+    let before = |o: &Outcome| o.good[10..20].iter().sum::<f64>() / 10.0;
+    let recovery = |o: &Outcome| {
+        let level = 0.95 * before(o);
+        let well = |n: &usize| (o.good[*n] + o.good[n + 1]) / 2.0 >= level;
+        (30..98).find(well).map_or(70.0, |n| (n - 30) as f64)
+    };
+    let mine = ours(&setup, &Options::default());
+    let robin = baseline(&setup, Rule::RoundRobin);
+    figures.add("recovery_s", recovery(&mine));
+    figures.add("recovery_s_robin", recovery(&robin));
+    let during = |o: &Outcome| o.good[22..30].iter().sum::<f64>() / 8.0 / full;
+    figures.add("goodput_3x", during(&mine));
+    figures.add("goodput_3x_robin", during(&robin));
+}
+
+/// A server that says that it is well and does nothing.
+fn gray(small: &Setup, full: f64, figures: &mut Figures) {
+    let faults = vec![(20 * SECOND, Fault::Stall(5))];
+    let setup = Setup {
+        faults,
+        ..at_load(small, full, 0.7)
+    };
+    let after = |o: &Outcome| excess(o, 5, 22 * SECOND) / 4.0;
+    let mine = ours(&setup, &Options::default());
+    figures.add("stalled_part_after_2s", after(&mine));
+    figures.add("stalled_met", mine.met as f64 / mine.asked as f64);
+    let robin = baseline(&setup, Rule::RoundRobin);
+    figures.add("stalled_part_after_2s_robin", after(&robin));
+    figures.add("stalled_met_robin", robin.met as f64 / robin.asked as f64);
+}
+
+/// Load a server with subsets against a full mesh.
+fn subsets(args: BenchArgs, figures: &mut Figures) {
+    let setup = large(args);
+    let setup = at_load(&setup, capacity_of_large(&setup), 0.8);
+    let top = |subset| {
+        let options = Options {
+            subset,
+            zones: 4,
+            ..Options::default()
+        };
+        let outcome = ours(&setup, &options);
+        let started: Vec<Micros> = outcome.started.clone();
+        quantile(&started, 0.99)
+    };
+    figures.add("subset_load_vs_mesh", top(Some(24)) / top(None));
+    let worst = splits::degrees(350, 600, 24, 4);
+    figures.add("subset_entries_min", worst.0 as f64);
+    figures.add("subset_entries_max", worst.1 as f64);
+}
+
+/// What one decision costs with 600 servers, in real time.
+fn decision(figures: &mut Figures) {
+    let mesh = decision_us(None, false);
+    let prefix = decision_us(None, true);
+    let subset = decision_us(Some(Seat::new(3, 24)), true);
+    figures.add("decision_us", mesh.max(prefix));
+    figures.add("decision_mesh_us", mesh);
+    figures.add("decision_prefix_us", prefix);
+    figures.add("decision_subset_us", subset);
+}
+
+fn decision_us(seat: Option<Seat>, prefix: bool) -> f64 {
+    let place = Place {
+        zone: name("zone", 0),
+        region: name("region", 0),
+    };
+    let mut router = Router::new(place, 1);
+    for n in 0..600 {
+        router.upsert(Moment::ZERO, facts(n, 1, 32), false);
+    }
+    router.sit(seat);
+    let wanted = wanted();
+    let mut times = Vec::new();
+    let mut now = Moment::from_millis(1_000);
+    for round in 0..200_u64 {
+        let start = Instant::now();
+        for n in 0..500_u64 {
+            now = now + Span::from_micros(20);
+            let prefix = prefix.then_some(Prefix(round * 31 + n));
+            let query = Query::new(&wanted).with_prefix(prefix);
+            if let Ok(choice) = black_box(router.choose(now, &query)) {
+                router.sent(now, choice.slot);
+                if let Some(agent) = router.agent(choice.slot).cloned() {
+                    router.ended(now, choice.slot, &agent, snipemast_routing::Ended::Answered);
+                }
+            }
+        }
+        times.push(start.elapsed().as_nanos() as u64 / 500);
+    }
+    quantile(&times, 0.5) / 1e3
+}
--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -2,6 +2,12 @@
 //!
 //! - [`report`]: what every bench shares: its arguments, its figures, and how they are printed.
 //! - [`capacity`]: what each role costs at the size of two years, from the benches' figures.
+//! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
+//! - [`policies`]: the routing policies that are compared.
+//! - [`splits`]: the split of fleet-wide limits among entries, without servers.
 
 pub mod capacity;
+pub mod policies;
+pub mod queue;
 pub mod report;
+pub mod splits;
--- /dev/null
+++ b/crates/benches/src/policies.rs
@@ -0,0 +1,373 @@
+//! The policies that the routing bench compares: ours, and four baselines.
+
+use std::collections::HashMap;
+
+use snipemast_core::prelude::*;
+use snipemast_routing::hash::{below, mix};
+use snipemast_routing::{
+    Arrival, Budget, Called, Demands, Departure, Door, Ended, Facts, Lane, LanePolicy, Place,
+    Policy, Prefix, Priority, Query, Room, Router, Seat, Slot, Summary, Ticket, Topic, Wanted,
+};
+
+use crate::queue::{End, Entry, Job, Micros, Step};
+
+/// How a baseline chooses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// Any server.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// The least reported load.
+    LeastReport,
+    /// The less loaded of two by their reports.
+    TwoReports,
+}
+
+/// A baseline: it sends everything on at once.
+#[derive(Debug)]
+pub struct Baseline {
+    rule: Rule,
+    up: Vec<bool>,
+    loads: Vec<u32>,
+    next: usize,
+    draws: u64,
+}
+
+impl Baseline {
+    /// A baseline before this many servers.
+    pub fn new(rule: Rule, servers: usize, seed: u64) -> Self {
+        let next = below(mix(seed), servers);
+        Self {
+            rule,
+            up: vec![true; servers],
+            loads: vec![0; servers],
+            next,
+            draws: seed,
+        }
+    }
+
+    fn draw(&mut self) -> usize {
+        loop {
+            self.draws = mix(self.draws);
+            let at = below(self.draws, self.up.len());
+            if self.up[at] {
+                return at;
+            }
+        }
+    }
+
+    fn turn(&mut self) -> usize {
+        loop {
+            self.next = (self.next + 1) % self.up.len();
+            if self.up[self.next] {
+                return self.next;
+            }
+        }
+    }
+
+    fn pick(&mut self) -> usize {
+        match self.rule {
+            Rule::Random => self.draw(),
+            Rule::RoundRobin => self.turn(),
+            Rule::LeastReport => {
+                let start = self.draw();
+                let count = self.up.len();
+                let all = (0..count)
+                    .map(|n| (start + n) % count)
+                    .filter(|&at| self.up[at]);
+                all.min_by_key(|&at| self.loads[at]).unwrap_or(start)
+            }
+            Rule::TwoReports => {
+                let (a, b) = (self.draw(), self.draw());
+                if self.loads[b] < self.loads[a] {
+                    b
+                } else {
+                    a
+                }
+            }
+        }
+    }
+}
+
+impl Entry for Baseline {
+    const CANCELS: bool = false;
+
+    fn arrive(&mut self, _: Micros, job: &Job, out: &mut Vec<Step>) {
+        out.push(Step::Send(job.id, self.pick()));
+    }
+
+    fn first(&mut self, _: Micros, _: &Job, _: usize, _: Micros, _: &LoadReport) {}
+
+    fn ended(&mut self, _: Micros, _: &Job, _: usize, _: &End, _: &mut Vec<Step>) {}
+
+    fn report(&mut self, _: Micros, server: usize, load: &LoadReport) {
+        self.loads[server] = load.total();
+    }
+
+    fn member(&mut self, _: Micros, server: usize, takes: bool) {
+        self.up[server] = takes;
+    }
+
+    fn tick(&mut self, _: Micros, _: &mut Vec<Step>) {}
+}
+
+/// How ours is set up.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The policy of the choice.
+    pub policy: Policy,
+    /// The policy of admission, or none to send everything on at once.
+    pub lane: Option<LanePolicy>,
+    /// Servers that an entry keeps to.
+    pub subset: Option<usize>,
+    /// Zones that entries and servers are spread over.
+    pub zones: usize,
+    /// Whether prefixes draw requests.
+    pub prefix: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            policy: Policy::default(),
+            lane: Some(LanePolicy::default()),
+            subset: None,
+            zones: 3,
+            prefix: true,
+        }
+    }
+}
+
+/// Ours: the router, and a lane in front of it.
+#[derive(Debug)]
+pub struct Ours {
+    options: Options,
+    router: Router,
+    lane: Option<Lane>,
+    demands: Demands,
+    budget: Budget,
+    wanted: Wanted,
+    hosts: Vec<HostId>,
+    slots: Vec<Slot>,
+    waiting: HashMap<Ticket, Job>,
+    names: Vec<WorkspaceId>,
+    topic: Topic,
+    count: u32,
+}
+
+/// A name made of a word and a number.
+pub fn name<T: std::str::FromStr>(word: &str, n: usize) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    format!("{word}-{n}")
+        .parse()
+        .expect("a word and a number are a name")
+}
+
+/// What a server of the bench announces.
+pub fn facts(n: usize, zones: usize, slots: u32) -> Facts {
+    let offer = Offer::Model {
+        model: name("model", 0),
+        version: "1".into(),
+        adapters: Vec::new(),
+    };
+    let info = ServerInfo {
+        server: name("server", n),
+        offers: vec![offer],
+        capabilities: Capabilities::default(),
+        rank: None,
+        slots,
+    };
+    Facts {
+        agent: ProcessId::new(name("host", n), Incarnation::new(1)),
+        zone: name("zone", n % zones),
+        region: name("region", 0),
+        info,
+        draining: false,
+    }
+}
+
+/// What the bench's requests ask for.
+pub fn wanted() -> Wanted {
+    Wanted::Model {
+        model: name("model", 0),
+        version: "1".into(),
+        adapter: None,
+    }
+}
+
+impl Ours {
+    /// Entry `n` before this many servers.
+    pub fn new(n: usize, servers: usize, count: u32, workspaces: usize, options: Options) -> Self {
+        let zones = options.zones;
+        let place = Place {
+            zone: name("zone", n % zones),
+            region: name("region", 0),
+        };
+        let mut router = Router::new(place, mix(n as u64)).with_policy(options.policy);
+        let all = (0..servers).map(|s| facts(s, zones, count));
+        let hosts = all.clone().map(|f| f.agent.host).collect();
+        let slots = all.map(|f| router.upsert(Moment::ZERO, f, false)).collect();
+        router.sit(options.subset.map(|size| Seat::new(n / zones, size)));
+        let wanted = wanted();
+        let topic = Topic::pool(wanted.family());
+        Self {
+            lane: options.lane.map(Lane::new),
+            router,
+            demands: Demands::new(ProcessId::new(name("entry", n), Incarnation::new(1))),
+            budget: Budget::default(),
+            wanted,
+            hosts,
+            slots,
+            waiting: HashMap::new(),
+            names: (0..workspaces).map(|w| name("workspace", w)).collect(),
+            topic,
+            count,
+            options,
+        }
+    }
+
+    /// The router, to look into it.
+    pub fn router(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    fn room(&mut self, now: Moment) -> Room {
+        let (slots, load) = self.router.capacity(now, &self.wanted).unwrap_or_default();
+        let share = slots * self.demands.share(now, self.topic);
+        Room {
+            share,
+            free: (slots - load).max(0.0),
+        }
+    }
+
+    fn send(&mut self, now: Moment, job: &Job, out: &mut Vec<Step>) {
+        let prefix = self.options.prefix.then_some(Prefix(job.prefix));
+        let query = Query::new(&self.wanted).with_prefix(prefix);
+        let Ok(choice) = self.router.choose(now, &query) else {
+            out.push(Step::Refuse(job.id, 1_000_000));
+            return;
+        };
+        self.router.sent(now, choice.slot);
+        let server = self.slots.iter().position(|s| *s == choice.slot);
+        out.push(Step::Send(
+            job.id,
+            server.expect("a chosen server is one of them"),
+        ));
+    }
+
+    fn call(&mut self, now: Moment, out: &mut Vec<Step>) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        loop {
+            let room = self.room(now);
+            let Some(called) = self.lane.as_mut().and_then(|l| l.call(now, room)) else {
+                return;
+            };
+            match called {
+                Called::Run(ticket) => {
+                    if let Some(job) = self.waiting.remove(&ticket) {
+                        self.send(now, &job, out);
+                    }
+                }
+                Called::Refused(ticket, refusal) => {
+                    if let Some(job) = self.waiting.remove(&ticket) {
+                        out.push(Step::Refuse(job.id, refusal.retry.as_micros()));
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Entry for Ours {
+    const CANCELS: bool = true;
+
+    fn arrive(&mut self, now: Micros, job: &Job, out: &mut Vec<Step>) {
+        let now = Moment::from_micros(now);
+        let tokens = f64::from(job.tokens);
+        self.demands.note(now, self.topic, tokens);
+        self.budget.earn();
+        let room = self.room(now);
+        let Some(lane) = &mut self.lane else {
+            return self.send(now, job, out);
+        };
+        let arrival = Arrival {
+            workspace: self.names[job.workspace].clone(),
+            weight: 1.0,
+            priority: Priority::Normal,
+            tokens,
+            deadline: Moment::from_micros(job.deadline),
+        };
+        match lane.arrive(now, arrival, room) {
+            Door::Open => self.send(now, job, out),
+            Door::Wait(ticket) => {
+                self.waiting.insert(ticket, *job);
+            }
+            Door::Refused(refusal) => {
+                out.push(Step::Refuse(job.id, refusal.retry.as_micros()));
+            }
+        }
+    }
+
+    fn first(&mut self, now: Micros, _: &Job, server: usize, took: Micros, load: &LoadReport) {
+        let now = Moment::from_micros(now);
+        self.router
+            .first(now, self.slots[server], Span::from_micros(took));
+        self.router.report(now, &self.hosts[server], load);
+    }
+
+    fn ended(&mut self, now: Micros, job: &Job, server: usize, end: &End, out: &mut Vec<Step>) {
+        let now = Moment::from_micros(now);
+        let how = match (end.whole, end.failed) {
+            (true, _) => Ended::Answered,
+            (_, true) => Ended::Failed,
+            _ => Ended::Neutral,
+        };
+        let agent = ProcessId::new(self.hosts[server].clone(), Incarnation::new(1));
+        self.router.ended(now, self.slots[server], &agent, how);
+        if !end.failed {
+            self.router.report(now, &self.hosts[server], &end.load);
+        }
+        let tokens = f64::from(job.tokens);
+        if end.failed && now.as_micros() < job.deadline && self.budget.spend() {
+            return self.send(now, job, out);
+        }
+        let departure = Departure {
+            workspace: self.names[job.workspace].clone(),
+            asked: tokens,
+            got: tokens,
+            took: end.whole.then_some(Span::from_micros(end.took)),
+        };
+        if let Some(lane) = &mut self.lane {
+            lane.depart(&departure);
+        }
+        self.call(now, out);
+    }
+
+    fn report(&mut self, now: Micros, server: usize, load: &LoadReport) {
+        let now = Moment::from_micros(now);
+        self.router.report(now, &self.hosts[server], load);
+    }
+
+    fn member(&mut self, now: Micros, server: usize, takes: bool) {
+        let mut facts = facts(server, self.options.zones, self.count);
+        facts.draining = !takes;
+        self.router.upsert(Moment::from_micros(now), facts, false);
+    }
+
+    fn summary(&mut self, now: Micros) -> Option<Summary> {
+        Some(self.demands.summary(Moment::from_micros(now)))
+    }
+
+    fn merge(&mut self, now: Micros, summary: &Summary) {
+        self.demands.merge(Moment::from_micros(now), summary);
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Step>) {
+        self.call(Moment::from_micros(now), out);
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -6,24 +6,50 @@
 //! - [`health`]: suspicion, ejection, slow start.
 //! - [`prefix`]: hints of which servers hold a prompt's prefix.
 //! - [`subset`]: which servers an entry keeps connections to.
+//! - [`lane`]: admission to one pool, and who goes next.
+//! - [`fair`]: the queue that shares by weight and starves none.
+//! - [`limiter`]: each workspace's upper bounds.
+//! - [`demand`]: the split of fleet-wide limits among entries.
+//! - [`bucket`]: token buckets, and rates that fade.
+//! - [`budget`]: the budget for retries and hedges.
+//! - [`refusal`]: why a request is not let in, and when to come back.
+//! - [`wish`]: orders to load what nothing has loaded.
+//! - [`status`]: who is held back, and why.
 //! - [`hash`]: seeded mixing, the source of every random pick.
 
 mod pick;
 mod pool;
 mod server;
 
+pub mod bucket;
+pub mod budget;
+pub mod demand;
+pub mod fair;
 pub mod hash;
 pub mod health;
+pub mod lane;
+pub mod limiter;
 pub mod load;
 pub mod prefix;
+pub mod refusal;
 pub mod router;
+pub mod status;
 pub mod subset;
 pub mod wanted;
+pub mod wish;
 
+pub use budget::Budget;
+pub use demand::{Demands, Summary, Topic};
+pub use fair::{Priority, Ticket};
 pub use health::{Ended, HealthPolicy};
+pub use lane::{Arrival, Called, Departure, Door, Lane, LanePolicy, Room};
+pub use limiter::{Limiter, Part};
 pub use pool::{Near, Place, SpillPolicy};
 pub use prefix::{Prefix, PrefixPolicy};
+pub use refusal::{Reason, Refusal};
 pub use router::{Cause, Choice, NoServer, Notice, Policy, Query, Router, Slot};
 pub use server::Facts;
+pub use status::{Held, LaneStatus, LimitStatus};
 pub use subset::Seat;
 pub use wanted::Wanted;
+pub use wish::{Wish, WishPolicy, Wishes};
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -63,7 +63,7 @@
         self.others = f64::from(report.total()) - f64::from(then);
         self.others = self.others.max(0.0);
         self.measured = Some(measured);
-        self.step = report.step;
+        self.step = smoothed(self.step, report.step);
         self.restarts = report.restarts;
     }
 
@@ -122,6 +122,14 @@
     }
 }
 
+/// One step that took in a long prompt should not make a server look slow.
+fn smoothed(old: Span, new: Span) -> Span {
+    if old == Span::default() || new == Span::default() {
+        return new;
+    }
+    Span::from_micros((old.as_micros() * 3 + new.as_micros()) / 4)
+}
+
 impl Default for Load {
     fn default() -> Self {
         Self::new()
--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -12,8 +12,10 @@
 const UNKNOWN_USUAL: Span = Span::from_secs(5);
 /// How much fuller a server looks that is a tier farther away.
 const FARTHER: f64 = 0.1;
-/// A server's step time counts at most this many times faster or slower than the mean.
+/// A server's step time counts at most this many times the mean.
 const PACE_BOUND: f64 = 8.0;
+/// Up to this many times the mean, a step time says no more than how full the server is.
+const PACE_NOISE: f64 = 1.5;
 
 /// Everything that one choice looks at.
 pub(crate) struct View<'a> {
@@ -168,7 +170,9 @@
         fitness: Fitness,
     ) -> Option<Choice> {
         let policy = &self.policy.prefix;
-        let bound = (policy.bound * tier.means.load).max(policy.floor);
+        let bound = (policy.bound * tier.means.load)
+            .min(policy.cap)
+            .max(policy.floor);
         let take = |at: u32| {
             let fit = self.fits(at, tier, fitness, &mut None);
             let scored = fit.then(|| self.score(at, near, tier)).flatten()?;
@@ -187,19 +191,17 @@
     /// The two servers with the highest weights for a prefix.
     fn rendezvous(&self, tier: &Tier, prefix: Prefix) -> (Option<u32>, Option<u32>) {
         let (mut first, mut second) = ((0, None), (0, None));
-        for &at in &tier.list {
-            let Some(server) = &self.servers[at as usize] else {
-                continue;
-            };
-            let weight = mix(server.seed ^ prefix.0);
-            if first.1.is_none() || weight > first.0 {
+        for (n, seed) in tier.seeds.iter().enumerate() {
+            let weight = mix(seed ^ prefix.0);
+            if weight >= first.0 {
                 second = first;
-                first = (weight, Some(at));
-            } else if second.1.is_none() || weight > second.0 {
-                second = (weight, Some(at));
+                first = (weight, Some(n));
+            } else if weight >= second.0 {
+                second = (weight, Some(n));
             }
         }
-        (first.1, second.1)
+        let server = |n: Option<usize>| n.map(|n| tier.list[n]);
+        (server(first.1), server(second.1))
     }
 
     fn fits(&self, at: u32, tier: &Tier, fitness: Fitness, stalled: &mut Option<u32>) -> bool {
@@ -256,7 +258,11 @@
         if step <= 0.0 || means.step <= 0.0 {
             return 1.0;
         }
-        (step / means.step).clamp(1.0 / PACE_BOUND, PACE_BOUND)
+        let pace = step / means.step;
+        if pace < PACE_NOISE {
+            return 1.0;
+        }
+        pace.min(PACE_BOUND)
     }
 }
 
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -53,8 +53,8 @@
 impl Default for SpillPolicy {
     fn default() -> Self {
         Self {
-            begin: 1.0,
-            end: 0.85,
+            begin: 0.8,
+            end: 0.7,
         }
     }
 }
@@ -78,6 +78,11 @@
 #[derive(Debug, Default)]
 pub(crate) struct Tier {
     pub(crate) list: Vec<u32>,
+    /// The servers' weights in rendezvous hashing, beside each other: a scan of the servers
+    /// themselves would miss the processor's cache for each.
+    pub(crate) seeds: Vec<u64>,
+    /// How many servers the tier has for each one in the list.
+    pub(crate) cut: f64,
     pub(crate) means: Means,
     pub(crate) spilling: bool,
 }
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -28,6 +28,8 @@
 pub struct PrefixPolicy {
     /// The load, as a multiple of the tier's mean, up to which a server attracts.
     pub bound: f64,
+    /// The load a slot over which a server does not attract: a wait costs more than a prefill.
+    pub cap: f64,
     /// The load a slot up to which a server attracts whatever the mean.
     pub floor: f64,
     /// How many prefixes are remembered.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Self {
             bound: 1.25,
+            cap: 0.95,
             floor: 0.5,
             hints: 16_384,
         }
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -192,7 +192,7 @@
     /// restarted entry must not treat the whole fleet as cold.
     pub fn upsert(&mut self, now: Moment, facts: Facts, fresh: bool) -> Slot {
         if let Some(&at) = self.hosts.get(&facts.agent.host) {
-            if self.refresh_facts(at, &facts) {
+            if self.refresh_facts(now, at, &facts) {
                 return Slot(at);
             }
             self.remove(&facts.agent.host);
@@ -213,7 +213,7 @@
     }
 
     /// Takes new facts of a known process; false where it is another process.
-    fn refresh_facts(&mut self, at: u32, facts: &Facts) -> bool {
+    fn refresh_facts(&mut self, now: Moment, at: u32, facts: &Facts) -> bool {
         let Some(server) = self.servers[at as usize].as_mut() else {
             return false;
         };
@@ -221,6 +221,9 @@
             return false;
         }
         let listed = server.facts.is_listed_like(facts);
+        if server.facts.draining && !facts.draining {
+            server.health.restarted(now);
+        }
         server.facts = facts.clone();
         if !listed {
             let group = facts.info.rank.as_ref().map(|r| r.group.clone());
@@ -336,11 +339,11 @@
     pub fn capacity(&mut self, now: Moment, wanted: &Wanted) -> Option<(f64, f64)> {
         self.refresh(now, wanted);
         let pool = self.pools.get(wanted)?;
-        let slots: f64 = pool.tiers.iter().map(|t| t.means.slots).sum();
-        let load: f64 = pool
+        let slots = pool.tiers.iter().map(|t| t.cut * t.means.slots).sum();
+        let load = pool
             .tiers
             .iter()
-            .map(|t| t.means.load * t.means.slots)
+            .map(|t| t.cut * t.means.load * t.means.slots)
             .sum();
         Some((slots, load))
     }
@@ -446,9 +449,13 @@
         for (wanted, pool) in &mut self.pools {
             for (n, tier) in pool.tiers.iter_mut().enumerate() {
                 tier.spilling = spilling.get(wanted).is_some_and(|s| s[n]);
+                let all = tier.list.len() as f64;
                 if let Some(seat) = self.seat {
                     seat.cut(&mut tier.list);
                 }
+                let seed = |at: &u32| self.servers[*at as usize].as_ref().map_or(0, |s| s.seed);
+                tier.seeds = tier.list.iter().map(seed).collect();
+                tier.cut = all / (tier.list.len() as f64).max(1.0);
             }
         }
     }
--- /dev/null
+++ b/crates/routing/src/status.rs
@@ -0,0 +1,52 @@
+//! What an operator sees of limits and routing: who is held back, and why.
+
+use snipemast_core::prelude::*;
+
+use crate::refusal::Reason;
+use crate::wish::Wish;
+
+data! {
+    float
+    /// Limits and routing at one entry.
+    #[derive(Default)]
+    pub struct LimitStatus {
+        /// The workspaces that were held back lately.
+        pub held: Vec<Held>,
+        /// The pools that requests run in or wait for.
+        pub lanes: Vec<LaneStatus>,
+        /// The backend servers that are ejected.
+        pub ejected: Vec<ServerId>,
+        /// The loads that are wished for.
+        pub wishes: Vec<Wish>,
+        /// Further attempts that the retry budget has left.
+        pub retries: f64,
+    }
+
+    /// One workspace that is held back for one reason.
+    pub struct Held {
+        /// The workspace.
+        pub workspace: WorkspaceId,
+        /// What holds it back.
+        pub reason: Reason,
+        /// Refusals a second, lately.
+        pub rate: f64,
+        /// When the last refused caller was told to come back.
+        pub retry: Span,
+        /// This entry's share of the workspace's limits.
+        pub share: f64,
+    }
+
+    /// One pool's requests at this entry.
+    pub struct LaneStatus {
+        /// What the pool answers for.
+        pub pool: String,
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait.
+        pub waiting: u32,
+        /// The slots that are this entry's part.
+        pub share: f64,
+        /// The slots of the pool that stand free, by what reports say.
+        pub free: f64,
+    }
+}
