--- a/crates/benches/src/report.rs
+++ b/crates/benches/src/report.rs
@@ -17,7 +17,10 @@
     /// Reads the command line; what cargo itself adds is passed over.
     pub fn parse() -> Self {
         let has = |flag: &str| std::env::args().skip(1).any(|arg| arg == flag);
-        Self { json: has("--json"), quick: has("--quick") }
+        Self {
+            json: has("--json"),
+            quick: has("--quick"),
+        }
     }
 }
 
@@ -36,9 +39,15 @@
     /// Reads the line that a bench printed, or nothing where it is not one.
     pub fn read(text: &str) -> Option<Self> {
         let line = text.lines().rfind(|line| line.starts_with('{'))?;
-        let Value::Object(fields) = serde_json::from_str(line).ok()? else { return None };
-        let values = fields.iter().filter_map(|(key, v)| Some((key.clone(), v.as_f64()?)));
-        Some(Self { values: values.collect() })
+        let Value::Object(fields) = serde_json::from_str(line).ok()? else {
+            return None;
+        };
+        let values = fields
+            .iter()
+            .filter_map(|(key, v)| Some((key.clone(), v.as_f64()?)));
+        Some(Self {
+            values: values.collect(),
+        })
     }
 
     /// Adds a figure; one that is not a number is left out.
@@ -66,8 +75,11 @@
 
     fn to_json(&self) -> Value {
         let number = |value: &f64| Number::from_f64(*value).map_or(Value::Null, Value::Number);
-        let fields: Map<String, Value> =
-            self.values.iter().map(|(key, value)| (key.clone(), number(value))).collect();
+        let fields: Map<String, Value> = self
+            .values
+            .iter()
+            .map(|(key, value)| (key.clone(), number(value)))
+            .collect();
         Value::Object(fields)
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,26 +9,37 @@
 //! - [`log`]: the log in memory.
 //! - [`message`]: what voters say to each other.
 //! - [`timing`]: timeouts, bounds and chance.
+//! - [`storage`]: what a voter asks of a disk.
+//! - [`disk`]: a voter's data folder, out of [`record`], [`identity`] and small `files`.
+//! - [`force`]: replacement of a majority that was lost for good.
 
 pub mod apply;
+pub mod disk;
 pub mod entry;
+pub mod force;
+pub mod identity;
 pub mod log;
 pub mod machine;
 pub mod message;
 pub mod node;
+pub mod record;
+pub mod storage;
 pub mod timing;
 pub mod voters;
 
 mod change;
 mod election;
+mod files;
 mod install;
 mod replicate;
 mod role;
 
 pub use apply::{RestoreError, StateMachine};
+pub use disk::{DiskStorage, Opened};
 pub use entry::{Hard, LogEntry, Payload, Snapshot, Stored, Write};
 pub use machine::Machine;
 pub use message::{Envelope, Message};
 pub use node::{Boot, Input, Node, Note, Output, Refusal, Ticket};
+pub use storage::{MemoryStorage, Storage, StorageError};
 pub use timing::{Chance, Timing};
 pub use voters::{ChangeError, ClusterId, Seat, VoterChange, VoterId, Voters};
