Refuse a log whose first record is cut

Change: the first record comes with the file's name, so a cut inside it is damage; the test says so.

--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -124,9 +124,19 @@
     write_sample(&folder);
     let whole = fs::read(folder.file("log")).unwrap();
     let states = states();
+    let first = {
+        let empty = Folder::new();
+        empty.open().unwrap();
+        fs::read(empty.file("log")).unwrap().len()
+    };
     let mut reached = 0;
     for end in 0..=whole.len() {
         fs::write(folder.file("log"), &whole[..end]).unwrap();
+        if end < first {
+            // The file came whole with its first record, so this is no crash's work.
+            assert!(matches!(folder.open(), Err(StorageError::Damaged { .. })));
+            continue;
+        }
         let stored = folder.stored();
         let found = states
             .iter()
