Run a voter over HTTP and a disk

Cause: the log was a state machine without a shell. Change: entry::voter: a thread that owns the node and its clock, a thread that writes and syncs, links between voters (answers ride on the responses), the forming of the first cluster, and submit, change, status and fence for the rest of the process. A single voter works at once, on a disk or in memory.

--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -292,12 +292,16 @@
     /// Whether it leads and may speak for the cluster without asking: no other leader can
     /// have been elected yet.
     pub fn has_lease(&self, now: Moment) -> bool {
+        self.lease_end().is_some_and(|end| now < end)
+    }
+
+    /// Until when it may speak for the cluster, if it leads.
+    pub fn lease_end(&self) -> Option<Moment> {
         match &self.role {
-            Role::Leader(office) => {
-                let contact = self.contact(office);
-                office.ready && contact.is_some_and(|c| now < c + self.timing.lease)
+            Role::Leader(office) if office.ready => {
+                self.contact(office).map(|c| c + self.timing.lease)
             }
-            _ => false,
+            _ => None,
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`desk`]: the interface towards operators.
+//! - [`voter`]: the control role: one voter of the replicated log.
 //! - [`follow`]: keeps up with the configuration of a control host.
 
 pub mod choose;
@@ -19,6 +20,7 @@
 pub mod registry;
 pub mod relay;
 pub mod shared;
+pub mod voter;
 
 pub use process::{Entry, EntryError};
 pub use shared::Shared;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages and transport between the system's own processes: HTTP and rmp-serde.
 //!
 //! - [`message`]: the typed messages.
+//! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
@@ -8,6 +9,7 @@
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
+pub mod control;
 pub mod frame;
 pub mod message;
 pub mod peer;
