--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`attempt`]: the shell around one request's decisions.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`desk`]: the interface towards operators.
+//! - [`voter`]: the control role: one voter of the replicated log.
 //! - [`follow`]: keeps up with the configuration of a control host.
 
 pub mod attempt;
@@ -21,6 +22,7 @@
 pub mod registry;
 pub mod relay;
 pub mod shared;
+pub mod voter;
 
 pub use process::{Entry, EntryError};
 pub use shared::Shared;
