Follow the configuration by a state machine

Cause: polls fetched the whole document, and nothing kept a follower off a relay that was cut off itself. A source's age is kept apart from the moment: a relay cut off longer than the follower's uptime looked fresh before (test cut_relay_left).

--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -241,4 +241,15 @@
         }
         Ok(())
     }
+
+    /// One delta out of several that follow each other, from a version on; nothing where none
+    /// of them starts there.
+    pub fn joined<'a>(deltas: impl Iterator<Item = &'a Self>, from: Version) -> Option<Self> {
+        let mut later = deltas.skip_while(|d| d.from < from);
+        let mut joined = later.next().filter(|d| d.from == from)?.clone();
+        for delta in later {
+            joined.extend(delta).ok()?;
+        }
+        Some(joined)
+    }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`strict`]: JSON in which no object names a field twice.
 //! - [`check`]: every fault of a document, each with its path.
 //! - [`delta`]: what changed between two versions, as a value of its own.
+//! - [`news`]: what processes tell each other about the version in force.
+//! - [`follower`]: keeps one process at the newest version it can learn of.
 //! - [`index`]: the index from bearer keys to workspaces.
 //! - [`secret`]: hashes of keys, compared in constant time.
 //! - [`wall`]: wall-clock times, which are shown to people and decide nothing.
@@ -14,8 +16,10 @@
 pub mod check;
 pub mod delta;
 pub mod document;
+pub mod follower;
 pub mod index;
 pub mod merge;
+pub mod news;
 pub mod patch;
 mod read;
 pub mod secret;
@@ -29,6 +33,8 @@
     Config, Group, GroupWeights, Limits, Model, Operator, Role, Server, ServerRole, Service,
     Workspace, Workspaces,
 };
+pub use follower::{AskId, FollowLimits, Follower};
+pub use news::{Ask, DeltaLog, News, Reply, Snapshot, SnapshotHead};
 pub use patch::{Change, Patch, Refusal, Verdict};
 pub use secret::KeyHash;
 pub use section::Section;
--- a/crates/control/src/machine/history.rs
+++ b/crates/control/src/machine/history.rs
@@ -213,15 +213,6 @@
 
     /// What leads from a version to the newest, or nothing where it fell out.
     pub fn since(&self, version: Version) -> Option<Delta> {
-        let mut later = self.entries.iter().filter(|e| e.delta.from >= version);
-        let mut delta = later
-            .next()
-            .filter(|e| e.delta.from == version)?
-            .delta
-            .clone();
-        for entry in later {
-            delta.extend(&entry.delta).ok()?;
-        }
-        Some(delta)
+        Delta::joined(self.entries.iter().map(|e| &e.delta), version)
     }
 }
