--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -310,10 +310,11 @@
         self.hear(now, confirmed);
         let swift = !brought && now.since(sent) < self.limits.pause;
         self.settle(now, swift);
-        if self.is_old(now, confirmed) {
+        if !reply.linked || self.is_old(now, confirmed) {
             // Failure guarded against: a source that answers well and was itself cut off from
             // control. It shows as a zone that keeps an old version while another source of
-            // the same zone has the new one. Old news makes the follower ask the next.
+            // the same zone has the new one. A source that says so, or whose news is old, makes
+            // the follower ask the next.
             self.move_to(self.source + 1, now);
         }
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,10 +9,12 @@
 //! - [`delta`]: what changed between two versions, as a value of its own.
 //! - [`news`]: what processes tell each other about the version in force.
 //! - [`follower`]: keeps one process at the newest version it can learn of.
+//! - [`census`]: who has which version in force.
 //! - [`index`]: the index from bearer keys to workspaces.
 //! - [`secret`]: hashes of keys, compared in constant time.
 //! - [`wall`]: wall-clock times, which are shown to people and decide nothing.
 
+pub mod census;
 pub mod check;
 pub mod delta;
 pub mod document;
@@ -27,6 +29,7 @@
 pub mod strict;
 pub mod wall;
 
+pub use census::{Census, Roll, Standing};
 pub use check::{Fault, FaultKind};
 pub use delta::{Changes, Delta, DeltaError};
 pub use document::{
--- a/crates/config/src/news.rs
+++ b/crates/config/src/news.rs
@@ -65,6 +65,9 @@
         pub age: Option<Span>,
         /// How long the answer was held back.
         pub held: Span,
+        /// Whether the answering process has a source, or is one; another is to be asked where
+        /// it has none.
+        pub linked: bool,
         /// The highest fencing number that the answering process knows of.
         pub fence: Fence,
     }
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -86,6 +86,7 @@
             news,
             age,
             held: Span::default(),
+            linked: true,
             fence: Fence::new(now.version.get()),
         }
     }
@@ -318,6 +319,7 @@
                     news: News::Unchanged,
                     age: Some(age),
                     held: Span::from_secs(1),
+                    linked: true,
                     fence: Fence::default(),
                 };
                 follower.handle(now, Input::Reply { ask: id, reply });
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -1,7 +1,8 @@
-//! The state machine of the control role: the configuration, its history, verdicts and fences.
+//! The state machine of the control role: the configuration, its history and verdicts.
 //!
 //! Every voter applies the same commands in the same order and comes to the same state. Nothing
-//! here reads a clock or draws at random: author, time and reason come with the command.
+//! here reads a clock or draws at random: author, time and reason come with the command. Fencing
+//! numbers are the log's own: each term of office has one.
 //!
 //! - [`command`]: what the log carries.
 //! - [`history`]: the last versions, who made them and why.
@@ -18,7 +19,7 @@
 
 use crate::apply::{self, RestoreError, StateMachine};
 
-pub use command::{Command, Granted, Reply, Submission};
+pub use command::{Command, Reply, Submission};
 pub use history::{Bounds, Entry, History, HistoryError};
 pub use verdicts::{PatchDigest, Verdicts};
 
@@ -32,7 +33,6 @@
     config: Arc<Config>,
     history: History,
     verdicts: Verdicts,
-    fence: Fence,
 }
 
 impl Machine {
@@ -43,7 +43,6 @@
             history: History::new(Arc::clone(&config), Bounds::default()),
             config,
             verdicts: Verdicts::default(),
-            fence: Fence::default(),
         }
     }
 
@@ -57,16 +56,10 @@
         &self.history
     }
 
-    /// The highest fencing number that was taken.
-    pub fn fence(&self) -> Fence {
-        self.fence
-    }
-
     /// Carries a command out.
     pub fn run(&mut self, command: &Command) -> Reply {
         match command {
             Command::Submit(submission) => Reply::Verdict(self.submit(submission)),
-            Command::TakeFence { term } => Reply::Fence(self.take_fence(*term)),
         }
     }
 
@@ -111,22 +104,6 @@
         }
     }
 
-    /// Takes the fencing number of a term of office.
-    ///
-    /// Failure guarded against: a deposed leader, cut off in silence, whose command to take a
-    /// number is committed late. It shows as two leaders with valid numbers. A number is the
-    /// term it was taken in, and only a higher one than ever is granted.
-    fn take_fence(&mut self, term: Term) -> Granted {
-        let asked = Fence::new(term.get());
-        if asked < self.fence {
-            return Granted::Refused {
-                current: self.fence,
-            };
-        }
-        self.fence = asked;
-        Granted::Taken { fence: asked }
-    }
-
     /// The whole state, to be restored by [`Machine::from_state`].
     pub fn state(&self) -> State {
         State {
@@ -134,7 +111,6 @@
             history: self.history.entries().cloned().collect(),
             base: self.history.base().as_ref().clone(),
             verdicts: self.verdicts.clone(),
-            fence: self.fence,
         }
     }
 
@@ -160,7 +136,6 @@
             config: Arc::new(state.config),
             history,
             verdicts: state.verdicts,
-            fence: state.fence,
         })
     }
 }
@@ -176,8 +151,6 @@
         pub history: Vec<Entry>,
         /// The verdicts that are remembered.
         pub verdicts: Verdicts,
-        /// The highest fencing number that was taken.
-        pub fence: Fence,
     }
 }
 
--- a/crates/control/src/machine/command.rs
+++ b/crates/control/src/machine/command.rs
@@ -8,11 +8,6 @@
     pub enum Command {
         /// An operator submits a patch.
         Submit(Submission),
-        /// A control leader takes the fencing number of its term of office.
-        TakeFence {
-            /// The term.
-            term: Term,
-        },
     }
 
     /// A patch, who submits it and when.
@@ -29,26 +24,9 @@
     pub enum Reply {
         /// The verdict on a patch.
         Verdict(Verdict),
-        /// The answer to who takes a fencing number.
-        Fence(Granted),
         /// The command is not one that this release knows.
         Unknown,
     }
-
-    /// Whether a fencing number was granted.
-    #[derive(Copy)]
-    pub enum Granted {
-        /// It is the taker's.
-        Taken {
-            /// The number.
-            fence: Fence,
-        },
-        /// A later term has taken one.
-        Refused {
-            /// The number of that term.
-            current: Fence,
-        },
-    }
 }
 
 impl Command {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -1,55 +1,45 @@
-//! Keeps up with the configuration of a control host.
+//! Keeps up with the configuration of the hosts that the settings name.
 
 use std::sync::Arc;
 
+use snipemast_config::{Census, Config, Delta, Follower, Standing};
 use snipemast_core::prelude::*;
-use snipemast_wire::message::path;
-use snipemast_wire::{ConfigPoll, ConfigReply, Peer};
+use snipemast_wire::Sink;
 
 use crate::shared::Shared;
 
-/// How long a poll may wait at the other side.
-const POLL_WAIT: Span = Span::from_secs(10);
-/// How much longer than the wait an answer may take before the connection counts as dead.
-const POLL_SLACK: Span = Span::from_secs(2);
-/// The pause after a poll that failed.
-const PAUSE: Span = Span::from_millis(500);
-
-/// Polls the seeds for later configurations, one seed at a time, again and again.
+/// Follows the seeds, unless this host decides on the configuration itself.
 pub async fn follow_forever(shared: Arc<Shared>) {
-    let peers: Vec<Peer> = shared
-        .settings
-        .seeds
-        .iter()
-        .copied()
-        .map(Peer::new)
-        .collect();
-    if peers.is_empty() {
+    if shared.settings.control.is_some() {
         return;
     }
-    for peer in peers.iter().cycle() {
-        while poll(&shared, peer).await {}
-        peer.retire();
-        smol::Timer::after(PAUSE.as_duration()).await;
-    }
+    // Any number that differs between hosts spreads their pauses.
+    let seed = shared.process.incarnation.get() ^ u64::from(shared.settings.own.port()) << 32;
+    let follower = Follower::new(shared.settings.seeds.len(), shared.config(), seed);
+    snipemast_wire::follow_forever(shared.as_ref(), &shared.settings.seeds, follower).await;
 }
 
-/// Polls once; false where the peer did not answer.
-async fn poll(shared: &Shared, peer: &Peer) -> bool {
-    let message = ConfigPoll {
-        after: shared.config().version,
-        wait: POLL_WAIT,
-    };
-    let timeout = Span::from_micros(POLL_WAIT.as_micros() + POLL_SLACK.as_micros());
-    match peer
-        .call::<_, ConfigReply>(path::CONFIG, &message, timeout)
-        .await
-    {
-        Ok(ConfigReply::Unchanged) => true,
-        Ok(ConfigReply::Whole(config)) => {
-            shared.apply(Arc::new(*config));
-            true
-        }
-        Err(_) => false,
+impl Sink for Shared {
+    fn clock(&self) -> &Clock {
+        self.spread.clock()
+    }
+
+    fn standing(&self) -> (Standing, Census) {
+        let standing = Standing {
+            process: self.process.clone(),
+            zone: self.settings.zone.clone(),
+            version: self.config().version,
+            age: self.spread.age(),
+        };
+        let below = self.spread.census_below(&standing);
+        (standing, below)
+    }
+
+    fn bring(&self, config: Arc<Config>, delta: Option<Delta>) {
+        self.advance(config, delta);
+    }
+
+    fn note(&self, linked: bool, age: Option<Span>, fence: Fence) {
+        self.spread.note(linked, age, fence);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,9 +8,12 @@
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`desk`]: the interface towards operators.
-//! - [`follow`]: keeps up with the configuration of a control host.
+//! - [`follow`]: keeps up with the configuration of other hosts.
+//! - [`spread`]: passes the configuration on.
+//! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 
 pub mod choose;
+pub mod copy;
 pub mod desk;
 pub mod follow;
 pub mod front;
@@ -19,6 +22,7 @@
 pub mod registry;
 pub mod relay;
 pub mod shared;
+pub mod spread;
 
 pub use process::{Entry, EntryError};
 pub use shared::Shared;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -7,13 +7,10 @@
 use snipemast_core::prelude::*;
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply};
-use snipemast_wire::{Announce, Announced, ConfigPoll, ConfigReply};
+use snipemast_wire::{Announce, Announced, ConfigPoll};
 
 use crate::shared::Shared;
 
-/// How often a waiting poll looks for a later configuration.
-const POLL_STEP: Span = Span::from_millis(20);
-
 /// Serves the system's own processes.
 #[derive(Debug)]
 pub struct Own {
@@ -50,17 +47,14 @@
         let Some(poll) = message::<ConfigPoll>(&mut conn).await else {
             return malformed(conn);
         };
-        let mut waited = Span::default();
-        while self.shared.config().version <= poll.after && waited < poll.wait {
-            smol::Timer::after(POLL_STEP.as_duration()).await;
-            waited = Span::from_micros(waited.as_micros() + POLL_STEP.as_micros());
-        }
-        let config = self.shared.config();
-        if config.version > poll.after {
-            reply(conn, &ConfigReply::Whole(Box::new(config.as_ref().clone())))
-        } else {
-            reply(conn, &ConfigReply::Unchanged)
-        }
+        let ConfigPoll {
+            ask,
+            standing,
+            below,
+        } = poll;
+        self.shared.spread.note_asker(standing, below);
+        let answer = self.shared.spread.answer(ask).await;
+        reply(conn, &answer)
     }
 
     async fn events(&self, mut conn: Conn) -> Conn {
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,6 +13,7 @@
 use snipemast_wire::{listen, spawn, Listening};
 
 use crate::choose::sync_forever;
+use crate::copy::{keep_forever, Copy};
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
@@ -58,6 +59,10 @@
     ) -> Result<Self> {
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let shared = Arc::new(Shared::new(settings, process, journal));
+        let copy = shared.settings.data.as_ref().map(Copy::new);
+        if let Some(copy) = &copy {
+            start_from(&shared, copy);
+        }
         let settings = &shared.settings;
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
@@ -71,12 +76,14 @@
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let expire = spawn(expire_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, expire, sync];
+        tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
             callers,
             own,
             operators,
-            tasks: vec![follow, expire, sync],
+            tasks,
         })
     }
 
@@ -116,6 +123,21 @@
     }
 }
 
+/// Brings the local copy into force; a damaged one is told of and fetched again.
+fn start_from(shared: &Shared, copy: &Copy) {
+    match copy.read() {
+        Ok(Some(config)) => shared.apply(Arc::new(config)),
+        Ok(None) => {}
+        Err(report) => {
+            let error = report.current_context();
+            let path = copy.path();
+            shared
+                .journal
+                .record(Event::StorageRefused, path.display(), error);
+        }
+    }
+}
+
 async fn bind(address: SocketAddr, handler: impl Handler) -> Result<Listening> {
     listen(address, handler)
         .await
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 
-use snipemast_config::{Config, Patch, Verdict};
+use snipemast_config::{Config, Delta, Patch, Verdict};
 use snipemast_control::machine::{Machine, Submission};
 use snipemast_core::prelude::*;
 use snipemast_routing::Place;
@@ -14,6 +14,7 @@
 
 use crate::choose::Chooser;
 use crate::registry::Registry;
+use crate::spread::Spread;
 
 /// The state of an entry process.
 #[derive(Debug)]
@@ -28,6 +29,8 @@
     pub registry: Registry,
     /// The choice of a backend server.
     pub chooser: Arc<Chooser>,
+    /// What passes the configuration on.
+    pub spread: Spread,
     config: ArcSwap<Config>,
     machine: Option<Mutex<Machine>>,
     counter: AtomicU64,
@@ -42,6 +45,10 @@
             .control
             .as_ref()
             .map(|_| Mutex::new(Machine::default()));
+        let spread = Spread::new(Arc::default());
+        if machine.is_some() {
+            spread.decide_alone();
+        }
         let registry = Registry::new(settings.limits.lease);
         let place = Place {
             zone: settings.zone.clone(),
@@ -54,6 +61,7 @@
             journal,
             registry,
             chooser,
+            spread,
             config: ArcSwap::from_pointee(Config::default()),
             machine,
             counter: AtomicU64::new(0),
@@ -69,6 +77,15 @@
 
     /// Brings a later configuration into force; an earlier one is passed over.
     pub fn apply(&self, config: Arc<Config>) {
+        self.advance(config, None);
+    }
+
+    /// Brings a later configuration into force, with what leads to it where that is known.
+    ///
+    /// Failure guarded against: two tasks bring versions at once and the earlier one wins. It
+    /// shows as a version that goes back. The comparison and the switch are one step, and a
+    /// request that has loaded a version keeps it to its end.
+    pub(crate) fn advance(&self, config: Arc<Config>, delta: Option<Delta>) {
         let version = config.version;
         let previous = self.config.rcu(|current| {
             if config.version > current.version {
@@ -80,6 +97,7 @@
         if version > previous.version {
             self.journal.record(Event::VersionApplied, version, "");
         }
+        self.spread.advance(&config, delta);
     }
 
     /// Submits a patch, or nothing where this host has no control role.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,8 @@
 //! Messages and transport between the system's own processes: HTTP and rmp-serde.
 //!
 //! - [`message`]: the typed messages.
+//! - [`config`]: the messages that spread the configuration.
+//! - [`follow`]: keeps a process at the newest configuration, over the wire.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
@@ -8,6 +10,8 @@
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
+pub mod config;
+pub mod follow;
 pub mod frame;
 pub mod message;
 pub mod peer;
@@ -15,10 +19,11 @@
 pub mod serve;
 
 pub use codec::{decode, encode, CodecError};
+pub use config::ConfigPoll;
+pub use follow::{follow_forever, Sink};
 pub use frame::{Frame, FrameReader, FrameWriter};
 pub use message::{
-    Announce, Announced, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom,
-    Settle, Settled,
+    Announce, Announced, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use snipemast_config::Config;
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -18,7 +17,7 @@
     pub const SETTLE: &str = "/own/settle";
     /// An entry cancels an attempt: [`Cancel`](super::Cancel).
     pub const CANCEL: &str = "/own/cancel";
-    /// A process polls for the configuration: [`ConfigPoll`](super::ConfigPoll).
+    /// A process polls for the configuration: [`ConfigPoll`](crate::config::ConfigPoll).
     pub const CONFIG: &str = "/own/config";
     /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
     pub const EVENTS: &str = "/own/events";
@@ -122,20 +121,4 @@
         /// The attempt.
         pub id: DispatchId,
     }
-
-    /// Tell me of a configuration later than mine, or wait.
-    pub struct ConfigPoll {
-        /// The version that the asker has.
-        pub after: Version,
-        /// How long the answer may wait for a later one.
-        pub wait: Span,
-    }
-
-    /// The answer to a poll.
-    pub enum ConfigReply {
-        /// Nothing later within the wait.
-        Unchanged,
-        /// A later configuration, whole.
-        Whole(Box<Config>),
-    }
 }
