--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -410,7 +410,7 @@
 
     /// Whether news that was confirmed then is old; news that nobody confirmed is.
     fn is_old(&self, now: Moment, confirmed: Option<Confirmed>) -> bool {
-        !confirmed.is_some_and(|c| c.age(now) < self.limits.stale)
+        confirmed.is_none_or(|c| c.age(now) >= self.limits.stale)
     }
 
     fn hear(&mut self, now: Moment, confirmed: Option<Confirmed>) {
