Give operators roles, history, dry runs and a way back

Cause: operators could submit a patch and read one version; a patch worked at the control host only, and nobody was told who made a change. Change: routes, roles and answer shapes in the operators package; authors from keys; history, any kept version, diffs, dry runs and the patch that leads back, over HTTP and on the command line, as tables or JSON; a host that does not decide passes a patch on.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -5,6 +5,8 @@
 
 use gumdrop::Options;
 
+use snipemast_core::prelude::*;
+
 /// A load balancer for expert-parallel model groups.
 #[derive(Debug, Options)]
 pub(crate) struct Args {
@@ -25,9 +27,11 @@
     Check(CheckArgs),
     #[options(help = "submit a patch of the configuration")]
     Patch(PatchArgs),
-    #[options(help = "print the configuration")]
-    Config(DeskArgs),
-    #[options(help = "print what an entry host knows")]
+    #[options(help = "print the configuration, or what changed: config [diff N M]")]
+    Config(ConfigArgs),
+    #[options(help = "print the last versions, who made them and why")]
+    History(HistoryArgs),
+    #[options(help = "print what an entry host knows, and who lags behind")]
     Status(DeskArgs),
     #[options(help = "run a whole small fleet in this process")]
     Demo(DemoArgs),
@@ -56,23 +60,67 @@
 pub(crate) struct PatchArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
-    #[options(free, required, help = "the patch, a JSON file")]
-    pub(crate) file: PathBuf,
-    #[options(help = "the operators' address of a control host", meta = "IP:PORT")]
+    #[options(free, help = "the patch, a JSON file")]
+    pub(crate) file: Option<PathBuf>,
+    #[options(
+        help = "go back to the content of this version instead",
+        meta = "N",
+        no_short
+    )]
+    pub(crate) back: Option<Version>,
+    #[options(help = "only say what the patch would come to", no_short)]
+    pub(crate) dry_run: bool,
+    #[options(help = "the operators' address of a host", meta = "IP:PORT")]
+    pub(crate) to: Option<SocketAddr>,
+    #[options(help = "the operator's key", meta = "KEY")]
+    pub(crate) key: Option<String>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `config`.
+#[derive(Debug, Options)]
+pub(crate) struct ConfigArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, help = "nothing, or: diff N M")]
+    pub(crate) words: Vec<String>,
+    #[options(help = "another version than the one in force", meta = "N", no_short)]
+    pub(crate) at: Option<Version>,
+    #[options(help = "the operators' address of a host", meta = "IP:PORT")]
+    pub(crate) to: Option<SocketAddr>,
+    #[options(help = "the operator's key", meta = "KEY")]
+    pub(crate) key: Option<String>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `history`.
+#[derive(Debug, Options)]
+pub(crate) struct HistoryArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "how many versions", meta = "N", no_short)]
+    pub(crate) last: Option<usize>,
+    #[options(help = "the operators' address of a host", meta = "IP:PORT")]
     pub(crate) to: Option<SocketAddr>,
     #[options(help = "the operator's key", meta = "KEY")]
     pub(crate) key: Option<String>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
 }
 
-/// Arguments of `config` and `status`.
+/// Arguments of `status`.
 #[derive(Debug, Options)]
 pub(crate) struct DeskArgs {
     #[options(help = "print this help")]
     pub(crate) help: bool,
-    #[options(help = "the operators' address of an entry host", meta = "IP:PORT")]
+    #[options(help = "the operators' address of a host", meta = "IP:PORT")]
     pub(crate) to: Option<SocketAddr>,
     #[options(help = "the operator's key", meta = "KEY")]
     pub(crate) key: Option<String>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
 }
 
 /// Arguments of `demo`.
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,83 +1,243 @@
-//! `patch`, `config` and `status`: the operator's verbs, over HTTP and JSON.
+//! `patch`, `config`, `history` and `status`: the operator's verbs, over HTTP and JSON.
 
-use std::net::SocketAddr;
+use std::fmt;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
+use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn, KnownHeaderName};
 use trillium_smol::ClientConfig;
 
-use crate::args::{DeskArgs, PatchArgs};
-use crate::exit;
+use snipemast_config::Delta;
+use snipemast_core::prelude::*;
+use snipemast_operators::{Dry, HistoryLine, StatusReport, VerdictAnswer};
+
+use crate::args::{ConfigArgs, DeskArgs, HistoryArgs, PatchArgs};
+use crate::{exit, tables};
+
+/// The result of a verb.
+type Result<T> = std::result::Result<T, Report<ClientError>>;
 
 /// Where operators connect to a host that runs on this machine.
-const DEFAULT_DESK: SocketAddr =
-    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 7003);
+const DEFAULT_DESK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7003);
+/// How long an answer may take.
+const TIMEOUT: Span = Span::from_secs(15);
+
+/// A verb that brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum ClientError {
+    /// The command line asks for nothing there is.
+    Usage(&'static str),
+    /// A file can't be read.
+    File(PathBuf),
+    /// The host can't be reached or broke off.
+    Unreachable(SocketAddr),
+    /// The answer is not the expected document.
+    Malformed,
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(usage) => write!(f, "usage: snipemast {usage}"),
+            Self::File(path) => write!(f, "{} can't be read", path.display()),
+            Self::Unreachable(address) => write!(f, "{address} does not answer"),
+            Self::Malformed => f.write_str("the host answered with another document"),
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+impl ClientError {
+    fn code(&self) -> u8 {
+        match self {
+            Self::Usage(_) | Self::File(_) => exit::USAGE,
+            Self::Unreachable(_) | Self::Malformed => exit::UNREACHABLE,
+        }
+    }
+}
 
 /// Submits a patch and prints its verdict.
 pub(crate) fn patch(args: &PatchArgs) -> ExitCode {
-    let body = match std::fs::read(&args.file) {
-        Ok(body) => body,
-        Err(e) => {
-            eprintln!("snipemast: {}: {e}", args.file.display());
-            return ExitCode::from(exit::USAGE);
+    finish(try_patch(args))
+}
+
+fn try_patch(args: &PatchArgs) -> Result<ExitCode> {
+    let desk = Desk::new(args.to, args.key.as_deref(), args.json);
+    let body = match (&args.file, args.back) {
+        (Some(file), None) => {
+            std::fs::read(file).change_context_lazy(|| ClientError::File(file.clone()))?
+        }
+        (None, Some(to)) => {
+            let answer = desk.get(&format!("/config/back?to={to}"))?;
+            if !answer.is_success() {
+                return answer.refuse();
+            }
+            answer.text.into_bytes()
         }
+        _ => return Err(Report::new(ClientError::Usage("patch FILE | --back N"))),
     };
-    let conn = client()
-        .post(url(args.to, "/patches").as_str())
-        .with_body(body);
-    print(conn, args.key.as_deref())
+    if args.dry_run {
+        let answer = desk.post("/patches?dry-run=true", body)?;
+        return desk.show(answer, |dry: &Dry| tables::dry(dry));
+    }
+    let answer = desk.post("/patches", body)?;
+    let accepted = answer.is_success();
+    desk.show(answer, |verdict: &VerdictAnswer| tables::verdict(verdict))
+        .map(|code| if accepted { code } else { refused() })
+}
+
+/// Prints a configuration, or what changed between two.
+pub(crate) fn config(args: &ConfigArgs) -> ExitCode {
+    finish(try_config(args))
+}
+
+fn try_config(args: &ConfigArgs) -> Result<ExitCode> {
+    let desk = Desk::new(args.to, args.key.as_deref(), args.json);
+    let words: Vec<&str> = args.words.iter().map(String::as_str).collect();
+    match (words.as_slice(), args.at) {
+        ([], None) => desk.show(desk.get("/config")?, tables::config),
+        ([], Some(at)) => desk.show(desk.get(&format!("/config?at={at}"))?, tables::config),
+        (["diff", from, to], None) => {
+            let path = format!("/config/diff?from={from}&to={to}");
+            desk.show(desk.get(&path)?, |delta: &Delta| tables::delta(delta))
+        }
+        _ => Err(Report::new(ClientError::Usage(
+            "config [--at N] | config diff N M",
+        ))),
+    }
 }
 
-/// Prints the configuration.
-pub(crate) fn config(args: &DeskArgs) -> ExitCode {
-    print(
-        client().get(url(args.to, "/config").as_str()),
-        args.key.as_deref(),
-    )
+/// Prints the last versions.
+pub(crate) fn history(args: &HistoryArgs) -> ExitCode {
+    finish(try_history(args))
 }
 
-/// Prints what an entry host knows.
+fn try_history(args: &HistoryArgs) -> Result<ExitCode> {
+    let desk = Desk::new(args.to, args.key.as_deref(), args.json);
+    let path = match args.last {
+        Some(last) => format!("/history?last={last}"),
+        None => "/history".into(),
+    };
+    desk.show(desk.get(&path)?, |lines: &Vec<HistoryLine>| {
+        tables::history(lines)
+    })
+}
+
+/// Prints what a host knows.
 pub(crate) fn status(args: &DeskArgs) -> ExitCode {
-    print(
-        client().get(url(args.to, "/status").as_str()),
-        args.key.as_deref(),
-    )
+    finish(try_status(args))
 }
 
-fn client() -> Client {
-    Client::new(ClientConfig::default())
+fn try_status(args: &DeskArgs) -> Result<ExitCode> {
+    let desk = Desk::new(args.to, args.key.as_deref(), args.json);
+    let answer = desk.get("/status")?;
+    desk.show(answer, |report: &StatusReport| tables::status(report))
+}
+
+fn refused() -> ExitCode {
+    ExitCode::from(exit::REFUSED)
+}
+
+fn finish(result: Result<ExitCode>) -> ExitCode {
+    result.unwrap_or_else(|report| {
+        eprintln!("snipemast: {}", report.current_context());
+        ExitCode::from(report.current_context().code())
+    })
+}
+
+/// The operators' interface of one host.
+struct Desk<'a> {
+    address: SocketAddr,
+    key: Option<&'a str>,
+    json: bool,
 }
 
-fn url(address: Option<SocketAddr>, path: &str) -> String {
-    let address = address.unwrap_or(DEFAULT_DESK);
-    format!("http://{address}{path}")
+/// An answer as it came.
+struct Answer {
+    status: u16,
+    text: String,
 }
 
-fn print(mut conn: Conn, key: Option<&str>) -> ExitCode {
-    if let Some(key) = key {
-        let value = format!("Bearer {key}");
-        conn.request_headers_mut()
-            .insert(KnownHeaderName::Authorization, value);
+impl Answer {
+    fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
     }
-    let answer = smol::block_on(async {
-        let mut conn = conn.await?;
-        let text = conn.response_body().read_string().await?;
-        Ok::<_, trillium_client::Error>((conn.status(), text))
-    });
-    match answer {
-        Ok((Some(status), text)) => {
-            println!("{text}");
-            let refused = ExitCode::from(exit::REFUSED);
-            if status.is_success() {
-                ExitCode::SUCCESS
-            } else {
-                refused
-            }
+
+    /// Prints a problem as it came.
+    fn refuse(&self) -> Result<ExitCode> {
+        eprintln!("snipemast: {}", tables::problem(&self.text));
+        Ok(refused())
+    }
+}
+
+impl<'a> Desk<'a> {
+    fn new(address: Option<SocketAddr>, key: Option<&'a str>, json: bool) -> Self {
+        Self {
+            address: address.unwrap_or(DEFAULT_DESK),
+            key,
+            json,
+        }
+    }
+
+    fn get(&self, path: &str) -> Result<Answer> {
+        self.ask(client().get(self.url(path).as_str()))
+    }
+
+    fn post(&self, path: &str, body: Vec<u8>) -> Result<Answer> {
+        self.ask(client().post(self.url(path).as_str()).with_body(body))
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address)
+    }
+
+    fn ask(&self, mut conn: Conn) -> Result<Answer> {
+        if let Some(key) = self.key {
+            let value = format!("Bearer {key}");
+            conn.request_headers_mut()
+                .insert(KnownHeaderName::Authorization, value);
         }
-        Ok((None, _)) => ExitCode::from(exit::UNREACHABLE),
-        Err(e) => {
-            eprintln!("snipemast: {e}");
-            ExitCode::from(exit::UNREACHABLE)
+        let answer = async {
+            let mut conn = conn.await.ok()?;
+            let status = conn.status().map_or(0, |s| s as u16);
+            let text = conn.response_body().read_string().await.ok()?;
+            Some(Answer { status, text })
+        };
+        let late = async {
+            smol::Timer::after(TIMEOUT.as_duration()).await;
+            None
+        };
+        let answer = smol::block_on(answer.or(late));
+        answer.ok_or_else(|| Report::new(ClientError::Unreachable(self.address)))
+    }
+
+    /// Prints an answer: as it came, or as a table.
+    fn show<T: DeserializeOwned>(
+        &self,
+        answer: Answer,
+        table: impl FnOnce(&T) -> String,
+    ) -> Result<ExitCode> {
+        let document = serde_json::from_str::<T>(&answer.text);
+        if !answer.is_success() && document.is_err() {
+            return answer.refuse();
         }
+        if self.json {
+            println!("{}", answer.text);
+        } else {
+            print!(
+                "{}",
+                table(&document.change_context(ClientError::Malformed)?)
+            );
+        }
+        Ok(ExitCode::SUCCESS)
     }
 }
+
+fn client() -> Client {
+    Client::new(ClientConfig::default())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod demo;
 mod serve;
+mod tables;
 
 use std::process::ExitCode;
 
@@ -32,6 +33,7 @@
         Some(Command::Check(args)) => serve::check(&args),
         Some(Command::Patch(args)) => client::patch(&args),
         Some(Command::Config(args)) => client::config(&args),
+        Some(Command::History(args)) => client::history(&args),
         Some(Command::Status(args)) => client::status(&args),
         Some(Command::Demo(args)) => demo::demo(&args),
         None => {
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -135,6 +135,12 @@
     }
 }
 
+impl<K: Ord + Clone + fmt::Display, V: PartialEq> Changes<K, V> {
+    fn list(&self, section: &str, paths: &mut Vec<String>) {
+        paths.extend(self.names().map(|name| format!("{section}.{name}")));
+    }
+}
+
 impl<K: Ord, V> Changes<K, V> {
     /// Whether nothing changes.
     pub fn is_empty(&self) -> bool {
@@ -252,4 +258,19 @@
         }
         Some(joined)
     }
+
+    /// The names that change, as dotted paths.
+    pub fn paths(&self) -> Vec<String> {
+        let mut paths = Vec::new();
+        self.operators.list("operators", &mut paths);
+        self.workspaces.list("workspaces", &mut paths);
+        self.services.list("services", &mut paths);
+        self.models.list("models", &mut paths);
+        self.groups.list("groups", &mut paths);
+        self.servers.list("servers", &mut paths);
+        if self.keepers.is_some() {
+            paths.push("keepers".into());
+        }
+        paths
+    }
 }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -19,7 +19,7 @@
 
 use crate::apply::{self, RestoreError, StateMachine};
 
-pub use command::{Command, Reply, Submission};
+pub use command::{Command, CommandError, Reply, Submission};
 pub use history::{Bounds, Entry, History, HistoryError};
 pub use verdicts::{PatchDigest, Verdicts};
 
@@ -181,7 +181,7 @@
 
 impl StateMachine for Machine {
     fn apply(&mut self, _: Index, command: &[u8]) -> Vec<u8> {
-        let reply = match rmp_serde::from_slice::<Command>(command) {
+        let reply = match Command::from_bytes(command) {
             Ok(command) => self.run(&command),
             Err(_) => Reply::Unknown,
         };
--- a/crates/control/src/machine/command.rs
+++ b/crates/control/src/machine/command.rs
@@ -1,5 +1,7 @@
 //! What the replicated log carries for the state machine, and what comes back.
 
+use std::fmt;
+
 use snipemast_config::{Patch, Verdict, WallTime};
 use snipemast_core::prelude::*;
 
@@ -29,11 +31,28 @@
     }
 }
 
+/// Bytes that are no command of this release.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CommandError;
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("not a command of this release")
+    }
+}
+
+impl std::error::Error for CommandError {}
+
 impl Command {
     /// The bytes that the log carries.
     pub fn to_bytes(&self) -> Vec<u8> {
         rmp_serde::to_vec_named(self).expect("commands are plain data")
     }
+
+    /// The command that these bytes hold.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CommandError> {
+        rmp_serde::from_slice(bytes).map_err(|_| CommandError)
+    }
 }
 
 impl Reply {
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -2,15 +2,33 @@
 
 use std::sync::Arc;
 
-use serde_json::json;
-use trillium::{async_trait, Conn, Handler, KnownHeaderName, Method, Status};
+use serde::Serialize;
+use trillium::{async_trait, Conn, Handler, KnownHeaderName};
 
 use snipemast_callers::ask::bearer;
 use snipemast_callers::problem::{Problem, ProblemKind};
-use snipemast_config::{KeyHash, Operator, Patch, Role, Verdict};
+use snipemast_config::{Patch, Verdict, WallTime};
+use snipemast_control::machine::{Entry, HistoryError, Machine, Submission};
+use snipemast_core::prelude::*;
+use snipemast_operators::answer::MemberLine;
+use snipemast_operators::{
+    authorize, Author, Denied, Dry, HistoryLine, Route, RouteError, StatusReport, VerdictAnswer,
+};
+use snipemast_wire::Sink;
 
+use crate::control::{self, ControlError};
 use crate::shared::Shared;
 
+/// The result of a request.
+type Result<T> = std::result::Result<T, Problem>;
+
+/// The largest patch, in bytes.
+const MAX_PATCH: u64 = 8 << 20;
+/// When an operator is asked to come back after control was out of reach.
+const RETRY_AFTER: Span = Span::from_secs(2);
+/// The most versions of the history that are shown at once.
+const MAX_LINES: usize = 1_024;
+
 /// Serves operators.
 #[derive(Debug)]
 pub struct Desk {
@@ -23,107 +41,203 @@
         Self { shared }
     }
 
-    /// Lets an operator in whose key has the role.
-    ///
-    /// Failure guarded against: before the first patch no operator is configured, and whoever
-    /// reaches the address first makes itself one. Until then only the key from the control
-    /// host's own settings may write.
-    fn authorize(&self, conn: &Conn, role: Role) -> Result<(), Problem> {
-        let config = self.shared.config();
-        let hash = bearer(conn)?;
-        let may = |o: &Operator| role == Role::Read || o.role == Role::Write;
-        let known = match config.operator_of(&hash) {
-            Some((_, operator)) => may(operator),
-            None => config.operators.is_empty() && self.is_first(&hash),
-        };
-        let unknown = || Problem::new(ProblemKind::Unauthorized, "the key has no such role");
-        known.then_some(()).ok_or_else(unknown)
+    async fn serve(&self, conn: &mut Conn) -> Result<Answer> {
+        let method = conn.method().as_str();
+        let route = Route::read(method, conn.path(), conn.querystring()).map_err(misdirected)?;
+        let author = self.authorize(conn, &route)?;
+        match route {
+            Route::Submit => self.submit(conn, author).await,
+            Route::DryRun => self.dry_run(conn).await,
+            Route::Config { at: None } => Answer::ok(self.shared.config().as_ref()),
+            Route::Config { at: Some(version) } => {
+                Answer::ok(self.look(|m| m.history().at(version))?.as_ref())
+            }
+            Route::Diff { from, to } => Answer::ok(&self.look(|m| m.history().diff(from, to))?),
+            Route::Back { to } => Answer::ok(&self.back(to)?),
+            Route::History { last } => Answer::ok(&self.history(last)?),
+            Route::Status => Answer::ok(&self.status()),
+        }
     }
 
-    fn is_first(&self, hash: &KeyHash) -> bool {
+    fn authorize(&self, conn: &Conn, route: &Route) -> Result<Author> {
+        let key = bearer(conn)?;
         let control = self.shared.settings.control.as_ref();
         let first = control.and_then(|c| c.operator.as_ref());
-        first.is_some_and(|key| key.matches(hash))
+        authorize(&self.shared.config(), first, &key, route.role()).map_err(denied)
     }
 
-    async fn patch(&self, mut conn: Conn) -> Conn {
-        if let Err(problem) = self.authorize(&conn, Role::Write) {
-            return problem.answer(conn);
-        }
-        let body = conn
-            .request_body()
-            .await
-            .read_bytes()
-            .await
-            .unwrap_or_default();
-        let patch: Patch = match serde_json::from_slice(&body) {
+    async fn submit(&self, conn: &mut Conn, author: Author) -> Result<Answer> {
+        let patch = match read(conn).await? {
             Ok(patch) => patch,
-            Err(e) => return Problem::new(ProblemKind::Malformed, e).answer(conn),
+            Err(answer) => return Answer::verdict(answer),
+        };
+        let submission = Submission {
+            patch,
+            author: author.operator(),
+            time: WallTime::now(),
         };
-        match self.shared.submit(&patch) {
-            Some(verdict) => {
-                let status = match &verdict {
-                    Verdict::Accepted { .. } => Status::Ok,
-                    Verdict::Refused { .. } => Status::Conflict,
-                };
-                answer(conn, status, &json!(verdict))
+        let verdict = control::submit(&self.shared, &submission).await;
+        Answer::verdict(verdict.map_err(undecided)?.into())
+    }
+
+    /// What a patch would come to against the version in force here.
+    async fn dry_run(&self, conn: &mut Conn) -> Result<Answer> {
+        let patch = match read(conn).await? {
+            Ok(patch) => patch,
+            Err(verdict) => {
+                return Answer::ok(&Dry {
+                    verdict,
+                    change: None,
+                });
             }
-            None => Problem::new(ProblemKind::Unavailable, "no control role here").answer(conn),
+        };
+        let config = self.shared.config();
+        let dry = match patch.prepare(&config) {
+            Ok(change) => Dry {
+                verdict: Verdict::Accepted {
+                    version: change.config.version,
+                }
+                .into(),
+                change: serde_json::to_value(&change.delta).ok(),
+            },
+            Err(refusal) => Dry {
+                verdict: refusal.into(),
+                change: None,
+            },
+        };
+        Answer::ok(&dry)
+    }
+
+    fn back(&self, to: Version) -> Result<Patch> {
+        let (now, then) = self.look(|m| Ok((Arc::clone(m.config()), m.history().at(to)?)))?;
+        let id = format!("back-to-{to}-from-{}", now.version);
+        let id = id
+            .parse()
+            .map_err(|e| Problem::new(ProblemKind::Failed, e))?;
+        let reason = format!("back to the content of version {to}");
+        Ok(Patch::between(id, reason, &now, &then))
+    }
+
+    fn history(&self, last: usize) -> Result<Vec<HistoryLine>> {
+        self.look(|machine| {
+            let newest = machine.history().entries().rev();
+            Ok(newest.take(last.min(MAX_LINES)).map(line).collect())
+        })
+    }
+
+    /// Looks into the state machine, which control hosts have.
+    fn look<T>(
+        &self,
+        look: impl FnOnce(&Machine) -> std::result::Result<T, HistoryError>,
+    ) -> Result<T> {
+        let elsewhere = || {
+            let detail = "only control hosts know other versions than the one in force";
+            Problem::new(ProblemKind::Unavailable, detail)
+        };
+        let looked = self.shared.alone().map(|alone| alone.read(look));
+        let unknown = |e| Problem::new(ProblemKind::NotFound, e);
+        looked.ok_or_else(elsewhere)?.map_err(unknown)
+    }
+
+    fn status(&self) -> StatusReport {
+        let shared = &self.shared;
+        let (standing, _) = shared.standing();
+        let link = shared.spread.link();
+        let members = shared.registry.members();
+        let member = |m: &Arc<crate::registry::Member>| MemberLine {
+            agent: m.announce.agent.to_string(),
+            zone: m.announce.zone.clone(),
+            server: m.announce.info.server.clone(),
+            offers: m.announce.info.offers.clone(),
+            draining: m.announce.draining,
+            load: m.announce.load,
+        };
+        StatusReport {
+            census: shared.spread.census(&standing),
+            standing,
+            linked: link.linked,
+            fence: link.fence,
+            running: shared.running(),
+            draining: shared.is_draining(),
+            members: members.iter().map(member).collect(),
         }
     }
+}
 
-    fn config(&self, conn: Conn) -> Conn {
-        match self.authorize(&conn, Role::Read) {
-            Ok(()) => answer(conn, Status::Ok, &json!(*self.shared.config())),
+#[async_trait]
+impl Handler for Desk {
+    async fn run(&self, mut conn: Conn) -> Conn {
+        match self.serve(&mut conn).await {
+            Ok(Answer { status, body }) => conn
+                .with_status(status)
+                .with_response_header(KnownHeaderName::ContentType, "application/json")
+                .with_body(body)
+                .halt(),
             Err(problem) => problem.answer(conn),
         }
     }
+}
 
-    fn status(&self, conn: Conn) -> Conn {
-        if let Err(problem) = self.authorize(&conn, Role::Read) {
-            return problem.answer(conn);
-        }
-        let members = self.shared.registry.members();
-        let members: Vec<_> = members
-            .iter()
-            .map(|m| {
-                json!({
-                    "agent": m.announce.agent.to_string(),
-                    "zone": m.announce.zone,
-                    "server": m.announce.info.server,
-                    "offers": m.announce.info.offers,
-                    "draining": m.announce.draining,
-                    "load": m.announce.load,
-                })
-            })
-            .collect();
-        let status = json!({
-            "process": self.shared.process.to_string(),
-            "zone": self.shared.settings.zone,
-            "version": self.shared.config().version,
-            "running": self.shared.running(),
-            "draining": self.shared.is_draining(),
-            "members": members,
-        });
-        answer(conn, Status::Ok, &status)
+/// An answer in JSON.
+struct Answer {
+    status: u16,
+    body: String,
+}
+
+impl Answer {
+    fn new(status: u16, document: &impl Serialize) -> Result<Self> {
+        let failed = |e| Problem::new(ProblemKind::Failed, e);
+        let body = serde_json::to_string(document).map_err(failed)?;
+        Ok(Self { status, body })
+    }
+
+    fn ok(document: &impl Serialize) -> Result<Self> {
+        Self::new(200, document)
+    }
+
+    fn verdict(verdict: VerdictAnswer) -> Result<Self> {
+        Self::new(verdict.status(), &verdict)
     }
 }
 
-fn answer(conn: Conn, status: Status, document: &serde_json::Value) -> Conn {
-    conn.with_status(status)
-        .with_response_header(KnownHeaderName::ContentType, "application/json")
-        .with_body(document.to_string())
-        .halt()
+/// Reads a patch; one with faults comes back as its verdict.
+async fn read(conn: &mut Conn) -> Result<std::result::Result<Patch, VerdictAnswer>> {
+    let body = conn.request_body().await.with_max_len(MAX_PATCH);
+    let malformed = |e| Problem::new(ProblemKind::TooLarge, e);
+    let bytes = body.read_bytes().await.map_err(malformed)?;
+    Ok(Patch::parse(&bytes).map_err(VerdictAnswer::from))
 }
 
-#[async_trait]
-impl Handler for Desk {
-    async fn run(&self, conn: Conn) -> Conn {
-        match (conn.method(), conn.path()) {
-            (Method::Post, "/patches") => self.patch(conn).await,
-            (Method::Get, "/config") => self.config(conn),
-            (Method::Get, "/status") => self.status(conn),
-            _ => Problem::new(ProblemKind::NotFound, "nothing stands at this path").answer(conn),
-        }
+fn line(entry: &Entry) -> HistoryLine {
+    HistoryLine {
+        version: entry.version,
+        patch: entry.patch.clone(),
+        author: entry.author.clone(),
+        time: entry.time.to_string(),
+        reason: entry.reason.clone(),
+        touched: entry.delta.paths(),
     }
 }
+
+fn misdirected(error: RouteError) -> Problem {
+    let kind = match error {
+        RouteError::NotFound => ProblemKind::NotFound,
+        RouteError::Method => ProblemKind::Method,
+        RouteError::Parameter(_) => ProblemKind::Malformed,
+    };
+    Problem::new(kind, error)
+}
+
+fn denied(denied: Denied) -> Problem {
+    Problem::new(ProblemKind::Unauthorized, denied)
+}
+
+fn undecided(error: ControlError) -> Problem {
+    let outcome = match error {
+        ControlError::Minority | ControlError::Unreachable => Outcome::NotRun,
+        ControlError::Unknown => Outcome::Unknown,
+    };
+    Problem::new(ProblemKind::Unavailable, error)
+        .with_outcome(outcome)
+        .with_retry(RETRY_AFTER)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,12 +7,14 @@
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`own`]: the interface towards the system's own processes.
+//! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 
 pub mod choose;
+pub mod control;
 pub mod copy;
 pub mod desk;
 pub mod follow;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -5,10 +5,12 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
+use snipemast_wire::config::Submit;
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply};
 use snipemast_wire::{Announce, Announced, ConfigPoll};
 
+use crate::control;
 use crate::shared::Shared;
 
 /// Serves the system's own processes.
@@ -57,6 +59,14 @@
         reply(conn, &answer)
     }
 
+    async fn submit(&self, mut conn: Conn) -> Conn {
+        let Some(submit) = message::<Submit>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let submitted = control::take(&self.shared, submit).await;
+        reply(conn, &submitted)
+    }
+
     async fn events(&self, mut conn: Conn) -> Conn {
         let Some(since) = message::<Stamp>(&mut conn).await else {
             return malformed(conn);
@@ -71,6 +81,7 @@
         match conn.path() {
             path::ANNOUNCE => self.announce(conn).await,
             path::CONFIG => self.config(conn).await,
+            path::SUBMIT => self.submit(conn).await,
             path::EVENTS => self.events(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,15 +4,15 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use parking_lot::Mutex;
 
 use snipemast_config::{Config, Delta, Patch, Verdict};
-use snipemast_control::machine::{Machine, Submission};
+use snipemast_control::machine::{Command, Reply, Submission};
 use snipemast_core::prelude::*;
 use snipemast_routing::Place;
 use snipemast_settings::EntrySettings;
 
 use crate::choose::Chooser;
+use crate::control::Alone;
 use crate::registry::Registry;
 use crate::spread::Spread;
 
@@ -32,7 +32,7 @@
     /// What passes the configuration on.
     pub spread: Spread,
     config: ArcSwap<Config>,
-    machine: Option<Mutex<Machine>>,
+    alone: Option<Alone>,
     counter: AtomicU64,
     draining: AtomicBool,
     running: AtomicU64,
@@ -41,12 +41,9 @@
 impl Shared {
     /// The state of a process that starts now.
     pub fn new(settings: EntrySettings, process: ProcessId, journal: Journal) -> Self {
-        let machine = settings
-            .control
-            .as_ref()
-            .map(|_| Mutex::new(Machine::default()));
+        let alone = settings.control.as_ref().map(|_| Alone::default());
         let spread = Spread::new(Arc::default());
-        if machine.is_some() {
+        if alone.is_some() {
             spread.decide_alone();
         }
         let registry = Registry::new(settings.limits.lease);
@@ -63,7 +60,7 @@
             chooser,
             spread,
             config: ArcSwap::from_pointee(Config::default()),
-            machine,
+            alone,
             counter: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             running: AtomicU64::new(0),
@@ -100,21 +97,44 @@
         self.spread.advance(&config, delta);
     }
 
+    /// The control role, where this host decides alone.
+    pub fn alone(&self) -> Option<&Alone> {
+        self.alone.as_ref()
+    }
+
     /// Submits a patch, or nothing where this host has no control role.
     pub fn submit(&self, patch: &Patch) -> Option<Verdict> {
-        let machine = self.machine.as_ref()?;
-        let (verdict, config) = {
-            let mut machine = machine.lock();
-            let submission = Submission::new(patch.clone());
-            (machine.submit(&submission), Arc::clone(machine.config()))
-        };
-        let event = match &verdict {
-            Verdict::Accepted { .. } => Event::PatchAccepted,
-            Verdict::Refused { .. } => Event::PatchRefused,
-        };
-        self.journal.record(event, &patch.id, &patch.reason);
+        let command = Command::Submit(Submission::new(patch.clone()));
+        match Reply::from_bytes(&self.run(&command.to_bytes())?) {
+            Reply::Verdict(verdict) => Some(verdict),
+            Reply::Unknown => None,
+        }
+    }
+
+    /// Carries a command of the log out, or nothing where this host does not decide.
+    pub(crate) fn run(&self, command: &[u8]) -> Option<Vec<u8>> {
+        let alone = self.alone.as_ref()?;
+        let (reply, config) = alone.apply(command);
+        if let (Ok(Command::Submit(submission)), Reply::Verdict(verdict)) =
+            (Command::from_bytes(command), Reply::from_bytes(&reply))
+        {
+            self.record(&submission, &verdict);
+        }
         self.apply(config);
-        Some(verdict)
+        Some(reply)
+    }
+
+    fn record(&self, submission: &Submission, verdict: &Verdict) {
+        let patch = &submission.patch;
+        match verdict {
+            Verdict::Accepted { version } => {
+                let detail = format!("version {version}: {}", patch.reason);
+                self.journal.record(Event::PatchAccepted, &patch.id, detail);
+            }
+            Verdict::Refused { refusal } => {
+                self.journal.record(Event::PatchRefused, &patch.id, refusal);
+            }
+        }
     }
 
     /// The id of a new request.
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,1 +1,13 @@
 //! The HTTP and JSON interface towards operators.
+//!
+//! - [`route`]: what an operator asks for, read from method, path and query.
+//! - [`author`]: who asks, by key, and what the role allows.
+//! - [`answer`]: the JSON shapes of the answers.
+
+pub mod answer;
+pub mod author;
+pub mod route;
+
+pub use answer::{Dry, HistoryLine, StatusReport, VerdictAnswer};
+pub use author::{authorize, Author, Denied};
+pub use route::{Route, RouteError};
--- /dev/null
+++ b/crates/operators/tests/routes.rs
@@ -0,0 +1,72 @@
+//! Requests of operators: what they ask for, and who may.
+
+use serde_json::json;
+
+use snipemast_config::{Config, KeyHash, Patch, Role};
+use snipemast_core::prelude::*;
+use snipemast_operators::{authorize, Author, Denied, Route, RouteError};
+
+#[test]
+fn routes_read() {
+    let version = Version::new;
+    let read = |method, path, query| Route::read(method, path, query);
+    assert_eq!(read("POST", "/patches", ""), Ok(Route::Submit));
+    assert_eq!(read("POST", "/patches", "dry-run=true"), Ok(Route::DryRun));
+    assert_eq!(
+        read("GET", "/config/diff", "from=2&to=5"),
+        Ok(Route::Diff {
+            from: version(2),
+            to: version(5)
+        })
+    );
+    assert_eq!(read("GET", "/patches", ""), Err(RouteError::Method));
+    assert_eq!(read("GET", "/", ""), Err(RouteError::NotFound));
+    let parameter = |name: &str| Err(RouteError::Parameter(name.into()));
+    assert_eq!(read("GET", "/config", "at=x"), parameter("at"));
+    assert_eq!(read("GET", "/config/diff", "from=1"), parameter("to"));
+}
+
+#[test]
+fn roles_hold() {
+    let set = json!({ "operators": {
+        "ana": { "key": KeyHash::of("ana"), "role": "write" },
+        "bea": { "key": KeyHash::of("bea"), "role": "read" },
+    } });
+    let patch = Patch {
+        id: "p".parse().expect("a name"),
+        base: Version::new(0),
+        reason: String::new(),
+        set,
+    };
+    let config = patch.apply(&Config::default()).expect("no faults");
+    let ask = |key: &str, role| authorize(&config, None, &KeyHash::of(key), role);
+    let ana = "ana".parse().expect("a name");
+    assert_eq!(ask("ana", Role::Write), Ok(Author::Operator(ana)));
+    assert!(ask("bea", Role::Read).is_ok());
+    assert_eq!(ask("bea", Role::Write), Err(Denied::ReadOnly));
+    assert_eq!(ask("eve", Role::Read), Err(Denied::Unknown));
+}
+
+fn write(config: &Config, first: Option<&KeyHash>, key: &str) -> Result<Author, Denied> {
+    authorize(config, first, &KeyHash::of(key), Role::Write)
+}
+
+#[test]
+fn first_key_only() {
+    // A control host is new and has no operators. A stranger who finds its address first makes
+    // itself the one operator.
+    let empty = Config::default();
+    let first = KeyHash::of("first");
+    assert_eq!(write(&empty, None, "eve"), Err(Denied::Unknown));
+    assert_eq!(write(&empty, Some(&first), "eve"), Err(Denied::Unknown));
+    assert_eq!(write(&empty, Some(&first), "first"), Ok(Author::First));
+    let mut named = empty;
+    let operator = snipemast_config::Operator {
+        key: KeyHash::of("ana"),
+        role: Role::Write,
+    };
+    named
+        .operators
+        .insert("ana".parse().expect("a name"), operator);
+    assert_eq!(write(&named, Some(&first), "first"), Err(Denied::Unknown));
+}
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -15,3 +15,30 @@
         pub below: Census,
     }
 }
+
+data! {
+    /// A command for the control leader, passed on from host to host.
+    pub struct Submit {
+        /// The command, as the log carries it.
+        #[serde(with = "serde_bytes")]
+        pub command: Vec<u8>,
+        /// How many hosts may still pass it on.
+        pub hops: u8,
+    }
+
+    /// What became of a [`Submit`].
+    pub enum Submitted {
+        /// It was carried out.
+        Done {
+            /// The state machine's reply.
+            #[serde(with = "serde_bytes")]
+            reply: Vec<u8>,
+        },
+        /// No majority is in reach; nothing was accepted.
+        Minority,
+        /// No control host is in reach; nothing was accepted.
+        Unreachable,
+        /// It may have been accepted; a resend learns.
+        Unknown,
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -69,6 +69,16 @@
 
 impl std::error::Error for PeerError {}
 
+impl PeerError {
+    /// Whether the message may have reached the process.
+    pub fn may_have_arrived(&self) -> bool {
+        match self.kind {
+            PeerErrorKind::Broken | PeerErrorKind::Timeout | PeerErrorKind::Malformed => true,
+            PeerErrorKind::Status(_) => false,
+        }
+    }
+}
+
 /// Another process, and the pool of connections to it.
 #[derive(Debug)]
 pub struct Peer {
