--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
+//! - [`voter`]: the control role: one voter of the replicated log.
 
 pub mod choose;
 pub mod control;
@@ -25,6 +26,7 @@
 pub mod relay;
 pub mod shared;
 pub mod spread;
+pub mod voter;
 
 pub use process::{Entry, EntryError};
 pub use shared::Shared;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`message`]: the typed messages.
 //! - [`config`]: the messages that spread the configuration.
 //! - [`follow`]: keeps a process at the newest configuration, over the wire.
+//! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
@@ -11,6 +12,7 @@
 
 pub mod codec;
 pub mod config;
+pub mod control;
 pub mod follow;
 pub mod frame;
 pub mod message;
