--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -135,6 +135,12 @@
     }
 }
 
+impl<K: Ord + Clone + fmt::Display, V: PartialEq> Changes<K, V> {
+    fn list(&self, section: &str, paths: &mut Vec<String>) {
+        paths.extend(self.names().map(|name| format!("{section}.{name}")));
+    }
+}
+
 impl<K: Ord, V> Changes<K, V> {
     /// Whether nothing changes.
     pub fn is_empty(&self) -> bool {
@@ -241,4 +247,30 @@
         }
         Ok(())
     }
+
+    /// One delta out of several that follow each other, from a version on; nothing where none
+    /// of them starts there.
+    pub fn joined<'a>(deltas: impl Iterator<Item = &'a Self>, from: Version) -> Option<Self> {
+        let mut later = deltas.skip_while(|d| d.from < from);
+        let mut joined = later.next().filter(|d| d.from == from)?.clone();
+        for delta in later {
+            joined.extend(delta).ok()?;
+        }
+        Some(joined)
+    }
+
+    /// The names that change, as dotted paths.
+    pub fn paths(&self) -> Vec<String> {
+        let mut paths = Vec::new();
+        self.operators.list("operators", &mut paths);
+        self.workspaces.list("workspaces", &mut paths);
+        self.services.list("services", &mut paths);
+        self.models.list("models", &mut paths);
+        self.groups.list("groups", &mut paths);
+        self.servers.list("servers", &mut paths);
+        if self.keepers.is_some() {
+            paths.push("keepers".into());
+        }
+        paths
+    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,8 @@
 //! Messages and transport between the system's own processes: HTTP and rmp-serde.
 //!
 //! - [`message`]: the typed messages.
+//! - [`config`]: the messages that spread the configuration.
+//! - [`follow`]: keeps a process at the newest configuration, over the wire.
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`codec`]: messages to bytes and back.
@@ -9,7 +11,9 @@
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
+pub mod config;
 pub mod control;
+pub mod follow;
 pub mod frame;
 pub mod message;
 pub mod peer;
@@ -17,10 +21,11 @@
 pub mod serve;
 
 pub use codec::{decode, encode, encode_into, CodecError};
+pub use config::ConfigPoll;
+pub use follow::{follow_forever, Sink};
 pub use frame::{Frame, FrameReader, FrameWriter, Part};
 pub use message::{
-    Announce, Announced, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom,
-    Settle, Settled, Settlement,
+    Announce, Announced, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled, Settlement,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use snipemast_config::Config;
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -20,8 +19,10 @@
     pub const SETTLE: &str = "/own/settle";
     /// An entry cancels an attempt: [`Cancel`](super::Cancel).
     pub const CANCEL: &str = "/own/cancel";
-    /// A process polls for the configuration: [`ConfigPoll`](super::ConfigPoll).
+    /// A process polls for the configuration: [`ConfigPoll`](crate::config::ConfigPoll).
     pub const CONFIG: &str = "/own/config";
+    /// An operator's patch on its way to the leader: [`Submit`](crate::config::Submit).
+    pub const SUBMIT: &str = "/own/submit";
     /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
     pub const EVENTS: &str = "/own/events";
 }
@@ -127,20 +128,4 @@
         /// How long its sender may still use the id.
         pub keep: Span,
     }
-
-    /// Tell me of a configuration later than mine, or wait.
-    pub struct ConfigPoll {
-        /// The version that the asker has.
-        pub after: Version,
-        /// How long the answer may wait for a later one.
-        pub wait: Span,
-    }
-
-    /// The answer to a poll.
-    pub enum ConfigReply {
-        /// Nothing later within the wait.
-        Unchanged,
-        /// A later configuration, whole.
-        Whole(Box<Config>),
-    }
 }
