Agree on one expert map in every step

Cause: a group whose ranks step with two maps computes tokens that belong to none. Change: sans-I/O machines of lead and rank, permits that are never taken back, recovery by ballot and by incarnation; a lock-step fake that records the map of each step; the fault matrix.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,10 +1,13 @@
 //! Small stand-ins at the interfaces, which serve real HTTP on loopback.
 //!
 //! - [`engine`]: a model engine that speaks the protocol of `docs/SERVERS.md`.
+//! - [`group`]: the engines of a group, which step in lock-step and record the map of each step.
 //! - [`service`]: a plain service that counts what it ran.
 
 pub mod engine;
+pub mod group;
 pub mod service;
 
 pub use engine::FakeEngine;
+pub use group::FakeGroup;
 pub use service::FakeService;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`message`]: the typed messages.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
+//! - [`group`]: messages between the agents of a group and towards their engines.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
@@ -9,6 +10,7 @@
 
 pub mod codec;
 pub mod frame;
+pub mod group;
 pub mod message;
 pub mod peer;
 pub mod pipe;
