--- a/crates/groups/src/agree/lead.rs
+++ b/crates/groups/src/agree/lead.rs
@@ -10,7 +10,7 @@
 };
 
 /// How often a map is tried again with a later switch before it is given up.
-const TRIES: u32 = 4;
+pub const TRIES: u32 = 4;
 
 data! {
     /// A map that the control role wants in force.
@@ -133,6 +133,7 @@
     permitted: Step,
     heard: MapVersion,
     waiting: Option<Plan>,
+    tries: u32,
 }
 
 impl Lead {
@@ -152,9 +153,17 @@
             permitted: Step::new(0),
             heard: MapVersion::new(0),
             waiting: None,
+            tries: TRIES,
         }
     }
 
+    /// Tries a map so often again with a later switch.
+    #[must_use]
+    pub fn with_tries(mut self, tries: u32) -> Self {
+        self.tries = tries;
+        self
+    }
+
     /// Takes an input and says what is to be done.
     pub fn handle(&mut self, input: LeadInput) -> Vec<LeadOutput> {
         let mut out = Vec::new();
@@ -491,7 +500,7 @@
             return;
         }
         let tries = plan.tries + 1;
-        if tries <= TRIES && self.waiting.is_none() && plan.origin != Origin::Recovery {
+        if tries <= self.tries && self.waiting.is_none() && plan.origin != Origin::Recovery {
             self.waiting = Some(Plan {
                 tries,
                 ..plan.clone()
--- a/crates/groups/src/agree/rank.rs
+++ b/crates/groups/src/agree/rank.rs
@@ -322,8 +322,8 @@
     fn has_weights(&self, map: &SharedMap) -> bool {
         let loaded = self.loading.iter().any(|l| l.ready && l.map == *map);
         let standing = self.standing().is_some_and(|s| s.map == *map);
-        let shown = self.engine.iter().filter_map(|e| e.shown.as_ref());
-        loaded || (!self.lost && (standing || shown.last().is_some_and(|s| s.map == *map)))
+        let shown = self.engine.as_ref().and_then(|e| e.shown.as_ref());
+        loaded || (!self.lost && (standing || shown.is_some_and(|s| s.map == *map)))
     }
 
     fn loaded(&mut self, version: MapVersion, out: &mut Vec<RankOutput>) {
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -2,6 +2,14 @@
 //!
 //! - [`map`]: which rank holds which expert of which layer, and moves between maps.
 //! - [`agree`]: agreement of a group's ranks on one expert map in every step.
+//! - [`estimate`]: popularity of experts, from reports that lag and have gaps.
+//! - [`pace`]: slow and stalled ranks, told apart from hot experts.
+//! - [`search`]: few changes of slots that even out the ranks of one layer.
+//! - [`policy`]: which moves to make, and why or why not.
 
 pub mod agree;
+pub mod estimate;
 pub mod map;
+pub mod pace;
+pub mod policy;
+pub mod search;
--- /dev/null
+++ b/crates/groups/src/search.rs
@@ -0,0 +1,227 @@
+//! The search within one layer: few changes of slots that even out its ranks.
+
+use crate::map::{Layer, Move, EMPTY};
+
+/// How many of the fullest and of the least full ranks a change is sought between.
+const FULL: usize = 3;
+const SPARE: usize = 10;
+
+/// The layer after some changes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Point {
+    /// How many moves lead here.
+    pub moves: usize,
+    /// Weight loads among them.
+    pub loads: usize,
+    /// The fullest rank's load, where the mean is 1.
+    pub fullest: f64,
+    /// The gap between the fullest and the least full rank, where the mean is 1.
+    pub gap: f64,
+}
+
+/// The moves that were found, best first, and how far each prefix of them gets.
+#[derive(Debug, Clone, Default)]
+pub struct Path {
+    /// The moves, to be made in this order.
+    pub moves: Vec<Move>,
+    /// The layer before any move, and after each change.
+    pub points: Vec<Point>,
+}
+
+/// One change of one or two slots.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    first: (u16, u16, u16),
+    second: Option<(u16, u16, u16)>,
+    gain: f64,
+}
+
+/// The state of a search.
+#[derive(Debug)]
+struct Search<'a> {
+    number: u16,
+    layer: Layer,
+    shares: &'a [f64],
+    replicas: Vec<u16>,
+    loads: Vec<f64>,
+    mean: f64,
+}
+
+/// Seeks changes until none helps or so many weights would be loaded.
+///
+/// Each change takes from one of the fullest ranks: it puts a replica of one of its experts on a
+/// rank that is little loaded, moves the expert there, or swaps it for a smaller one. What counts
+/// is the fall of the sum of squares for each weight that is loaded.
+pub fn search(number: u16, layer: &Layer, shares: &[f64], bound: usize) -> Path {
+    let mut search = Search::new(number, layer, shares);
+    let mut path = Path::default();
+    let mut loads = 0;
+    path.points.push(search.point(0, 0));
+    while loads < bound {
+        let Some(change) = search.best() else { break };
+        loads += search.apply(change, &mut path.moves);
+        path.points.push(search.point(path.moves.len(), loads));
+    }
+    path
+}
+
+impl<'a> Search<'a> {
+    fn new(number: u16, layer: &Layer, shares: &'a [f64]) -> Self {
+        let total: f64 = shares.iter().sum();
+        Self {
+            number,
+            layer: layer.clone(),
+            shares,
+            replicas: layer.replicas(shares.len()),
+            loads: layer.rank_loads(shares),
+            mean: (total / f64::from(layer.ranks())).max(1e-12),
+        }
+    }
+
+    fn point(&self, moves: usize, loads: usize) -> Point {
+        let fullest = self.loads.iter().copied().fold(0.0, f64::max);
+        let least = self.loads.iter().copied().fold(f64::INFINITY, f64::min);
+        Point {
+            moves,
+            loads,
+            fullest: fullest / self.mean,
+            gap: (fullest - least) / self.mean,
+        }
+    }
+
+    fn best(&self) -> Option<Change> {
+        let mut order: Vec<u16> = (0..self.layer.ranks()).collect();
+        order.sort_by(|a, b| self.load(*b).total_cmp(&self.load(*a)));
+        let full = &order[..FULL.min(order.len())];
+        let spare = &order[order.len().saturating_sub(SPARE)..];
+        let mut best: Option<Change> = None;
+        for &from in full {
+            for &to in spare.iter().filter(|to| **to != from) {
+                for slot in 0..self.layer.slots() {
+                    self.with_slot(from, slot, to, &mut best);
+                }
+            }
+        }
+        best.filter(|c| c.gain > 1e-6 * self.mean * self.mean)
+    }
+
+    /// Weighs every change that takes load of one slot to another rank.
+    fn with_slot(&self, from: u16, slot: u16, to: u16, best: &mut Option<Change>) {
+        let expert = self.layer.at(from, slot);
+        if expert == EMPTY || self.layer.holds(to, expert) {
+            return;
+        }
+        for other in 0..self.layer.slots() {
+            let old = self.layer.at(to, other);
+            let free = old == EMPTY || self.replicas[usize::from(old)] > 1;
+            if free {
+                self.offer((to, other, expert), None, best);
+                self.offer((to, other, expert), Some((from, slot, EMPTY)), best);
+            }
+            let fits = old != EMPTY && !self.layer.holds(from, old);
+            if fits {
+                self.offer((to, other, expert), Some((from, slot, old)), best);
+            }
+        }
+    }
+
+    fn offer(
+        &self,
+        first: (u16, u16, u16),
+        second: Option<(u16, u16, u16)>,
+        best: &mut Option<Change>,
+    ) {
+        let loads = 1 + usize::from(second.is_some_and(|s| s.2 != EMPTY));
+        let gain = self.gain(first, second) / loads as f64;
+        if best.is_none_or(|b| gain > b.gain) {
+            *best = Some(Change {
+                first,
+                second,
+                gain,
+            });
+        }
+    }
+
+    /// The fall of the sum of squares of the ranks' loads.
+    fn gain(&self, first: (u16, u16, u16), second: Option<(u16, u16, u16)>) -> f64 {
+        let (to, slot, expert) = first;
+        let old = self.layer.at(to, slot);
+        match second {
+            // A swap leaves both experts with as many replicas as before.
+            Some((from, _, back)) if back == old && back != EMPTY => {
+                let delta = self.part(expert, 0) - self.part(old, 0);
+                self.shift(from, -delta) + self.shift(to, delta)
+            }
+            Some((from, _, _)) => {
+                let moved = self.part(expert, 0);
+                let (gone, others) = self.eviction(to, old);
+                self.shift(from, -moved) + self.shift(to, moved - gone) + others
+            }
+            None => self.replication(to, old, expert),
+        }
+    }
+
+    /// One more replica of an expert on a rank, in the place of another expert.
+    fn replication(&self, to: u16, old: u16, expert: u16) -> f64 {
+        let (now, then) = (self.part(expert, 0), self.part(expert, 1));
+        let (gone, others) = self.eviction(to, old);
+        let relieved: f64 = self
+            .holders(expert)
+            .map(|rank| self.shift(rank, then - now))
+            .sum();
+        relieved + others + self.shift(to, then - gone)
+    }
+
+    /// What a rank loses with an expert, and how the other holders of it fare.
+    fn eviction(&self, to: u16, old: u16) -> (f64, f64) {
+        if old == EMPTY {
+            return (0.0, 0.0);
+        }
+        let (now, then) = (self.part(old, 0), self.part(old, -1));
+        let others = self.holders(old).filter(|rank| *rank != to);
+        (now, others.map(|rank| self.shift(rank, then - now)).sum())
+    }
+
+    fn holders(&self, expert: u16) -> impl Iterator<Item = u16> + '_ {
+        // Most experts have one replica, so a scan that stops early is cheap enough.
+        let count = usize::from(self.replicas[usize::from(expert)]);
+        (0..self.layer.ranks())
+            .filter(move |rank| self.layer.holds(*rank, expert))
+            .take(count)
+    }
+
+    fn part(&self, expert: u16, more: i32) -> f64 {
+        let replicas = i32::from(self.replicas[usize::from(expert)]) + more;
+        self.shares[usize::from(expert)] / f64::from(replicas.max(1))
+    }
+
+    fn shift(&self, rank: u16, by: f64) -> f64 {
+        let load = self.load(rank);
+        load * load - (load + by) * (load + by)
+    }
+
+    fn load(&self, rank: u16) -> f64 {
+        self.loads[usize::from(rank)]
+    }
+
+    /// Makes a change and returns how many weights it loads.
+    fn apply(&mut self, change: Change, moves: &mut Vec<Move>) -> usize {
+        let slots = [Some(change.first), change.second];
+        let mut loads = 0;
+        for (rank, slot, expert) in slots.into_iter().flatten() {
+            let old = self.layer.at(rank, slot);
+            moves.push(Move {
+                layer: self.number,
+                rank,
+                slot,
+                loads: expert,
+                evicts: old,
+            });
+            self.layer.set(rank, slot, expert);
+            loads += usize::from(expert != EMPTY);
+        }
+        self.replicas = self.layer.replicas(self.shares.len());
+        self.loads = self.layer.rank_loads(self.shares);
+        loads
+    }
+}
--- a/crates/groups/tests/common/mod.rs
+++ b/crates/groups/tests/common/mod.rs
@@ -53,6 +53,7 @@
     pub held: u64,
     pub rejected: u64,
     pub ranks: u32,
+    pub tries: u32,
 }
 
 /// A map that differs from others by its number only.
@@ -90,6 +91,7 @@
             held: 0,
             rejected: 0,
             ranks,
+            tries: 4,
         }
     }
 
@@ -228,7 +230,8 @@
                 self.armed.insert((rank, Alarm::Rank(timer)));
             }
             RankOutput::Stand(reign) => {
-                self.leads[rank as usize] = Some(Lead::new(reign, self.ranks, self.margin));
+                self.leads[rank as usize] =
+                    Some(Lead::new(reign, self.ranks, self.margin).with_tries(self.tries));
                 self.lead(rank, LeadInput::Begin);
             }
             RankOutput::Event(Event::GroupHeld, _) => self.held += 1,
--- /dev/null
+++ b/crates/groups/tests/explore.rs
@@ -0,0 +1,319 @@
+//! Exhaustive exploration at three ranks: every order of messages, timers, steps and faults.
+//!
+//! What a user would see otherwise: tokens that two maps computed, in an order of events that
+//! nobody thought of. The exploration starts when a second map is proposed to a group that
+//! steps, and follows every order in which messages arrive, ranks step, timers fire and a
+//! bounded number of faults strike. What stays on one host arrives at once.
+
+mod common;
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::HashSet;
+use std::hash::{Hash, Hasher};
+
+use common::{proposal, Alarm, Packet, World};
+use snipemast_core::prelude::*;
+use snipemast_groups::agree::lead::LeadTimer;
+use snipemast_groups::agree::Margin;
+
+/// What may still happen besides the delivery of messages.
+#[derive(Debug, Clone, Copy, Hash)]
+struct Budget {
+    fires: u8,
+    losses: u8,
+    doubles: u8,
+    agents: u8,
+    engines: u8,
+    steps: u64,
+}
+
+#[derive(Clone)]
+struct State {
+    world: World,
+    budget: Budget,
+}
+
+struct Explorer {
+    seen: HashSet<u64>,
+    rests: usize,
+}
+
+/// The shortest margin that a switch can have, so that steps and messages race.
+fn tight() -> Margin {
+    Margin {
+        delay: Span::default(),
+        step: Span::from_millis(1),
+        window: 0,
+    }
+}
+
+impl State {
+    fn new(budget: Budget) -> Self {
+        let mut world = World::new(3, tight());
+        world.tries = 0;
+        world.form();
+        world.propose(0, proposal(1, 1, 2));
+        let mut state = Self { world, budget };
+        state.budget.steps += state.world.group.completed().get();
+        state.local();
+        state
+    }
+
+    /// Where all ranks have loaded the weights: before that nothing is at stake.
+    fn prepared(budget: Budget) -> Self {
+        let mut state = Self::new(budget);
+        for _ in 0..6 {
+            let packet = state.world.sent.remove(0);
+            state.world.deliver(packet);
+            state.local();
+        }
+        state
+    }
+
+    /// Delivers what stays on one host, and forgets counters that decide nothing.
+    fn local(&mut self) {
+        let stays = |p: &Packet| {
+            matches!(
+                p,
+                Packet::Permit(..) | Packet::Status(..) | Packet::Load(..)
+            )
+        };
+        while let Some(n) = self.world.sent.iter().position(stays) {
+            let packet = self.world.sent.remove(n);
+            self.world.deliver(packet);
+        }
+        self.world.held = 0;
+        self.world.rejected = 0;
+    }
+
+    fn key(&self) -> u64 {
+        let mut sent: Vec<u64> = self.world.sent.iter().map(hash).collect();
+        sent.sort_unstable();
+        let World {
+            agents,
+            leads,
+            group,
+            armed,
+            ..
+        } = &self.world;
+        hash(&(agents, leads, group, armed, sent, self.budget))
+    }
+
+    fn successors(&self) -> Vec<Self> {
+        let mut next = Vec::new();
+        for n in 0..self.world.sent.len() {
+            self.with_message(n, &mut next);
+        }
+        self.with_timers(&mut next);
+        self.with_steps(&mut next);
+        self.with_deaths(&mut next);
+        next
+    }
+
+    fn with_message(&self, n: usize, next: &mut Vec<Self>) {
+        next.push(self.after(|s| {
+            let packet = s.world.sent.remove(n);
+            s.world.deliver(packet);
+        }));
+        if self.budget.losses > 0 {
+            next.push(self.after(|s| {
+                s.world.sent.remove(n);
+                s.budget.losses -= 1;
+            }));
+        }
+        if self.budget.doubles > 0 {
+            next.push(self.after(|s| {
+                let packet = s.world.sent[n].clone();
+                s.world.deliver(packet);
+                s.budget.doubles -= 1;
+            }));
+        }
+    }
+
+    fn with_timers(&self, next: &mut Vec<Self>) {
+        if self.budget.fires == 0 {
+            return;
+        }
+        // Resending only brings back what was lost; the closing run does it.
+        let fires = |a: &&(u32, Alarm)| !matches!(a.1, Alarm::Lead(LeadTimer::Resend));
+        for (rank, alarm) in self.world.armed.iter().filter(fires).copied() {
+            next.push(self.after(|s| {
+                s.world.armed.remove(&(rank, alarm));
+                s.world.fire(rank, alarm);
+                s.budget.fires -= 1;
+            }));
+        }
+    }
+
+    fn with_steps(&self, next: &mut Vec<Self>) {
+        for rank in 0..3 {
+            let step = self.world.group.status(rank).step.get();
+            let mut after = self.after(|_| {});
+            if step < self.budget.steps && after.world.step(rank) {
+                after.local();
+                next.push(after);
+            }
+        }
+    }
+
+    fn with_deaths(&self, next: &mut Vec<Self>) {
+        for rank in 0..3 {
+            if self.budget.agents > 0 {
+                next.push(self.after(|s| {
+                    s.world.restart_agent(rank);
+                    let status = s.world.group.status(rank);
+                    s.world.sent.push(Packet::Status(rank, status));
+                    s.budget.agents -= 1;
+                }));
+            }
+            if self.budget.engines > 0 {
+                next.push(self.after(|s| {
+                    s.world.replace_engine(rank);
+                    let status = s.world.group.status(rank);
+                    s.world.sent.push(Packet::Status(rank, status));
+                    s.budget.engines -= 1;
+                }));
+            }
+        }
+    }
+
+    fn after(&self, act: impl FnOnce(&mut Self)) -> Self {
+        let mut next = self.clone();
+        act(&mut next);
+        next.local();
+        next
+    }
+
+    /// Everything can talk: messages arrive, timers fire, ranks step. The group must go on.
+    fn close(mut self) -> Result<(), String> {
+        let start = self.world.group.completed().get();
+        for round in 0..60 {
+            while !self.world.sent.is_empty() {
+                let packet = self.world.sent.remove(0);
+                self.world.deliver(packet);
+            }
+            for rank in 0..3 {
+                self.world.step(rank);
+            }
+            let alarms = std::mem::take(&mut self.world.armed);
+            for (rank, alarm) in alarms {
+                // Ranks wait differently long; here, a different number of rounds.
+                let impatient = matches!(alarm, Alarm::Rank(_)) && round % 6 != 2 * rank;
+                let deaf = matches!(alarm, Alarm::Lead(l) if l != LeadTimer::Resend);
+                if impatient || deaf {
+                    self.world.armed.insert((rank, alarm));
+                } else {
+                    self.world.fire(rank, alarm);
+                }
+            }
+        }
+        self.check()?;
+        let end = self.world.group.completed().get();
+        if end < start + 10 {
+            return Err(format!("held at step {end} from {start}"));
+        }
+        let standing = self.world.agents.iter().filter_map(|a| a.standing());
+        let now = standing.map(|s| s.version).min();
+        if now != Some(self.world.group.highest()) {
+            return Err(format!("{now:?} stands in the end"));
+        }
+        Ok(())
+    }
+
+    fn check(&self) -> Result<(), String> {
+        match self.world.group.torn() {
+            Some(torn) => Err(format!("{torn:?}")),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Explorer {
+    /// Follows every order from a state and returns how many states there are.
+    fn run(start: State) -> Self {
+        let mut explorer = Self {
+            seen: HashSet::new(),
+            rests: 0,
+        };
+        let mut open = vec![start];
+        while let Some(state) = open.pop() {
+            if !explorer.seen.insert(state.key()) {
+                continue;
+            }
+            if let Err(fault) = state.check() {
+                panic!("{fault} in {:#?}", state.world);
+            }
+            let next = state.successors();
+            if state.world.sent.is_empty() {
+                explorer.rests += 1;
+                let world = state.world.clone();
+                if let Err(fault) = state.close() {
+                    panic!("{fault} from {world:#?}");
+                }
+            }
+            open.extend(next);
+        }
+        println!("states: {} closed: {}", explorer.seen.len(), explorer.rests);
+        explorer
+    }
+}
+
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+const QUIET: Budget = Budget {
+    fires: 0,
+    losses: 0,
+    doubles: 0,
+    agents: 0,
+    engines: 0,
+    steps: 5,
+};
+
+#[test]
+fn every_order() {
+    let found = Explorer::run(State::new(QUIET));
+    assert!(found.rests > 0);
+}
+
+#[test]
+fn every_timer() {
+    explore(Budget { fires: 2, ..QUIET });
+}
+
+#[test]
+fn every_loss() {
+    explore(Budget {
+        losses: 1,
+        fires: 1,
+        ..QUIET
+    });
+}
+
+#[test]
+fn every_double() {
+    explore(Budget {
+        doubles: 1,
+        ..QUIET
+    });
+}
+
+#[test]
+fn every_agent_death() {
+    explore(Budget { agents: 1, ..QUIET });
+}
+
+#[test]
+fn every_engine_death() {
+    explore(Budget {
+        engines: 1,
+        ..QUIET
+    });
+}
+
+fn explore(budget: Budget) {
+    assert!(Explorer::run(State::prepared(budget)).rests > 0);
+}
