--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`follow`]: keeps a process at the newest configuration, over the wire.
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
+//! - [`group`]: messages between the agents of a group and towards their engines.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
@@ -15,6 +16,7 @@
 pub mod control;
 pub mod follow;
 pub mod frame;
+pub mod group;
 pub mod message;
 pub mod peer;
 pub mod pipe;
