Give entries owned sets, leases and gossip, sans-I/O

Cause: entries knew only the agents that announced to them, and nothing spread. Change: a membership state machine for entries (owned sets per owner, union view, suspicion with witnesses, zones judged by answers only, byte budget and priorities) and one for agents (two leases, moves, jitter); riders for other packages; a virtual wire in the fakes that drives the very state machines.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,9 +2,15 @@
 //!
 //! - [`engine`]: a model engine that speaks the protocol of `docs/SERVERS.md`.
 //! - [`service`]: a plain service that counts what it ran.
+//! - [`fleet`]: the membership of many processes over a virtual wire and clock.
+//! - [`links`]: what that wire loses and delays.
 
 pub mod engine;
+pub mod fleet;
+pub mod links;
 pub mod service;
 
 pub use engine::FakeEngine;
+pub use fleet::Fleet;
+pub use links::{Links, Place, Side};
 pub use service::FakeService;
--- /dev/null
+++ b/crates/membership/src/agents.rs
@@ -0,0 +1,186 @@
+//! What agents tell their entry, and the entry's answers.
+
+use std::net::SocketAddr;
+
+use snipemast_core::prelude::*;
+
+use crate::card::AgentCard;
+use crate::message::{AgentMessage, LeaseReply, Load};
+use crate::node::{Node, Output};
+use crate::spread::Rank;
+use crate::table::{Row, Standing};
+
+/// How many other entries an agent is told of.
+const OTHERS: usize = 4;
+
+/// The share of renewals whose answer names other entries.
+const NAMED: f64 = 1.0 / 16.0;
+
+/// How many agents more than twice its share an entry takes before it sends agents elsewhere.
+const SLACK: usize = 4;
+
+impl Node {
+    /// An agent spoke.
+    pub(crate) fn agent(&mut self, now: Moment, message: AgentMessage) {
+        let reply = match message {
+            AgentMessage::Enrol { card, load } => self.enrol(now, *card, load),
+            AgentMessage::Renew { agent, news, load } => self.renew(now, &agent, news, load),
+            AgentMessage::Leave { agent } => self.release(now, &agent),
+        };
+        self.out.push(Output::Lease(reply));
+    }
+
+    fn enrol(&mut self, now: Moment, card: AgentCard, load: Load) -> LeaseReply {
+        let host = card.agent.host.clone();
+        let known = self.own_agent(&host).cloned();
+        if let Some(known) = &known {
+            if known.agent.incarnation > card.agent.incarnation {
+                return self.supersede(known, &card);
+            }
+            if known.agent == card.agent && known.address != card.address {
+                self.agent_clash(known, &card);
+            }
+        }
+        let fresh = known.as_ref().is_none_or(|k| k.agent != card.agent);
+        if known.is_none() && !self.has_room(now) {
+            let others = self.other_entries();
+            return LeaseReply::Busy { others };
+        }
+        self.leases.renew(now, &host);
+        self.loads.take(now, &host, load);
+        if known.as_ref().is_none_or(|k| card.is_after(k)) {
+            self.own(now, card, fresh);
+        }
+        self.grant(true)
+    }
+
+    fn own(&mut self, now: Moment, card: AgentCard, fresh: bool) {
+        let event = if card.draining {
+            Event::MemberDraining
+        } else {
+            Event::MemberJoined
+        };
+        let host = card.agent.host.clone();
+        if fresh || card.draining {
+            self.note(event, &card.agent, &card.info.server);
+        }
+        let rank = if card.draining {
+            Rank::Leaving
+        } else {
+            Rank::Other
+        };
+        self.change_own(now, rank, |row| row.set.put(card));
+        self.note_changed(vec![host]);
+    }
+
+    fn renew(&mut self, now: Moment, agent: &ProcessId, news: u64, load: Load) -> LeaseReply {
+        let known = self.own_agent(&agent.host);
+        if known.is_none_or(|k| k.agent != *agent || k.news != news) {
+            return LeaseReply::Unknown;
+        }
+        self.leases.renew(now, &agent.host);
+        self.loads.take(now, &agent.host, load);
+        self.grant(false)
+    }
+
+    fn release(&mut self, now: Moment, agent: &ProcessId) -> LeaseReply {
+        if self
+            .own_agent(&agent.host)
+            .is_some_and(|k| k.agent == *agent)
+        {
+            self.disown(now, &agent.host.clone(), "it left");
+        }
+        self.grant(false)
+    }
+
+    /// Takes an agent out of the own set.
+    pub(crate) fn disown(&mut self, now: Moment, host: &HostId, reason: &str) {
+        self.leases.end(host);
+        self.change_own(now, Rank::Leaving, |row| {
+            row.set.remove(host);
+        });
+        if self.table.agent(host).is_none() {
+            self.loads.forget(host);
+            self.note(Event::MemberRemoved, host, reason);
+        }
+        self.note_changed(vec![host.clone()]);
+    }
+
+    fn change_own(&mut self, now: Moment, rank: Rank, change: impl FnOnce(&mut Row)) {
+        let from = self.own_version();
+        let own = self.me.process.host.clone();
+        self.table.change(&own, change);
+        self.spread.push(&own, from, rank);
+        self.hurry(now);
+    }
+
+    /// Another process runs under the agent's name, started later: the earlier one is told.
+    fn supersede(&mut self, known: &AgentCard, card: &AgentCard) -> LeaseReply {
+        self.agent_clash(known, card);
+        LeaseReply::Superseded {
+            by: known.agent.clone(),
+            address: known.address,
+        }
+    }
+
+    fn agent_clash(&mut self, known: &AgentCard, other: &AgentCard) {
+        let key = (other.agent.clone(), other.address);
+        if self.clashes.len() < 64 && self.clashes.insert(key) {
+            let detail = format!(
+                "{} at {} and {} at {}",
+                known.agent, known.address, other.agent, other.address
+            );
+            self.note(Event::IdentityClash, &known.agent.host, detail);
+        }
+    }
+
+    /// Whether a further agent can be taken in now.
+    ///
+    /// Failure guarded against: all agents of a zone move to the one entry that is up first. It
+    /// shows as one host with all leases and a burst of news that fills the links. The rate of
+    /// enrolments is bounded, and beyond twice its share an entry sends agents elsewhere.
+    fn has_room(&mut self, now: Moment) -> bool {
+        if self.me.draining || self.superseded || !self.leases.admit(now) {
+            return false;
+        }
+        let zone = &self.me.zone;
+        let entries = self.table.rows().values().filter(|r| r.card.zone == *zone);
+        let sizes: Vec<_> = entries.map(|r| r.set.len()).collect();
+        let share = sizes.iter().sum::<usize>() / sizes.len().max(1);
+        let own = self.own_row().map_or(0, |r| r.set.len());
+        own < 2 * share + SLACK
+    }
+
+    fn grant(&mut self, name: bool) -> LeaseReply {
+        use rand::RngExt;
+        let name = name || self.me.draining || self.dice.random::<f64>() < NAMED;
+        let others = if name {
+            self.other_entries()
+        } else {
+            Vec::new()
+        };
+        LeaseReply::Granted {
+            lease: self.leases.length(),
+            leaving: self.me.draining || self.superseded,
+            others,
+        }
+    }
+
+    /// Some other entries of the zone that agents can move to.
+    fn other_entries(&mut self) -> Vec<SocketAddr> {
+        let zone = &self.me.zone;
+        let serves =
+            |r: &&Row| r.card.zone == *zone && !r.card.draining && r.standing == Standing::Alive;
+        let others = self.others().filter(serves);
+        let addresses = others.map(|r| r.card.address).collect();
+        self.sample(addresses, OTHERS)
+    }
+
+    fn own_row(&self) -> Option<&Row> {
+        self.table.row(&self.me.process.host)
+    }
+
+    fn own_agent(&self, host: &HostId) -> Option<&AgentCard> {
+        self.own_row()?.set.card(host)
+    }
+}
--- /dev/null
+++ b/crates/membership/src/spread.rs
@@ -0,0 +1,161 @@
+//! What goes to the peers next: news by priority, each passed on a bounded number of times.
+
+use std::collections::BTreeMap;
+
+use snipemast_core::prelude::*;
+
+use crate::owned::Delta;
+use crate::table::{Standing, Table, Verdict, VerdictKind};
+
+/// What must arrive first stands first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// An entry died or left.
+    Verdict,
+    /// An agent or entry drains, or an agent was removed.
+    Leaving,
+    /// An entry is suspected.
+    Suspicion,
+    /// Anything else about entries and agents.
+    Other,
+}
+
+/// News that this process still passes on.
+#[derive(Debug, Default)]
+pub struct Spread {
+    news: BTreeMap<HostId, News>,
+    verdicts: BTreeMap<HostId, (Verdict, u32)>,
+}
+
+#[derive(Debug)]
+struct News {
+    rank: Rank,
+    from: u64,
+    sent: u32,
+}
+
+impl Spread {
+    /// Passes on an owner's changes after a version.
+    pub fn push_delta(&mut self, delta: &Delta) {
+        self.push(&delta.card.process.host, delta.from, Rank::of(delta));
+    }
+
+    /// Passes on an owner's changes after a version, with this rank.
+    pub fn push(&mut self, owner: &HostId, from: u64, rank: Rank) {
+        let fresh = News {
+            rank,
+            from,
+            sent: 0,
+        };
+        let news = self.news.entry(owner.clone()).or_insert(fresh);
+        *news = News {
+            rank: news.rank.min(rank),
+            from: news.from.min(from),
+            sent: 0,
+        };
+    }
+
+    /// Passes on a verdict.
+    pub fn push_verdict(&mut self, verdict: Verdict) {
+        let host = verdict.process.host.clone();
+        self.verdicts.insert(host, (verdict, 0));
+    }
+
+    /// Whether nothing is left to pass on.
+    pub fn is_empty(&self) -> bool {
+        self.news.is_empty() && self.verdicts.is_empty()
+    }
+
+    /// Picks news for a peer within a number of bytes, first what must arrive first.
+    ///
+    /// Something always goes out, so that one large set can't hold up the rest for good.
+    pub fn pick(
+        &mut self,
+        table: &Table,
+        same_zone: bool,
+        repeats: u32,
+        budget: &mut usize,
+    ) -> (Vec<Verdict>, Vec<Delta>) {
+        let verdicts = self.pick_verdicts(table, same_zone, repeats, budget);
+        let mut order: Vec<_> = self
+            .news
+            .iter()
+            .map(|(host, news)| (news.rank, news.sent, host.clone()))
+            .collect();
+        order.sort();
+        let mut deltas = Vec::new();
+        for (_, _, host) in order {
+            let Some(news) = self.news.get_mut(&host) else {
+                continue;
+            };
+            let Some(delta) = table.since(&host, news.from) else {
+                self.news.remove(&host);
+                continue;
+            };
+            let size = delta.size();
+            if size > *budget && !deltas.is_empty() {
+                break;
+            }
+            *budget = budget.saturating_sub(size);
+            news.sent += 1;
+            if news.sent >= repeats {
+                self.news.remove(&host);
+            }
+            deltas.push(delta);
+        }
+        (verdicts, deltas)
+    }
+
+    fn pick_verdicts(
+        &mut self,
+        table: &Table,
+        same_zone: bool,
+        repeats: u32,
+        budget: &mut usize,
+    ) -> Vec<Verdict> {
+        let mut picked = Vec::new();
+        self.verdicts.retain(|host, (verdict, sent)| {
+            let size = verdict.size();
+            let local = matches!(verdict.kind, VerdictKind::Suspect(_));
+            if local && !is_suspect(table, host) {
+                return false;
+            }
+            if size > *budget || (local && !same_zone) {
+                return true;
+            }
+            *budget -= size;
+            *sent += 1;
+            picked.push(verdict.clone());
+            *sent < repeats
+        });
+        picked
+    }
+}
+
+impl Rank {
+    /// The rank of an owner's changes.
+    pub fn of(delta: &Delta) -> Self {
+        let leaving = |c: &crate::owned::Change| c.card.as_ref().is_none_or(|a| a.draining);
+        if delta.card.draining || delta.changes.iter().any(leaving) {
+            Self::Leaving
+        } else {
+            Self::Other
+        }
+    }
+}
+
+impl Verdict {
+    /// Roughly what the verdict takes on the wire.
+    pub fn size(&self) -> usize {
+        match &self.kind {
+            VerdictKind::Suspect(by) => 50 + 14 * by.len(),
+            VerdictKind::Dead | VerdictKind::Left => 50,
+        }
+    }
+}
+
+fn is_suspect(table: &Table, host: &HostId) -> bool {
+    table
+        .row(host)
+        .is_some_and(|r| r.standing != Standing::Alive)
+}
--- /dev/null
+++ b/crates/membership/tests/common/mod.rs
@@ -0,0 +1,137 @@
+//! Small fleets for the tests of membership.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+
+use snipemast_core::prelude::*;
+use snipemast_fakes::fleet::Index;
+use snipemast_fakes::{Fleet, Place};
+
+/// The zones of the small fleets, of one region.
+pub(crate) const ZONES: [&str; 3] = ["pichincha", "cumbaya", "machachi"];
+
+/// A valid id.
+pub(crate) fn id<T: std::str::FromStr<Err = snipemast_core::ids::IdError>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
+
+/// A place in a zone.
+pub(crate) fn place(host: &str, zone: &str) -> Place {
+    Place {
+        host: id(host),
+        zone: id(zone),
+        region: id("sierra"),
+    }
+}
+
+/// A backend server that offers one model.
+pub(crate) fn info(name: &str) -> ServerInfo {
+    ServerInfo {
+        server: id(name),
+        offers: vec![Offer::Model {
+            model: id("lector-1"),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }],
+        capabilities: Capabilities::default(),
+        rank: None,
+        slots: 8,
+    }
+}
+
+/// A fleet over the three zones, and the indexes of its entries and agents.
+pub(crate) struct Small {
+    pub(crate) fleet: Fleet,
+    pub(crate) entries: Vec<Index>,
+    pub(crate) agents: Vec<Index>,
+}
+
+impl Small {
+    /// Starts entries and agents, spread over the zones in turn, and lets them meet.
+    pub(crate) fn start(entries: usize, agents: usize, seed: u64) -> Self {
+        let mut small = Self {
+            fleet: Fleet::new(seed),
+            entries: Vec::new(),
+            agents: Vec::new(),
+        };
+        for number in 0..entries {
+            small.add_entry(number);
+        }
+        for number in 0..agents {
+            small.add_agent(number);
+        }
+        small.fleet.run(Span::from_secs(20));
+        small
+    }
+
+    pub(crate) fn add_entry(&mut self, number: usize) -> Index {
+        let seeds = self.seeds();
+        let zone = ZONES[number % ZONES.len()];
+        let place = place(&format!("entry-{number}"), zone);
+        let index = self.fleet.add_entry(place, seeds);
+        self.entries.push(index);
+        index
+    }
+
+    pub(crate) fn add_agent(&mut self, number: usize) -> Index {
+        let zone = ZONES[number % ZONES.len()];
+        let name = format!("agent-{number}");
+        let seeds = self.zone_seeds(zone);
+        let place = place(&name, zone);
+        let index = self.fleet.add_agent(place, info(&name), seeds);
+        self.agents.push(index);
+        index
+    }
+
+    /// The first three entries' addresses.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let first = self.entries.iter().take(3);
+        first.map(|i| self.fleet.processes[*i].address).collect()
+    }
+
+    /// The addresses of two entries of a zone.
+    pub(crate) fn zone_seeds(&self, zone: &str) -> Vec<SocketAddr> {
+        let processes = self.entries.iter().map(|i| &self.fleet.processes[*i]);
+        processes
+            .filter(|p| p.place.zone.as_str() == zone)
+            .take(2)
+            .map(|p| p.address)
+            .collect()
+    }
+
+    pub(crate) fn host(&self, index: Index) -> HostId {
+        self.fleet.processes[index].place.host.clone()
+    }
+
+    pub(crate) fn run_secs(&mut self, secs: u64) {
+        self.fleet.run(Span::from_secs(secs));
+    }
+
+    /// The agents that an entry would route to, by host.
+    pub(crate) fn routable(&self, entry: Index) -> Vec<HostId> {
+        let Some(node) = self.fleet.node(entry) else {
+            return Vec::new();
+        };
+        let agents = node.agents().filter(|a| a.is_routable());
+        agents.map(|a| a.card.agent.host.clone()).collect()
+    }
+
+    /// The agents that run, by host.
+    pub(crate) fn living(&self) -> Vec<HostId> {
+        let mut hosts: Vec<_> = self.fleet.agents().map(|(i, _)| self.host(i)).collect();
+        hosts.sort();
+        hosts
+    }
+
+    /// Every running entry sees exactly the running agents.
+    pub(crate) fn assert_agree(&self, story: &str) {
+        for (index, node) in self.fleet.entries() {
+            assert_eq!(
+                self.routable(index),
+                self.living(),
+                "{story}: {}",
+                node.card().process
+            );
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`message`]: the typed messages.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
+//! - [`gossip`]: how membership travels.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
@@ -9,6 +10,7 @@
 
 pub mod codec;
 pub mod frame;
+pub mod gossip;
 pub mod message;
 pub mod peer;
 pub mod pipe;
@@ -16,6 +18,7 @@
 
 pub use codec::{decode, encode, CodecError};
 pub use frame::{Frame, FrameReader, FrameWriter};
+pub use gossip::Packed;
 pub use message::{
     Announce, Announced, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom,
     Settle, Settled,
