Spread catch-up apart from news, and bound the rate of news

Cause: after a start of 350 entries the backlog of news filled every packet for minutes. Change: what a peer is behind with goes to it alone; news has a rate and a bound; a bench scaffold of three sizes.

--- /dev/null
+++ b/crates/benches/src/members.rs
@@ -0,0 +1,241 @@
+//! Fleets of membership's state machines, of three sizes, over a virtual wire.
+
+use std::net::SocketAddr;
+
+use snipemast_core::prelude::*;
+use snipemast_fakes::fleet::{Index, Meter};
+use snipemast_fakes::{Fleet, Place};
+
+/// What one exchange or call adds to its messages, in bytes: HTTP heads of both directions.
+///
+/// Read off a socket on loopback, by `http_heads` of the bench.
+pub const HEADS: f64 = 420.0;
+
+/// What one exchange or call adds besides: TCP and IP heads of about five segments.
+pub const SEGMENTS: f64 = 5.0 * 40.0;
+
+/// How many hosts there are, and where.
+#[derive(Debug, Clone, Copy)]
+pub struct Shape {
+    /// Entries.
+    pub entries: usize,
+    /// Agents.
+    pub agents: usize,
+    /// Zones of each region.
+    pub zones: usize,
+    /// Regions.
+    pub regions: usize,
+    /// Models that the agents offer between them.
+    pub models: usize,
+}
+
+impl Shape {
+    /// Today.
+    pub const TODAY: Self = Self {
+        entries: 9,
+        agents: 19,
+        zones: 3,
+        regions: 1,
+        models: 2,
+    };
+    /// On the way.
+    pub const MIDDLE: Self = Self {
+        entries: 100,
+        agents: 170,
+        zones: 2,
+        regions: 2,
+        models: 8,
+    };
+    /// In two years.
+    pub const LATER: Self = Self {
+        entries: 350,
+        agents: 600,
+        zones: 2,
+        regions: 2,
+        models: 25,
+    };
+
+    /// Entries and agents.
+    pub fn hosts(&self) -> usize {
+        self.entries + self.agents
+    }
+}
+
+/// A fleet of a shape.
+#[derive(Debug)]
+pub struct Members {
+    /// The shape.
+    pub shape: Shape,
+    /// The processes and the wire.
+    pub fleet: Fleet,
+    /// The entries.
+    pub entries: Vec<Index>,
+    /// The agents.
+    pub agents: Vec<Index>,
+}
+
+/// What all processes of one role have used since the meters were cleared.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Used {
+    /// Bytes a second and process, sent and received, with the heads of HTTP and TCP.
+    pub bytes: f64,
+    /// Bytes a second of the process that used most.
+    pub most: f64,
+    /// Messages a second and process, sent and received.
+    pub messages: f64,
+    /// Exchanges and calls a second and process, begun and answered.
+    pub calls: f64,
+    /// The share of a core of the state machine and the codec.
+    pub work: f64,
+}
+
+impl Members {
+    /// Starts a fleet and lets all its processes meet.
+    pub fn start(shape: Shape, seed: u64) -> Self {
+        Self::start_with(shape, seed, 2)
+    }
+
+    /// Starts a fleet whose agents hold this many leases each.
+    pub fn start_with(shape: Shape, seed: u64, copies: usize) -> Self {
+        let mut members = Self {
+            shape,
+            fleet: Fleet::new(seed),
+            entries: Vec::new(),
+            agents: Vec::new(),
+        };
+        members.fleet.announce.copies = copies;
+        for number in 0..shape.entries {
+            let seeds = members.seeds();
+            let place = place("entry", number, shape);
+            let index = members.fleet.add_entry(place, seeds);
+            members.entries.push(index);
+        }
+        members.run(10);
+        for number in 0..shape.agents {
+            members.add_agent(number);
+        }
+        members.run(30);
+        members
+    }
+
+    /// Adds an agent.
+    pub fn add_agent(&mut self, number: usize) -> Index {
+        let place = place("agent", number, self.shape);
+        let seeds = self.zone_seeds(&place.zone);
+        let info = info(number, self.shape.models);
+        let index = self.fleet.add_agent(place, info, seeds);
+        self.agents.push(index);
+        index
+    }
+
+    /// Starts an agent or entry anew under its name.
+    pub fn restart(&mut self, index: Index, start: u64) {
+        let start = Incarnation::new(start);
+        if self.entries.contains(&index) {
+            let seeds = self.seeds();
+            self.fleet.start_entry(index, seeds, start);
+        } else {
+            let zone = self.fleet.processes[index].place.zone.clone();
+            let seeds = self.zone_seeds(&zone);
+            let info = info(index - self.shape.entries, self.shape.models);
+            self.fleet.start_agent(index, info, seeds, start);
+        }
+    }
+
+    /// Runs for some seconds.
+    pub fn run(&mut self, secs: u64) {
+        self.fleet.run(Span::from_secs(secs));
+    }
+
+    /// Runs in small steps until it holds, and returns how long it took; at most some seconds.
+    pub fn until(&mut self, secs: u64, holds: impl Fn(&Fleet) -> bool) -> Option<Span> {
+        let begun = self.fleet.now();
+        while self.fleet.now().since(begun) < Span::from_secs(secs) {
+            if holds(&self.fleet) {
+                return Some(self.fleet.now().since(begun));
+            }
+            self.fleet.run(Span::from_millis(20));
+        }
+        None
+    }
+
+    /// The host of a process.
+    pub fn host(&self, index: Index) -> HostId {
+        self.fleet.processes[index].place.host.clone()
+    }
+
+    /// Forgets what was used so far.
+    pub fn clear(&mut self) {
+        for process in &mut self.fleet.processes {
+            process.meter = Meter::default();
+        }
+        self.fleet.drops.clear();
+        self.fleet.noted.clear();
+        self.fleet.changed.clear();
+    }
+
+    /// What the processes used over a span.
+    pub fn used(&self, processes: &[Index], span: Span) -> Used {
+        let secs = span.as_secs_f64();
+        let mut used = Used::default();
+        for index in processes {
+            let meter = self.fleet.processes[*index].meter;
+            let calls = (meter.begun + meter.answered) as f64;
+            let bytes = (meter.sent + meter.received) as f64 + calls * (HEADS + SEGMENTS);
+            used.bytes += bytes / secs;
+            used.most = used.most.max(bytes / secs);
+            used.calls += calls / secs;
+            used.messages += 2.0 * calls / secs;
+            used.work += meter.work as f64 / 1e9 / secs;
+        }
+        let count = processes.len().max(1) as f64;
+        used.bytes /= count;
+        used.calls /= count;
+        used.messages /= count;
+        used.work /= count;
+        used
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        let first = self.entries.iter().take(8);
+        first.map(|i| self.fleet.processes[*i].address).collect()
+    }
+
+    fn zone_seeds(&self, zone: &ZoneId) -> Vec<SocketAddr> {
+        let processes = self.entries.iter().map(|i| &self.fleet.processes[*i]);
+        let near = processes.filter(|p| p.place.zone == *zone);
+        near.take(4).map(|p| p.address).collect()
+    }
+}
+
+fn place(kind: &str, number: usize, shape: Shape) -> Place {
+    let zone = number % (shape.zones * shape.regions);
+    let region = zone / shape.zones;
+    Place {
+        host: name(&format!("{kind}-{number}")),
+        zone: name(&format!("zone-{zone}")),
+        region: name(&format!("region-{region}")),
+    }
+}
+
+fn info(number: usize, models: usize) -> ServerInfo {
+    let model = number / 4 % models;
+    ServerInfo {
+        server: name(&format!("engine-{number}")),
+        offers: vec![Offer::Model {
+            model: name(&format!("lector-{model}")),
+            version: "2026-11".into(),
+            adapters: vec![name("cordillera-a"), name("cordillera-b")],
+        }],
+        capabilities: Capabilities::default(),
+        rank: Some(Rank {
+            group: name(&format!("group-{}", number / 128)),
+            number: (number % 128) as u32,
+        }),
+        slots: 64,
+    }
+}
+
+fn name<T: std::str::FromStr<Err = snipemast_core::ids::IdError>>(text: &str) -> T {
+    text.parse().expect("a valid name")
+}
--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -131,6 +131,10 @@
     pub links: Links,
     /// What was recorded.
     pub noted: Vec<Noted>,
+    /// Changes of views since they were last taken: when, at which entry, of which agent.
+    pub changed: Vec<(Moment, Index, HostId)>,
+    /// Living and connected agents that fell out of an entry's view: when, where, which.
+    pub drops: Vec<(Moment, Index, HostId)>,
     /// How entries are set up.
     pub tuning: Tuning,
     /// How agents are set up.
@@ -139,6 +143,7 @@
     queue: BinaryHeap<Reverse<Queued>>,
     order: u64,
     addresses: HashMap<SocketAddr, Index>,
+    hosts: HashMap<HostId, Index>,
     open: HashSet<(Index, u32, Token)>,
     wakes: HashMap<Index, Moment>,
     dice: StdRng,
@@ -151,6 +156,9 @@
             processes: Vec::new(),
             links: Links::new(seed),
             noted: Vec::new(),
+            changed: Vec::new(),
+            drops: Vec::new(),
+            hosts: HashMap::new(),
             tuning: Tuning::default(),
             announce: AnnounceTuning::default(),
             now: Moment::from_micros(1_000_000),
@@ -425,11 +433,33 @@
                     subject,
                     detail,
                 }),
-                Output::Changed(_) => {}
+                Output::Changed(hosts) => self.note_changed(index, hosts),
             }
         }
     }
 
+    /// Keeps what changed, and whether a living and connected agent fell out of the view.
+    fn note_changed(&mut self, index: Index, hosts: Vec<HostId>) {
+        for host in hosts {
+            if self.is_dropped(index, &host) {
+                self.drops.push((self.now, index, host.clone()));
+            }
+            self.changed.push((self.now, index, host));
+        }
+    }
+
+    fn is_dropped(&self, index: Index, host: &HostId) -> bool {
+        let Some(agent) = self.hosts.get(host) else {
+            return false;
+        };
+        let places = (&self.processes[index].place, &self.processes[*agent].place);
+        let connected =
+            self.links.carries(places.0, places.1) && self.links.carries(places.1, places.0);
+        let lives = self.announcer(*agent).is_some_and(|a| !a.card().draining);
+        let seen = self.node(index).and_then(|n| n.agent_view(host));
+        connected && lives && seen.is_none_or(|a| !a.is_routable())
+    }
+
     fn agent_outputs(&mut self, index: Index, outputs: Vec<AnnounceOutput>) {
         for output in outputs {
             match output {
@@ -511,6 +541,7 @@
         let number = index as u16;
         let address = SocketAddr::from(([10, kind, (number >> 8) as u8, number as u8], 7_000));
         self.addresses.insert(address, index);
+        self.hosts.insert(place.host.clone(), index);
         self.processes.push(Process {
             place,
             address,
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::message::{Ask, Mark, Packet};
 use crate::node::{Node, Output, Pending, Purpose, Token};
 use crate::owned::Delta;
+use crate::spread::Rank;
 use crate::table::{Row, Verdict, VerdictKind};
 
 /// How many buckets rows are compared in.
@@ -69,6 +70,9 @@
             self.prove(now, &packet.from);
         }
         let wanted = self.take_packet(now, packet);
+        if !packet.listed.is_empty() {
+            self.compare_soon(now);
+        }
         if let Ask::Joined(next) = &packet.ask {
             self.go_on_joining(now, address, next.clone());
         }
@@ -85,17 +89,26 @@
         if peer.zone != self.me.zone && self.zones.answer(now, &peer.zone) {
             self.note(Event::MemberJoined, &peer.zone, "the zone answers again");
             self.note_zone(&peer.zone);
-            self.compared = Moment::ZERO;
+            self.compare_soon(now);
         }
     }
 
+    /// Compares again with the next round: rows still differ.
+    fn compare_soon(&mut self, now: Moment) {
+        let soon = now + Span::from_millis(500);
+        self.compared = soon - self.tuning.compare;
+    }
+
     fn go_on_joining(&mut self, now: Moment, address: SocketAddr, next: Option<HostId>) {
         if let Some(next) = next {
             let mut packet = self.bare();
             packet.ask = Ask::Join(Some(next));
             self.send(now, address, None, Purpose::Seed, packet);
-        } else {
+        } else if !self.joined {
             self.joined = true;
+            let own = self.me.process.host.clone();
+            self.spread.push(&own, 0, Rank::Other);
+            self.hurry(now);
         }
     }
 
@@ -107,7 +120,7 @@
     /// A round's exchange: news, loads or summaries, and now and then a comparison.
     pub(crate) fn send_round(&mut self, now: Moment, peer: &NodeCard) {
         let mut packet = self.news_for(now, peer);
-        let mut budget = self.tuning.budget / 2;
+        let mut budget = self.tuning.budget / 4;
         if peer.zone == self.me.zone {
             packet.loads = self.loads.pick(now, 2, &mut budget);
         } else {
@@ -171,6 +184,7 @@
             listed: Vec::new(),
             verdicts: Vec::new(),
             deltas: Vec::new(),
+            sync: Vec::new(),
             riders: Vec::new(),
             loads: Vec::new(),
             pools: Vec::new(),
@@ -181,18 +195,35 @@
     fn news_for(&mut self, now: Moment, peer: &NodeCard) -> Packet {
         let mut packet = self.bare();
         let same_zone = peer.zone == self.me.zone;
-        let mut budget = self.tuning.budget;
+        let mut budget = self.allowance(now);
+        let whole = budget;
         let repeats = self.tuning.repeats;
         let picked = self
             .spread
             .pick(&self.table, same_zone, repeats, &mut budget);
         (packet.verdicts, packet.deltas) = picked;
         packet.riders = self.riders.pick(now, same_zone, repeats / 2, &mut budget);
+        self.spent += (whole - budget) as u64;
         // Whoever is suspected must hear of it, or it can't prove that it lives.
         packet.verdicts.extend(self.suspicion(&peer.process.host));
         packet
     }
 
+    /// How many bytes of news the next packet may carry.
+    ///
+    /// Failure guarded against: a zone that returns makes so much news at once that it crowds out
+    /// everything else for minutes. It shows as crashes that take long to be known. News goes out
+    /// at a bounded rate, most pressing first, and what does not fit is found by comparing.
+    fn allowance(&mut self, now: Moment) -> usize {
+        let earned = now.since(self.refilled).as_micros() * self.tuning.rate / 1_000_000;
+        if earned > 0 {
+            self.refilled = now;
+            self.spent = self.spent.saturating_sub(earned);
+        }
+        let left = (self.tuning.rate * 4).saturating_sub(self.spent);
+        self.tuning.budget.min(left as usize)
+    }
+
     fn take_packet(&mut self, now: Moment, packet: &Packet) -> Wanted {
         let mut wanted = Wanted::default();
         if !self.is_other(&packet.from) {
@@ -205,7 +236,12 @@
             self.take_verdict(now, verdict);
         }
         for delta in &packet.deltas {
-            self.take_delta(now, delta, &mut wanted);
+            self.take_delta(now, delta, true, &mut wanted);
+        }
+        for delta in &packet.sync {
+            // What the owner itself says is news; what others catch up with is not.
+            let own = delta.card.process == packet.from.process;
+            self.take_delta(now, delta, own, &mut wanted);
         }
         let mut urgent = false;
         for rider in &packet.riders {
@@ -249,7 +285,7 @@
         }
     }
 
-    fn take_delta(&mut self, now: Moment, delta: &Delta, wanted: &mut Wanted) {
+    fn take_delta(&mut self, now: Moment, delta: &Delta, pass: bool, wanted: &mut Wanted) {
         let card = &delta.card;
         if card.process.host == self.me.process.host {
             if card.process.incarnation >= self.me.process.incarnation {
@@ -276,8 +312,10 @@
         if before.is_none_or(|(_, i)| i != card.process.incarnation) {
             self.note(Event::MemberJoined, &card.process, &card.zone);
         }
-        self.spread.push_delta(delta);
-        self.hurry(now);
+        if pass {
+            self.spread.push_delta(delta);
+            self.hurry(now);
+        }
         self.note_changed(taken.touched);
     }
 
@@ -442,7 +480,7 @@
     packet.marks.extend(wanted.marks);
     packet.listed.extend(wanted.listed);
     packet.verdicts.extend(wanted.verdicts);
-    packet.deltas.extend(wanted.deltas);
+    packet.sync.extend(wanted.deltas);
     if let Some(ask) = wanted.ask {
         packet.ask = ask;
     }
--- a/crates/membership/src/loads.rs
+++ b/crates/membership/src/loads.rs
@@ -8,7 +8,7 @@
 use crate::table::Table;
 
 /// A load that did not change is told again after this time.
-const REFRESH: Span = Span::from_secs(10);
+const REFRESH: Span = Span::from_secs(30);
 
 /// What is known of loads.
 #[derive(Debug, Default)]
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -25,8 +25,10 @@
         pub listed: Vec<u8>,
         /// Verdicts on entries.
         pub verdicts: Vec<Verdict>,
-        /// News of owned sets.
+        /// News of owned sets, to be passed on.
         pub deltas: Vec<Delta>,
+        /// Owned sets that the receiver was behind with, for itself alone.
+        pub sync: Vec<Delta>,
         /// Small values of other packages.
         pub riders: Vec<Rider>,
         /// Loads of agents, within a zone.
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -20,6 +20,9 @@
     Other,
 }
 
+/// The most owners whose news waits; beyond it the least pressing waits for a comparison.
+pub const MAX_NEWS: usize = 96;
+
 /// News that this process still passes on.
 #[derive(Debug, Default)]
 pub struct Spread {
@@ -53,6 +56,12 @@
             from: news.from.min(from),
             sent: 0,
         };
+        if self.news.len() > MAX_NEWS {
+            let last = self.news.iter().max_by_key(|(_, n)| (n.rank, n.sent));
+            if let Some(last) = last.map(|(h, _)| h.clone()) {
+                self.news.remove(&last);
+            }
+        }
     }
 
     /// Passes on a verdict.
@@ -68,7 +77,7 @@
 
     /// Picks news for a peer within a number of bytes, first what must arrive first.
     ///
-    /// Something always goes out, so that one large set can't hold up the rest for good.
+    /// What is pressing goes out even where the budget is used up, one owner a packet.
     pub fn pick(
         &mut self,
         table: &Table,
@@ -84,7 +93,7 @@
             .collect();
         order.sort();
         let mut deltas = Vec::new();
-        for (_, _, host) in order {
+        for (rank, _, host) in order {
             let Some(news) = self.news.get_mut(&host) else {
                 continue;
             };
@@ -93,7 +102,8 @@
                 continue;
             };
             let size = delta.size();
-            if size > *budget && !deltas.is_empty() {
+            let pressing = rank <= Rank::Leaving && deltas.is_empty();
+            if size > *budget && !pressing {
                 break;
             }
             *budget = budget.saturating_sub(size);
--- a/crates/membership/src/tuning.rs
+++ b/crates/membership/src/tuning.rs
@@ -33,6 +33,8 @@
     pub repeats: u32,
     /// How many bytes of news one exchange carries.
     pub budget: usize,
+    /// How many bytes of news it sends a second, over several seconds.
+    pub rate: u64,
     /// How long a zone that is cut off is remembered.
     pub remember: Span,
     /// How long an entry that is gone is remembered; longer than a zone, so that a zone which
@@ -44,8 +46,8 @@
     fn default() -> Self {
         Self {
             watch: Span::from_secs(1),
-            gossip: Span::from_secs(2),
-            cross: Span::from_secs(2),
+            gossip: Span::from_secs(3),
+            cross: Span::from_secs(3),
             compare: Span::from_secs(8),
             seeds: Span::from_secs(30),
             sweep: Span::from_millis(200),
@@ -57,6 +59,7 @@
             bursts: 2,
             repeats: 8,
             budget: 1_200,
+            rate: 1_500,
             remember: Span::from_secs(24 * 3_600),
             tombs: Span::from_secs(25 * 3_600),
         }
