--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
-use smol::Task;
 
 use snipemast_core::prelude::*;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, spawn, Listening};
+use snipemast_wire::{listen, Listening};
 
-use crate::announce::announce_forever;
+use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
 
 /// The result of starting an agent.
@@ -43,7 +42,7 @@
 pub struct Agent {
     gate: Arc<Gate>,
     listening: Listening,
-    announcing: Task<()>,
+    announcing: Announcing,
     shutdown: Span,
 }
 
@@ -67,12 +66,8 @@
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
         let shutdown = settings.limits.shutdown;
-        let announcing = spawn(announce_forever(
-            Arc::clone(&gate),
-            settings,
-            listening.address(),
-            info,
-        ));
+        let address = listening.address();
+        let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
         Ok(Self {
             gate,
             listening,
@@ -106,7 +101,7 @@
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
-        self.announcing.cancel().await;
+        self.announcing.stop().await;
         self.listening.stop().await;
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`process`]: start, drain, stop.
 //! - [`shared`]: what all requests of the process share.
-//! - [`registry`]: the agents that announced themselves.
+//! - [`gossip`]: the shell around membership.
+//! - [`registry`]: the agents that requests can go to.
 //! - [`choose`]: the routing state, in shards, and the choice of a server.
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
@@ -14,6 +15,7 @@
 pub mod desk;
 pub mod follow;
 pub mod front;
+pub mod gossip;
 pub mod own;
 pub mod process;
 pub mod registry;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -5,9 +5,10 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
+use snipemast_membership::{AgentMessage, Packet};
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply};
-use snipemast_wire::{Announce, Announced, ConfigPoll, ConfigReply};
+use snipemast_wire::{gossip, ConfigPoll, ConfigReply, Packed};
 
 use crate::shared::Shared;
 
@@ -26,24 +27,26 @@
         Self { shared }
     }
 
-    async fn announce(&self, mut conn: Conn) -> Conn {
-        let Some(announce) = message::<Announce>(&mut conn).await else {
+    /// An agent speaks about its lease.
+    async fn lease(&self, mut conn: Conn) -> Conn {
+        let Some(asked) = unpacked::<AgentMessage>(&mut conn).await else {
             return malformed(conn);
         };
-        let (agent, server) = (announce.agent.clone(), announce.info.server.clone());
-        if self.shared.registry.renew(announce) {
-            self.shared
-                .journal
-                .record(Event::MemberJoined, agent, server);
+        match self.shared.gossip.lease(&self.shared, asked) {
+            Some(answer) => reply(conn, &Packed::new(&answer)),
+            None => conn.with_status(Status::ServiceUnavailable).halt(),
+        }
+    }
+
+    /// Another entry begins an exchange.
+    async fn exchange(&self, mut conn: Conn) -> Conn {
+        let Some(asked) = unpacked::<Packet>(&mut conn).await else {
+            return malformed(conn);
+        };
+        match self.shared.gossip.exchange(&self.shared, asked) {
+            Some(answer) => reply(conn, &Packed::new(&answer)),
+            None => conn.with_status(Status::ServiceUnavailable).halt(),
         }
-        let entry = self.shared.process.clone();
-        reply(
-            conn,
-            &Announced {
-                entry,
-                lease: self.shared.settings.limits.lease,
-            },
-        )
     }
 
     async fn config(&self, mut conn: Conn) -> Conn {
@@ -75,10 +78,16 @@
 impl Handler for Own {
     async fn run(&self, conn: Conn) -> Conn {
         match conn.path() {
-            path::ANNOUNCE => self.announce(conn).await,
+            gossip::path::LEASE => self.lease(conn).await,
+            gossip::path::EXCHANGE => self.exchange(conn).await,
             path::CONFIG => self.config(conn).await,
             path::EVENTS => self.events(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
     }
 }
+
+/// Reads a message whose fields go by position.
+async fn unpacked<T: serde::de::DeserializeOwned>(conn: &mut Conn) -> Option<T> {
+    message::<Packed>(conn).await?.unpack().ok()
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -16,9 +16,13 @@
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
+use crate::gossip::gossip_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
+/// How long the last word to the other entries may take.
+const FAREWELL: Span = Span::from_millis(100);
+
 /// The result of starting an entry.
 pub type Result<T> = std::result::Result<T, Report<EntryError>>;
 
@@ -60,6 +64,7 @@
         let shared = Arc::new(Shared::new(settings, process, journal));
         let settings = &shared.settings;
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
             Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
@@ -69,14 +74,14 @@
             .journal
             .record(Event::ProcessStarted, &shared.process, callers.address());
         let follow = spawn(follow_forever(Arc::clone(&shared)));
-        let expire = spawn(expire_forever(Arc::clone(&shared)));
+        let gossip = spawn(gossip_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
         Ok(Self {
             shared,
             callers,
             own,
             operators,
-            tasks: vec![follow, expire, sync],
+            tasks: vec![follow, gossip, sync],
         })
     }
 
@@ -110,6 +115,8 @@
             Event::DrainExpired
         };
         self.shared.journal.record(event, &self.shared.process, "");
+        self.shared.gossip.leave(&self.shared);
+        smol::Timer::after(FAREWELL.as_duration()).await;
         for task in self.tasks {
             task.cancel().await;
         }
@@ -133,15 +140,3 @@
     }
     true
 }
-
-async fn expire_forever(shared: Arc<Shared>) {
-    loop {
-        smol::Timer::after(Span::from_millis(200).as_duration()).await;
-        for member in shared.registry.expire() {
-            let agent = &member.announce.agent;
-            shared
-                .journal
-                .record(Event::MemberRemoved, agent, "its lease ran out");
-        }
-    }
-}
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -1,4 +1,4 @@
-//! The agents that announced themselves, each under a lease.
+//! The agents that this entry's requests can go to, as membership sees them.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -8,69 +8,64 @@
 use snipemast_core::prelude::*;
 use snipemast_wire::{Announce, Peer};
 
-/// An agent as its last announcement described it.
+/// An agent as it described itself last.
 #[derive(Debug)]
 pub struct Member {
-    /// The announcement.
+    /// The description and the load.
     pub announce: Announce,
     /// The connections to it.
     pub peer: Arc<Peer>,
-    expires: Moment,
 }
 
-/// Every agent that this entry knows.
-#[derive(Debug)]
+/// Every agent that this entry is connected to, draining ones included.
+#[derive(Debug, Default)]
 pub struct Registry {
-    clock: Clock,
-    lease: Span,
     members: RwLock<BTreeMap<HostId, Arc<Member>>>,
 }
 
 impl Registry {
-    /// An empty registry that grants leases of this length.
-    pub fn new(lease: Span) -> Self {
-        Self {
-            clock: Clock::new(),
-            lease,
-            members: RwLock::default(),
-        }
+    /// An empty registry.
+    pub fn new() -> Self {
+        Self::default()
     }
 
-    /// Takes an announcement; true where the agent is new.
-    pub fn renew(&self, announce: Announce) -> bool {
-        let expires = self.clock.now() + self.lease;
+    /// Takes an agent's description; connections to the same process are kept.
+    pub fn update(&self, announce: Announce) {
         let mut members = self.members.write();
-        let host = announce.agent.host.clone();
-        let old = members
-            .get(&host)
-            .filter(|m| m.announce.agent == announce.agent);
-        let known = old.is_some();
-        let peer = match old {
+        let old = members.get(&announce.agent.host);
+        let same = |m: &&Arc<Member>| {
+            m.announce.agent == announce.agent && m.announce.address == announce.address
+        };
+        let peer = match old.filter(same) {
             Some(old) => Arc::clone(&old.peer),
             None => Arc::new(Peer::new(announce.address)),
         };
-        members.insert(
-            host,
-            Arc::new(Member {
-                announce,
-                peer,
-                expires,
-            }),
-        );
-        !known
+        let host = announce.agent.host.clone();
+        members.insert(host, Arc::new(Member { announce, peer }));
     }
 
-    /// Forgets the agents whose lease ran out, and returns them.
-    pub fn expire(&self) -> Vec<Arc<Member>> {
-        let now = self.clock.now();
+    /// Takes an agent's load, where it is newer than the one that is kept.
+    pub fn report(&self, agent: &ProcessId, load: LoadReport) {
+        let stale = {
+            let members = self.members.read();
+            let known = members.get(&agent.host);
+            known.is_none_or(|m| m.announce.agent != *agent || !is_news(&m.announce.load, &load))
+        };
+        if stale {
+            return;
+        }
         let mut members = self.members.write();
-        let gone: Vec<_> = members
-            .values()
-            .filter(|m| m.expires < now)
-            .cloned()
-            .collect();
-        members.retain(|_, m| m.expires >= now);
-        gone
+        if let Some(member) = members.get_mut(&agent.host) {
+            let mut announce = member.announce.clone();
+            announce.load = load;
+            let peer = Arc::clone(&member.peer);
+            *member = Arc::new(Member { announce, peer });
+        }
+    }
+
+    /// Forgets an agent.
+    pub fn remove(&self, host: &HostId) {
+        self.members.write().remove(host);
     }
 
     /// Every agent.
@@ -78,3 +73,12 @@
         self.members.read().values().cloned().collect()
     }
 }
+
+/// Whether a report says something else, or says the same of a later time.
+fn is_news(old: &LoadReport, new: &LoadReport) -> bool {
+    let same = LoadReport {
+        age: old.age,
+        ..*new
+    } == *old;
+    !same || new.age < old.age
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use snipemast_settings::EntrySettings;
 
 use crate::choose::Chooser;
+use crate::gossip::Gossip;
 use crate::registry::Registry;
 
 /// The state of an entry process.
@@ -24,7 +25,9 @@
     pub process: ProcessId,
     /// Where its events go.
     pub journal: Journal,
-    /// The agents that announced themselves.
+    /// Who is there.
+    pub gossip: Gossip,
+    /// The agents that requests can go to.
     pub registry: Registry,
     /// The choice of a backend server.
     pub chooser: Arc<Chooser>,
@@ -42,7 +45,6 @@
             .control
             .as_ref()
             .map(|_| Mutex::new(Machine::default()));
-        let registry = Registry::new(settings.limits.lease);
         let place = Place {
             zone: settings.zone.clone(),
             region: settings.region.clone(),
@@ -52,7 +54,8 @@
             settings,
             process,
             journal,
-            registry,
+            gossip: Gossip::new(),
+            registry: Registry::new(),
             chooser,
             config: ArcSwap::from_pointee(Config::default()),
             machine,
@@ -114,9 +117,10 @@
     }
 
     /// Tells the platform's balancer to send nothing more.
-    pub fn drain(&self) {
+    pub fn drain(self: &Arc<Self>) {
         if !self.draining.swap(true, Ordering::SeqCst) {
             self.journal.record(Event::DrainBegun, &self.process, "");
+            self.gossip.drain(self);
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,8 +20,7 @@
 pub use frame::{Frame, FrameReader, FrameWriter};
 pub use gossip::Packed;
 pub use message::{
-    Announce, Announced, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom,
-    Settle, Settled,
+    Announce, Call, Cancel, ConfigPoll, ConfigReply, Dispatch, Header, ResumeFrom, Settle, Settled,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,8 +8,6 @@
 
 /// Paths of the messages on each process's HTTP server.
 pub mod path {
-    /// An agent announces itself to an entry: [`Announce`](super::Announce).
-    pub const ANNOUNCE: &str = "/own/announce";
     /// An entry sends a request to an agent: [`Dispatch`](super::Dispatch).
     pub const DISPATCH: &str = "/own/dispatch";
     /// An entry resumes an answer stream: [`ResumeFrom`](super::ResumeFrom).
@@ -43,14 +41,6 @@
         pub draining: bool,
     }
 
-    /// The entry's answer to an announcement.
-    pub struct Announced {
-        /// The entry that took it.
-        pub entry: ProcessId,
-        /// How long the lease runs.
-        pub lease: Span,
-    }
-
     /// A header of a call or answer.
     pub struct Header {
         /// The lower-case name.
