--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -17,9 +17,13 @@
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
+use crate::gossip::gossip_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
+/// How long the last word to the other entries may take.
+const FAREWELL: Span = Span::from_millis(100);
+
 /// The result of starting an entry.
 pub type Result<T> = std::result::Result<T, Report<EntryError>>;
 
@@ -65,6 +69,7 @@
         }
         let settings = &shared.settings;
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
             Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
@@ -74,9 +79,9 @@
             .journal
             .record(Event::ProcessStarted, &shared.process, callers.address());
         let follow = spawn(follow_forever(Arc::clone(&shared)));
-        let expire = spawn(expire_forever(Arc::clone(&shared)));
+        let gossip = spawn(gossip_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, expire, sync];
+        let mut tasks = vec![follow, gossip, sync];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -117,6 +122,8 @@
             Event::DrainExpired
         };
         self.shared.journal.record(event, &self.shared.process, "");
+        self.shared.gossip.leave(&self.shared);
+        smol::Timer::after(FAREWELL.as_duration()).await;
         for task in self.tasks {
             task.cancel().await;
         }
@@ -155,15 +162,3 @@
     }
     true
 }
-
-async fn expire_forever(shared: Arc<Shared>) {
-    loop {
-        smol::Timer::after(Span::from_millis(200).as_duration()).await;
-        for member in shared.registry.expire() {
-            let agent = &member.announce.agent;
-            shared
-                .journal
-                .record(Event::MemberRemoved, agent, "its lease ran out");
-        }
-    }
-}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::choose::Chooser;
 use crate::control::Alone;
+use crate::gossip::Gossip;
 use crate::registry::Registry;
 use crate::spread::Spread;
 
@@ -30,7 +31,9 @@
     pub process: ProcessId,
     /// Where its events go.
     pub journal: Journal,
-    /// The agents that announced themselves.
+    /// Who is there.
+    pub gossip: Gossip,
+    /// The agents that requests can go to.
     pub registry: Registry,
     /// The choice of a backend server.
     pub chooser: Arc<Chooser>,
@@ -55,7 +58,6 @@
         if alone.is_some() {
             spread.decide_alone();
         }
-        let registry = Registry::new(settings.limits.lease);
         let place = Place {
             zone: settings.zone.clone(),
             region: settings.region.clone(),
@@ -65,7 +67,8 @@
             settings,
             process,
             journal,
-            registry,
+            gossip: Gossip::new(),
+            registry: Registry::new(),
             chooser,
             clock: Clock::new(),
             retries: Mutex::new(RetryBudget::new(RETRY_RESERVE)),
@@ -163,9 +166,10 @@
     }
 
     /// Tells the platform's balancer to send nothing more.
-    pub fn drain(&self) {
+    pub fn drain(self: &Arc<Self>) {
         if !self.draining.swap(true, Ordering::SeqCst) {
             self.journal.record(Event::DrainBegun, &self.process, "");
+            self.gossip.drain(self);
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: messages between the agents of a group and towards their engines.
+//! - [`gossip`]: how membership travels.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
@@ -16,6 +17,7 @@
 pub mod control;
 pub mod follow;
 pub mod frame;
+pub mod gossip;
 pub mod group;
 pub mod message;
 pub mod peer;
@@ -26,8 +28,9 @@
 pub use config::ConfigPoll;
 pub use follow::{follow_forever, Sink};
 pub use frame::{Frame, FrameReader, FrameWriter, Part};
+pub use gossip::Packed;
 pub use message::{
-    Announce, Announced, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled, Settlement,
+    Announce, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled, Settlement,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
