Send a request's body right behind its head

Cause: the HTTP client asks for 100-continue before each body and waits one round trip for it, on both hops of the path; between availability zones that is one to three milliseconds a hop. Change: a thin connection type under the client takes the header out, answers the client itself, and sends head and body in one write.

--- a/crates/benches/src/load.rs
+++ b/crates/benches/src/load.rs
@@ -10,7 +10,8 @@
 use hdrhistogram::Histogram;
 use smol::{channel, Executor};
 use trillium_client::{Client, KnownHeaderName};
-use trillium_smol::ClientConfig;
+
+use snipemast_wire::connect::client;
 
 /// The threads that the clients share.
 const THREADS: usize = 3;
@@ -129,7 +130,7 @@
 
 /// A client that keeps its connections.
 pub fn keep_alive_client() -> Client {
-    Client::new(ClientConfig::default().with_nodelay(true)).with_default_pool()
+    client()
 }
 
 /// Sends one request and checks that its answer is whole.
--- a/crates/servers/src/engine.rs
+++ b/crates/servers/src/engine.rs
@@ -10,9 +10,9 @@
 use futures_lite::AsyncRead;
 use serde::de::DeserializeOwned;
 use trillium_client::{Client, Conn, KnownHeaderName, Method};
-use trillium_smol::ClientConfig;
 
 use snipemast_core::prelude::*;
+use snipemast_wire::connect::client;
 use snipemast_wire::{Call, Header};
 
 use crate::protocol;
@@ -53,7 +53,7 @@
 impl Engine {
     /// The backend server that listens at this address.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Client::new(ClientConfig::default().with_nodelay(true)).with_default_pool();
+        let client = client();
         Self { address, client }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,11 +3,13 @@
 //! - [`message`]: the typed messages.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`codec`]: messages to bytes and back.
+//! - [`connect`]: connections that send a body without waiting for `100-continue`.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
+pub mod connect;
 pub mod frame;
 pub mod message;
 pub mod peer;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,11 +18,11 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use trillium_client::{Client, Conn, KnownHeaderName};
-use trillium_smol::ClientConfig;
 
 use snipemast_core::prelude::*;
 
 use crate::codec::{decode, encode};
+use crate::connect::client;
 
 /// The result of a call.
 pub type Result<T> = std::result::Result<T, Report<PeerError>>;
@@ -81,7 +81,7 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            client: ArcSwap::from_pointee(fresh_client()),
+            client: ArcSwap::from_pointee(client()),
         }
     }
 
@@ -92,7 +92,7 @@
 
     /// Drops every pooled connection; the next call opens a new one.
     pub fn retire(&self) {
-        self.client.store(Arc::new(fresh_client()));
+        self.client.store(Arc::new(client()));
     }
 
     /// Sends a message and waits for its answer.
@@ -171,10 +171,6 @@
     }
 }
 
-fn fresh_client() -> Client {
-    Client::new(ClientConfig::default().with_nodelay(true)).with_default_pool()
-}
-
 /// The body of an answer that is still coming.
 #[derive(Debug)]
 pub struct Stream {
