Write what waits in one piece and keep connections after an answer

Cause: every frame went out in a write of its own; and the last frame left the end of the body unread, so that connections were drained by other tasks and came and went under load (connect and close took about a tenth of the processor time). Change: the pipe fills a read with all that waits; the frame reader reads to the end of the body.

--- a/crates/benches/benches/path.rs
+++ b/crates/benches/benches/path.rs
@@ -222,7 +222,7 @@
     if body.trim_end().ends_with("data: [DONE]") {
         Ok(())
     } else {
-        Err(LoadError::Short)
+        Err(LoadError::short(body.as_bytes()))
     }
 }
 
--- a/crates/benches/src/load.rs
+++ b/crates/benches/src/load.rs
@@ -18,6 +18,9 @@
 /// The longest latency that a histogram tells apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
+/// The bytes of a short answer that an error shows.
+const SHOWN: usize = 300;
+
 /// The result of a request.
 pub type Result<T> = std::result::Result<T, LoadError>;
 
@@ -29,7 +32,7 @@
     /// The status is not 200.
     Status(u16),
     /// The answer is short of what was asked for.
-    Short,
+    Short(String),
 }
 
 impl fmt::Display for LoadError {
@@ -37,13 +40,21 @@
         match self {
             Self::Broken(why) => write!(f, "the connection broke: {why}"),
             Self::Status(status) => write!(f, "status {status}"),
-            Self::Short => f.write_str("the answer is short of what was asked for"),
+            Self::Short(end) => write!(f, "the answer is short and ends in {end:?}"),
         }
     }
 }
 
 impl std::error::Error for LoadError {}
 
+impl LoadError {
+    /// An answer that is not what was asked for, with its last bytes.
+    pub fn short(body: &[u8]) -> Self {
+        let end = body.len().saturating_sub(SHOWN);
+        Self::Short(String::from_utf8_lossy(&body[end..]).into_owned())
+    }
+}
+
 /// What every connection asks, again and again.
 #[derive(Debug, Clone)]
 pub struct Target {
@@ -153,7 +164,7 @@
     let (text, wanted) = target.counted;
     let found = count(&body, text.as_bytes());
     if found < wanted {
-        return Err(LoadError::Short);
+        return Err(LoadError::short(&body));
     }
     Ok(found)
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 use futures_lite::io::BufReader;
-use futures_lite::{AsyncRead, AsyncReadExt};
+use futures_lite::{AsyncRead, AsyncReadExt, FutureExt};
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
@@ -25,6 +25,9 @@
 /// The HTTP library can't read a chunked body into buffers of a few bytes.
 const READ_BUFFER: usize = 8 << 10;
 
+/// How long the end of the body is waited for behind the last frame.
+const READ_OUT: Span = Span::from_millis(20);
+
 /// The length of the padding in a stream's first frame.
 ///
 /// The HTTP library holds back a response's first bytes until about this many have come;
@@ -218,7 +221,33 @@
             .read_exact(&mut self.buffer)
             .await
             .map_err(FrameError::Cut)?;
-        decode(&self.buffer).map_err(FrameError::Malformed)
+        let frame = decode(&self.buffer).map_err(FrameError::Malformed)?;
+        if matches!(
+            frame,
+            Frame::End { .. } | Frame::Failed { .. } | Frame::Refused { .. }
+        ) {
+            self.read_out().await;
+        }
+        Ok(frame)
+    }
+
+    /// Reads the end of the body behind the last frame, so that the connection can be used again.
+    ///
+    /// Without it every answer left its connection to a task that drains it later; meanwhile the
+    /// next request opened a new one, and a busy peer's connections came and went by the hundred.
+    /// An end that does not come soon is not waited for: the answer is whole without it.
+    async fn read_out(&mut self) {
+        let end = async {
+            let mut rest = [0; 64];
+            while matches!(self.input.read(&mut rest).await, Ok(count) if count > 0) {}
+        };
+        let mut end = std::pin::pin!(end);
+        if futures_lite::future::poll_once(&mut end).await.is_none() {
+            let late = async {
+                smol::Timer::after(READ_OUT.as_duration()).await;
+            };
+            end.or(late).await;
+        }
     }
 
     /// The stream below; frames that were read ahead are lost.
--- a/crates/wire/src/pipe.rs
+++ b/crates/wire/src/pipe.rs
@@ -16,6 +16,7 @@
         receiver: Box::pin(receiver),
         piece: Vec::new(),
         start: 0,
+        cut: None,
     };
     (PipeWriter { sender }, reader)
 }
@@ -63,6 +64,7 @@
     receiver: Pin<Box<Receiver<io::Result<Vec<u8>>>>>,
     piece: Vec<u8>,
     start: usize,
+    cut: Option<io::Error>,
 }
 
 impl AsyncRead for PipeReader {
@@ -71,20 +73,42 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        if let Some(e) = self.cut.take() {
+            return Poll::Ready(Err(e));
+        }
         if self.start == self.piece.len() {
             match ready!(self.receiver.as_mut().poll_next(cx)) {
                 None => return Poll::Ready(Ok(0)),
                 Some(Err(e)) => return Poll::Ready(Err(e)),
-                Some(Ok(piece)) => {
-                    self.piece = piece;
-                    self.start = 0;
-                }
+                Some(Ok(piece)) => self.hold(piece),
+            }
+        }
+        let mut count = self.take(buffer);
+        // What already waits goes out in the same write: one packet for many tokens.
+        while self.cut.is_none() && count < buffer.len() {
+            match self.receiver.try_recv() {
+                Ok(Ok(piece)) => self.hold(piece),
+                Ok(Err(e)) => self.cut = Some(e),
+                Err(_) => break,
             }
+            count += self.take(&mut buffer[count..]);
         }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl PipeReader {
+    fn hold(&mut self, piece: Vec<u8>) {
+        self.piece = piece;
+        self.start = 0;
+    }
+
+    /// Moves as much of the present piece as fits.
+    fn take(&mut self, buffer: &mut [u8]) -> usize {
         let rest = &self.piece[self.start..];
         let count = rest.len().min(buffer.len());
         buffer[..count].copy_from_slice(&rest[..count]);
         self.start += count;
-        Poll::Ready(Ok(count))
+        count
     }
 }
