Keep a busy peer's connections open between bursts

Cause: the HTTP library's pool keeps 16 connections an address; with 64 requests in flight the others were closed and opened again after each burst (connect and close took about a tenth of the time). Change: a peer's exchanges fill several clients one after another, each below its pool's bound.

--- a/crates/servers/src/engine.rs
+++ b/crates/servers/src/engine.rs
@@ -9,10 +9,10 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::AsyncRead;
 use serde::de::DeserializeOwned;
-use trillium_client::{Client, Conn, KnownHeaderName, Method};
+use trillium_client::{Conn, KnownHeaderName, Method};
 
 use snipemast_core::prelude::*;
-use snipemast_wire::connect::client;
+use snipemast_wire::connect::{Clients, Held};
 use snipemast_wire::{Call, Header};
 
 use crate::protocol;
@@ -47,14 +47,14 @@
 #[derive(Debug, Clone)]
 pub struct Engine {
     address: SocketAddr,
-    client: Client,
+    clients: Clients,
 }
 
 impl Engine {
     /// The backend server that listens at this address.
     pub fn new(address: SocketAddr) -> Self {
-        let client = client();
-        Self { address, client }
+        let clients = Clients::new();
+        Self { address, clients }
     }
 
     /// What the server offers.
@@ -73,8 +73,9 @@
             .method
             .parse()
             .map_err(|_| Report::new(EngineError::Invalid))?;
-        let mut conn = self
-            .client
+        let held = self.clients.hold();
+        let mut conn = held
+            .client()
             .build_conn(method, self.url(&call.path).as_str());
         for Header { name, value } in call.headers {
             conn.request_headers_mut().insert(name, value);
@@ -87,11 +88,12 @@
         let conn = conn
             .await
             .change_context(EngineError::Broken(self.address))?;
-        Ok(Answer { conn })
+        Ok(Answer { conn, _held: held })
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        let conn = self.client.get(self.url(path).as_str()).await;
+        let held = self.clients.hold();
+        let conn = held.client().get(self.url(path).as_str()).await;
         let mut conn = conn.change_context(EngineError::Broken(self.address))?;
         let bytes = conn.response_body().read_bytes().await;
         let bytes = bytes.change_context(EngineError::Broken(self.address))?;
@@ -110,6 +112,7 @@
 #[derive(Debug)]
 pub struct Answer {
     conn: Conn,
+    _held: Held,
 }
 
 impl Answer {
--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -8,6 +8,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -25,6 +27,11 @@
 /// A body is sent together with its head where both fit into this many bytes.
 const TOGETHER: usize = 16 << 10;
 
+/// The clients of one peer, and so the pools of 16 connections.
+const CLIENTS: usize = 16;
+/// The exchanges that share one client: fewer than its pool holds.
+const WIDTH: usize = 12;
+
 /// An HTTP client with a pool of connections that never wait for `100-continue`.
 pub fn client() -> Client {
     Client::new(EagerConfig::default()).with_default_pool()
@@ -176,3 +183,70 @@
         self.inner.set_nodelay(nodelay)
     }
 }
+
+/// The clients of one peer, each with a pool of its own.
+///
+/// The HTTP library's pool keeps 16 idle connections for an address. A peer with 64 requests in
+/// flight lost the others after each burst and opened them again for the next one. Requests fill
+/// the first client up before they use the second, so that a quiet peer keeps few connections.
+#[derive(Debug, Clone)]
+pub struct Clients {
+    slots: Arc<[Slot; CLIENTS]>,
+}
+
+#[derive(Debug)]
+struct Slot {
+    client: Client,
+    busy: AtomicUsize,
+}
+
+impl Clients {
+    /// Clients without connections.
+    pub fn new() -> Self {
+        let slot = |_| Slot {
+            client: client(),
+            busy: AtomicUsize::new(0),
+        };
+        Self {
+            slots: Arc::new(std::array::from_fn(slot)),
+        }
+    }
+
+    /// A client for one exchange, held until the answer has been read.
+    pub fn hold(&self) -> Held {
+        let mut slots = self.slots.iter();
+        let free = slots.position(|slot| slot.busy.load(Ordering::Relaxed) < WIDTH);
+        let place = free.unwrap_or(CLIENTS - 1);
+        self.slots[place].busy.fetch_add(1, Ordering::Relaxed);
+        Held {
+            slots: Arc::clone(&self.slots),
+            place,
+        }
+    }
+}
+
+impl Default for Clients {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A client in use by one exchange.
+#[derive(Debug)]
+pub struct Held {
+    slots: Arc<[Slot; CLIENTS]>,
+    place: usize,
+}
+
+impl Held {
+    /// The client.
+    pub fn client(&self) -> &Client {
+        &self.slots[self.place].client
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.slots[self.place].busy.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -22,7 +22,7 @@
 use snipemast_core::prelude::*;
 
 use crate::codec::{decode, encode};
-use crate::connect::{client, EagerConfig};
+use crate::connect::{Clients, EagerConfig, Held};
 
 /// The result of a call.
 pub type Result<T> = std::result::Result<T, Report<PeerError>>;
@@ -76,7 +76,7 @@
 #[derive(Debug)]
 pub struct Peer {
     address: SocketAddr,
-    client: ArcSwap<Client>,
+    clients: ArcSwap<Clients>,
 }
 
 impl Peer {
@@ -84,7 +84,7 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            client: ArcSwap::from_pointee(client()),
+            clients: ArcSwap::from_pointee(Clients::new()),
         }
     }
 
@@ -95,7 +95,7 @@
 
     /// Drops every pooled connection; the next call opens a new one.
     pub fn retire(&self) {
-        self.client.store(Arc::new(client()));
+        self.clients.store(Arc::new(Clients::new()));
     }
 
     /// Sends a message and waits for its answer.
@@ -104,8 +104,8 @@
         Q: Serialize,
         A: DeserializeOwned,
     {
-        let client = self.client.load_full();
-        self.call_over(&client, path, message, timeout).await
+        let held = self.clients.load().hold();
+        self.call_over(held.client(), path, message, timeout).await
     }
 
     /// Sends a message on a connection of its own and waits for its answer.
@@ -144,8 +144,9 @@
         message: &Q,
         timeout: Span,
     ) -> Result<Stream> {
-        let client = self.client.load_full();
-        self.open_over(&client, path, message, timeout).await
+        let held = self.clients.load().hold();
+        let stream = self.open_over(held.client(), path, message, timeout);
+        Ok(stream.await?.with_held(held))
     }
 
     /// Sends a message on a connection of its own and returns the answer's body as a stream.
@@ -168,7 +169,7 @@
         let conn = self
             .within(path, timeout, self.send(client, path, encode(message)))
             .await?;
-        Ok(Stream { conn })
+        Ok(Stream { conn, _held: None })
     }
 
     async fn exchange(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
@@ -234,9 +235,16 @@
 #[derive(Debug)]
 pub struct Stream {
     conn: Conn,
+    _held: Option<Held>,
 }
 
 impl Stream {
+    /// Counts the stream among its client's exchanges until it is dropped.
+    fn with_held(mut self, held: Held) -> Self {
+        self._held = Some(held);
+        self
+    }
+
     /// Closes the connection under the stream instead of keeping it for another call.
     ///
     /// The HTTP library would read an abandoned body to its end to save the connection, which
