--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -7,6 +7,11 @@
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+use crate::address::{doubled, peers, told};
+use crate::agent::AgentLimits;
+use crate::check::Settings;
+use crate::fault::{Fault, FaultKind};
+
 data! {
     /// What one entry host needs to know before it starts.
     #[serde(deny_unknown_fields)]
@@ -84,3 +89,83 @@
         }
     }
 }
+
+impl Settings for EntrySettings {
+    const SAMPLE: &'static str = r#"
+host = "entry-1"
+zone = "zone-1"
+region = "region-1"
+callers = "10.0.0.1:8080"
+own = "10.0.0.1:7001"
+
+[control]
+data = "/var/lib/snipemast/control"
+voters = ["10.0.0.1:7001"]
+"#;
+
+    fn conflicts(&self) -> Vec<Fault> {
+        let own = [
+            ("callers", Some(self.callers)),
+            ("own", Some(self.own)),
+            ("operators", self.operators),
+        ];
+        let mut faults = doubled(own);
+        faults.extend(told("own", self.own));
+        faults.extend(peers("seeds", &self.seeds));
+        if let Some(place) = self.seeds.iter().position(|seed| *seed == self.own) {
+            let kind = FaultKind::Doubled("own".into());
+            faults.push(Fault::new(format!("seeds[{place}]"), kind));
+        }
+        if let Some(control) = &self.control {
+            faults.extend(control.conflicts(self.own));
+        }
+        if self.limits != EntryLimits::default() {
+            faults.extend(self.limits.conflicts());
+        }
+        faults
+    }
+}
+
+impl ControlSettings {
+    fn conflicts(&self, own: SocketAddr) -> Vec<Fault> {
+        let mut faults = peers("control.voters", &self.voters);
+        if self.voters.len().is_multiple_of(2) {
+            let kind = FaultKind::Even(self.voters.len());
+            faults.push(Fault::new("control.voters", kind));
+        }
+        if !self.voters.is_empty() && !self.voters.contains(&own) {
+            faults.push(Fault::new("control.voters", FaultKind::NotVoter));
+        }
+        faults
+    }
+}
+
+impl EntryLimits {
+    fn conflicts(&self) -> Vec<Fault> {
+        let agent = AgentLimits::default();
+        let mut faults = Vec::new();
+        let least = agent.announce.times(2);
+        if self.lease < least {
+            let why = "agents announce themselves each second, and one word may be lost";
+            faults.push(Fault::below("limits.lease", least, why));
+        }
+        let least = agent.beat.times(2);
+        if self.silence < least {
+            let why = "agents send a beat each half second while a server thinks";
+            faults.push(Fault::below("limits.silence", least, why));
+        }
+        if self.deadline < self.silence {
+            let why = "a request must outlive one dead connection";
+            faults.push(Fault::below("limits.deadline", self.silence, why));
+        }
+        if self.body == Size::default() {
+            let kind = FaultKind::TooSmall("1B".into(), "no request would fit");
+            faults.push(Fault::new("limits.body", kind));
+        }
+        if self.events == 0 {
+            let kind = FaultKind::TooSmall("1".into(), "the time line would be empty");
+            faults.push(Fault::new("limits.events", kind));
+        }
+        faults
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,18 +2,26 @@
 //!
 //! - [`entry`]: the settings of `snipemast serve`.
 //! - [`agent`]: the settings of `snipemast-agent`.
+//! - [`check`]: finds every fault of a settings text.
+//! - [`fault`]: the faults, each with its key and line.
 
+mod address;
 pub mod agent;
+pub mod check;
 pub mod entry;
+pub mod fault;
+mod node;
+mod probe;
 
 pub use agent::AgentSettings;
+pub use check::Settings;
 pub use entry::{ControlSettings, EntrySettings};
+pub use fault::{Fault, FaultKind};
 
 use std::fmt;
 use std::path::{Path, PathBuf};
 
 use error_stack::{Report, ResultExt};
-use serde::de::DeserializeOwned;
 
 /// The result of reading settings.
 pub type Result<T> = std::result::Result<T, Report<SettingsError>>;
@@ -23,15 +31,18 @@
 pub enum SettingsError {
     /// The file can't be read.
     Unreadable(PathBuf),
-    /// The text is not what the binary asks for; the report names the place.
-    Faulty,
+    /// The text has these faults.
+    Faulty(Vec<Fault>),
 }
 
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreadable(path) => write!(f, "{} can't be read", path.display()),
-            Self::Faulty => f.write_str("the settings are faulty"),
+            Self::Faulty(faults) => {
+                let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
+                f.write_str(&lines.join("\n"))
+            }
         }
     }
 }
@@ -39,13 +50,13 @@
 impl std::error::Error for SettingsError {}
 
 /// Reads and checks a settings file.
-pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T> {
+pub fn read<T: Settings>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path)
         .change_context_lazy(|| SettingsError::Unreadable(path.into()))?;
     parse(&text)
 }
 
 /// Checks the text of a settings file.
-pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
-    toml::from_str(text).change_context(SettingsError::Faulty)
+pub fn parse<T: Settings>(text: &str) -> Result<T> {
+    check::check(text).map_err(|faults| Report::new(SettingsError::Faulty(faults)))
 }
