--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -37,7 +37,7 @@
     match snipemast_settings::read::<AgentSettings>(&path) {
         Ok(settings) => serve(settings),
         Err(report) => {
-            eprintln!("snipemast-agent: {report:?}");
+            eprintln!("snipemast-agent: {}:\n{report}", path.display());
             ExitCode::from(2)
         }
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,12 +8,14 @@
 //! - [`group`]: messages between the agents of a group and towards their engines.
 //! - [`gossip`]: how membership travels.
 //! - [`codec`]: messages to bytes and back.
+//! - [`connect`]: connections that send a body without waiting for `100-continue`.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
 pub mod config;
+pub mod connect;
 pub mod control;
 pub mod follow;
 pub mod frame;
