--- a/crates/groups/src/estimate.rs
+++ b/crates/groups/src/estimate.rs
@@ -77,6 +77,20 @@
     }
 }
 
+impl Pace {
+    /// The pace that suits a group's two weights: the more disturbance weighs, the longer a
+    /// difference must last before it is followed.
+    pub fn weighed(skew: u32, disturbance: u32) -> Self {
+        let part = f64::from(disturbance) / f64::from((skew + disturbance).max(1));
+        let span = |longest: f64| Span::from_micros((longest * part * 1e6) as u64 + 1_000_000);
+        Self {
+            fast: span(15.0),
+            slow: span(120.0),
+            lasting: span(30.0),
+        }
+    }
+}
+
 /// One expert's averages.
 #[derive(Debug, Clone, Copy, Default)]
 struct Track {
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`agree`]: agreement of a group's ranks on one expert map in every step.
 //! - [`estimate`]: popularity of experts, from reports that lag and have gaps.
 //! - [`pace`]: slow and stalled ranks, told apart from hot experts.
+//! - [`pack`](mod@pack): a layer packed anew, but kept as it is where that costs little evenness.
 //! - [`search`]: few changes of slots that even out the ranks of one layer.
 //! - [`policy`]: which moves to make, and why or why not.
 
@@ -11,5 +12,6 @@
 pub mod estimate;
 pub mod map;
 pub mod pace;
+pub mod pack;
 pub mod policy;
 pub mod search;
--- a/crates/groups/src/map.rs
+++ b/crates/groups/src/map.rs
@@ -134,6 +134,29 @@
             .collect()
     }
 
+    /// The moves that lead from this layer to another of the same shape, and how many weights
+    /// they load.
+    pub fn moves_to(&self, number: u16, other: &Self) -> (Vec<Move>, usize) {
+        let mut moves = Vec::new();
+        let mut weights = 0;
+        for rank in 0..self.ranks {
+            for slot in 0..self.slots {
+                let (evicts, loads) = (self.at(rank, slot), other.at(rank, slot));
+                if evicts != loads {
+                    weights += usize::from(loads != EMPTY && !self.holds(rank, loads));
+                    moves.push(Move {
+                        layer: number,
+                        rank,
+                        slot,
+                        loads,
+                        evicts,
+                    });
+                }
+            }
+        }
+        (moves, weights)
+    }
+
     fn index(&self, rank: u16, slot: u16) -> usize {
         usize::from(rank) * usize::from(self.slots) + usize::from(slot)
     }
@@ -149,24 +172,10 @@
 
     /// The moves that lead from this map to another of the same shape.
     pub fn moves_to(&self, other: &Self) -> Vec<Move> {
-        let mut moves = Vec::new();
-        for (number, (old, new)) in self.layers.iter().zip(&other.layers).enumerate() {
-            for rank in 0..old.ranks {
-                for slot in 0..old.slots {
-                    let (evicts, loads) = (old.at(rank, slot), new.at(rank, slot));
-                    if evicts != loads {
-                        moves.push(Move {
-                            layer: number as u16,
-                            rank,
-                            slot,
-                            loads,
-                            evicts,
-                        });
-                    }
-                }
-            }
-        }
-        moves
+        let layers = self.layers.iter().zip(&other.layers).enumerate();
+        layers
+            .flat_map(|(number, (old, new))| old.moves_to(number as u16, new).0)
+            .collect()
     }
 
     /// The map after these moves.
--- a/crates/groups/src/policy.rs
+++ b/crates/groups/src/policy.rs
@@ -7,7 +7,7 @@
 
 use crate::map::{ExpertMap, Move};
 use crate::pace::Health;
-use crate::search::{search, Path, Point};
+use crate::search::{ways, Path, Point};
 
 data! {
     /// The group's two weights, each from 0 to 1000.
@@ -22,10 +22,10 @@
     /// What moving costs and how long it pays.
     #[derive(Copy, Hash)]
     pub struct Costs {
-        /// What one weight load costs, with the requests that it disturbs, in thousandths of a
-        /// step.
+        /// What one weight load costs, with the requests that it disturbs, in thousandths of the
+        /// time that a layer takes in a step.
         pub load: u32,
-        /// What a switch to another map costs, in thousandths of a step.
+        /// What a switch to another map costs, in the same measure.
         pub switch: u32,
         /// For how many steps a move pays, before the loads have drifted away.
         pub horizon: u32,
@@ -99,9 +99,9 @@
         },
         /// What could be saved is less than what it costs.
         Costly {
-            /// What the best moves would save, in thousandths of a step.
+            /// What the best moves would save, in thousandths of a layer's time.
             saved: u32,
-            /// What they would cost, in thousandths of a step, at the group's weights.
+            /// What they would cost, in thousandths of a layer's time, at the group's weights.
             cost: u32,
         },
     }
@@ -162,7 +162,7 @@
 impl Default for Costs {
     fn default() -> Self {
         Self {
-            load: 4_000,
+            load: 6_000,
             switch: 1_000,
             horizon: 6_000,
         }
@@ -172,11 +172,11 @@
 impl Default for Bounds {
     fn default() -> Self {
         Self {
-            stage: 2_048,
-            layer: 64,
+            stage: 4_096,
+            layer: 32,
             still: 40,
             ratio: 150,
-            cooldown: Span::from_secs(20),
+            cooldown: Span::from_secs(10),
             stale: Span::from_secs(60),
         }
     }
@@ -212,11 +212,11 @@
             return Decision::declined(reason);
         }
         let layers = situation.map.layers.iter().zip(situation.shares);
-        let paths: Vec<Path> = layers
+        let bound = self.bounds.layer as usize;
+        let ways = layers
             .enumerate()
-            .map(|(n, (layer, shares))| search(n as u16, layer, shares, self.bounds.layer as usize))
-            .collect();
-        self.choose(paths)
+            .map(|(n, (layer, shares))| ways(n as u16, layer, shares, bound));
+        self.choose(ways.collect())
     }
 
     /// What forbids any move.
@@ -248,16 +248,17 @@
     }
 
     /// Takes the best prefix of each layer's path, the layers that gain most a load first.
-    fn choose(&self, paths: Vec<Path>) -> Decision {
-        let layers = paths.len().max(1) as f64;
-        let before = paths.iter().map(|p| p.points[0].gap).sum::<f64>() / layers;
-        let widest = paths.iter().map(|p| p.points[0].gap).fold(0.0, f64::max);
+    fn choose(&self, layers: Vec<Vec<Path>>) -> Decision {
+        let count = layers.len().max(1) as f64;
+        let gaps = layers.iter().map(|ways| ways[0].points[0].gap);
+        let before = gaps.clone().sum::<f64>() / count;
+        let widest = gaps.fold(0.0, f64::max);
         if thousandths(widest) <= self.bounds.still {
             return Decision::declined(Reason::Even {
                 gap: thousandths(widest),
             });
         }
-        let mut stages: Vec<Stage> = paths.into_iter().map(|p| self.stage(p, layers)).collect();
+        let mut stages: Vec<Stage> = layers.into_iter().map(|w| self.best(w)).collect();
         stages.sort_by(|a, b| a.worth().total_cmp(&b.worth()).reverse());
         let mut moves = Vec::new();
         let (mut loads, mut net, mut saved) = (0, 0.0, 0.0);
@@ -272,18 +273,25 @@
         }
         let switch = self.priced(f64::from(self.costs.switch) / 1e3);
         if moves.is_empty() || net <= switch {
-            return self.too_costly(&stages, layers);
+            return self.too_costly(&stages);
         }
         let reason = Reason::Worthwhile {
             loads: loads as u32,
             before: thousandths(before),
-            after: thousandths(before - saved / layers),
+            after: thousandths(before - saved / count),
         };
         Decision { moves, reason }
     }
 
+    /// The way that saves most beyond what it costs.
+    fn best(&self, ways: Vec<Path>) -> Stage {
+        let stages = ways.into_iter().map(|way| self.stage(way));
+        let best = stages.reduce(|a, b| if b.net > a.net { b } else { a });
+        best.expect("the search from where a layer is, is always a way")
+    }
+
     /// The prefix of a path that saves most beyond what it costs.
-    fn stage(&self, path: Path, layers: f64) -> Stage {
+    fn stage(&self, path: Path) -> Stage {
         let start = path.points[0];
         let mut best = Stage {
             point: start,
@@ -291,7 +299,7 @@
             path: Path::default(),
         };
         for point in &path.points {
-            let net = self.saving(start.gap - point.gap, layers) - self.price(point.loads);
+            let net = self.saving(start.gap - point.gap) - self.price(point.loads);
             if net > best.net {
                 best.net = net;
                 best.point = *point;
@@ -302,8 +310,8 @@
     }
 
     /// The skew saved over the horizon, in steps, at the group's weight of skew.
-    fn saving(&self, gap: f64, layers: f64) -> f64 {
-        gap / layers * f64::from(self.costs.horizon) * f64::from(self.weights.skew) / 1e3
+    fn saving(&self, gap: f64) -> f64 {
+        gap * f64::from(self.costs.horizon) * f64::from(self.weights.skew) / 1e3
     }
 
     /// What loads cost, with the margin that keeps small gains from causing moves.
@@ -316,11 +324,11 @@
         steps * f64::from(self.weights.disturbance) / 1e3
     }
 
-    fn too_costly(&self, stages: &[Stage], layers: f64) -> Decision {
+    fn too_costly(&self, stages: &[Stage]) -> Decision {
         let best = stages.iter().filter_map(|s| {
             let first = s.path.points.get(1)?;
             let gap = s.path.points[0].gap - first.gap;
-            Some((self.saving(gap, layers), self.price(first.loads)))
+            Some((self.saving(gap), self.price(first.loads)))
         });
         let (saved, cost) = best
             .max_by(|a, b| (a.0 - a.1).total_cmp(&(b.0 - b.1)))
@@ -391,7 +399,7 @@
                 let (saved, cost) = (f64::from(*saved) / 1e3, f64::from(*cost) / 1e3);
                 write!(
                     f,
-                    "the best move saves {saved:.1} steps and costs {cost:.1}"
+                    "the best move saves {saved:.1} layer times and costs {cost:.1}"
                 )
             }
         }
--- a/crates/groups/src/search.rs
+++ b/crates/groups/src/search.rs
@@ -1,10 +1,11 @@
 //! The search within one layer: few changes of slots that even out its ranks.
 
 use crate::map::{Layer, Move, EMPTY};
+use crate::pack::pack;
 
 /// How many of the fullest and of the least full ranks a change is sought between.
-const FULL: usize = 3;
-const SPARE: usize = 10;
+const FULL: usize = 2;
+const SPARE: usize = 12;
 
 /// The layer after some changes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -28,6 +29,38 @@
     pub points: Vec<Point>,
 }
 
+/// The patiences with which a layer is packed anew, beside the search from where it is.
+const PATIENCES: [f64; 3] = [0.02, 0.08, 0.25];
+/// How many weights the search loads at most to even out what was packed.
+const POLISH: usize = 8;
+
+/// Ways to even out a layer: few changes from where it is, and packings that keep more or less.
+pub fn ways(number: u16, layer: &Layer, shares: &[f64], bound: usize) -> Vec<Path> {
+    let mut ways = vec![search(number, layer, shares, bound)];
+    for patience in PATIENCES {
+        let packed = pack(layer, shares, patience);
+        ways.push(search(number, &packed, shares, POLISH).behind(number, layer, &packed, shares));
+    }
+    ways
+}
+
+impl Path {
+    /// This path, where the moves that lead to its start come first.
+    fn behind(self, number: u16, old: &Layer, packed: &Layer, shares: &[f64]) -> Self {
+        let mut layer = packed.clone();
+        for m in &self.moves {
+            layer.set(m.rank, m.slot, m.loads);
+        }
+        let before = Search::new(number, old, shares).point(0, 0);
+        let (moves, loads) = old.moves_to(number, &layer);
+        let after = Search::new(number, &layer, shares).point(moves.len(), loads);
+        Self {
+            moves,
+            points: vec![before, after],
+        }
+    }
+}
+
 /// One change of one or two slots.
 #[derive(Debug, Clone, Copy)]
 struct Change {
@@ -45,6 +78,8 @@
     replicas: Vec<u16>,
     loads: Vec<f64>,
     mean: f64,
+    more: Vec<f64>,
+    less: Vec<f64>,
 }
 
 /// Seeks changes until none helps or so many weights would be loaded.
@@ -68,14 +103,35 @@
 impl<'a> Search<'a> {
     fn new(number: u16, layer: &Layer, shares: &'a [f64]) -> Self {
         let total: f64 = shares.iter().sum();
-        Self {
+        let mut search = Self {
             number,
             layer: layer.clone(),
             shares,
             replicas: layer.replicas(shares.len()),
             loads: layer.rank_loads(shares),
             mean: (total / f64::from(layer.ranks())).max(1e-12),
+            more: Vec::new(),
+            less: Vec::new(),
+        };
+        search.weigh_holders();
+        search
+    }
+
+    /// Works out, expert by expert, how its holders fare with one replica more or less.
+    fn weigh_holders(&mut self) {
+        let experts = self.shares.len();
+        let mut more = vec![0.0; experts];
+        let mut less = vec![0.0; experts];
+        for rank in 0..self.layer.ranks() {
+            for &expert in self.layer.on(rank).iter().filter(|e| **e != EMPTY) {
+                let now = self.part(expert, 0);
+                let at = usize::from(expert);
+                more[at] += self.shift(rank, self.part(expert, 1) - now);
+                less[at] += self.shift(rank, self.part(expert, -1) - now);
+            }
         }
+        self.more = more;
+        self.less = less;
     }
 
     fn point(&self, moves: usize, loads: usize) -> Point {
@@ -92,19 +148,27 @@
     fn best(&self) -> Option<Change> {
         let mut order: Vec<u16> = (0..self.layer.ranks()).collect();
         order.sort_by(|a, b| self.load(*b).total_cmp(&self.load(*a)));
-        let full = &order[..FULL.min(order.len())];
-        let spare = &order[order.len().saturating_sub(SPARE)..];
+        let count = order.len();
         let mut best: Option<Change> = None;
-        for &from in full {
-            for &to in spare.iter().filter(|to| **to != from) {
-                for slot in 0..self.layer.slots() {
-                    self.with_slot(from, slot, to, &mut best);
-                }
+        for &from in &order[..FULL.min(count)] {
+            for &to in &order[count.saturating_sub(SPARE).max(FULL.min(count))..] {
+                self.with_pair(from, to, &mut best);
+            }
+        }
+        for &to in &order[count.saturating_sub(FULL)..] {
+            for &from in &order[..SPARE.min(count.saturating_sub(FULL))] {
+                self.with_pair(from, to, &mut best);
             }
         }
         best.filter(|c| c.gain > 1e-6 * self.mean * self.mean)
     }
 
+    fn with_pair(&self, from: u16, to: u16, best: &mut Option<Change>) {
+        for slot in 0..self.layer.slots() {
+            self.with_slot(from, slot, to, best);
+        }
+    }
+
     /// Weighs every change that takes load of one slot to another rank.
     fn with_slot(&self, from: u16, slot: u16, to: u16, best: &mut Option<Change>) {
         let expert = self.layer.at(from, slot);
@@ -163,13 +227,9 @@
 
     /// One more replica of an expert on a rank, in the place of another expert.
     fn replication(&self, to: u16, old: u16, expert: u16) -> f64 {
-        let (now, then) = (self.part(expert, 0), self.part(expert, 1));
+        let then = self.part(expert, 1);
         let (gone, others) = self.eviction(to, old);
-        let relieved: f64 = self
-            .holders(expert)
-            .map(|rank| self.shift(rank, then - now))
-            .sum();
-        relieved + others + self.shift(to, then - gone)
+        self.more[usize::from(expert)] + others + self.shift(to, then - gone)
     }
 
     /// What a rank loses with an expert, and how the other holders of it fare.
@@ -178,16 +238,8 @@
             return (0.0, 0.0);
         }
         let (now, then) = (self.part(old, 0), self.part(old, -1));
-        let others = self.holders(old).filter(|rank| *rank != to);
-        (now, others.map(|rank| self.shift(rank, then - now)).sum())
-    }
-
-    fn holders(&self, expert: u16) -> impl Iterator<Item = u16> + '_ {
-        // Most experts have one replica, so a scan that stops early is cheap enough.
-        let count = usize::from(self.replicas[usize::from(expert)]);
-        (0..self.layer.ranks())
-            .filter(move |rank| self.layer.holds(*rank, expert))
-            .take(count)
+        let others = self.less[usize::from(old)] - self.shift(to, then - now);
+        (now, others)
     }
 
     fn part(&self, expert: u16, more: i32) -> f64 {
@@ -222,6 +274,7 @@
         }
         self.replicas = self.layer.replicas(self.shares.len());
         self.loads = self.layer.rank_loads(self.shares);
+        self.weigh_holders();
         loads
     }
 }
