--- a/crates/benches/benches/rebalance.rs
+++ b/crates/benches/benches/rebalance.rs
@@ -12,8 +12,8 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::json;
 
+use snipemast_benches::report::{BenchArgs, Figures};
 use snipemast_benches::traces::{draw, repacked, replicated, Kind, Shape, Trace};
 use snipemast_core::prelude::*;
 use snipemast_groups::estimate::{Counts, Pace, Popularity};
@@ -331,9 +331,8 @@
 }
 
 fn main() {
-    let args: Vec<String> = std::env::args().skip(1).collect();
-    let has = |flag: &str| args.iter().any(|a| a == flag);
-    let quick = has("--quick");
+    let args = BenchArgs::parse();
+    let quick = args.quick;
     let movers = [
         Mover::Static,
         Mover::Repack,
@@ -358,7 +357,7 @@
     let layer = decision_ms(large(1), 21);
     let layers = decision_ms(large(58), 5);
     let held = held_steps(if quick { 20 } else { 200 });
-    if !has("--json") {
+    if !args.json {
         table(
             "16 ranks x 64 experts",
             &small_traces,
@@ -372,24 +371,33 @@
             &large_scores,
         );
     }
-    let figures = json!({
-        "cordillera_skew_vs_static": ratio(&all, 3, 0, |s| s.skew),
-        "cordillera_skew_vs_repack": ratio(&all, 3, 1, |s| s.skew),
-        "cordillera_loads_vs_repack": ratio(&all, 3, 1, |s| s.loads),
-        "cordillera_fullest_vs_bound": mean(&all, 3, |s| s.fullest),
-        "cordillera_skew_p95_vs_static": ratio(&all, 3, 0, |s| s.skew_p95),
-        "cordillera_disturbed": mean(&all, 3, |s| s.disturbed),
-        "vandermeulen_skew_vs_static": ratio(&all, 4, 0, |s| s.skew),
-        "vandermeulen_loads_vs_repack": ratio(&all, 4, 1, |s| s.loads),
-        "vandermeulen_disturbed": mean(&all, 4, |s| s.disturbed),
-        "replicate_skew_vs_static": ratio(&all, 2, 0, |s| s.skew),
-        "replicate_loads_vs_repack": ratio(&all, 2, 1, |s| s.loads),
-        "repack_disturbed": mean(&all, 1, |s| s.disturbed),
-        "held_steps": held,
-        "decision_ms": layer,
-        "decision_58_ms": layers,
-        "layers_of_large_traces": many,
-        "intervals": intervals,
-    });
-    println!("{figures}");
+    let mut figures = Figures::new();
+    for (key, value) in [
+        ("cordillera_skew_vs_static", ratio(&all, 3, 0, |s| s.skew)),
+        ("cordillera_skew_vs_repack", ratio(&all, 3, 1, |s| s.skew)),
+        ("cordillera_loads_vs_repack", ratio(&all, 3, 1, |s| s.loads)),
+        ("cordillera_fullest_vs_bound", mean(&all, 3, |s| s.fullest)),
+        (
+            "cordillera_skew_p95_vs_static",
+            ratio(&all, 3, 0, |s| s.skew_p95),
+        ),
+        ("cordillera_disturbed", mean(&all, 3, |s| s.disturbed)),
+        ("vandermeulen_skew_vs_static", ratio(&all, 4, 0, |s| s.skew)),
+        (
+            "vandermeulen_loads_vs_repack",
+            ratio(&all, 4, 1, |s| s.loads),
+        ),
+        ("vandermeulen_disturbed", mean(&all, 4, |s| s.disturbed)),
+        ("replicate_skew_vs_static", ratio(&all, 2, 0, |s| s.skew)),
+        ("replicate_loads_vs_repack", ratio(&all, 2, 1, |s| s.loads)),
+        ("repack_disturbed", mean(&all, 1, |s| s.disturbed)),
+        ("held_steps", held as f64),
+        ("decision_ms", layer),
+        ("decision_58_ms", layers),
+        ("layers_of_large_traces", many as f64),
+        ("intervals", intervals as f64),
+    ] {
+        figures.add(key, value);
+    }
+    figures.print(args);
 }
--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -1,5 +1,19 @@
 //! Benches and the load and experiment tool.
 //!
+//! - [`report`]: what every bench shares: its arguments, its figures, and how they are printed.
+//! - [`load`]: a load generator for HTTP over loopback.
+//! - [`members`]: fleets of membership's state machines, of three sizes.
+//! - [`capacity`]: what each role costs at the size of two years, from the benches' figures.
+//! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
+//! - [`policies`]: the routing policies that are compared.
+//! - [`splits`]: the split of fleet-wide limits among entries, without servers.
 //! - [`traces`]: expert popularity over time, and baselines of rebalancing.
 
+pub mod capacity;
+pub mod load;
+pub mod members;
+pub mod policies;
+pub mod queue;
+pub mod report;
+pub mod splits;
 pub mod traces;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -12,12 +12,18 @@
 use snipemast_settings::EntrySettings;
 use snipemast_wire::{listen, spawn, Listening};
 
+use crate::choose::sync_forever;
+use crate::copy::{keep_forever, Copy};
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
+use crate::gossip::gossip_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
+/// How long the last word to the other entries may take.
+const FAREWELL: Span = Span::from_millis(100);
+
 /// The result of starting an entry.
 pub type Result<T> = std::result::Result<T, Report<EntryError>>;
 
@@ -57,8 +63,13 @@
     ) -> Result<Self> {
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let shared = Arc::new(Shared::new(settings, process, journal));
+        let copy = shared.settings.data.as_ref().map(Copy::new);
+        if let Some(copy) = &copy {
+            start_from(&shared, copy);
+        }
         let settings = &shared.settings;
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
             Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
@@ -68,13 +79,16 @@
             .journal
             .record(Event::ProcessStarted, &shared.process, callers.address());
         let follow = spawn(follow_forever(Arc::clone(&shared)));
-        let expire = spawn(expire_forever(Arc::clone(&shared)));
+        let gossip = spawn(gossip_forever(Arc::clone(&shared)));
+        let sync = spawn(sync_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync];
+        tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
             callers,
             own,
             operators,
-            tasks: vec![follow, expire],
+            tasks,
         })
     }
 
@@ -108,12 +122,29 @@
             Event::DrainExpired
         };
         self.shared.journal.record(event, &self.shared.process, "");
+        self.shared.gossip.leave(&self.shared);
+        smol::Timer::after(FAREWELL.as_duration()).await;
         for task in self.tasks {
             task.cancel().await;
         }
     }
 }
 
+/// Brings the local copy into force; a damaged one is told of and fetched again.
+fn start_from(shared: &Shared, copy: &Copy) {
+    match copy.read() {
+        Ok(Some(config)) => shared.apply(Arc::new(config)),
+        Ok(None) => {}
+        Err(report) => {
+            let error = report.current_context();
+            let path = copy.path();
+            shared
+                .journal
+                .record(Event::StorageRefused, path.display(), error);
+        }
+    }
+}
+
 async fn bind(address: SocketAddr, handler: impl Handler) -> Result<Listening> {
     listen(address, handler)
         .await
@@ -131,15 +162,3 @@
     }
     true
 }
-
-async fn expire_forever(shared: Arc<Shared>) {
-    loop {
-        smol::Timer::after(Span::from_millis(200).as_duration()).await;
-        for member in shared.registry.expire() {
-            let agent = &member.announce.agent;
-            shared
-                .journal
-                .record(Event::MemberRemoved, agent, "its lease ran out");
-        }
-    }
-}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 
-use snipemast_config::Config;
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+pub use snipemast_requests::{Header, Settled};
+
 /// Paths of the messages on each process's HTTP server.
 pub mod path {
-    /// An agent announces itself to an entry: [`Announce`](super::Announce).
-    pub const ANNOUNCE: &str = "/own/announce";
     /// An entry sends a request to an agent: [`Dispatch`](super::Dispatch).
     pub const DISPATCH: &str = "/own/dispatch";
     /// An entry resumes an answer stream: [`ResumeFrom`](super::ResumeFrom).
@@ -18,8 +17,10 @@
     pub const SETTLE: &str = "/own/settle";
     /// An entry cancels an attempt: [`Cancel`](super::Cancel).
     pub const CANCEL: &str = "/own/cancel";
-    /// A process polls for the configuration: [`ConfigPoll`](super::ConfigPoll).
+    /// A process polls for the configuration: [`ConfigPoll`](crate::config::ConfigPoll).
     pub const CONFIG: &str = "/own/config";
+    /// An operator's patch on its way to the leader: [`Submit`](crate::config::Submit).
+    pub const SUBMIT: &str = "/own/submit";
     /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
     pub const EVENTS: &str = "/own/events";
 }
@@ -43,22 +44,6 @@
         pub draining: bool,
     }
 
-    /// The entry's answer to an announcement.
-    pub struct Announced {
-        /// The entry that took it.
-        pub entry: ProcessId,
-        /// How long the lease runs.
-        pub lease: Span,
-    }
-
-    /// A header of a call or answer.
-    pub struct Header {
-        /// The lower-case name.
-        pub name: String,
-        /// The value.
-        pub value: String,
-    }
-
     /// What the backend server is asked.
     pub struct Call {
         /// The HTTP method.
@@ -84,8 +69,14 @@
         pub left: Span,
         /// The workspace that pays.
         pub workspace: WorkspaceId,
+        /// How long the agent must remember it at least.
+        pub keep: Span,
         /// Whether it may run more than once.
         pub idempotent: bool,
+        /// Whether a resend may come for the answer after the caller left.
+        pub keyed: bool,
+        /// Whether the request is suspected of crashing backend servers.
+        pub suspect: bool,
         /// What to ask.
         pub call: Call,
     }
@@ -94,6 +85,8 @@
     pub struct ResumeFrom {
         /// The attempt.
         pub id: DispatchId,
+        /// The agent that took it.
+        pub agent: ProcessId,
         /// The bytes of the answer's body that have arrived.
         pub offset: u64,
     }
@@ -102,40 +95,27 @@
     pub struct Settle {
         /// The attempt.
         pub id: DispatchId,
+        /// The agent it was sent to.
+        pub agent: ProcessId,
+        /// How long its sender may still use the id.
+        pub keep: Span,
     }
 
     /// The agent's word on an attempt.
-    #[derive(Copy)]
-    pub enum Settled {
-        /// It runs.
-        Running,
-        /// It finished, and its answer can be resumed.
-        Finished,
-        /// It ran and failed.
-        Failed,
-        /// It did not run and never will.
-        Barred,
+    pub struct Settlement {
+        /// The attempt.
+        pub id: DispatchId,
+        /// What became of it.
+        pub settled: Settled,
     }
 
-    /// Stop an attempt: nobody reads its answer.
+    /// Stop an attempt: nobody reads its answer. One that never arrived is barred.
     pub struct Cancel {
         /// The attempt.
         pub id: DispatchId,
-    }
-
-    /// Tell me of a configuration later than mine, or wait.
-    pub struct ConfigPoll {
-        /// The version that the asker has.
-        pub after: Version,
-        /// How long the answer may wait for a later one.
-        pub wait: Span,
-    }
-
-    /// The answer to a poll.
-    pub enum ConfigReply {
-        /// Nothing later within the wait.
-        Unchanged,
-        /// A later configuration, whole.
-        Whole(Box<Config>),
+        /// The agent it was sent to.
+        pub agent: ProcessId,
+        /// How long its sender may still use the id.
+        pub keep: Span,
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -18,11 +18,11 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use trillium_client::{Client, Conn, KnownHeaderName};
-use trillium_smol::ClientConfig;
 
 use snipemast_core::prelude::*;
 
 use crate::codec::{decode, encode};
+use crate::connect::{Clients, EagerConfig, Held};
 
 /// The result of a call.
 pub type Result<T> = std::result::Result<T, Report<PeerError>>;
@@ -41,7 +41,9 @@
 /// What went wrong with a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerErrorKind {
-    /// The process could not be reached or broke the connection off.
+    /// The process could not be reached: no byte was sent.
+    Unreachable,
+    /// The process broke the connection off.
     Broken,
     /// The deadline passed.
     Timeout,
@@ -59,6 +61,7 @@
             kind,
         } = self;
         match kind {
+            PeerErrorKind::Unreachable => write!(f, "{address}{path}: no connection"),
             PeerErrorKind::Broken => write!(f, "{address}{path}: the connection broke"),
             PeerErrorKind::Timeout => write!(f, "{address}{path}: no answer in time"),
             PeerErrorKind::Status(code) => write!(f, "{address}{path}: status {code}"),
@@ -69,11 +72,21 @@
 
 impl std::error::Error for PeerError {}
 
+impl PeerError {
+    /// Whether the message may have reached the process.
+    pub fn may_have_arrived(&self) -> bool {
+        match self.kind {
+            PeerErrorKind::Broken | PeerErrorKind::Timeout | PeerErrorKind::Malformed => true,
+            PeerErrorKind::Unreachable | PeerErrorKind::Status(_) => false,
+        }
+    }
+}
+
 /// Another process, and the pool of connections to it.
 #[derive(Debug)]
 pub struct Peer {
     address: SocketAddr,
-    client: ArcSwap<Client>,
+    clients: ArcSwap<Clients>,
 }
 
 impl Peer {
@@ -81,7 +94,7 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
-            client: ArcSwap::from_pointee(fresh_client()),
+            clients: ArcSwap::from_pointee(Clients::new()),
         }
     }
 
@@ -92,17 +105,41 @@
 
     /// Drops every pooled connection; the next call opens a new one.
     pub fn retire(&self) {
-        self.client.store(Arc::new(fresh_client()));
+        self.clients.store(Arc::new(Clients::new()));
     }
 
     /// Sends a message and waits for its answer.
     pub async fn call<Q, A>(&self, path: &str, message: &Q, timeout: Span) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let held = self.clients.load().hold();
+        self.call_over(held.client(), path, message, timeout).await
+    }
+
+    /// Sends a message on a connection of its own and waits for its answer.
+    pub async fn call_fresh<Q, A>(&self, path: &str, message: &Q, timeout: Span) -> Result<A>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        self.call_over(&lone_client(), path, message, timeout).await
+    }
+
+    async fn call_over<Q, A>(
+        &self,
+        client: &Client,
+        path: &str,
+        message: &Q,
+        timeout: Span,
+    ) -> Result<A>
     where
         Q: Serialize,
         A: DeserializeOwned,
     {
         let bytes = self
-            .within(path, timeout, self.exchange(path, encode(message)))
+            .within(path, timeout, self.exchange(client, path, encode(message)))
             .await?;
         decode(&bytes).map_err(|e| {
             self.error(path, PeerErrorKind::Malformed)
@@ -116,15 +153,37 @@
         path: &str,
         message: &Q,
         timeout: Span,
+    ) -> Result<Stream> {
+        let held = self.clients.load().hold();
+        let stream = self.open_over(held.client(), path, message, timeout);
+        Ok(stream.await?.with_held(held))
+    }
+
+    /// Sends a message on a connection of its own and returns the answer's body as a stream.
+    pub async fn open_fresh<Q: Serialize>(
+        &self,
+        path: &str,
+        message: &Q,
+        timeout: Span,
+    ) -> Result<Stream> {
+        self.open_over(&lone_client(), path, message, timeout).await
+    }
+
+    async fn open_over<Q: Serialize>(
+        &self,
+        client: &Client,
+        path: &str,
+        message: &Q,
+        timeout: Span,
     ) -> Result<Stream> {
         let conn = self
-            .within(path, timeout, self.send(path, encode(message)))
+            .within(path, timeout, self.send(client, path, encode(message)))
             .await?;
-        Ok(Stream { conn })
+        Ok(Stream { conn, _held: None })
     }
 
-    async fn exchange(&self, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
-        let mut conn = self.send(path, body).await?;
+    async fn exchange(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Vec<u8>> {
+        let mut conn = self.send(client, path, body).await?;
         let bytes = conn.response_body().read_bytes().await;
         bytes.map_err(|e| {
             self.error(path, PeerErrorKind::Broken)
@@ -132,14 +191,10 @@
         })
     }
 
-    async fn send(&self, path: &str, body: Vec<u8>) -> Result<Conn> {
+    async fn send(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Conn> {
         let url = format!("http://{}{path}", self.address);
-        let client = self.client.load_full();
         let conn = client.post(url.as_str()).with_body(body).await;
-        let conn = conn.map_err(|e| {
-            self.error(path, PeerErrorKind::Broken)
-                .attach(e.to_string())
-        })?;
+        let conn = conn.map_err(|e| self.error(path, kind(&e)).attach(e.to_string()))?;
         match conn.status() {
             Some(status) if status.is_success() => Ok(conn),
             status => {
@@ -171,24 +226,43 @@
     }
 }
 
-fn fresh_client() -> Client {
-    Client::new(ClientConfig::default().with_nodelay(true)).with_default_pool()
+/// Whether an error came before the first byte was sent.
+fn kind(error: &trillium_client::Error) -> PeerErrorKind {
+    match error {
+        trillium_client::Error::Io(e) if e.kind() == io::ErrorKind::ConnectionRefused => {
+            PeerErrorKind::Unreachable
+        }
+        _ => PeerErrorKind::Broken,
+    }
+}
+
+/// A client whose connections are used once.
+fn lone_client() -> Client {
+    Client::new(EagerConfig::default())
 }
 
 /// The body of an answer that is still coming.
 #[derive(Debug)]
 pub struct Stream {
     conn: Conn,
+    _held: Option<Held>,
 }
 
 impl Stream {
+    /// Counts the stream among its client's exchanges until it is dropped.
+    fn with_held(mut self, held: Held) -> Self {
+        self._held = Some(held);
+        self
+    }
+
     /// Closes the connection under the stream instead of keeping it for another call.
     ///
     /// The HTTP library would read an abandoned body to its end to save the connection, which
     /// for a stream of tokens means that nobody learns it was abandoned.
     pub fn abort(mut self) {
+        // The library looks at the answer's headers when it decides about the connection.
         self.conn
-            .request_headers_mut()
+            .response_headers_mut()
             .insert(KnownHeaderName::Connection, "close");
     }
 }
