Stamp own messages and merge the time line by pages

Cause: clocks of two processes were never brought together, and a time line of a thousand rings would have been held in memory whole. Change: every call and answer between own processes carries a stamp; a clock that was set back or runs ahead drags nobody along; rings give pages; a k-way merge holds one page a process; a story of one request in causal order and words. The bench of membership is cut into files and gets its scenes.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -164,13 +164,14 @@
         message: &AgentMessage,
         timeout: Span,
     ) {
+        let ring = Arc::clone(self.gate.journal().ring());
         if self.peers.len() >= MAX_PEERS {
             self.peers.clear();
         }
         let peer = self
             .peers
             .entry(to)
-            .or_insert_with(|| Arc::new(Peer::new(to)));
+            .or_insert_with(|| Arc::new(Peer::new(to).with_ring(ring)));
         let peer = Arc::clone(peer);
         let bytes = Packed::new(message);
         let inputs = self.inputs.clone();
--- a/crates/agent/src/gate/handler.rs
+++ b/crates/agent/src/gate/handler.rs
@@ -5,12 +5,14 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
+use snipemast_membership::timeline::{Page, PageAsk};
 use snipemast_requests::{Arrival, Arrived};
 use snipemast_wire::frame::{Frame, Part, Refused, Tag};
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply, stream};
 use snipemast_wire::{
-    pipe, spawn, Cancel, Dispatch, FrameWriter, ResumeFrom, Settle, Settled, Settlement,
+    gossip, pipe, spawn, Cancel, Dispatch, FrameWriter, Packed, ResumeFrom, Settle, Settled,
+    Settlement,
 };
 
 use super::relay::Relay;
@@ -126,6 +128,17 @@
         reply(conn, &Settlement { id, settled })
     }
 
+    async fn page(&self, mut conn: Conn) -> Conn {
+        let Some(packed) = message::<Packed>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let Ok(ask) = packed.unpack::<PageAsk>() else {
+            return malformed(conn);
+        };
+        let page = Page::answer(self.gate.journal.ring(), &ask);
+        reply(conn, &Packed::new(&page))
+    }
+
     async fn events(&self, mut conn: Conn) -> Conn {
         let Some(since) = message::<Stamp>(&mut conn).await else {
             return malformed(conn);
@@ -147,6 +160,7 @@
             path::RESUME => self.resume(conn).await,
             path::SETTLE => self.settle(conn).await,
             path::CANCEL => self.cancel(conn).await,
+            gossip::path::PAGE => self.page(conn).await,
             path::EVENTS => self.events(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -9,7 +9,7 @@
 use snipemast_core::prelude::*;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, Listening};
+use snipemast_wire::{listen, Listening, Stamped};
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
@@ -60,9 +60,15 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
-        let listening = listen(settings.own, GateHandler::new(Arc::clone(&gate)))
-            .await
-            .change_context(AgentError::Bind(settings.own))?;
+        let listening = listen(
+            settings.own,
+            Stamped::new(
+                Arc::clone(gate.journal().ring()),
+                GateHandler::new(Arc::clone(&gate)),
+            ),
+        )
+        .await
+        .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
         let shutdown = settings.limits.shutdown;
--- /dev/null
+++ b/crates/benches/benches/membership/main.rs
@@ -0,0 +1,124 @@
+//! Membership's state machines of three sizes, in one process, over a virtual wire and clock.
+//!
+//! Bytes are those of the encoded messages, plus the HTTP heads of each call as a relay on
+//! loopback counted them in this run, sent and received together. What TCP and IP add is not
+//! counted. The processor time is that of the state machine and codec, plus that of an HTTP call
+//! as measured on loopback in this run.
+
+mod calls;
+mod flat;
+mod scenes;
+
+use std::time::Instant;
+
+use snipemast_benches::members::{Members, Shape, Used};
+use snipemast_benches::report::{BenchArgs, Figures};
+use snipemast_core::prelude::*;
+
+use calls::Calls;
+
+/// Restarts and crashes of an ordinary day at the largest size.
+const EVENTS: f64 = 338.0;
+
+const DAY: f64 = 86_400.0;
+
+fn main() {
+    let args = BenchArgs::parse();
+    let mut figures = Figures::new();
+    let calls = calls::measure(if args.quick { 500 } else { 3_000 });
+    let base = resident_mb();
+    figures.add("call_heads_bytes", calls.heads);
+    figures.add("call_cpu_us", calls.cpu_us);
+    figures.add("process_base_mb", base);
+    for (name, shape) in [("today", Shape::TODAY), ("middle", Shape::MIDDLE)] {
+        let mut members = settled(name, shape, &mut figures);
+        idle(name, &mut members, calls, &mut figures);
+    }
+    losses(args, &mut figures);
+    largest(args, calls, base, &mut figures);
+    figures.print(args);
+}
+
+/// The fleet of two years: what a day costs, and how soon things are known.
+fn largest(args: BenchArgs, calls: Calls, base: f64, figures: &mut Figures) {
+    let before = resident_mb();
+    let mut members = settled("later", Shape::LATER, figures);
+    let state = (resident_mb() - before) / members.shape.hosts() as f64;
+    figures.add("state_mb", state);
+    figures.add("rss_mb", base + state);
+    let idle = idle("later", &mut members, calls, figures);
+    let churn = scenes::churn(
+        &mut members,
+        if args.quick { 6 } else { 20 },
+        calls,
+        figures,
+    );
+    let day = idle.bytes + churn * EVENTS / DAY;
+    figures.add("bytes_per_s", day + config_bytes());
+    figures.add("cpu_share", idle.work + idle.calls * calls.cpu_us / 1e6);
+    let trials = if args.quick { 2 } else { 6 };
+    scenes::times(&mut members, trials, figures);
+    if !args.quick {
+        scenes::rack(&mut members, calls, figures);
+        scenes::zone(&mut members, calls, figures);
+    }
+}
+
+/// False removals over virtual time at losses, and the flat map under the same events.
+fn losses(args: BenchArgs, figures: &mut Figures) {
+    let hour = if args.quick { 300 } else { 3_600 };
+    flat::compare("1pct", 0.01, hour, 2, figures);
+    flat::compare("5pct", 0.05, hour, 2, figures);
+    flat::compare("single_5pct", 0.05, hour, 1, figures);
+    figures.add("loss_virtual_s", hour as f64);
+    let removals = figures.get("false_removals_5pct_small").unwrap_or(f64::NAN);
+    let larger = scenes::larger_loss(if args.quick { 30 } else { 300 }, figures);
+    figures.add("false_removals_5pct", removals + larger);
+}
+
+/// Starts a fleet and waits until all know all.
+fn settled(name: &str, shape: Shape, figures: &mut Figures) -> Members {
+    let begun = Instant::now();
+    let mut members = Members::start(shape, 1);
+    let took = members.until(300, Members::is_settled);
+    let secs = took.map_or(f64::NAN, Span::as_secs_f64);
+    figures.add(&format!("{name}_settled_s"), secs + 10.0);
+    eprintln!(
+        "{name}: settled after {secs:.1} s more, {:?}",
+        begun.elapsed()
+    );
+    members
+}
+
+/// What a second costs when nothing happens but renewals, rounds and riders.
+fn idle(name: &str, members: &mut Members, calls: Calls, figures: &mut Figures) -> Used {
+    // News of the start is still passed on for a while.
+    members.run(40);
+    members.clear();
+    let secs = 20;
+    scenes::with_riders(members, secs);
+    let span = Span::from_secs(secs);
+    let entries = members.used(&members.entries, span, calls.heads);
+    let agents = members.used(&members.agents, span, calls.heads);
+    figures.add(&format!("{name}_entry_bytes"), entries.bytes);
+    figures.add(&format!("{name}_entry_most"), entries.most);
+    figures.add(&format!("{name}_entry_calls"), entries.calls);
+    figures.add(&format!("{name}_entry_work"), entries.work);
+    figures.add(&format!("{name}_agent_bytes"), agents.bytes);
+    figures.add(&format!("{name}_agent_work"), agents.work);
+    entries
+}
+
+/// What following the configuration adds, estimated: a poll of 600 bytes every 10 s, and 430
+/// patches a day of 1 KB each, received once and passed on once.
+fn config_bytes() -> f64 {
+    600.0 / 10.0 + 430.0 * 2.0 * 1_024.0 / DAY
+}
+
+/// The memory of this process.
+fn resident_mb() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|n| n.parse().ok());
+    let pages: f64 = pages.unwrap_or(f64::NAN);
+    pages * 4_096.0 / 1e6
+}
--- /dev/null
+++ b/crates/benches/benches/membership/scenes.rs
@@ -0,0 +1,232 @@
+//! What happens to a fleet, and what it costs and takes.
+
+use snipemast_benches::members::{Members, Shape};
+use snipemast_benches::report::Figures;
+use snipemast_core::prelude::*;
+use snipemast_fakes::fleet::Index;
+use snipemast_fakes::{Fleet, Side};
+use snipemast_membership::{AnnounceInput, Input, Topic};
+
+use crate::calls::Calls;
+
+/// Every so many seconds each entry publishes its demand.
+const DEMAND: u64 = 20;
+
+/// Runs with riders: 48 bytes of demand every 20 s and 24 bytes of versions every minute.
+pub fn with_riders(members: &mut Members, secs: u64) {
+    for second in 0..secs {
+        for (number, index) in members.entries.clone().into_iter().enumerate() {
+            let number = number as u64;
+            if (second + number) % DEMAND == 0 {
+                publish(members, index, Topic::Demand, 48, DEMAND * 2);
+            }
+            if (second + number) % 60 == 0 {
+                publish(members, index, Topic::Versions, 24, 180);
+            }
+        }
+        members.run(1);
+    }
+}
+
+fn publish(members: &mut Members, entry: Index, topic: Topic, size: usize, secs: u64) {
+    let value = vec![7; size];
+    let input = Input::Publish(topic, value, Span::from_secs(secs));
+    members.fleet.tell(entry, input);
+}
+
+/// Restarts of agents and entries; returns the bytes that one costs each entry.
+pub fn churn(members: &mut Members, events: usize, calls: Calls, figures: &mut Figures) -> f64 {
+    members.clear();
+    members.run(10);
+    let quiet = members.used(&members.entries, Span::from_secs(1), calls.heads);
+    members.clear();
+    for number in 0..events {
+        let index = if number % 3 == 0 {
+            members.entries[40 + number]
+        } else {
+            members.agents[40 + number]
+        };
+        replace(members, index, number as u64 + 2);
+    }
+    members.run(10);
+    let secs = events as f64 * 4.0 + 10.0;
+    let used = members.used(&members.entries, Span::from_secs(1), calls.heads);
+    let cost = (used.bytes - quiet.bytes / 10.0 * secs) / events as f64;
+    figures.add("churn_event_bytes", cost);
+    figures.add("churn_drops", members.fleet.drops.len() as f64);
+    cost
+}
+
+/// A process drains, ends and starts again, in four seconds.
+fn replace(members: &mut Members, index: Index, start: u64) {
+    let entry = members.fleet.node(index).is_some();
+    if entry {
+        members.fleet.tell(index, Input::Drain);
+    } else {
+        members.fleet.tell_agent(index, AnnounceInput::Drain);
+    }
+    members.run(2);
+    if entry {
+        members.fleet.tell(index, Input::Leave);
+    } else {
+        members.fleet.tell_agent(index, AnnounceInput::Leave);
+    }
+    members.run(1);
+    members.fleet.crash(index);
+    members.restart(index, start);
+    members.run(1);
+}
+
+/// How long until all connected entries know of a drain, a crash and a join.
+pub fn times(members: &mut Members, trials: usize, figures: &mut Figures) {
+    let (mut drains, mut crashes, mut entries, mut joins) = Default::default();
+    for trial in 0..trials {
+        let agent = members.agents[100 + trial];
+        members.fleet.tell_agent(agent, AnnounceInput::Drain);
+        wait(members, &mut drains, agent, unroutable);
+        members.fleet.crash(agent);
+        members.run(5);
+        members.restart(agent, 100);
+        wait(members, &mut joins, agent, routable);
+        let agent = members.agents[120 + trial];
+        members.fleet.crash(agent);
+        wait(members, &mut crashes, agent, unroutable);
+        let entry = members.entries[100 + trial];
+        members.fleet.crash(entry);
+        wait(members, &mut entries, entry, buried);
+    }
+    let mut all = crashes.clone();
+    all.extend(&entries);
+    add(figures, "drain_known", &mut drains);
+    add(figures, "agent_crash_known", &mut crashes);
+    add(figures, "entry_crash_known", &mut entries);
+    add(figures, "crash_known", &mut all);
+    add(figures, "join_known", &mut joins);
+}
+
+/// A rack of hosts of one zone goes at once.
+pub fn rack(members: &mut Members, calls: Calls, figures: &mut Figures) {
+    let zone = members.fleet.processes[members.entries[0]]
+        .place
+        .zone
+        .clone();
+    let of_zone = |i: &&Index| members.fleet.processes[**i].place.zone == zone;
+    let lost: Vec<_> = members.entries[150..]
+        .iter()
+        .filter(of_zone)
+        .take(15)
+        .chain(members.agents[200..].iter().filter(of_zone).take(25))
+        .copied()
+        .collect();
+    members.clear();
+    for index in &lost {
+        members.fleet.crash(*index);
+    }
+    let took = members.until(60, Members::is_settled);
+    figures.add("rack_known_s", took.map_or(f64::NAN, Span::as_secs_f64));
+    let span = took.unwrap_or(Span::from_secs(60));
+    let used = members.used(&members.entries, span, calls.heads);
+    figures.add("rack_bytes", used.bytes);
+    figures.add("rack_drops", members.fleet.drops.len() as f64);
+}
+
+/// A zone is cut off, things change on both sides, and it heals.
+pub fn zone(members: &mut Members, calls: Calls, figures: &mut Figures) {
+    let zone: ZoneId = "zone-1".parse().expect("a valid name");
+    let inside = Side::Zone(zone.clone());
+    for other in ["zone-0", "zone-2", "zone-3"] {
+        let other = Side::Zone(other.parse().expect("a valid name"));
+        members.fleet.links.cut(inside.clone(), other);
+    }
+    members.clear();
+    let away = zone.clone();
+    let took = members.until(60, move |fleet| cut_off(fleet, &away));
+    figures.add("zone_cut_known_s", took.map_or(f64::NAN, Span::as_secs_f64));
+    let cut_drops = members.fleet.drops.len();
+    for number in 0..8 {
+        let agent = members.agents[300 + number];
+        members.fleet.crash(agent);
+        members.run(1);
+        members.restart(agent, 50);
+    }
+    members.run(10);
+    members.clear();
+    members.fleet.links.heal();
+    let took = members.until(120, Members::is_settled);
+    figures.add("zone_heal_s", took.map_or(f64::NAN, Span::as_secs_f64));
+    let span = took.unwrap_or(Span::from_secs(120));
+    let used = members.used(&members.entries, span, calls.heads);
+    figures.add("zone_heal_bytes", used.bytes);
+    figures.add("zone_drops", cut_drops as f64);
+}
+
+/// Alive nodes that were dropped at the middle size while a share of messages gets lost.
+pub fn larger_loss(secs: u64, figures: &mut Figures) -> f64 {
+    let mut members = Members::start(Shape::MIDDLE, 5);
+    members.until(120, Members::is_settled);
+    members.clear();
+    members.fleet.links.loss = 0.05;
+    members.run(secs);
+    let drops = members.fleet.drops.len() + dead_entries(&members.fleet);
+    figures.add("false_removals_5pct_middle", drops as f64);
+    figures.add("loss_middle_virtual_s", secs as f64);
+    drops as f64
+}
+
+/// How often an entry that runs was taken out of another's table.
+pub fn dead_entries(fleet: &Fleet) -> usize {
+    let told = |n: &&snipemast_fakes::fleet::Noted| {
+        let dead = n.event == Event::MemberRemoved && n.subject.starts_with("entry");
+        let running = fleet.entries().any(|(_, node)| {
+            let process = &node.card().process;
+            n.subject == process.to_string()
+        });
+        dead && running
+    };
+    fleet.noted.iter().filter(told).count()
+}
+
+fn cut_off(fleet: &Fleet, zone: &ZoneId) -> bool {
+    fleet.entries().all(|(_, node)| {
+        let inside = node.card().zone == *zone;
+        let links = node.zones().links();
+        let lost = links.iter().filter(|(_, l)| l.lost.is_some());
+        lost.count() == if inside { 3 } else { 1 }
+    })
+}
+
+fn wait(
+    members: &mut Members,
+    into: &mut Vec<f64>,
+    index: Index,
+    holds: impl Fn(&Fleet, &HostId) -> bool,
+) {
+    let host = members.host(index);
+    let took = members.until(30, |fleet| holds(fleet, &host));
+    into.push(took.map_or(30.0, Span::as_secs_f64));
+}
+
+fn unroutable(fleet: &Fleet, host: &HostId) -> bool {
+    fleet
+        .entries()
+        .all(|(_, n)| n.agent_view(host).is_none_or(|a| !a.is_routable()))
+}
+
+fn routable(fleet: &Fleet, host: &HostId) -> bool {
+    fleet
+        .entries()
+        .all(|(_, n)| n.agent_view(host).is_some_and(|a| a.is_routable()))
+}
+
+fn buried(fleet: &Fleet, host: &HostId) -> bool {
+    fleet.entries().all(|(_, n)| n.table().row(host).is_none())
+}
+
+fn add(figures: &mut Figures, name: &str, values: &mut [f64]) {
+    values.sort_by(f64::total_cmp);
+    let (Some(middle), Some(last)) = (values.get(values.len() / 2), values.last()) else {
+        return;
+    };
+    figures.add(&format!("{name}_p50_s"), *middle);
+    figures.add(&format!("{name}_s"), *last);
+}
--- a/crates/benches/src/members.rs
+++ b/crates/benches/src/members.rs
@@ -6,14 +6,6 @@
 use snipemast_fakes::fleet::{Index, Meter};
 use snipemast_fakes::{Fleet, Place};
 
-/// What one exchange or call adds to its messages, in bytes: HTTP heads of both directions.
-///
-/// Read off a socket on loopback, by `http_heads` of the bench.
-pub const HEADS: f64 = 420.0;
-
-/// What one exchange or call adds besides: TCP and IP heads of about five segments.
-pub const SEGMENTS: f64 = 5.0 * 40.0;
-
 /// How many hosts there are, and where.
 #[derive(Debug, Clone, Copy)]
 pub struct Shape {
@@ -110,14 +102,24 @@
             let index = members.fleet.add_entry(place, seeds);
             members.entries.push(index);
         }
-        members.run(10);
+        members.fleet.run(Span::from_millis(500));
         for number in 0..shape.agents {
             members.add_agent(number);
         }
-        members.run(30);
+        members.run(10);
         members
     }
 
+    /// Whether every entry knows every agent that runs, and no other.
+    pub fn is_settled(fleet: &Fleet) -> bool {
+        let living = fleet.agents().count();
+        let entries = fleet.entries().count();
+        fleet.entries().all(|(_, node)| {
+            node.table().rows().len() == entries
+                && node.agents().filter(|a| a.is_routable()).count() == living
+        })
+    }
+
     /// Adds an agent.
     pub fn add_agent(&mut self, number: usize) -> Index {
         let place = place("agent", number, self.shape);
@@ -174,14 +176,14 @@
         self.fleet.changed.clear();
     }
 
-    /// What the processes used over a span.
-    pub fn used(&self, processes: &[Index], span: Span) -> Used {
+    /// What the processes used over a span, where a call's heads take this many bytes.
+    pub fn used(&self, processes: &[Index], span: Span, heads: f64) -> Used {
         let secs = span.as_secs_f64();
         let mut used = Used::default();
         for index in processes {
             let meter = self.fleet.processes[*index].meter;
             let calls = (meter.begun + meter.answered) as f64;
-            let bytes = (meter.sent + meter.received) as f64 + calls * (HEADS + SEGMENTS);
+            let bytes = (meter.sent + meter.received) as f64 + calls * heads;
             used.bytes += bytes / secs;
             used.most = used.most.max(bytes / secs);
             used.calls += calls / secs;
@@ -203,8 +205,11 @@
 
     fn zone_seeds(&self, zone: &ZoneId) -> Vec<SocketAddr> {
         let processes = self.entries.iter().map(|i| &self.fleet.processes[*i]);
-        let near = processes.filter(|p| p.place.zone == *zone);
-        near.take(4).map(|p| p.address).collect()
+        let near: Vec<_> = processes.filter(|p| p.place.zone == *zone).collect();
+        // The settings of different hosts name different entries.
+        let first = self.agents.len() * 7;
+        let pick = |n: usize| near[(first + n * 13) % near.len()].address;
+        (0..4.min(near.len())).map(pick).collect()
     }
 }
 
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 
@@ -134,6 +135,8 @@
     MemberUnreachable = 503;
     /// Two processes with one identity were found.
     IdentityClash = 504;
+    /// A peer's clock is too far ahead to be followed.
+    ClockIgnored = 505;
     /// A new expert map was proposed.
     MapProposed = 600;
     /// A rank promised to enter no step without a verdict.
@@ -213,6 +216,17 @@
     }
 }
 
+impl Record {
+    /// Whether the record is about this request, patch, group or process, or names it.
+    pub fn names(&self, about: &str) -> bool {
+        let words = |text: &str| {
+            text.split([' ', ',', ';', '(', ')'])
+                .any(|word| word == about)
+        };
+        words(&self.subject) || words(&self.detail)
+    }
+}
+
 impl fmt::Display for Record {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
@@ -237,6 +251,7 @@
     process: ProcessId,
     clock: HybridClock,
     bound: usize,
+    ignored: AtomicU64,
     records: Mutex<VecDeque<Record>>,
 }
 
@@ -248,6 +263,7 @@
             process,
             clock: HybridClock::new(),
             bound: bound.max(1),
+            ignored: AtomicU64::new(0),
             records,
         }
     }
@@ -262,22 +278,63 @@
         &self.clock
     }
 
+    /// Moves the clock past a peer's stamp, and says so now and then where it can't be followed.
+    pub fn observe(&self, peer: Stamp) {
+        if self.clock.observe(peer) {
+            return;
+        }
+        let ahead = peer.micros.saturating_sub(self.clock.tick().micros) / 1_000_000;
+        // One event a minute: the peer goes on talking.
+        let minute = self.clock.tick().micros / 60_000_000;
+        if self.ignored.swap(minute, Ordering::Relaxed) != minute {
+            self.record(
+                Event::ClockIgnored,
+                "",
+                format_args!("it is {ahead} s ahead"),
+            );
+        }
+    }
+
     /// Keeps an event, stamped now.
     pub fn record(&self, event: Event, subject: impl fmt::Display, detail: impl fmt::Display) {
+        let (subject, detail) = (subject.to_string(), detail.to_string());
+        let mut records = self.records.lock();
+        // Stamped under the lock, so that the ring is in the order of its stamps and pages of it
+        // leave nothing out.
         let record = Record {
             stamp: self.clock.tick(),
             process: self.process.clone(),
             event,
-            subject: subject.to_string(),
-            detail: detail.to_string(),
+            subject,
+            detail,
         };
-        let mut records = self.records.lock();
         if records.len() == self.bound {
             records.pop_front();
         }
         records.push_back(record);
     }
 
+    /// At most `limit` records after a stamp that name a subject, oldest first, and whether more
+    /// follow.
+    pub fn page(&self, after: Stamp, limit: usize, about: Option<&str>) -> (Vec<Record>, bool) {
+        let records = self.records.lock();
+        let start = records.partition_point(|r| r.stamp <= after);
+        let mut wanted = records
+            .range(start..)
+            .filter(|r| about.is_none_or(|about| r.names(about)));
+        let page: Vec<_> = wanted.by_ref().take(limit).cloned().collect();
+        let more = wanted.next().is_some();
+        (page, more)
+    }
+
+    /// The stamp of the oldest record that has not fallen out.
+    pub fn oldest(&self) -> Stamp {
+        self.records
+            .lock()
+            .front()
+            .map_or_else(Stamp::default, |r| r.stamp)
+    }
+
     /// The records since a stamp, oldest first.
     pub fn since(&self, stamp: Stamp) -> Vec<Record> {
         self.records
--- a/crates/entry/src/gossip.rs
+++ b/crates/entry/src/gossip.rs
@@ -186,7 +186,7 @@
         packet: &Packet,
         timeout: Span,
     ) {
-        let peer = self.peer(to);
+        let peer = self.peer(to, shared.journal.ring());
         let bytes = Packed::new(packet);
         let shared = Arc::clone(shared);
         spawn(async move {
@@ -206,14 +206,14 @@
         .detach();
     }
 
-    fn peer(&self, address: SocketAddr) -> Arc<Peer> {
+    fn peer(&self, address: SocketAddr, ring: &Arc<Ring>) -> Arc<Peer> {
         let mut peers = self.peers.lock();
         if peers.len() >= MAX_PEERS {
             peers.clear();
         }
         let peer = peers
             .entry(address)
-            .or_insert_with(|| Arc::new(Peer::new(address)));
+            .or_insert_with(|| Arc::new(Peer::new(address).with_ring(Arc::clone(ring))));
         Arc::clone(peer)
     }
 
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -5,6 +5,7 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
+use snipemast_membership::timeline::{Page, PageAsk};
 use snipemast_membership::{AgentMessage, Packet};
 use snipemast_wire::config::Submit;
 use snipemast_wire::message::path;
@@ -70,6 +71,14 @@
         reply(conn, &submitted)
     }
 
+    async fn page(&self, mut conn: Conn) -> Conn {
+        let Some(ask) = unpacked::<PageAsk>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let page = Page::answer(self.shared.journal.ring(), &ask);
+        reply(conn, &Packed::new(&page))
+    }
+
     async fn events(&self, mut conn: Conn) -> Conn {
         let Some(since) = message::<Stamp>(&mut conn).await else {
             return malformed(conn);
@@ -86,6 +95,7 @@
             gossip::path::EXCHANGE => self.exchange(conn).await,
             path::CONFIG => self.config(conn).await,
             path::SUBMIT => self.submit(conn).await,
+            gossip::path::PAGE => self.page(conn).await,
             path::EVENTS => self.events(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,7 +10,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_settings::EntrySettings;
-use snipemast_wire::{listen, spawn, Listening};
+use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::choose::sync_forever;
 use crate::copy::{keep_forever, Copy};
@@ -68,7 +68,14 @@
             start_from(&shared, copy);
         }
         let settings = &shared.settings;
-        let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        let own = bind(
+            settings.own,
+            Stamped::new(
+                Arc::clone(shared.journal.ring()),
+                Own::new(Arc::clone(&shared)),
+            ),
+        )
+        .await?;
         shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -18,15 +18,19 @@
 }
 
 /// Every agent that this entry is connected to, draining ones included.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
+    ring: Arc<Ring>,
     members: RwLock<BTreeMap<HostId, Arc<Member>>>,
 }
 
 impl Registry {
-    /// An empty registry.
-    pub fn new() -> Self {
-        Self::default()
+    /// An empty registry, whose calls are stamped by the clock of this ring.
+    pub fn new(ring: Arc<Ring>) -> Self {
+        Self {
+            ring,
+            members: RwLock::default(),
+        }
     }
 
     /// Takes an agent's description; connections to the same process are kept.
@@ -38,7 +42,7 @@
         };
         let peer = match old.filter(same) {
             Some(old) => Arc::clone(&old.peer),
-            None => Arc::new(Peer::new(announce.address)),
+            None => Arc::new(Peer::new(announce.address).with_ring(Arc::clone(&self.ring))),
         };
         let host = announce.agent.host.clone();
         members.insert(host, Arc::new(Member { announce, peer }));
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -63,12 +63,13 @@
             region: settings.region.clone(),
         };
         let chooser = Arc::new(Chooser::new(place, &process, journal.clone()));
+        let ring = Arc::clone(journal.ring());
         Self {
             settings,
             process,
             journal,
             gossip: Gossip::new(),
-            registry: Registry::new(),
+            registry: Registry::new(ring),
             chooser,
             clock: Clock::new(),
             retries: Mutex::new(RetryBudget::new(RETRY_RESERVE)),
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -208,7 +208,7 @@
             .spread
             .pick(&self.table, Hearer { near, said }, repeats, &mut budget);
         (packet.verdicts, packet.deltas) = picked;
-        packet.riders = self.riders.pick(now, near, repeats / 2, &mut budget);
+        packet.riders = self.riders.pick(now, near, &mut budget);
         self.spent += (whole - budget) as u64;
         // Whoever is suspected must hear of it, or it can't prove that it lives.
         packet.verdicts.extend(self.suspicion(&peer.process.host));
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -15,6 +15,8 @@
 //! - [`leases`]: the leases that an entry has granted.
 //! - [`loads`]: loads within the zone, summaries across zones.
 //! - [`riders`]: small values of other packages that spread along.
+//! - [`timeline`]: the events of many processes in causal order, with bounded memory.
+//! - [`story`]: one request, patch or map change, in words.
 //! - [`tuning`]: intervals and bounds.
 
 pub mod agents;
@@ -29,7 +31,9 @@
 pub mod owned;
 pub mod riders;
 pub mod spread;
+pub mod story;
 pub mod table;
+pub mod timeline;
 pub mod tuning;
 pub mod view;
 pub mod zones;
--- a/crates/membership/src/owned.rs
+++ b/crates/membership/src/owned.rs
@@ -83,6 +83,12 @@
         self.cards.get(host).map(|(_, card)| card)
     }
 
+    /// The version at which an agent was last written, and whether it was put or removed then.
+    pub fn written(&self, host: &HostId) -> Option<(u64, bool)> {
+        let put = self.cards.get(host).map(|(at, _)| (*at, true));
+        put.or_else(|| self.gone.get(host).map(|at| (*at, false)))
+    }
+
     /// How many agents there are.
     pub fn len(&self) -> usize {
         self.cards.len()
--- a/crates/membership/src/riders.rs
+++ b/crates/membership/src/riders.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// How often one process passes a value on: what is published again soon may miss a few.
+    pub(crate) const fn repeats(self) -> u32 {
+        match self {
+            Self::Suspicion => 8,
+            Self::Versions => 4,
+            Self::Demand => 2,
+        }
+    }
+
     /// Whether a new value is sent on at once instead of with the next round.
     pub const fn is_urgent(self) -> bool {
         matches!(self, Self::Suspicion)
@@ -180,19 +189,17 @@
 
     /// Picks values for a peer within a number of bytes, most pressing topics first.
     ///
-    /// Each value is picked `repeats` times in all; after that the peers pass it on.
-    pub(crate) fn pick(
-        &mut self,
-        now: Moment,
-        same_zone: bool,
-        repeats: u32,
-        budget: &mut usize,
-    ) -> Vec<Rider> {
+    /// Each value is picked a few times in all; after that the peers pass it on.
+    pub(crate) fn pick(&mut self, now: Moment, same_zone: bool, budget: &mut usize) -> Vec<Rider> {
         let mut picked = Vec::new();
         for kept in self.kept.values_mut() {
             let travels = same_zone || kept.rider.topic.scope() == Scope::Everywhere;
             let size = kept.size();
-            if !travels || kept.sent >= repeats || kept.expires <= now || size > *budget {
+            if !travels
+                || kept.sent >= kept.rider.topic.repeats()
+                || kept.expires <= now
+                || size > *budget
+            {
                 continue;
             }
             *budget -= size;
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -12,6 +12,8 @@
 pub mod path {
     /// An entry begins an exchange with another.
     pub const EXCHANGE: &str = "/own/exchange";
+    /// A process is asked for a page of its events.
+    pub const PAGE: &str = "/own/events/page";
     /// An agent speaks to an entry about its lease.
     pub const LEASE: &str = "/own/lease";
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
+//! - [`stamp`]: stamps of the hybrid logical clock on messages.
 //! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
@@ -23,6 +24,7 @@
 pub mod peer;
 pub mod pipe;
 pub mod serve;
+pub mod stamp;
 
 pub use codec::{decode, encode, encode_into, CodecError};
 pub use config::ConfigPoll;
@@ -35,3 +37,4 @@
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
 pub use serve::{listen, spawn, Listening};
+pub use stamp::Stamped;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -23,6 +23,7 @@
 use snipemast_core::prelude::*;
 
 use crate::codec::{decode, encode};
+use crate::stamp;
 
 /// The result of a call.
 pub type Result<T> = std::result::Result<T, Report<PeerError>>;
@@ -87,6 +88,7 @@
 pub struct Peer {
     address: SocketAddr,
     client: ArcSwap<Client>,
+    ring: Option<Arc<Ring>>,
 }
 
 impl Peer {
@@ -95,9 +97,17 @@
         Self {
             address,
             client: ArcSwap::from_pointee(fresh_client()),
+            ring: None,
         }
     }
 
+    /// Stamps the calls by the clock of this ring, and follows the stamps of the answers.
+    #[must_use]
+    pub fn with_ring(mut self, ring: Arc<Ring>) -> Self {
+        self.ring = Some(ring);
+        self
+    }
+
     /// Where the process listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -192,8 +202,16 @@
 
     async fn send(&self, client: &Client, path: &str, body: Vec<u8>) -> Result<Conn> {
         let url = format!("http://{}{path}", self.address);
-        let conn = client.post(url.as_str()).with_body(body).await;
+        let mut conn = client.post(url.as_str()).with_body(body);
+        if let Some(ring) = &self.ring {
+            let stamp = ring.clock().tick();
+            conn = conn.with_request_header(stamp::HEADER, stamp.to_string());
+        }
+        let conn = conn.await;
         let conn = conn.map_err(|e| self.error(path, kind(&e)).attach(e.to_string()))?;
+        if let Some(ring) = &self.ring {
+            stamp::observe(ring, conn.response_headers().get_str(stamp::HEADER));
+        }
         match conn.status() {
             Some(status) if status.is_success() => Ok(conn),
             status => {
