Drive the machine by the replicated log in every entry

Cause: the control role decided alone and in memory; the log had no machine in a process. Change: a host with the control role starts a voter over its data folder, holds the machine for operators to look into, and says how fresh its leader's word is; a patch at any host reaches the leader; a minority and a lost answer are told apart; forgetting has to be asked for in settings. Conclusion: demo and tests run over the log.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -255,7 +255,8 @@
         operators: Some(loopback()),
         seeds: Vec::new(),
         control: Some(ControlSettings {
-            data: "data".into(),
+            data: None,
+            forgetful: true,
             voters: Vec::new(),
             operator: None,
         }),
--- a/crates/config/src/secret.rs
+++ b/crates/config/src/secret.rs
@@ -20,6 +20,12 @@
         Self(*blake3::hash(key.as_bytes()).as_bytes())
     }
 
+    /// The first eight bytes, as a number.
+    pub fn prefix(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+    }
+
     /// Compares in constant time, so that timing tells nothing of a key's hash.
     pub fn matches(&self, other: &Self) -> bool {
         self.0.ct_eq(&other.0).into()
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -134,7 +134,7 @@
             let detail = "only control hosts know other versions than the one in force";
             Problem::new(ProblemKind::Unavailable, detail)
         };
-        let looked = self.shared.alone().map(|alone| alone.read(look));
+        let looked = self.shared.control().map(|control| control.read(look));
         let unknown = |e| Problem::new(ProblemKind::NotFound, e);
         looked.ok_or_else(elsewhere)?.map_err(unknown)
     }
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -5,7 +5,7 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
-use snipemast_wire::config::Submit;
+use snipemast_wire::config::PatchAsk;
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply};
 use snipemast_wire::{Announce, Announced, ConfigPoll};
@@ -13,6 +13,9 @@
 use crate::control;
 use crate::shared::Shared;
 
+/// Where the messages between control hosts stand.
+const CONTROL: &str = "/own/control/";
+
 /// Serves the system's own processes.
 #[derive(Debug)]
 pub struct Own {
@@ -59,12 +62,18 @@
         reply(conn, &answer)
     }
 
-    async fn submit(&self, mut conn: Conn) -> Conn {
-        let Some(submit) = message::<Submit>(&mut conn).await else {
+    async fn patch(&self, mut conn: Conn) -> Conn {
+        let Some(ask) = message::<PatchAsk>(&mut conn).await else {
             return malformed(conn);
         };
-        let submitted = control::take(&self.shared, submit).await;
-        reply(conn, &submitted)
+        reply(conn, &control::take(&self.shared, ask).await)
+    }
+
+    async fn control(&self, conn: Conn) -> Conn {
+        match self.shared.control() {
+            Some(control) => control.voter().answer(conn).await,
+            None => conn.with_status(Status::NotFound).halt(),
+        }
     }
 
     async fn events(&self, mut conn: Conn) -> Conn {
@@ -81,8 +90,9 @@
         match conn.path() {
             path::ANNOUNCE => self.announce(conn).await,
             path::CONFIG => self.config(conn).await,
-            path::SUBMIT => self.submit(conn).await,
+            path::PATCH => self.patch(conn).await,
             path::EVENTS => self.events(conn).await,
+            path if path.starts_with(CONTROL) => self.control(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,6 +13,7 @@
 use snipemast_wire::{listen, spawn, Listening};
 
 use crate::choose::sync_forever;
+use crate::control::{attest_forever, Control};
 use crate::copy::{keep_forever, Copy};
 use crate::desk::Desk;
 use crate::follow::follow_forever;
@@ -28,12 +29,15 @@
 pub enum EntryError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// The control role can't begin.
+    Control,
 }
 
 impl fmt::Display for EntryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Control => f.write_str("the control role can't begin"),
         }
     }
 }
@@ -65,6 +69,10 @@
         }
         let settings = &shared.settings;
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        if let Some(control) = &settings.control {
+            let control = Control::start(&shared, control, own.address());
+            shared.begin_control(control.change_context(EntryError::Control)?);
+        }
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
             Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
@@ -76,7 +84,8 @@
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let expire = spawn(expire_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, expire, sync];
+        let attest = spawn(attest_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, expire, sync, attest];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -120,6 +129,9 @@
         for task in self.tasks {
             task.cancel().await;
         }
+        if let Some(control) = self.shared.control() {
+            control.voter().kill();
+        }
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,18 +1,18 @@
 //! What all requests of an entry process share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
 
 use snipemast_config::{Config, Delta, Patch, Verdict};
-use snipemast_control::machine::{Command, Reply, Submission};
+use snipemast_control::machine::Submission;
 use snipemast_core::prelude::*;
 use snipemast_routing::Place;
 use snipemast_settings::EntrySettings;
 
 use crate::choose::Chooser;
-use crate::control::Alone;
+use crate::control::{self, Control};
 use crate::registry::Registry;
 use crate::spread::Spread;
 
@@ -32,7 +32,7 @@
     /// What passes the configuration on.
     pub spread: Spread,
     config: ArcSwap<Config>,
-    alone: Option<Alone>,
+    control: OnceLock<Control>,
     counter: AtomicU64,
     draining: AtomicBool,
     running: AtomicU64,
@@ -41,11 +41,7 @@
 impl Shared {
     /// The state of a process that starts now.
     pub fn new(settings: EntrySettings, process: ProcessId, journal: Journal) -> Self {
-        let alone = settings.control.as_ref().map(|_| Alone::default());
         let spread = Spread::new(Arc::default());
-        if alone.is_some() {
-            spread.decide_alone();
-        }
         let registry = Registry::new(settings.limits.lease);
         let place = Place {
             zone: settings.zone.clone(),
@@ -60,7 +56,7 @@
             chooser,
             spread,
             config: ArcSwap::from_pointee(Config::default()),
-            alone,
+            control: OnceLock::new(),
             counter: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             running: AtomicU64::new(0),
@@ -97,44 +93,23 @@
         self.spread.advance(&config, delta);
     }
 
-    /// The control role, where this host decides alone.
-    pub fn alone(&self) -> Option<&Alone> {
-        self.alone.as_ref()
-    }
-
-    /// Submits a patch, or nothing where this host has no control role.
-    pub fn submit(&self, patch: &Patch) -> Option<Verdict> {
-        let command = Command::Submit(Submission::new(patch.clone()));
-        match Reply::from_bytes(&self.run(&command.to_bytes())?) {
-            Reply::Verdict(verdict) => Some(verdict),
-            Reply::Unknown => None,
-        }
+    /// The control role, on hosts that have it.
+    pub fn control(&self) -> Option<&Control> {
+        self.control.get()
     }
 
-    /// Carries a command of the log out, or nothing where this host does not decide.
-    pub(crate) fn run(&self, command: &[u8]) -> Option<Vec<u8>> {
-        let alone = self.alone.as_ref()?;
-        let (reply, config) = alone.apply(command);
-        if let (Ok(Command::Submit(submission)), Reply::Verdict(verdict)) =
-            (Command::from_bytes(command), Reply::from_bytes(&reply))
-        {
-            self.record(&submission, &verdict);
-        }
-        self.apply(config);
-        Some(reply)
+    /// Begins the control role.
+    pub(crate) fn begin_control(&self, control: Control) {
+        // An entry starts its control role once.
+        let _ = self.control.set(control);
     }
 
-    fn record(&self, submission: &Submission, verdict: &Verdict) {
-        let patch = &submission.patch;
-        match verdict {
-            Verdict::Accepted { version } => {
-                let detail = format!("version {version}: {}", patch.reason);
-                self.journal.record(Event::PatchAccepted, &patch.id, detail);
-            }
-            Verdict::Refused { refusal } => {
-                self.journal.record(Event::PatchRefused, &patch.id, refusal);
-            }
-        }
+    /// Submits a patch and blocks until its verdict, or returns nothing where there is none.
+    ///
+    /// For tests and demonstrations; operators come over [`crate::desk`].
+    pub fn submit(&self, patch: &Patch) -> Option<Verdict> {
+        let submission = Submission::new(patch.clone());
+        smol::block_on(control::submit(self, &submission)).ok()
     }
 
     /// The id of a new request.
--- a/crates/entry/src/spread.rs
+++ b/crates/entry/src/spread.rs
@@ -43,25 +43,14 @@
 pub struct Link {
     /// Whether a source answers, or the process is one.
     pub linked: bool,
-    /// When the control leader last confirmed the version in force.
-    pub confirmed: Confirmed,
+    /// When the control leader last confirmed the version in force, and how long before that.
+    pub confirmed: Option<(Moment, Span)>,
     /// The highest fencing number that was heard of.
     pub fence: Fence,
     /// How often the source was lost.
     losses: u64,
 }
 
-/// When the control leader last confirmed the version in force.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Confirmed {
-    /// It never did.
-    Never,
-    /// It did, so long before that moment.
-    Before(Moment, Span),
-    /// This process decides alone.
-    Always,
-}
-
 impl Spread {
     /// Passes on this configuration, before anything was heard of another.
     pub fn new(config: Arc<Config>) -> Self {
@@ -72,7 +61,7 @@
             roll: Roll::new(KEEP),
             link: Link {
                 linked: false,
-                confirmed: Confirmed::Never,
+                confirmed: None,
                 fence: Fence::default(),
                 losses: 0,
             },
@@ -110,13 +99,6 @@
         true
     }
 
-    /// Notes that this process decides alone.
-    pub fn decide_alone(&self) {
-        let link = &mut self.inner.lock().link;
-        link.linked = true;
-        link.confirmed = Confirmed::Always;
-    }
-
     /// Notes what the process knows of its own source.
     ///
     /// Whoever waits here is told at once that the source is lost, so that it can ask elsewhere.
@@ -127,7 +109,7 @@
             let lost = link.linked && !linked;
             link.losses += u64::from(lost);
             link.linked = linked;
-            link.confirmed = age.map_or(Confirmed::Never, |age| Confirmed::Before(now, age));
+            link.confirmed = age.map(|age| (now, age));
             link.fence = link.fence.max(fence);
             lost
         };
@@ -205,14 +187,9 @@
 
 impl Link {
     fn age(&self, now: Moment) -> Option<Span> {
-        match self.confirmed {
-            Confirmed::Never => None,
-            Confirmed::Before(then, age) => {
-                let later = now.since(then).as_micros();
-                Some(Span::from_micros(age.as_micros() + later))
-            }
-            Confirmed::Always => Some(Span::default()),
-        }
+        let (then, age) = self.confirmed?;
+        let later = now.since(then).as_micros();
+        Some(Span::from_micros(age.as_micros() + later))
     }
 }
 
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -45,7 +45,12 @@
     #[serde(deny_unknown_fields)]
     pub struct ControlSettings {
         /// The folder of the replicated log.
-        pub data: PathBuf,
+        #[serde(default)]
+        pub data: Option<PathBuf>,
+        /// Keeps the log of a single voter in memory instead: it forgets every patch at its
+        /// end, which only a demonstration may.
+        #[serde(default)]
+        pub forgetful: bool,
         /// The `own` addresses of every voter at the first start.
         pub voters: Vec<SocketAddr>,
         /// The hash of the key that may write until the configuration names operators; without
--- a/crates/wire/src/config.rs
+++ b/crates/wire/src/config.rs
@@ -1,6 +1,7 @@
 //! The messages that spread the configuration.
 
-use snipemast_config::{Ask, Census, Standing};
+use snipemast_config::{Ask, Census, Standing, Verdict};
+use snipemast_control::machine::Submission;
 use snipemast_core::prelude::*;
 
 data! {
@@ -17,23 +18,18 @@
 }
 
 data! {
-    /// A command for the control leader, passed on from host to host.
-    pub struct Submit {
-        /// The command, as the log carries it.
-        #[serde(with = "serde_bytes")]
-        pub command: Vec<u8>,
+    /// An operator's patch on its way to the control leader, passed on from host to host.
+    pub struct PatchAsk {
+        /// The patch, its author and its time.
+        pub submission: Submission,
         /// How many hosts may still pass it on.
         pub hops: u8,
     }
 
-    /// What became of a [`Submit`].
-    pub enum Submitted {
-        /// It was carried out.
-        Done {
-            /// The state machine's reply.
-            #[serde(with = "serde_bytes")]
-            reply: Vec<u8>,
-        },
+    /// What became of a [`PatchAsk`].
+    pub enum PatchAnswer {
+        /// It has its verdict.
+        Verdict(Verdict),
         /// No majority is in reach; nothing was accepted.
         Minority,
         /// No control host is in reach; nothing was accepted.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -19,8 +19,8 @@
     pub const CANCEL: &str = "/own/cancel";
     /// A process polls for the configuration: [`ConfigPoll`](crate::config::ConfigPoll).
     pub const CONFIG: &str = "/own/config";
-    /// An operator's patch on its way to the leader: [`Submit`](crate::config::Submit).
-    pub const SUBMIT: &str = "/own/submit";
+    /// An operator's patch on its way to the leader: [`PatchAsk`](crate::config::PatchAsk).
+    pub const PATCH: &str = "/own/patch";
     /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
     pub const EVENTS: &str = "/own/events";
 }
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -189,7 +189,8 @@
         operators: Some(loopback()),
         seeds: Vec::new(),
         control: Some(ControlSettings {
-            data: "data".into(),
+            data: None,
+            forgetful: true,
             voters: Vec::new(),
             operator: None,
         }),
