--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`choose`]: the routing state, in shards, and the choice of a server.
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
+//! - [`attempt`]: the shell around one request's decisions.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
@@ -14,6 +15,7 @@
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 //! - [`voter`]: the control role: one voter of the replicated log.
 
+pub mod attempt;
 pub mod choose;
 pub mod control;
 pub mod copy;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -4,10 +4,12 @@
 use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
+use parking_lot::Mutex;
 
 use snipemast_config::{Config, Delta, Patch, Verdict};
 use snipemast_control::machine::Submission;
 use snipemast_core::prelude::*;
+use snipemast_requests::RetryBudget;
 use snipemast_routing::Place;
 use snipemast_settings::EntrySettings;
 
@@ -16,6 +18,9 @@
 use crate::registry::Registry;
 use crate::spread::Spread;
 
+/// Retries that may come at once, before the share of traffic bounds them.
+const RETRY_RESERVE: u64 = 100;
+
 /// The state of an entry process.
 #[derive(Debug)]
 pub struct Shared {
@@ -29,6 +34,10 @@
     pub registry: Registry,
     /// The choice of a backend server.
     pub chooser: Arc<Chooser>,
+    /// The clock that requests' deadlines are on.
+    pub clock: Clock,
+    /// What is left for retries.
+    pub retries: Mutex<RetryBudget>,
     /// What passes the configuration on.
     pub spread: Spread,
     config: ArcSwap<Config>,
@@ -54,6 +63,8 @@
             journal,
             registry,
             chooser,
+            clock: Clock::new(),
+            retries: Mutex::new(RetryBudget::new(RETRY_RESERVE)),
             spread,
             config: ArcSwap::from_pointee(Config::default()),
             control: OnceLock::new(),
