Order servers under fencing numbers, and leave relays that stop

Cause: nothing ordered engines to load models or change role; a follower kept its connection to a relay that had stopped (test cut_off_catches_up, red once connections were kept alive). Change: the leader orders what servers lack; the agent's gate refuses lower numbers, other incarnations and doubled ids whether or not its server checks, learns the current number from a majority or waits leases out, and loads at a bounded rate; agents follow the configuration; a follower drops the connections to a source with old news, and a leaving relay says so. Conclusion: a deposed leader's order reaches no server.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`process`]: start, announce, drain, stop.
 //! - [`gate`]: takes dispatches, passes them to the backend server, frames the answer.
+//! - [`orders`]: the gate for orders.
 //! - [`announce`]: tells entry hosts what the backend server offers and how loaded it is.
 
 pub mod announce;
 pub mod gate;
+pub mod orders;
 pub mod process;
 
 pub use process::{Agent, AgentError};
--- /dev/null
+++ b/crates/agent/src/orders/desk.rs
@@ -0,0 +1,185 @@
+//! The shell of the gate for orders: takes them, passes them on, learns fencing numbers, and
+//! follows the configuration.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use trillium::{async_trait, Conn, Handler};
+
+use snipemast_config::{Census, Config, Delta, Follower, Standing};
+use snipemast_core::prelude::*;
+use snipemast_servers::orders::{Carried, EngineOrder, OrderClient};
+use snipemast_settings::AgentSettings;
+use snipemast_wire::order::{path, FenceAsk, FenceReport, Order, OrderAnswer};
+use snipemast_wire::serve::{malformed, message, reply};
+use snipemast_wire::{Peer, Sink};
+
+use super::{Decision, Interval, OrderGate};
+
+/// Longer than the lease of any control leader, with room for clocks that run apart.
+pub const HOLD: Span = Span::from_secs(5);
+/// The shortest time between two loads from the weight store.
+const LOAD_INTERVAL: Span = Span::from_secs(2);
+/// How often control hosts are asked for fencing numbers until a majority answered.
+const LEARN: Span = Span::from_millis(250);
+/// How long they may take.
+const TIMEOUT: Span = Span::from_secs(2);
+/// How many hosts may pass the question on.
+const HOPS: u8 = 2;
+
+/// Takes orders and keeps what the agent knows of the configuration.
+#[derive(Debug)]
+pub struct OrderDesk {
+    process: ProcessId,
+    settings: AgentSettings,
+    journal: Journal,
+    clock: Clock,
+    gate: Mutex<OrderGate<Interval>>,
+    client: OrderClient,
+    config: ArcSwap<Config>,
+    age: Mutex<Option<(Moment, Span)>>,
+}
+
+impl OrderDesk {
+    /// A desk in front of the settings' backend server.
+    pub fn new(process: ProcessId, settings: AgentSettings, journal: Journal) -> Self {
+        let clock = Clock::new();
+        let rate = Interval::new(LOAD_INTERVAL);
+        let gate = OrderGate::new(process.clone(), clock.now(), HOLD, rate);
+        Self {
+            client: OrderClient::new(settings.server),
+            process,
+            settings,
+            journal,
+            clock,
+            gate: Mutex::new(gate),
+            config: ArcSwap::default(),
+            age: Mutex::new(None),
+        }
+    }
+
+    /// The configuration in force at the agent.
+    pub fn config(&self) -> Arc<Config> {
+        self.config.load_full()
+    }
+
+    /// The highest fencing number that is known of.
+    pub fn floor(&self) -> Fence {
+        self.gate.lock().floor()
+    }
+
+    /// Decides on an order and passes it on.
+    pub async fn take(&self, order: Order) -> OrderAnswer {
+        let decision = self.gate.lock().take(self.clock.now(), &order);
+        match decision {
+            Decision::Done => OrderAnswer::Done,
+            Decision::Refuse(refusal) => {
+                self.journal.record(Event::OrderRefused, &order.id, refusal);
+                OrderAnswer::Refused(refusal)
+            }
+            Decision::Pass => self.pass(&order).await,
+        }
+    }
+
+    async fn pass(&self, order: &Order) -> OrderAnswer {
+        self.journal
+            .record(Event::OrderPassed, &order.id, &order.action);
+        let engine = EngineOrder {
+            id: order.id.clone(),
+            fence: order.fence,
+            action: order.action.clone(),
+        };
+        let carried = self.client.pass(&engine, order.left).await;
+        let done = matches!(carried, Ok(Carried::Done));
+        self.gate.lock().finish(order, done);
+        if done {
+            OrderAnswer::Done
+        } else {
+            OrderAnswer::Failed
+        }
+    }
+
+    /// Asks control hosts for fencing numbers until a majority has answered.
+    pub async fn learn_forever(self: Arc<Self>) {
+        let peers: Vec<Peer> = self.settings.seeds.iter().copied().map(Peer::new).collect();
+        for peer in peers.iter().cycle() {
+            if self.gate.lock().is_open(self.clock.now()) {
+                return;
+            }
+            let ask = FenceAsk { hops: HOPS };
+            let report = peer.call::<_, FenceReport>(path::FENCES, &ask, TIMEOUT);
+            if let Ok(report) = report.await {
+                self.gate.lock().learn(&report);
+            }
+            smol::Timer::after(LEARN.as_duration()).await;
+        }
+    }
+
+    /// Follows the configuration of the seeds.
+    pub async fn follow_forever(self: Arc<Self>) {
+        let seed = snipemast_config::KeyHash::of(&self.process.to_string()).prefix();
+        let seeds = &self.settings.seeds;
+        let follower = Follower::new(seeds.len(), self.config(), seed);
+        snipemast_wire::follow_forever(self.as_ref(), seeds, follower).await;
+    }
+}
+
+impl Sink for OrderDesk {
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn standing(&self) -> (Standing, Census) {
+        let now = self.clock.now();
+        let age = self.age.lock().map(|(then, age)| {
+            let later = now.since(then).as_micros();
+            Span::from_micros(age.as_micros() + later)
+        });
+        let standing = Standing {
+            process: self.process.clone(),
+            zone: self.settings.zone.clone(),
+            version: self.config.load().version,
+            age,
+        };
+        (standing, Census::default())
+    }
+
+    fn bring(&self, config: Arc<Config>, _: Option<Delta>) {
+        let version = config.version;
+        self.config.store(config);
+        self.journal.record(Event::VersionApplied, version, "");
+    }
+
+    fn note(&self, _: bool, age: Option<Span>, fence: Fence) {
+        let now = self.clock.now();
+        *self.age.lock() = age.map(|age| (now, age));
+        self.gate.lock().hear(fence);
+    }
+}
+
+/// Serves the desk to the system's own processes; other paths go on to the next handler.
+#[derive(Debug)]
+pub struct OrderHandler {
+    desk: Arc<OrderDesk>,
+}
+
+impl OrderHandler {
+    /// Serves this desk.
+    pub fn new(desk: Arc<OrderDesk>) -> Self {
+        Self { desk }
+    }
+}
+
+#[async_trait]
+impl Handler for OrderHandler {
+    async fn run(&self, mut conn: Conn) -> Conn {
+        if conn.path() != path::ORDER {
+            return conn;
+        }
+        let Some(order) = message::<Order>(&mut conn).await else {
+            return malformed(conn);
+        };
+        reply(conn, &self.desk.take(order).await)
+    }
+}
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -14,6 +14,7 @@
 
 use crate::announce::announce_forever;
 use crate::gate::{Gate, GateHandler};
+use crate::orders::desk::{OrderDesk, OrderHandler};
 
 /// The result of starting an agent.
 pub type Result<T> = std::result::Result<T, Report<AgentError>>;
@@ -44,6 +45,8 @@
     gate: Arc<Gate>,
     listening: Listening,
     announcing: Task<()>,
+    orders: Arc<OrderDesk>,
+    learning: Vec<Task<()>>,
     shutdown: Span,
 }
 
@@ -61,7 +64,17 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
-        let listening = listen(settings.own, GateHandler::new(Arc::clone(&gate)))
+        let desk = OrderDesk::new(
+            gate.process().clone(),
+            settings.clone(),
+            gate.journal().clone(),
+        );
+        let desk = Arc::new(desk);
+        let handler = (
+            OrderHandler::new(Arc::clone(&desk)),
+            GateHandler::new(Arc::clone(&gate)),
+        );
+        let listening = listen(settings.own, handler)
             .await
             .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
@@ -73,10 +86,16 @@
             listening.address(),
             info,
         ));
+        let learning = vec![
+            spawn(Arc::clone(&desk).learn_forever()),
+            spawn(Arc::clone(&desk).follow_forever()),
+        ];
         Ok(Self {
             gate,
             listening,
             announcing,
+            orders: desk,
+            learning,
             shutdown,
         })
     }
@@ -91,6 +110,11 @@
         &self.gate
     }
 
+    /// The gate for orders, and what the agent knows of the configuration.
+    pub fn orders(&self) -> &Arc<OrderDesk> {
+        &self.orders
+    }
+
     /// Refuses new dispatches from now on; the announcements spread it.
     pub fn drain(&self) {
         self.gate.drain();
@@ -107,6 +131,9 @@
         };
         self.gate.journal().record(event, self.gate.process(), "");
         self.announcing.cancel().await;
+        for task in self.learning {
+            task.cancel().await;
+        }
         self.listening.stop().await;
     }
 }
--- a/crates/config/src/follower.rs
+++ b/crates/config/src/follower.rs
@@ -314,7 +314,10 @@
             // Failure guarded against: a source that answers well and was itself cut off from
             // control. It shows as a zone that keeps an old version while another source of
             // the same zone has the new one. A source that says so, or whose news is old, makes
-            // the follower ask the next.
+            // the follower ask the next. Its connections go too: one may lead to a process that
+            // was stopped, while a new one reaches its successor.
+            let source = self.source;
+            out.push(Output::Retire { source });
             self.move_to(self.source + 1, now);
         }
     }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`follower`]: keeps one process at the newest version it can learn of.
 //! - [`census`]: who has which version in force.
 //! - [`index`]: the index from bearer keys to workspaces.
+//! - [`wishes`]: what the configuration asks of a backend server.
 //! - [`secret`]: hashes of keys, compared in constant time.
 //! - [`wall`]: wall-clock times, which are shown to people and decide nothing.
 
@@ -28,6 +29,7 @@
 pub mod section;
 pub mod strict;
 pub mod wall;
+pub mod wishes;
 
 pub use census::{Census, Roll, Standing};
 pub use check::{Fault, FaultKind};
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -322,7 +322,9 @@
                     linked: true,
                     fence: Fence::default(),
                 };
-                follower.handle(now, Input::Reply { ask: id, reply });
+                let retired = follower.handle(now, Input::Reply { ask: id, reply });
+                let old = Output::Retire { source: 0 };
+                assert_eq!(retired.contains(&old), source == 0);
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
 //! - [`follow`]: keeps up with the configuration of other hosts.
+//! - [`orders`]: orders of the control leader.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 //! - [`voter`]: the control role: one voter of the replicated log.
@@ -22,6 +23,7 @@
 pub mod desk;
 pub mod follow;
 pub mod front;
+pub mod orders;
 pub mod own;
 pub mod process;
 pub mod registry;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -7,11 +7,12 @@
 use snipemast_core::prelude::*;
 use snipemast_wire::config::PatchAsk;
 use snipemast_wire::message::path;
+use snipemast_wire::order::{self, FenceAsk};
 use snipemast_wire::serve::{malformed, message, reply};
 use snipemast_wire::{Announce, Announced, ConfigPoll};
 
-use crate::control;
 use crate::shared::Shared;
+use crate::{control, orders};
 
 /// Where the messages between control hosts stand.
 const CONTROL: &str = "/own/control/";
@@ -69,6 +70,13 @@
         reply(conn, &control::take(&self.shared, ask).await)
     }
 
+    async fn fences(&self, mut conn: Conn) -> Conn {
+        let Some(ask) = message::<FenceAsk>(&mut conn).await else {
+            return malformed(conn);
+        };
+        reply(conn, &orders::fences(&self.shared, ask).await)
+    }
+
     async fn control(&self, conn: Conn) -> Conn {
         match self.shared.control() {
             Some(control) => control.voter().answer(conn).await,
@@ -90,6 +98,7 @@
         match conn.path() {
             path::ANNOUNCE => self.announce(conn).await,
             path::CONFIG => self.config(conn).await,
+            order::path::FENCES => self.fences(conn).await,
             path::PATCH => self.patch(conn).await,
             path::EVENTS => self.events(conn).await,
             path if path.starts_with(CONTROL) => self.control(conn).await,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -18,6 +18,7 @@
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
+use crate::orders::order_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
@@ -85,7 +86,8 @@
         let expire = spawn(expire_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
         let attest = spawn(attest_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, expire, sync, attest];
+        let order = spawn(order_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, expire, sync, attest, order];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -119,6 +121,7 @@
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
     pub async fn stop(self) {
         self.shared.drain();
+        self.shared.spread.close();
         let empty = wait_empty(&self.shared).await;
         let event = if empty {
             Event::ProcessEnded
--- a/crates/entry/src/spread.rs
+++ b/crates/entry/src/spread.rs
@@ -49,6 +49,8 @@
     pub fence: Fence,
     /// How often the source was lost.
     losses: u64,
+    /// Whether the process is on its way out.
+    closed: bool,
 }
 
 impl Spread {
@@ -64,6 +66,7 @@
                 confirmed: None,
                 fence: Fence::default(),
                 losses: 0,
+                closed: false,
             },
         };
         Self {
@@ -118,6 +121,16 @@
         }
     }
 
+    /// Sends those that ask elsewhere, since the process is on its way out.
+    pub fn close(&self) {
+        {
+            let link = &mut self.inner.lock().link;
+            link.closed = true;
+            link.losses += 1;
+        }
+        self.bell.notify(usize::MAX);
+    }
+
     /// What the process knows of its own source.
     pub fn link(&self) -> Link {
         self.inner.lock().link
@@ -179,7 +192,7 @@
             news,
             age: link.age(now),
             held: now.since(asked),
-            linked: link.linked,
+            linked: link.linked && !link.closed,
             fence: link.fence,
         }
     }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -7,9 +7,12 @@
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
+use snipemast_servers::orders::Carried;
 use snipemast_servers::protocol;
 use snipemast_wire::{pipe, spawn, PipeWriter};
 
+use crate::orders::Orders;
+
 /// Filler behind the first event: the HTTP library holds a response's first bytes back.
 const PADDING: usize = 1_024;
 
@@ -17,6 +20,7 @@
 #[derive(Debug, Clone)]
 pub struct FakeEngine {
     info: ServerInfo,
+    orders: Orders,
     tokens: u32,
     pace: Span,
     running: Arc<AtomicU32>,
@@ -26,6 +30,7 @@
     /// An engine that describes itself so.
     pub fn new(info: ServerInfo) -> Self {
         Self {
+            orders: Orders::new(info.clone()),
             info,
             tokens: 16,
             pace: Span::default(),
@@ -47,6 +52,24 @@
         self
     }
 
+    /// The orders that it carries out.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
+    async fn order(&self, mut conn: Conn) -> Conn {
+        let body = conn.request_body().await.read_bytes().await;
+        let order = serde_json::from_slice(&body.unwrap_or_default());
+        let Ok(order) = order else {
+            return conn.with_status(Status::BadRequest).halt();
+        };
+        match self.orders.take(order) {
+            Carried::Done => conn.with_status(Status::Ok).halt(),
+            Carried::Old => conn.with_status(Status::Conflict).halt(),
+            Carried::Failed => conn.with_status(Status::InternalServerError).halt(),
+        }
+    }
+
     fn load(&self) -> LoadReport {
         let running = self.running.load(Ordering::Relaxed);
         let slots = self.info.slots.max(1);
@@ -131,7 +154,8 @@
 impl Handler for FakeEngine {
     async fn run(&self, conn: Conn) -> Conn {
         match conn.path() {
-            protocol::INFO => answer_json(conn, &self.info),
+            protocol::INFO => answer_json(conn, &self.orders.info()),
+            protocol::ORDERS => self.order(conn).await,
             protocol::LOAD => answer_json(conn, &self.load()),
             "/v1/completions" | "/v1/chat/completions" => self.complete(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! - [`engine`]: a model engine that speaks the protocol of `docs/SERVERS.md`.
 //! - [`group`]: the engines of a group, which step in lock-step and record the map of each step.
+//! - [`orders`]: what a fake engine makes of orders.
 //! - [`service`]: a plain service that counts what it ran.
 
 pub mod engine;
 pub mod group;
+pub mod orders;
 pub mod service;
 
 pub use engine::FakeEngine;
--- a/crates/servers/src/protocol.rs
+++ b/crates/servers/src/protocol.rs
@@ -4,5 +4,7 @@
 pub const INFO: &str = "/engine/info";
 /// `GET`: the server's [`LoadReport`](snipemast_core::server::LoadReport).
 pub const LOAD: &str = "/engine/load";
+/// `POST`: an [`EngineOrder`](crate::orders::EngineOrder); 409 refuses its fencing number.
+pub const ORDERS: &str = "/engine/orders";
 /// The header that names the attempt a call belongs to.
 pub const DISPATCH_HEADER: &str = "snipemast-dispatch";
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: messages between the agents of a group and towards their engines.
+//! - [`order`]: orders to backend servers, and the fencing numbers that they carry.
 //! - [`codec`]: messages to bytes and back.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
@@ -18,6 +19,7 @@
 pub mod frame;
 pub mod group;
 pub mod message;
+pub mod order;
 pub mod peer;
 pub mod pipe;
 pub mod serve;
