--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use smol::Task;
 
 use snipemast_core::prelude::*;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, Listening, Stamped};
+use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
+use crate::orders::desk::{OrderDesk, OrderHandler};
 
 /// The result of starting an agent.
 pub type Result<T> = std::result::Result<T, Report<AgentError>>;
@@ -43,6 +45,8 @@
     gate: Arc<Gate>,
     listening: Listening,
     announcing: Announcing,
+    orders: Arc<OrderDesk>,
+    learning: Vec<Task<()>>,
     shutdown: Span,
 }
 
@@ -60,24 +64,35 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
-        let listening = listen(
-            settings.own,
-            Stamped::new(
-                Arc::clone(gate.journal().ring()),
-                GateHandler::new(Arc::clone(&gate)),
-            ),
-        )
-        .await
-        .change_context(AgentError::Bind(settings.own))?;
+        let desk = OrderDesk::new(
+            gate.process().clone(),
+            settings.clone(),
+            gate.journal().clone(),
+        );
+        let desk = Arc::new(desk);
+        let handler = (
+            OrderHandler::new(Arc::clone(&desk)),
+            GateHandler::new(Arc::clone(&gate)),
+        );
+        let handler = Stamped::new(Arc::clone(gate.journal().ring()), handler);
+        let listening = listen(settings.own, handler)
+            .await
+            .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
         let shutdown = settings.limits.shutdown;
         let address = listening.address();
         let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
+        let learning = vec![
+            spawn(Arc::clone(&desk).learn_forever()),
+            spawn(Arc::clone(&desk).follow_forever()),
+        ];
         Ok(Self {
             gate,
             listening,
             announcing,
+            orders: desk,
+            learning,
             shutdown,
         })
     }
@@ -92,6 +107,11 @@
         &self.gate
     }
 
+    /// The gate for orders, and what the agent knows of the configuration.
+    pub fn orders(&self) -> &Arc<OrderDesk> {
+        &self.orders
+    }
+
     /// Refuses new dispatches from now on; the announcements spread it.
     pub fn drain(&self) {
         self.gate.drain();
@@ -108,6 +128,9 @@
         };
         self.gate.journal().record(event, self.gate.process(), "");
         self.announcing.stop().await;
+        for task in self.learning {
+            task.cancel().await;
+        }
         self.listening.stop().await;
     }
 }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,11 +13,13 @@
 use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::choose::sync_forever;
+use crate::control::{attest_forever, Control};
 use crate::copy::{keep_forever, Copy};
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
 use crate::gossip::gossip_forever;
+use crate::orders::order_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
@@ -32,12 +34,15 @@
 pub enum EntryError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// The control role can't begin.
+    Control,
 }
 
 impl fmt::Display for EntryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Control => f.write_str("the control role can't begin"),
         }
     }
 }
@@ -76,6 +81,10 @@
             ),
         )
         .await?;
+        if let Some(control) = &settings.control {
+            let control = Control::start(&shared, control, own.address());
+            shared.begin_control(control.change_context(EntryError::Control)?);
+        }
         shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
@@ -88,7 +97,9 @@
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let gossip = spawn(gossip_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, gossip, sync];
+        let attest = spawn(attest_forever(Arc::clone(&shared)));
+        let order = spawn(order_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync, attest, order];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -122,6 +133,7 @@
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
     pub async fn stop(self) {
         self.shared.drain();
+        self.shared.spread.close();
         let empty = wait_empty(&self.shared).await;
         let event = if empty {
             Event::ProcessEnded
@@ -134,6 +146,9 @@
         for task in self.tasks {
             task.cancel().await;
         }
+        if let Some(control) = self.shared.control() {
+            control.voter().kill();
+        }
     }
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`engine`]: a model engine that speaks the protocol of `docs/SERVERS.md`.
 //! - [`group`]: the engines of a group, which step in lock-step and record the map of each step.
+//! - [`orders`]: what a fake engine makes of orders.
 //! - [`service`]: a plain service that counts what it ran.
 //! - [`weights`]: a weight store that is slow, fails or has gaps on demand.
 //! - [`fleet`]: the membership of many processes over a virtual wire and clock.
@@ -11,6 +12,7 @@
 pub mod fleet;
 pub mod group;
 pub mod links;
+pub mod orders;
 pub mod service;
 pub mod weights;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: messages between the agents of a group and towards their engines.
+//! - [`order`]: orders to backend servers, and the fencing numbers that they carry.
 //! - [`gossip`]: how membership travels.
 //! - [`gossip`]: how membership travels.
 //! - [`group`]: messages between the agents of a group and towards their engines.
@@ -25,6 +26,7 @@
 pub mod gossip;
 pub mod group;
 pub mod message;
+pub mod order;
 pub mod peer;
 pub mod pipe;
 pub mod serve;
