--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -76,6 +76,8 @@
     pub notes: Vec<(VoterId, Note)>,
     pub timing: Option<Timing>,
     pub asked: BTreeMap<Ticket, Vec<u8>>,
+    /// How far a voter's own clock is ahead of the others'.
+    pub ahead: BTreeMap<VoterId, Span>,
     /// A clock stood still: a lease is then no promise, and only fencing numbers hold.
     pub stopped: bool,
     tickets: u64,
@@ -144,7 +146,8 @@
     }
 
     pub fn restart(&mut self, id: VoterId) {
-        let (now, timing) = (self.now, self.timing.unwrap_or_else(timing));
+        let now = self.now + self.ahead.get(&id).copied().unwrap_or_default();
+        let timing = self.timing.unwrap_or_else(timing);
         let place = self.places.get_mut(&id).unwrap();
         if place.node.is_some() {
             return;
@@ -196,7 +199,7 @@
     }
 
     pub fn step(&mut self, id: VoterId, input: Input) {
-        let now = self.now;
+        let now = self.now + self.ahead.get(&id).copied().unwrap_or_default();
         let place = self.places.get_mut(&id).unwrap();
         let Some(node) = place.node.as_mut() else {
             return;
