Prove at-most-once by a fault matrix, and claim keys at three keepers

Cause: claims of keys, suspicions and the proof of the request machines were missing. Change: keepers, claimers and suspicions as state machines; a fault matrix of every fault at every step and every pair through the machines themselves; a race of claimers under restarting and moving keepers. The matrix found one hole: a dispatch refused for want of room ran when its second copy came after there was room again. A refusal raises the floor now, and so binds.

--- a/crates/agent/src/announce.rs
+++ b/crates/agent/src/announce.rs
@@ -21,8 +21,11 @@
     loop {
         // A server that does not report is announced with the load of an idle one; the entry's
         // own counts of what it sent carry the choice until the next report.
-        let load = gate.engine().load().await.unwrap_or_default();
-        gate.report(load);
+        let report = gate.engine().load().await;
+        if let Ok(load) = &report {
+            gate.report(*load);
+        }
+        let load = report.unwrap_or_default();
         let announce = Announce {
             agent: gate.process().clone(),
             address,
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -37,6 +37,7 @@
     shards: Shards,
     suspect: Mutex<Option<DispatchId>>,
     load: Mutex<LoadReport>,
+    crashes: Mutex<Crashes>,
     draining: AtomicBool,
     running: AtomicU32,
 }
@@ -58,6 +59,7 @@
             shards,
             suspect: Mutex::new(None),
             load: Mutex::default(),
+            crashes: Mutex::default(),
             draining: AtomicBool::new(false),
             running: AtomicU32::new(0),
         }
@@ -116,6 +118,7 @@
 
     /// Takes the backend server's latest report.
     pub fn report(&self, load: LoadReport) {
+        self.crashes.lock().up();
         *self.load.lock() = load;
     }
 
@@ -159,6 +162,32 @@
     }
 }
 
+/// The deaths of the backend server.
+///
+/// All dispatches that one death takes with it carry the same number, so that ten copies of an
+/// innocent request beside a culprit count one crash and not ten.
+#[derive(Debug, Default)]
+struct Crashes {
+    number: u64,
+    is_down: bool,
+}
+
+impl Crashes {
+    /// The backend server was seen alive.
+    fn up(&mut self) {
+        self.is_down = false;
+    }
+
+    /// The backend server was found dead; returns the number of the death.
+    fn down(&mut self) -> u64 {
+        if !self.is_down {
+            self.is_down = true;
+            self.number += 1;
+        }
+        self.number
+    }
+}
+
 /// Work in flight.
 #[derive(Debug)]
 struct InFlight {
--- a/crates/agent/src/gate/handler.rs
+++ b/crates/agent/src/gate/handler.rs
@@ -46,6 +46,8 @@
     fn take(&self, dispatch: Dispatch) -> Result<DispatchId, (DispatchId, Refused)> {
         let (gate, id) = (&self.gate, dispatch.id.clone());
         if dispatch.suspect && !gate.take_suspect(&id) {
+            // A refusal binds: a second copy of the dispatch must not run later.
+            gate.shards.settle(&id, &dispatch.agent, dispatch.left);
             return Err((id, Refused::Suspect));
         }
         let arrival = Arrival {
--- a/crates/agent/src/gate/work.rs
+++ b/crates/agent/src/gate/work.rs
@@ -91,6 +91,7 @@
     async fn keep(&mut self, mut answer: Answer, clock: &Clock, end: Moment) -> Ended {
         let (status, headers) = (answer.status(), answer.headers());
         let gate = Arc::clone(&self.gate);
+        gate.crashes.lock().up();
         gate.shards
             .change(&self.id, |l| l.head(&self.id, status, headers));
         let mut buffer = vec![0; PIECE];
@@ -201,8 +202,11 @@
             None
         };
         match load.or(late).await {
-            Some(load) if load.restarts == self.restarts => Failure::Broken,
-            Some(_) | None => Failure::Died,
+            Some(load) if load.restarts == self.restarts => {
+                self.gate.crashes.lock().up();
+                Failure::Broken
+            }
+            Some(_) | None => Failure::Died(self.gate.crashes.lock().down()),
         }
     }
 
@@ -216,7 +220,7 @@
                     .record(Event::DispatchFinished, &self.request, id);
             }
             Ended::Failed(reason) => {
-                if reason == Failure::Died {
+                if let Failure::Died(_) = reason {
                     gate.journal.record(Event::ServerDied, &gate.process, id);
                 }
                 gate.shards.change(id, |l| l.fail(id, reason));
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use futures_lite::FutureExt;
+use serde::Serialize;
 
 use snipemast_core::prelude::*;
 use snipemast_requests::plan::Link;
@@ -133,8 +134,10 @@
         self.record(Event::CallerGone, "");
         self.feed(Input::CallerGone);
         while let Some(output) = self.queue.pop_front() {
-            if let Output::Cancel(target) = output {
-                self.cancel(target);
+            match output {
+                Output::Cancel(target) => self.cancel(target),
+                Output::Bar(target) => self.bar(target),
+                _ => {}
             }
         }
         self.hang_up();
@@ -191,8 +194,9 @@
             Output::Settle(link, target) => self.settle(link, target).await,
             Output::Resume(link, target, offset) => self.resume(link, target, offset).await,
             Output::Cancel(target) => self.cancel(target),
+            Output::Bar(target) => self.bar(target),
             Output::Retire(target) => self.retire(&target),
-            Output::Crashed(target) => self.record(Event::ServerDied, &target.agent),
+            Output::Crashed(crash) => self.record(Event::ServerDied, &crash.agent),
             Output::Dropped => self.record(Event::FrameDropped, ""),
             Output::Head(status, headers) => {
                 self.record(Event::AnswerBegun, status);
@@ -244,8 +248,8 @@
         fresh.or_else(|| registry.choose(&self.order.wanted, &[]))
     }
 
-    async fn claim(&mut self, _target: Target, _number: u64) {
-        self.feed(Input::Claimed(snipemast_requests::Claimed::Won));
+    async fn claim(&mut self, _target: Target, number: u64) {
+        self.feed(Input::Claimed(snipemast_requests::Claimed::Won, number));
     }
 
     async fn dispatch(&mut self, link: Link, target: Target) {
@@ -317,19 +321,33 @@
 
     /// Tells the agent in the background that nobody waits; a word that is lost costs only work.
     fn cancel(&self, target: Target) {
-        let Some(peer) = self.peer.clone() else {
-            return;
-        };
         let message = Cancel {
             id: target.id,
             agent: target.agent,
             keep: self.shared.settings.limits.deadline,
         };
+        self.tell(path::CANCEL, message);
+    }
+
+    /// Bars an attempt in the background, should it never have arrived.
+    fn bar(&self, target: Target) {
+        let message = Settle {
+            id: target.id,
+            agent: target.agent,
+            keep: self.shared.settings.limits.deadline,
+        };
+        self.tell(path::SETTLE, message);
+    }
+
+    fn tell<M: Serialize + Send + Sync + 'static>(&self, path: &'static str, message: M) {
+        let Some(peer) = self.peer.clone() else {
+            return;
+        };
         let timeout = self.plan.silence;
         spawn(async move {
             // An agent that can't be told finds out by itself that nobody reads.
             let _ = peer
-                .call_fresh::<_, Settlement>(path::CANCEL, &message, timeout)
+                .call_fresh::<_, Settlement>(path, &message, timeout)
                 .await;
         })
         .detach();
--- a/crates/requests/src/answer.rs
+++ b/crates/requests/src/answer.rs
@@ -84,8 +84,8 @@
     pub enum Failure {
         /// The connection to the backend server broke.
         Broken,
-        /// The backend server died with the dispatch in flight.
-        Died,
+        /// The backend server died with the dispatch in flight; its agent numbers the deaths.
+        Died(u64),
         /// The backend server sent nothing for too long.
         Silent,
         /// The answer's time ran out.
@@ -161,7 +161,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Broken => "the connection to the backend server broke",
-            Self::Died => "the backend server died",
+            Self::Died(_) => "the backend server died",
             Self::Silent => "the backend server went silent",
             Self::Late => "the deadline passed",
             Self::Cancelled => "the attempt was cancelled",
--- a/crates/requests/src/ledger.rs
+++ b/crates/requests/src/ledger.rs
@@ -128,6 +128,12 @@
         self.draining = true;
     }
 
+    /// Bounds what the ledger may hold from now on.
+    pub fn set_limits(&mut self, limits: LedgerLimits) {
+        self.limits = limits;
+        self.shed();
+    }
+
     /// Takes a dispatch that arrives.
     pub fn arrive(&mut self, now: Moment, arrival: &Arrival) -> Arrived {
         if arrival.agent != self.own {
@@ -141,6 +147,10 @@
         }
         self.expire(now);
         if let Some(reason) = self.refusal(arrival) {
+            if reason == Refused::Full {
+                // A refusal binds: a second copy must not run once there is room again.
+                self.raise(&arrival.id);
+            }
             return Arrived::Refused(reason);
         }
         let until = now + arrival.left.max(arrival.keep) + MARGIN;
--- a/crates/requests/src/plan.rs
+++ b/crates/requests/src/plan.rs
@@ -4,6 +4,7 @@
 use snipemast_core::prelude::*;
 
 use crate::answer::{Frame, Header, Settled};
+use crate::suspicion::Crash;
 use crate::verdict::Verdict;
 
 /// What one request may do.
@@ -74,8 +75,8 @@
     Quarantined,
     /// It is suspected of crashing backend servers, and runs elsewhere now.
     SuspectRuns,
-    /// The claim of the key was decided.
-    Claimed(Claimed),
+    /// The claim of the key was decided, for the attempt with this number.
+    Claimed(Claimed, u64),
     /// A frame came.
     Frame(Link, Frame),
     /// A connection or call was lost.
@@ -103,10 +104,12 @@
     Resume(Link, Target, u64),
     /// Tell the agent that nobody waits for the attempt.
     Cancel(Target),
+    /// Bar the attempt in the background, should it never have arrived; let it run otherwise.
+    Bar(Target),
     /// Drop the pooled connections to the agent: one of them went silent.
     Retire(Target),
-    /// The attempt was in flight when its backend server died.
-    Crashed(Target),
+    /// The attempt was in flight at this crash.
+    Crashed(Crash),
     /// Give the caller the head of the answer.
     Head(u16, Vec<Header>),
     /// Give the caller the next bytes of the body.
--- a/crates/requests/src/request.rs
+++ b/crates/requests/src/request.rs
@@ -7,6 +7,7 @@
 use crate::answer::{Failure, Frame, Part, Refused, Settled, Tag};
 use crate::assembler::{Assembled, Assembler, Piece};
 use crate::plan::{Claimed, Input, Link, Loss, Output, Plan, Target};
+use crate::suspicion::Crash;
 use crate::verdict::{Reason, Verdict};
 
 /// How often a call is tried again without progress before the agent counts as lost.
@@ -137,7 +138,7 @@
             Input::NoServer => self.unchosen(Reason::NoServer, out),
             Input::Quarantined => self.unchosen(Reason::Quarantined, out),
             Input::SuspectRuns => self.unchosen(Reason::SuspectRuns, out),
-            Input::Claimed(claimed) => self.claimed(now, claimed, out),
+            Input::Claimed(claimed, number) => self.claimed(now, claimed, number, out),
             Input::Frame(link, frame) if link == self.link => self.frame(now, frame, out),
             Input::Lost(link, loss) if link == self.link => self.lost(now, loss, out),
             Input::Settled(link, id, settled) if link == self.link => {
@@ -173,10 +174,11 @@
         }
     }
 
-    fn claimed(&mut self, now: Moment, claimed: Claimed, out: &mut Outputs) {
+    fn claimed(&mut self, now: Moment, claimed: Claimed, number: u64, out: &mut Outputs) {
         let State::Claiming(target) = &self.state else {
             return;
         };
+        self.claim = number;
         match claimed {
             Claimed::Won => self.dispatch(now, target.clone(), out),
             Claimed::Held(target) => self.attach(now, target, out),
@@ -317,8 +319,9 @@
     }
 
     fn failed(&mut self, reason: Failure, out: &mut Outputs) {
-        if let (Failure::Died, Some(target)) = (reason, self.target()) {
-            out.push_back(Output::Crashed(target.clone()));
+        if let (Failure::Died(number), Some(target)) = (reason, self.target()) {
+            let agent = target.agent.clone();
+            out.push_back(Output::Crashed(Crash { agent, number }));
         }
         self.over(Reason::Failed(reason), Outcome::Ran, out);
     }
@@ -470,12 +473,17 @@
         self.fail(Reason::CallerGone, Outcome::Unknown, out);
     }
 
-    /// Stops the current attempt, unless a resend of its key may come for the answer.
+    /// Stops the current attempt; one that a resend of its key may come for is only barred,
+    /// should it never have arrived.
     fn stop(&mut self, out: &mut Outputs) {
         let sent = !matches!(self.state, State::Claiming(_));
-        if let (true, false, Some(target)) = (sent, self.plan.keyed, self.target()) {
-            out.push_back(Output::Cancel(target.clone()));
-        }
+        let Some(target) = self.target().cloned().filter(|_| sent) else {
+            return;
+        };
+        out.push_back(match self.plan.keyed {
+            true => Output::Bar(target),
+            false => Output::Cancel(target),
+        });
     }
 
     fn fail(&mut self, reason: Reason, outcome: Outcome, out: &mut Outputs) {
--- /dev/null
+++ b/crates/requests/tests/keys.rs
@@ -0,0 +1,280 @@
+//! Claims of keys: one value for each attempt, whatever is lost, late or restarted.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use quickcheck::{quickcheck, Arbitrary, Gen};
+
+use snipemast_core::prelude::*;
+use snipemast_requests::claim::Round;
+use snipemast_requests::{
+    moves_one, ClaimKey, ClaimStep, ClaimValue, Claimed, Claimer, Fingerprint, Keeper,
+    KeeperAnswer, KeeperAsk, Table, Target,
+};
+
+const HOLD: Span = Span::from_secs(600);
+
+fn hosts() -> Vec<HostId> {
+    let name = |n| format!("entry-{n}").parse().expect("a name");
+    (0..4).map(name).collect()
+}
+
+fn process(host: usize, incarnation: u64) -> ProcessId {
+    ProcessId::new(hosts()[host].clone(), Incarnation::new(incarnation))
+}
+
+fn table(of: [usize; 3]) -> Table {
+    vec![of.map(|n| hosts()[n].clone())]
+}
+
+fn key() -> ClaimKey {
+    ClaimKey::Key {
+        workspace: "cordillera".parse().expect("a name"),
+        key: "key-1".parse().expect("a name"),
+    }
+}
+
+fn value(counter: u64, body: &[u8]) -> ClaimValue {
+    let workspace = "cordillera".parse().expect("a name");
+    ClaimValue {
+        target: Target {
+            id: DispatchId::new(process(0, 1), counter),
+            agent: process(3, 1),
+        },
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        body: Fingerprint::of(&workspace, "POST", "/", body),
+    }
+}
+
+/// A message between a claimer and a keeper, or what a keeper does by itself.
+#[derive(Debug, Clone)]
+enum Event {
+    Ask(usize, usize, Round, KeeperAsk),
+    Answer(usize, usize, Round, Option<KeeperAnswer>),
+    Begin(usize),
+}
+
+/// Choices that a schedule makes, one by one.
+#[derive(Debug, Clone)]
+struct Schedule(Vec<u8>);
+
+impl Arbitrary for Schedule {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self((0..400).map(|_| u8::arbitrary(g)).collect())
+    }
+}
+
+/// Claimers that race for one key while keepers restart, move and lose messages.
+struct Race {
+    keepers: Vec<Keeper>,
+    incarnations: [u64; 4],
+    /// The table in force, and which keepers have it already.
+    table: [usize; 3],
+    applied: [bool; 4],
+    /// The hosts that each claimer asks.
+    asks: Vec<[usize; 3]>,
+    claimers: Vec<Claimer>,
+    events: Vec<Event>,
+    decided: BTreeMap<u64, Target>,
+    clash: bool,
+}
+
+impl Race {
+    fn new() -> Self {
+        let keeper = |n| {
+            let mut keeper = Keeper::new(process(n, 1), HOLD, 8);
+            keeper.apply(Moment::ZERO, &table([0, 1, 2]));
+            keeper
+        };
+        Self {
+            keepers: (0..4).map(keeper).collect(),
+            incarnations: [1; 4],
+            table: [0, 1, 2],
+            applied: [true; 4],
+            asks: vec![[0, 1, 2]; 3],
+            claimers: (1..4)
+                .map(|n| Claimer::new(key(), 1, value(n, b"body"), &table([0, 1, 2])[0], HOLD))
+                .collect(),
+            events: (0..3).map(Event::Begin).collect(),
+            decided: BTreeMap::new(),
+            clash: false,
+        }
+    }
+
+    fn run(mut self, schedule: &Schedule) -> bool {
+        for choice in &schedule.0 {
+            match choice {
+                0..=15 => self.restart(usize::from(choice % 4)),
+                16..=19 => self.shift(),
+                56..=71 => self.apply(usize::from(choice % 4)),
+                72..=75 => self.join(),
+                20..=55 => self.copy(usize::from(choice % 4)),
+                _ if self.events.is_empty() => {}
+                _ => {
+                    let place = usize::from(*choice) % self.events.len();
+                    let event = self.events.swap_remove(place);
+                    let lost = choice % 11 == 0;
+                    let doubled = choice % 13 == 0;
+                    if doubled {
+                        self.events.push(event.clone());
+                    }
+                    self.happen(event, lost);
+                }
+            }
+        }
+        !self.clash
+    }
+
+    fn happen(&mut self, event: Event, lost: bool) {
+        match event {
+            Event::Begin(claimer) => {
+                let step = self.claimers[claimer].begin();
+                self.follow(claimer, step);
+            }
+            Event::Ask(claimer, keeper, round, ask) => {
+                let host = self.asks[claimer][keeper];
+                let answer = self.keepers[host].handle(Moment::ZERO, ask);
+                let answer = Some(answer).filter(|_| !lost);
+                self.events
+                    .push(Event::Answer(claimer, keeper, round, answer));
+            }
+            Event::Answer(claimer, keeper, round, answer) => {
+                let step = self.claimers[claimer].handle(&round, keeper, answer);
+                self.follow(claimer, step);
+            }
+        }
+    }
+
+    fn follow(&mut self, claimer: usize, step: ClaimStep) {
+        let round = self.claimers[claimer].round().clone();
+        match step {
+            ClaimStep::Ask(keepers, ask) => {
+                let ask = |k| Event::Ask(claimer, k, round.clone(), ask.clone());
+                self.events.extend(keepers.into_iter().map(ask));
+            }
+            ClaimStep::Pause(_) => self.events.push(Event::Begin(claimer)),
+            ClaimStep::Done(claimed, Some(value), attempt) => {
+                assert_eq!(
+                    claimed == Claimed::Won,
+                    value.target == *self.claimers[claimer].target()
+                );
+                let decided = self.decided.entry(attempt).or_insert(value.target.clone());
+                self.clash |= *decided != value.target;
+            }
+            ClaimStep::Wait | ClaimStep::Done(_, None, _) => {}
+        }
+    }
+
+    fn restart(&mut self, host: usize) {
+        self.incarnations[host] += 1;
+        let process = process(host, self.incarnations[host]);
+        self.keepers[host] = Keeper::new(process, HOLD, 8);
+        self.keepers[host].restart(Moment::ZERO, &table(self.table));
+        self.applied[host] = true;
+    }
+
+    /// Moves the shard from one host to the spare one, once the move before is complete.
+    fn shift(&mut self) {
+        let complete = self.applied.iter().all(|a| *a);
+        if !complete || !self.keepers.iter().all(Keeper::is_ready) {
+            return;
+        }
+        let spare = (0..4)
+            .find(|n| !self.table.contains(n))
+            .expect("a spare host");
+        let before = table(self.table);
+        self.table.rotate_left(1);
+        self.table[2] = spare;
+        assert!(moves_one(&before, &table(self.table)));
+        self.applied = [false; 4];
+    }
+
+    /// A keeper hears of the table in force.
+    fn apply(&mut self, host: usize) {
+        self.applied[host] = true;
+        self.keepers[host].apply(Moment::ZERO, &table(self.table));
+    }
+
+    /// A further send of the key reaches an entry that goes by the table in force.
+    fn join(&mut self) {
+        if self.claimers.len() < 6 {
+            let number = self.claimers.len() as u64 + 1;
+            let hosts = &table(self.table)[0];
+            let claimer = Claimer::new(key(), 1, value(number, b"body"), hosts, HOLD);
+            self.claimers.push(claimer);
+            self.asks.push(self.table);
+            self.events.push(Event::Begin(self.claimers.len() - 1));
+        }
+    }
+
+    fn copy(&mut self, host: usize) {
+        for (shard, from) in self.keepers[host].missing() {
+            let place = hosts().iter().position(|h| *h == from).expect("a host");
+            let to = process(host, self.incarnations[host]);
+            let ask = KeeperAsk::Copy { shard, to };
+            if let KeeperAnswer::Copied { claims } = self.keepers[place].handle(Moment::ZERO, ask) {
+                self.keepers[host].copied(Moment::ZERO, shard, &from, claims);
+                return;
+            }
+        }
+    }
+}
+
+// Two sends of one key reach two entries; both are told that theirs is the one that runs. The
+// cause is a keeper that forgot, moved, or took part in two rounds at once.
+#[test]
+fn one_value() {
+    fn holds(schedule: Schedule) -> bool {
+        Race::new().run(&schedule)
+    }
+    for seed in 0..20 {
+        let gen = Gen::from_size_and_seed(400, seed);
+        let mut checks = quickcheck::QuickCheck::new().rng(gen).tests(1_000);
+        checks.quickcheck(holds as fn(Schedule) -> bool);
+    }
+}
+
+// A caller uses one key for two different orders by mistake. Without the check the second
+// would get the first one's answer.
+#[test]
+fn other_body() {
+    let mut keepers: Vec<Keeper> = Race::new().keepers;
+    let claim = |value: ClaimValue, keepers: &mut Vec<Keeper>| {
+        let mut claimer = Claimer::new(key(), 1, value, &table([0, 1, 2])[0], HOLD);
+        let mut steps = vec![claimer.begin()];
+        while let Some(step) = steps.pop() {
+            match step {
+                ClaimStep::Ask(places, ask) => {
+                    for place in places {
+                        let answer = keepers[place].handle(Moment::ZERO, ask.clone());
+                        let round = claimer.round().clone();
+                        steps.push(claimer.handle(&round, place, Some(answer)));
+                    }
+                }
+                ClaimStep::Done(claimed, ..) => return Some(claimed),
+                ClaimStep::Pause(_) | ClaimStep::Wait => {}
+            }
+        }
+        None
+    };
+    assert_eq!(claim(value(1, b"one"), &mut keepers), Some(Claimed::Won));
+    assert_eq!(
+        claim(value(2, b"two"), &mut keepers),
+        Some(Claimed::Mismatch)
+    );
+}
+
+quickcheck! {
+    /// A table that replaces two keepers of a shard at once is refused.
+    fn two_moves(first: u8, second: u8) -> bool {
+        let (a, b) = (usize::from(first % 3), usize::from(second % 3));
+        let mut after = [0, 1, 2];
+        after[a] = 3;
+        let one = moves_one(&table([0, 1, 2]), &table(after));
+        let other: [HostId; 2] = ["x", "y"].map(|n| n.parse().expect("a name"));
+        let mut both = table([0, 1, 2]);
+        both[0][a] = other[0].clone();
+        both[0][b] = other[1].clone();
+        one && moves_one(&table([0, 1, 2]), &both) == (a == b)
+    }
+}
--- /dev/null
+++ b/crates/requests/tests/world/mod.rs
@@ -0,0 +1,318 @@
+//! The interfaces around the state machines: messages, connections, an engine, a caller.
+//!
+//! Time is virtual and every message is an event. Faults act on messages and processes only;
+//! every decision is made by the machines of the package itself.
+
+mod agent;
+mod caller;
+mod entry;
+mod keys;
+
+use std::collections::BTreeMap;
+
+use snipemast_core::prelude::*;
+use snipemast_requests::claim::Round;
+use snipemast_requests::{Input, Keeper, KeeperAnswer, KeeperAsk, Link, Target};
+
+pub(crate) use agent::{body, Agent};
+pub(crate) use caller::{Result, Send};
+
+/// How long a message is under way.
+pub(crate) const HOP: Span = Span::from_millis(1);
+/// The deadline of each send.
+pub(crate) const DEADLINE: Span = Span::from_secs(30);
+/// How long a connection may be silent.
+pub(crate) const SILENCE: Span = Span::from_secs(2);
+/// How long claims are remembered.
+pub(crate) const HOLD: Span = Span::from_secs(300);
+/// How often agents send beats.
+const BEAT: Span = Span::from_millis(500);
+/// How long a zone stays cut off.
+const CUT: Span = Span::from_secs(5);
+
+/// The points at which faults strike.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Step {
+    Unwritten,
+    Written,
+    Recorded,
+    AtWork,
+    MidStream,
+    Finished,
+    Delivered,
+    Resent,
+}
+
+/// What strikes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    Silent,
+    Reset,
+    Delayed,
+    Duplicated,
+    Crossed,
+    EntryDies,
+    AgentRestarts,
+    ServerDies,
+    ZoneCut,
+    Drain,
+    MemoryBound,
+    Stall,
+}
+
+pub(crate) const STEPS: [Step; 8] = [
+    Step::Unwritten,
+    Step::Written,
+    Step::Recorded,
+    Step::AtWork,
+    Step::MidStream,
+    Step::Finished,
+    Step::Delivered,
+    Step::Resent,
+];
+
+pub(crate) const FAULTS: [Fault; 12] = [
+    Fault::Silent,
+    Fault::Reset,
+    Fault::Delayed,
+    Fault::Duplicated,
+    Fault::Crossed,
+    Fault::EntryDies,
+    Fault::AgentRestarts,
+    Fault::ServerDies,
+    Fault::ZoneCut,
+    Fault::Drain,
+    Fault::MemoryBound,
+    Fault::Stall,
+];
+
+/// What kind of request a cell sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Kind {
+    pub(crate) idempotent: bool,
+    pub(crate) keyed: bool,
+    pub(crate) stream: bool,
+    /// Whether the caller sends to both entries at once.
+    pub(crate) eager: bool,
+}
+
+/// A message to an agent.
+#[derive(Debug, Clone)]
+pub(crate) enum ToAgent {
+    Dispatch {
+        target: Target,
+        keep: Span,
+        left: Span,
+    },
+    Settle(Target, Span),
+    Resume(Target, u64),
+    Cancel(Target),
+}
+
+/// One connection from an entry to an agent.
+#[derive(Debug, Clone)]
+pub(crate) struct Conn {
+    pub(crate) send: usize,
+    pub(crate) link: Link,
+    pub(crate) agent: usize,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) open: bool,
+    pub(crate) silent: bool,
+    pub(crate) delayed: bool,
+    pub(crate) doubled: bool,
+}
+
+/// Something that happens at a moment.
+#[derive(Debug, Clone)]
+pub(crate) enum Event {
+    ToAgent(usize, ToAgent, Option<usize>),
+    ToEntry(usize, Input),
+    Wake(usize),
+    ToKeeper(usize, usize, Round, KeeperAsk),
+    FromKeeper(usize, Round, usize, Option<KeeperAnswer>),
+    ClaimAgain(usize),
+    CopyShards(usize),
+    Engine(usize, Incarnation, DispatchId, u32),
+    Beat(usize),
+    Seen(usize, Incarnation),
+    Heal,
+    Relieve(usize),
+    Overdue(usize, Incarnation, DispatchId),
+    ToCaller(usize, caller::Word),
+    Impatient(usize),
+}
+
+/// Everything in one cell.
+pub(crate) struct World {
+    pub(crate) now: Moment,
+    pub(crate) kind: Kind,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) keepers: Vec<Keeper>,
+    pub(crate) sends: Vec<Send>,
+    pub(crate) conns: Vec<Conn>,
+    /// Runs on engines, by dispatch.
+    pub(crate) runs: BTreeMap<DispatchId, u32>,
+    faults: Vec<(Step, Fault)>,
+    queue: BTreeMap<(Moment, u64), Event>,
+    sequence: u64,
+    pub(crate) dead: [bool; 2],
+    pub(crate) cut: bool,
+    pub(crate) view: Vec<Incarnation>,
+    counter: u64,
+    pub(crate) incarnations: Vec<u64>,
+    /// What an agent did that it must not do.
+    pub(crate) broken: Option<&'static str>,
+}
+
+impl World {
+    pub(crate) fn new(kind: Kind, faults: &[(Step, Fault)]) -> Self {
+        Self {
+            now: Moment::from_millis(1_000),
+            kind,
+            agents: (0..2).map(Agent::new).collect(),
+            keepers: keys::keepers(),
+            sends: Vec::new(),
+            conns: Vec::new(),
+            runs: BTreeMap::new(),
+            faults: faults.to_vec(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            dead: [false; 2],
+            cut: false,
+            view: vec![Incarnation::new(1); 2],
+            counter: 0,
+            incarnations: vec![1; 3],
+            broken: None,
+        }
+    }
+
+    /// Plays the cell to its end: the first send, whatever the caller sends again, and every
+    /// message that was still under way.
+    pub(crate) fn play(&mut self) {
+        self.send(0);
+        if self.kind.eager {
+            self.send(1);
+        }
+        while let Some(((at, _), event)) = self.queue.pop_first() {
+            self.now = at;
+            self.happen(event);
+        }
+    }
+
+    pub(crate) fn at(&mut self, after: Span, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + after, self.sequence), event);
+    }
+
+    pub(crate) fn next_id(&mut self, entry: usize) -> DispatchId {
+        self.counter += 1;
+        let host = format!("entry-{entry}").parse().expect("a name");
+        let incarnation = Incarnation::new(1);
+        DispatchId::new(ProcessId::new(host, incarnation), self.counter)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::ToAgent(agent, message, conn) => self.agent_gets(agent, message, conn),
+            Event::ToEntry(send, input) => self.feed(send, input),
+            Event::Wake(send) => self.wake(send),
+            Event::ToKeeper(keeper, send, round, ask) => self.keeper_gets(keeper, send, round, ask),
+            Event::FromKeeper(send, round, keeper, answer) => {
+                self.claimer_gets(send, round, keeper, answer);
+            }
+            Event::ClaimAgain(send) => self.claim_again(send),
+            Event::CopyShards(keeper) => self.copy_shards(keeper),
+            Event::Engine(agent, incarnation, id, stage) => {
+                self.engine(agent, incarnation, id, stage);
+            }
+            Event::Beat(conn) => self.beat(conn),
+            Event::Seen(agent, incarnation) => self.view[agent] = incarnation,
+            Event::Heal => self.cut = false,
+            Event::Relieve(agent) => self.agents[agent].relieve(),
+            Event::Overdue(agent, incarnation, id) => self.overdue(agent, incarnation, &id),
+            Event::ToCaller(send, word) => self.caller_gets(send, word),
+            Event::Impatient(send) => self.caller_waits_no_more(send),
+        }
+    }
+
+    /// A step was reached: whatever waits for it strikes, once.
+    pub(crate) fn reach(&mut self, step: Step, send: usize) {
+        let (due, rest) = self.faults.iter().partition(|(s, _)| *s == step);
+        let due: Vec<(Step, Fault)> = due;
+        self.faults = rest;
+        for (_, fault) in due {
+            self.strike(step, fault, send);
+        }
+    }
+
+    fn strike(&mut self, step: Step, fault: Fault, send: usize) {
+        let conn = self.sends[send].conn;
+        let agent = self.sends[send].agent;
+        match fault {
+            Fault::Silent if step == Step::Delivered => self.sends[send].deaf = true,
+            Fault::Silent => self.with_conn(conn, |c| c.silent = true),
+            Fault::Reset if step == Step::Delivered => self.caller_cut(send),
+            Fault::Reset => self.reset(conn),
+            Fault::Delayed => self.with_conn(conn, |c| c.delayed = true),
+            Fault::Duplicated => self.with_conn(conn, |c| c.doubled = true),
+            Fault::Crossed => self.cross(send),
+            Fault::EntryDies => self.entry_dies(),
+            Fault::AgentRestarts => self.restart_agent(agent),
+            Fault::ServerDies => self.kill_server(agent),
+            Fault::ZoneCut => {
+                self.cut = true;
+                self.at(CUT, Event::Heal);
+            }
+            Fault::Drain => self.agents[agent].drain(),
+            Fault::MemoryBound => {
+                self.agents[agent].fill();
+                self.at(CUT, Event::Relieve(agent));
+            }
+            Fault::Stall => self.agents[agent].stalled = true,
+        }
+    }
+
+    fn with_conn(&mut self, conn: Option<usize>, change: impl FnOnce(&mut Conn)) {
+        if let Some(conn) = conn {
+            change(&mut self.conns[conn]);
+        }
+    }
+
+    /// Breaks a connection off: both ends see it, and what was under way is lost.
+    pub(crate) fn reset(&mut self, conn: Option<usize>) {
+        let Some(number) = conn else {
+            return;
+        };
+        let Conn {
+            send, link, open, ..
+        } = self.conns[number].clone();
+        if open {
+            self.conns[number].open = false;
+            let lost = Input::Lost(link, snipemast_requests::Loss::Broken);
+            self.at(HOP, Event::ToEntry(send, lost));
+        }
+    }
+
+    /// Whether an entry and another zone can't reach each other.
+    pub(crate) fn is_cut(&self, entry: usize) -> bool {
+        self.cut && entry == 0
+    }
+
+    fn entry_dies(&mut self) {
+        if std::mem::replace(&mut self.dead[0], true) {
+            return;
+        }
+        for send in 0..self.sends.len() {
+            if self.sends[send].entry == 0 {
+                self.close_conns(send);
+                self.caller_cut(send);
+            }
+        }
+        self.restart_keeper(0);
+    }
+
+    pub(crate) fn close_conns(&mut self, send: usize) {
+        let own = self.conns.iter_mut().filter(|c| c.send == send);
+        own.for_each(|c| c.open = false);
+    }
+}
