Claim keys between entries, spread suspicions, and meet a faulty wire

Cause: keys and suspicions stood as machines only; nothing had met a real wire that misbehaves; an entry that ended left its connections open, so a peer went on polling a process that was gone. Change: entries keep and claim keys over the wire and tell each other of crashes before a caller is answered; a TCP wire fake that goes silent, breaks, delays and doubles; tests of whole requests behind it. A stopping entry closes its listeners and ends after the last byte was written. A caller that leaves cancels its request, also one that does not stream.

--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -52,6 +52,16 @@
         settings: AgentSettings,
         incarnation: Incarnation,
         journal: Journal,
+    ) -> Result<Self> {
+        Self::start_behind(settings, incarnation, journal, None).await
+    }
+
+    /// Starts an agent that others reach at another address than the one it binds.
+    pub async fn start_behind(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        journal: Journal,
+        reached: Option<SocketAddr>,
     ) -> Result<Self> {
         let engine = Engine::new(settings.server);
         let info = engine
@@ -66,7 +76,7 @@
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
         let shutdown = settings.limits.shutdown;
-        let address = listening.address();
+        let address = reached.unwrap_or(listening.address());
         let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
         Ok(Self {
             gate,
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,8 +8,10 @@
 
 use snipemast_core::prelude::*;
 use snipemast_requests::plan::Link;
+use snipemast_requests::suspicion::Standing;
 use snipemast_requests::{
-    Header, Input, Loss, Output, Outputs, Plan, RequestMachine, Target, Verdict,
+    ClaimKey, ClaimValue, Claimed, Crash, Fingerprint, Header, Input, Loss, Output, Outputs, Plan,
+    RequestMachine, Target, Verdict,
 };
 use snipemast_routing::{Ended, Wanted};
 use snipemast_wire::message::path;
@@ -20,6 +22,7 @@
 };
 
 use crate::choose::{choose, Picked};
+use crate::keys::ClaimOutcome;
 use crate::shared::Shared;
 
 /// What a request asks for.
@@ -33,6 +36,8 @@
     pub wanted: Wanted,
     /// The caller's key.
     pub key: Option<RequestKey>,
+    /// The fingerprint of what the caller asked.
+    pub fingerprint: Fingerprint,
     /// What to ask the backend server.
     pub call: Call,
 }
@@ -62,6 +67,8 @@
     peer: Option<Arc<Peer>>,
     member: Option<Picked>,
     tried: Vec<ProcessId>,
+    /// The crash that the request is suspected of, and how often it was claimed for that.
+    suspect: Option<(Crash, u64)>,
     timer: smol::Timer,
     armed: Moment,
 }
@@ -80,6 +87,7 @@
             peer: None,
             member: None,
             tried: Vec::new(),
+            suspect: None,
             timer: smol::Timer::never(),
             armed: Moment::NEVER,
         };
@@ -188,7 +196,7 @@
 
     async fn perform(&mut self, output: Output) -> Option<Step> {
         match output {
-            Output::Choose => self.choose(),
+            Output::Choose => self.choose().await,
             Output::Claim(target, number) => self.claim(target, number).await,
             Output::Dispatch(link, target) => self.dispatch(link, target).await,
             Output::Settle(link, target) => self.settle(link, target).await,
@@ -201,7 +209,10 @@
             }
             Output::Crashed(crash) => {
                 self.ended(Ended::Failed);
-                self.record(Event::ServerDied, &crash.agent);
+                self.record(Event::RequestSuspected, &crash.agent);
+                let shared = Arc::clone(&self.shared);
+                let fingerprint = self.order.fingerprint;
+                shared.keys.crashed(&shared, fingerprint, crash).await;
             }
             Output::Dropped => self.record(Event::FrameDropped, ""),
             Output::Head(status, headers) => {
@@ -222,6 +233,8 @@
                 if let Some(member) = &self.member {
                     member.report(&load);
                 }
+                let now = self.shared.clock.now();
+                self.shared.keys.finished(now, self.order.fingerprint);
                 self.record(Event::AnswerDelivered, "");
                 self.let_go();
                 return Some(Step::End);
@@ -235,7 +248,7 @@
         None
     }
 
-    fn choose(&mut self) {
+    async fn choose(&mut self) {
         self.hang_up();
         let again = self.machine.attempts() > 0;
         if again && !self.shared.retries.lock().spend() {
@@ -255,7 +268,9 @@
         self.peer = Some(Arc::clone(&member.peer));
         self.member = Some(member);
         let id = self.shared.next_dispatch();
-        self.feed(Input::Chosen(Target { id, agent }));
+        let target = Target { id, agent };
+        let refused = self.admit(&target).await;
+        self.feed(refused.unwrap_or(Input::Chosen(target)));
     }
 
     /// An agent that was not tried yet, or any where all were.
@@ -267,8 +282,71 @@
             .ok()
     }
 
-    async fn claim(&mut self, _target: Target, number: u64) {
-        self.feed(Input::Claimed(snipemast_requests::Claimed::Won, number));
+    /// Claims the caller's key for an attempt.
+    async fn claim(&mut self, target: Target, number: u64) {
+        let Some(key) = self.order.key.clone() else {
+            return self.feed(Input::Claimed(Claimed::Unsure, number));
+        };
+        let workspace = self.order.workspace.clone();
+        let key = ClaimKey::Key { workspace, key };
+        let outcome = self.claim_for(key, number, target).await;
+        match (&outcome.claimed, &outcome.value) {
+            (Claimed::Held(_), Some(value)) => {
+                self.record(Event::KeyAttached, &value.target.id);
+                self.let_go();
+                self.peer = Some(Arc::new(Peer::new(value.address)));
+            }
+            (Claimed::Won, _) => self.record(Event::KeyClaimed, outcome.attempt),
+            _ => {}
+        }
+        self.feed(Input::Claimed(outcome.claimed, outcome.attempt));
+    }
+
+    async fn claim_for(&self, key: ClaimKey, number: u64, target: Target) -> ClaimOutcome {
+        let Some(peer) = &self.peer else {
+            return ClaimOutcome {
+                claimed: Claimed::Unsure,
+                value: None,
+                attempt: number,
+            };
+        };
+        let value = ClaimValue {
+            target,
+            address: peer.address(),
+            body: self.order.fingerprint,
+        };
+        let shared = Arc::clone(&self.shared);
+        shared.keys.claim(&shared, key, number, value).await
+    }
+
+    /// Whether a request may run, as far as crashes of backend servers are concerned.
+    ///
+    /// Failure guarded against: a request that kills whatever runs it, sent to many entries.
+    /// It shows as one server lost after the other. A suspect runs once at a time over the
+    /// whole fleet, under a claim for that crash; after the second crash it runs no more.
+    async fn admit(&mut self, target: &Target) -> Option<Input> {
+        let shared = Arc::clone(&self.shared);
+        let fingerprint = self.order.fingerprint;
+        let crash = match shared.keys.standing(shared.clock.now(), fingerprint) {
+            Standing::Clear => return None,
+            Standing::Quarantined => {
+                self.record(Event::RequestQuarantined, fingerprint);
+                return Some(Input::Quarantined);
+            }
+            Standing::Suspect(crash) => crash,
+        };
+        // Another claim for one crash follows only on an attempt that did not crash a server.
+        let number = match &self.suspect {
+            Some((known, number)) if *known == crash => number + 1,
+            Some(_) | None => 1,
+        };
+        self.suspect = Some((crash.clone(), number));
+        if shared.config().keepers.is_empty() {
+            return None;
+        }
+        let key = ClaimKey::Suspect { fingerprint, crash };
+        let outcome = self.claim_for(key, number, target.clone()).await;
+        (outcome.claimed != Claimed::Won).then_some(Input::SuspectRuns)
     }
 
     async fn dispatch(&mut self, link: Link, target: Target) {
@@ -278,11 +356,11 @@
             request: self.order.request.clone(),
             agent: target.agent,
             left: self.left(),
-            keep: Span::default(),
+            keep: self.keep(),
             workspace: self.order.workspace.clone(),
             idempotent: self.plan.idempotent,
             keyed: self.plan.keyed,
-            suspect: false,
+            suspect: self.suspect.is_some(),
             call: self.order.call.clone(),
         };
         let Some(peer) = self.peer.clone() else {
@@ -399,6 +477,14 @@
         self.member = None;
     }
 
+    /// How long an agent must remember the request: as long as its key's claim stands.
+    fn keep(&self) -> Span {
+        match self.plan.keyed {
+            true => self.shared.settings.limits.hold,
+            false => Span::default(),
+        }
+    }
+
     fn left(&self) -> Span {
         self.shared.clock.now().until(self.plan.deadline)
     }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -51,7 +51,11 @@
         let workspace = authorize(&config, conn)?;
         let ask = Ask::read(conn, self.shared.settings.limits.body).await?;
         let stream = matches!(ask.target, Target::Model { stream: true, .. });
-        let begun = begin(&self.shared, &config, workspace, ask).await?;
+        let begun = begin(&self.shared, &config, workspace, ask);
+        // A caller that leaves drops the request, and its attempt is cancelled.
+        let left = || Err(Problem::new(ProblemKind::Failed, "the caller left"));
+        let begun = conn.cancel_on_disconnect(begun).await;
+        let begun = begun.unwrap_or_else(left)?;
         Ok(Reply { begun, stream })
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`attempt`]: the shell around one request's decisions.
+//! - [`keys`]: keys and suspicions: its own share as a keeper, and its claims at others.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
@@ -24,6 +25,7 @@
 pub mod follow;
 pub mod front;
 pub mod gossip;
+pub mod keys;
 pub mod own;
 pub mod process;
 pub mod registry;
--- a/crates/entry/src/own.rs
+++ b/crates/entry/src/own.rs
@@ -6,10 +6,11 @@
 
 use snipemast_core::prelude::*;
 use snipemast_membership::{AgentMessage, Packet};
+use snipemast_requests::KeeperAsk;
 use snipemast_wire::config::Submit;
 use snipemast_wire::message::path;
 use snipemast_wire::serve::{malformed, message, reply};
-use snipemast_wire::{gossip, ConfigPoll, Packed};
+use snipemast_wire::{gossip, ConfigPoll, Packed, Suspected};
 
 use crate::control;
 use crate::shared::Shared;
@@ -70,6 +71,24 @@
         reply(conn, &submitted)
     }
 
+    /// A claimer or another keeper asks about keys.
+    async fn keeper(&self, mut conn: Conn) -> Conn {
+        let Some(ask) = message::<KeeperAsk>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let answer = self.shared.keys.keep(&self.shared, ask);
+        reply(conn, &answer)
+    }
+
+    /// Another entry tells what it suspects.
+    async fn suspected(&self, mut conn: Conn) -> Conn {
+        let Some(suspected) = message::<Suspected>(&mut conn).await else {
+            return malformed(conn);
+        };
+        let answer = self.shared.keys.take(&self.shared, suspected);
+        reply(conn, &answer)
+    }
+
     async fn events(&self, mut conn: Conn) -> Conn {
         let Some(since) = message::<Stamp>(&mut conn).await else {
             return malformed(conn);
@@ -86,6 +105,8 @@
             gossip::path::EXCHANGE => self.exchange(conn).await,
             path::CONFIG => self.config(conn).await,
             path::SUBMIT => self.submit(conn).await,
+            path::KEEPER => self.keeper(conn).await,
+            path::SUSPECTED => self.suspected(conn).await,
             path::EVENTS => self.events(conn).await,
             _ => conn.with_status(Status::NotFound).halt(),
         }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
 use smol::Task;
 use trillium::Handler;
 
@@ -18,9 +19,13 @@
 use crate::follow::follow_forever;
 use crate::front::Front;
 use crate::gossip::gossip_forever;
+use crate::keys::keep_keys_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
+/// How long a draining host still takes requests, until the balancer has noticed.
+const GRACE: Span = Span::from_millis(200);
+
 /// How long the last word to the other entries may take.
 const FAREWELL: Span = Span::from_millis(100);
 
@@ -81,7 +86,8 @@
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let gossip = spawn(gossip_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, gossip, sync];
+        let keys = spawn(keep_keys_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync, keys];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -113,18 +119,40 @@
     }
 
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
+    ///
+    /// Failure guarded against: an answer that is complete here and cut on its last bytes, or a
+    /// peer that goes on talking to a process that has ended, over a connection that stays open.
+    /// The listeners close their idle connections and end only after the last byte was written.
     pub async fn stop(self) {
-        self.shared.drain();
-        let empty = wait_empty(&self.shared).await;
-        let event = if empty {
-            Event::ProcessEnded
-        } else {
-            Event::DrainExpired
+        let Self {
+            shared,
+            callers,
+            own,
+            operators,
+            tasks,
+        } = self;
+        shared.drain();
+        // The balancer needs a moment to read that this host is not ready any more.
+        smol::Timer::after(GRACE.as_duration()).await;
+        let bound = shared.settings.limits.shutdown;
+        let written = async {
+            callers.stop().await;
+            wait_empty(&shared).await
+        };
+        let late = async {
+            smol::Timer::after(bound.as_duration()).await;
+            false
+        };
+        let event = match written.or(late).await {
+            true => Event::ProcessEnded,
+            false => Event::DrainExpired,
         };
-        self.shared.journal.record(event, &self.shared.process, "");
-        self.shared.gossip.leave(&self.shared);
+        shared.journal.record(event, &shared.process, "");
+        shared.gossip.leave(&shared);
         smol::Timer::after(FAREWELL.as_duration()).await;
-        for task in self.tasks {
+        own.close();
+        operators.iter().for_each(Listening::close);
+        for task in tasks {
             task.cancel().await;
         }
     }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,7 +8,7 @@
 use snipemast_callers::{Ask, Target};
 use snipemast_config::{Config, Service};
 use snipemast_core::prelude::*;
-use snipemast_requests::{Plan, Reason, Verdict};
+use snipemast_requests::{Fingerprint, Plan, Reason, Verdict};
 use snipemast_routing::Wanted;
 use snipemast_wire::{Call, Header, PipeWriter};
 
@@ -61,11 +61,13 @@
     let running = shared.enter();
     let plan = plan(shared, &ask, idempotent);
     let key = ask.key.clone();
+    let fingerprint = Fingerprint::of(&workspace, ask.method.as_str(), &ask.path, &ask.body);
     let order = Order {
         request,
         workspace,
         wanted,
         key,
+        fingerprint,
         call: call(config, ask)?,
     };
     let mut run = Run::start(Arc::clone(shared), plan, order);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::choose::Chooser;
 use crate::control::Alone;
 use crate::gossip::Gossip;
+use crate::keys::Keys;
 use crate::registry::Registry;
 use crate::spread::Spread;
 
@@ -41,6 +42,8 @@
     pub clock: Clock,
     /// What is left for retries.
     pub retries: Mutex<RetryBudget>,
+    /// Keys and suspicions.
+    pub keys: Keys,
     /// What passes the configuration on.
     pub spread: Spread,
     config: ArcSwap<Config>,
@@ -63,7 +66,9 @@
             region: settings.region.clone(),
         };
         let chooser = Arc::new(Chooser::new(place, &process, journal.clone()));
+        let keys = Keys::new(&process, settings.limits.hold);
         Self {
+            keys,
             settings,
             process,
             journal,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`engine`]: a model engine that speaks the protocol of `docs/SERVERS.md`.
 //! - [`group`]: the engines of a group, which step in lock-step and record the map of each step.
+//! - [`wire`]: a TCP wire that goes silent, breaks, delays and doubles.
 //! - [`service`]: a plain service that counts what it ran.
 //! - [`fleet`]: the membership of many processes over a virtual wire and clock.
 //! - [`links`]: what that wire loses and delays.
@@ -11,9 +12,11 @@
 pub mod group;
 pub mod links;
 pub mod service;
+pub mod wire;
 
 pub use engine::FakeEngine;
 pub use fleet::Fleet;
 pub use group::FakeGroup;
 pub use links::{Links, Place, Side};
 pub use service::FakeService;
+pub use wire::{FakeWire, WireMode};
--- a/crates/requests/src/keeper.rs
+++ b/crates/requests/src/keeper.rs
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct Keeper {
     own: ProcessId,
+    started: Moment,
     hold: Span,
     bound: usize,
     table: Table,
@@ -68,10 +69,12 @@
 }
 
 impl Keeper {
-    /// A keeper without shards, which holds claims for at most this long.
-    pub fn new(own: ProcessId, hold: Span, bound: usize) -> Self {
+    /// A keeper without shards, in a process that started then; it holds claims for at most
+    /// this long.
+    pub fn new(own: ProcessId, started: Moment, hold: Span, bound: usize) -> Self {
         Self {
             own,
+            started,
             hold,
             bound,
             table: Table::new(),
@@ -79,18 +82,6 @@
         }
     }
 
-    /// Takes the table in force when the process started: whatever stood in it is forgotten.
-    pub fn restart(&mut self, now: Moment, table: &Table) {
-        for (number, hosts) in table.iter().enumerate() {
-            if hosts.contains(&self.own.host) {
-                let from = self.others(hosts);
-                let standing = self.copying(now, from);
-                self.shards.insert(number as u32, Shard::new(standing));
-            }
-        }
-        self.table = table.clone();
-    }
-
     /// Takes a later table.
     pub fn apply(&mut self, now: Moment, table: &Table) {
         if self.table.len() != table.len() {
@@ -119,9 +110,10 @@
 
     /// Takes a first table, or one with another number of shards.
     ///
-    /// A first table needs no copy: this process saw the time before it, when no claim was
-    /// made. Under another number of shards each key has other keepers, so all wait until
-    /// every claim of the old table has run out.
+    /// Nobody can tell whether a first table is older than this process, so the keeper copies,
+    /// unless the process has been up for so long that whatever an earlier one forgot has run
+    /// out. Under another number of shards each key has other keepers, so all wait until every
+    /// claim of the old table has run out.
     fn reshape(&mut self, now: Moment, table: &Table) {
         let first = self.table.is_empty();
         self.shards.clear();
@@ -129,10 +121,9 @@
             if !hosts.contains(&self.own.host) {
                 continue;
             }
-            let standing = if first {
-                Standing::Serves
-            } else {
-                self.copying(now, Vec::new())
+            let standing = match first {
+                true => self.copying(self.started, self.others(hosts)),
+                false => self.copying(now, Vec::new()),
             };
             self.shards.insert(number as u32, Shard::new(standing));
         }
@@ -332,8 +323,9 @@
     }
 
     /// Whether it has a say in every shard that it keeps.
-    pub fn is_ready(&self) -> bool {
-        let copies = |s: &Shard| matches!(s.standing, Standing::Copies { .. });
+    pub fn is_ready(&self, now: Moment) -> bool {
+        let copies =
+            |s: &Shard| matches!(s.standing, Standing::Copies { until, .. } if until > now);
         !self.shards.values().any(copies)
     }
 
--- a/crates/requests/tests/keys.rs
+++ b/crates/requests/tests/keys.rs
@@ -13,6 +13,8 @@
 };
 
 const HOLD: Span = Span::from_secs(600);
+/// A moment at which keepers that started with the clock have been up for long.
+const NOW: Moment = Moment::from_millis(600_000);
 
 fn hosts() -> Vec<HostId> {
     let name = |n| format!("entry-{n}").parse().expect("a name");
@@ -82,8 +84,8 @@
 impl Race {
     fn new() -> Self {
         let keeper = |n| {
-            let mut keeper = Keeper::new(process(n, 1), HOLD, 8);
-            keeper.apply(Moment::ZERO, &table([0, 1, 2]));
+            let mut keeper = Keeper::new(process(n, 1), Moment::ZERO, HOLD, 8);
+            keeper.apply(NOW, &table([0, 1, 2]));
             keeper
         };
         Self {
@@ -133,7 +135,7 @@
             }
             Event::Ask(claimer, keeper, round, ask) => {
                 let host = self.asks[claimer][keeper];
-                let answer = self.keepers[host].handle(Moment::ZERO, ask);
+                let answer = self.keepers[host].handle(NOW, ask);
                 let answer = Some(answer).filter(|_| !lost);
                 self.events
                     .push(Event::Answer(claimer, keeper, round, answer));
@@ -168,15 +170,15 @@
     fn restart(&mut self, host: usize) {
         self.incarnations[host] += 1;
         let process = process(host, self.incarnations[host]);
-        self.keepers[host] = Keeper::new(process, HOLD, 8);
-        self.keepers[host].restart(Moment::ZERO, &table(self.table));
+        self.keepers[host] = Keeper::new(process, NOW, HOLD, 8);
+        self.keepers[host].apply(NOW, &table(self.table));
         self.applied[host] = true;
     }
 
     /// Moves the shard from one host to the spare one, once the move before is complete.
     fn shift(&mut self) {
         let complete = self.applied.iter().all(|a| *a);
-        if !complete || !self.keepers.iter().all(Keeper::is_ready) {
+        if !complete || !self.keepers.iter().all(|k| k.is_ready(NOW)) {
             return;
         }
         let spare = (0..4)
@@ -192,7 +194,7 @@
     /// A keeper hears of the table in force.
     fn apply(&mut self, host: usize) {
         self.applied[host] = true;
-        self.keepers[host].apply(Moment::ZERO, &table(self.table));
+        self.keepers[host].apply(NOW, &table(self.table));
     }
 
     /// A further send of the key reaches an entry that goes by the table in force.
@@ -212,8 +214,8 @@
             let place = hosts().iter().position(|h| *h == from).expect("a host");
             let to = process(host, self.incarnations[host]);
             let ask = KeeperAsk::Copy { shard, to };
-            if let KeeperAnswer::Copied { claims } = self.keepers[place].handle(Moment::ZERO, ask) {
-                self.keepers[host].copied(Moment::ZERO, shard, &from, claims);
+            if let KeeperAnswer::Copied { claims } = self.keepers[place].handle(NOW, ask) {
+                self.keepers[host].copied(NOW, shard, &from, claims);
                 return;
             }
         }
@@ -246,7 +248,7 @@
             match step {
                 ClaimStep::Ask(places, ask) => {
                     for place in places {
-                        let answer = keepers[place].handle(Moment::ZERO, ask.clone());
+                        let answer = keepers[place].handle(NOW, ask.clone());
                         let round = claimer.round().clone();
                         steps.push(claimer.handle(&round, place, Some(answer)));
                     }
--- a/crates/requests/tests/world/keys.rs
+++ b/crates/requests/tests/world/keys.rs
@@ -22,11 +22,11 @@
     vec![hosts()]
 }
 
-/// Three keepers that saw the table come into force.
+/// Three keepers that have been up for long.
 pub(crate) fn keepers() -> Vec<Keeper> {
     let keeper = |host: HostId| {
         let process = ProcessId::new(host, Incarnation::new(1));
-        let mut keeper = Keeper::new(process, HOLD, 64);
+        let mut keeper = Keeper::new(process, Moment::ZERO, HOLD, 64);
         keeper.apply(Moment::ZERO, &table());
         keeper
     };
@@ -116,8 +116,8 @@
         self.incarnations[keeper] += 1;
         let incarnation = Incarnation::new(self.incarnations[keeper]);
         let process = ProcessId::new(hosts()[keeper].clone(), incarnation);
-        self.keepers[keeper] = Keeper::new(process, HOLD, 64);
-        self.keepers[keeper].restart(self.now, &table());
+        self.keepers[keeper] = Keeper::new(process, self.now, HOLD, 64);
+        self.keepers[keeper].apply(self.now, &table());
         self.at(HOP.times(100), Event::CopyShards(keeper));
     }
 
--- a/crates/requests/tests/world/mod.rs
+++ b/crates/requests/tests/world/mod.rs
@@ -167,7 +167,7 @@
 impl World {
     pub(crate) fn new(kind: Kind, faults: &[(Step, Fault)]) -> Self {
         Self {
-            now: Moment::from_millis(1_000),
+            now: Moment::ZERO + HOLD,
             kind,
             agents: (0..2).map(Agent::new).collect(),
             keepers: keys::keepers(),
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -5,6 +5,7 @@
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+pub use snipemast_requests::suspicion::{Entry as SuspicionEntry, Known};
 pub use snipemast_requests::{Header, Settled};
 
 /// Paths of the messages on each process's HTTP server.
@@ -21,6 +22,10 @@
     pub const CONFIG: &str = "/own/config";
     /// An operator's patch on its way to the leader: [`Submit`](crate::config::Submit).
     pub const SUBMIT: &str = "/own/submit";
+    /// A keeper of keys is asked: [`KeeperAsk`](snipemast_requests::KeeperAsk).
+    pub const KEEPER: &str = "/own/keeper";
+    /// An entry tells another what it suspects: [`Suspected`](super::Suspected).
+    pub const SUSPECTED: &str = "/own/suspected";
     /// A process is asked for its events: a [`Stamp`](snipemast_core::hlc::Stamp).
     pub const EVENTS: &str = "/own/events";
 }
@@ -109,6 +114,14 @@
         pub settled: Settled,
     }
 
+    /// What an entry knows of requests that crash servers, and what it tells another.
+    pub struct Suspected {
+        /// How much of each source it knows.
+        pub known: Known,
+        /// What it tells.
+        pub delta: Vec<SuspicionEntry>,
+    }
+
     /// Stop an attempt: nobody reads its answer. One that never arrived is barred.
     pub struct Cancel {
         /// The attempt.
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -29,6 +29,11 @@
         self.address
     }
 
+    /// Takes no new connection, and closes each one after the answer that is under way.
+    pub fn close(&self) {
+        self.stopper.stop();
+    }
+
     /// Takes no new connection and ends once every request has its answer.
     pub async fn stop(self) {
         self.stopper.stop();
