Restart a whole fleet under load without a failed request

Cause: keys, crashers and restarts had only been tried within the machines. Change: tests over three entries: a resend attaches to the first run from every entry, three sends at once run once, a request that kills its servers costs two of five, a rolling restart of agents and entries fails no request. A stopping entry frees its addresses.

--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -72,8 +72,11 @@
     }
 
     /// Whether this entry has a say in every shard that it keeps.
-    pub fn is_ready(&self, now: Moment) -> bool {
-        self.keeper.lock().is_ready(now)
+    pub fn is_ready(&self, shared: &Shared) -> bool {
+        let (config, now) = (shared.config(), shared.clock.now());
+        let mut keeper = self.keeper.lock();
+        keeper.apply(now, &config.keepers);
+        keeper.is_ready(now)
     }
 
     /// How many claims this entry holds as a keeper.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
-use futures_lite::FutureExt;
 use smol::Task;
 use trillium::Handler;
 
@@ -135,23 +134,18 @@
         // The balancer needs a moment to read that this host is not ready any more.
         smol::Timer::after(GRACE.as_duration()).await;
         let bound = shared.settings.limits.shutdown;
-        let written = async {
-            callers.stop().await;
-            wait_empty(&shared).await
-        };
-        let late = async {
-            smol::Timer::after(bound.as_duration()).await;
-            false
-        };
-        let event = match written.or(late).await {
+        let written = callers.stop_within(bound).await && wait_empty(&shared).await;
+        let event = match written {
             true => Event::ProcessEnded,
             false => Event::DrainExpired,
         };
         shared.journal.record(event, &shared.process, "");
         shared.gossip.leave(&shared);
         smol::Timer::after(FAREWELL.as_duration()).await;
-        own.close();
-        operators.iter().for_each(Listening::close);
+        own.stop_within(FAREWELL).await;
+        if let Some(operators) = operators {
+            operators.stop_within(FAREWELL).await;
+        }
         for task in tasks {
             task.cancel().await;
         }
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -1,8 +1,10 @@
 //! A plain service that counts what it ran.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use serde_json::json;
 use trillium::{async_trait, Conn, Handler};
 
@@ -16,6 +18,8 @@
 pub struct FakeService {
     info: ServerInfo,
     runs: Arc<AtomicU64>,
+    bodies: Arc<Mutex<HashMap<String, u64>>>,
+    pace: Span,
 }
 
 impl FakeService {
@@ -24,9 +28,23 @@
         Self {
             info,
             runs: Arc::default(),
+            bodies: Arc::default(),
+            pace: Span::default(),
         }
     }
 
+    /// Works this long at each call.
+    #[must_use]
+    pub fn with_pace(mut self, pace: Span) -> Self {
+        self.pace = pace;
+        self
+    }
+
+    /// How often a call with this body ran.
+    pub fn runs_of(&self, body: &str) -> u64 {
+        self.bodies.lock().get(body).copied().unwrap_or(0)
+    }
+
     /// How many calls ran.
     pub fn runs(&self) -> u64 {
         self.runs.load(Ordering::SeqCst)
@@ -35,6 +53,10 @@
     async fn answer(&self, mut conn: Conn) -> Conn {
         let body = conn.request_body_string().await.unwrap_or_default();
         let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
+        *self.bodies.lock().entry(body.clone()).or_default() += 1;
+        if self.pace > Span::default() {
+            smol::Timer::after(self.pace.as_duration()).await;
+        }
         let answer = json!({
             "served_by": self.info.server,
             "method": conn.method().as_str(),
--- a/crates/wire/src/serve.rs
+++ b/crates/wire/src/serve.rs
@@ -3,12 +3,15 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
+use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use smol::Task;
 use trillium::{Conn, Handler, HttpConfig, KnownHeaderName, Status};
 use trillium_smol::Stopper;
 
+use snipemast_core::prelude::*;
+
 use crate::codec::{decode, encode};
 use crate::pipe::PipeReader;
 
@@ -29,9 +32,25 @@
         self.address
     }
 
-    /// Takes no new connection, and closes each one after the answer that is under way.
-    pub fn close(&self) {
+    /// Like [`stop`](Self::stop), but ends at the bound at the latest; false where it passed.
+    ///
+    /// The address is free again afterwards in either case.
+    pub async fn stop_within(self, bound: Span) -> bool {
         self.stopper.stop();
+        let mut task = self.task;
+        let ended = async {
+            (&mut task).await;
+            true
+        };
+        let late = async {
+            smol::Timer::after(bound.as_duration()).await;
+            false
+        };
+        let in_time = ended.or(late).await;
+        if !in_time {
+            task.cancel().await;
+        }
+        in_time
     }
 
     /// Takes no new connection and ends once every request has its answer.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,11 @@
 //! A small fleet over loopback, for the tests of the whole path.
 //!
 //! - [`Fleet`]: one entry with the control role, agents and fakes, in this process.
+//! - [`wired`]: a fleet whose agents stand behind wires that misbehave.
+//! - [`zones`]: three entries of three zones before shared agents.
+
+pub mod wired;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::str::FromStr;
--- a/tests/tests/requests.rs
+++ b/tests/tests/requests.rs
@@ -1,106 +1,9 @@
 //! Requests over loopback while the wire between entry and agent misbehaves.
 
-use std::sync::Arc;
-
-use serde_json::json;
-use trillium_client::Conn;
-
-use snipemast_agent::Agent;
 use snipemast_core::prelude::*;
-use snipemast_fakes::{FakeEngine, FakeService, FakeWire, WireMode};
-use snipemast_tests::{agent_settings, answer, id, info, journal, loopback, pause, Answer, Fleet};
-use snipemast_wire::{listen, Listening};
-
-/// One agent behind a wire.
-struct Behind {
-    wire: FakeWire,
-    agent: Agent,
-    _fake: Listening,
-}
-
-/// A fleet whose agents stand behind wires.
-struct Wired {
-    fleet: Fleet,
-    agents: Vec<Behind>,
-    service: Option<FakeService>,
-}
-
-impl Wired {
-    async fn start() -> Self {
-        let mut fleet = Fleet::start().await;
-        fleet.patch(json!({
-            "models": { "lector-1": { "version": "1" } },
-            "services": {
-                "lector": { "kind": "model", "model": "lector-1" },
-                "mesa": { "kind": "plain" },
-            },
-        }));
-        Self {
-            fleet,
-            agents: Vec::new(),
-            service: None,
-        }
-    }
-
-    async fn add_engine(&mut self, name: &str) {
-        let offer = Offer::Model {
-            model: id("lector-1"),
-            version: "1".into(),
-            adapters: Vec::new(),
-        };
-        let engine = FakeEngine::new(info(name, offer)).with_pace(Span::from_millis(40));
-        let fake = listen(loopback(), engine).await.expect("port 0");
-        self.add(name, fake).await;
-    }
-
-    async fn add_service(&mut self, name: &str) {
-        let service = id("mesa");
-        let service = FakeService::new(info(name, Offer::Service { service }));
-        self.service = Some(service.clone());
-        let fake = listen(loopback(), service).await.expect("port 0");
-        self.add(name, fake).await;
-    }
-
-    async fn add(&mut self, name: &str, fake: Listening) {
-        let wire = FakeWire::start().await.expect("port 0");
-        let settings = agent_settings(name, fake.address(), self.fleet.entry.own());
-        let journal = journal(&settings.host);
-        let reached = Some(wire.address());
-        let agent = Agent::start_behind(settings, Incarnation::new(1), journal, reached).await;
-        let agent = agent.expect("an agent starts on port 0");
-        wire.aim(agent.address());
-        self.agents.push(Behind {
-            wire,
-            agent,
-            _fake: fake,
-        });
-        while self.fleet.entry.shared().registry.members().len() < self.agents.len() {
-            pause(5).await;
-        }
-    }
-
-    fn stream(&self, tokens: u32) -> Conn {
-        let body =
-            json!({ "model": "lector", "prompt": "p", "max_tokens": tokens, "stream": true });
-        let request = self.fleet.request("POST", "/v1/completions");
-        request.with_body(body.to_string())
-    }
-
-    fn order(&self) -> Conn {
-        let request = self.fleet.request("POST", "/services/mesa/orders");
-        request.with_body("one order")
-    }
-
-    fn runs(&self) -> u64 {
-        self.service.as_ref().map_or(0, FakeService::runs)
-    }
-
-    fn events(&self, event: Event) -> usize {
-        let ring = Arc::clone(self.fleet.entry.shared().journal.ring());
-        let records = ring.since(Stamp::default());
-        records.iter().filter(|r| r.event == event).count()
-    }
-}
+use snipemast_fakes::WireMode;
+use snipemast_tests::wired::Wired;
+use snipemast_tests::{answer, pause, Answer};
 
 fn words(answer: &Answer) -> usize {
     answer.body.matches("data: {").count()
@@ -152,7 +55,7 @@
         wired.add_service("desk-0").await;
         wired.agents[0].wire.set_mode(WireMode::Doubles);
         for _ in 0..5 {
-            let answer = answer(wired.order()).await;
+            let answer = answer(wired.order("one order")).await;
             assert_eq!(
                 (answer.status, answer.outcome.as_deref()),
                 (200, Some("ran"))
@@ -170,10 +73,10 @@
     smol::block_on(async {
         let mut wired = Wired::start().await;
         wired.add_service("desk-0").await;
-        assert_eq!(answer(wired.order()).await.status, 200);
+        assert_eq!(answer(wired.order("one order")).await.status, 200);
         pause(100).await;
         wired.agents[0].wire.silence();
-        let answer = answer(wired.order()).await;
+        let answer = answer(wired.order("one order")).await;
         assert_eq!(
             (answer.status, answer.outcome.as_deref()),
             (200, Some("ran"))
