--- a/crates/requests/src/keeper.rs
+++ b/crates/requests/src/keeper.rs
@@ -263,10 +263,10 @@
         let Some(shard) = self.shards.get_mut(&number) else {
             return KeeperAnswer::Abstains;
         };
+        shard.expire(now);
         if matches!(shard.standing, Standing::Copies { .. }) {
             return KeeperAnswer::Abstains;
         }
-        shard.expire(now);
         if is_later {
             shard.awaits = Some(to.host.clone());
         }
@@ -333,12 +333,6 @@
         let number = key.shard(self.table.len()) as u32;
         let shard = self.shards.get_mut(&number)?;
         shard.expire(now);
-        if let Standing::Copies { until, .. } = shard.standing {
-            // Whatever was forgotten has run out everywhere by now.
-            if until <= now {
-                shard.standing = Standing::Serves;
-            }
-        }
         let serves = shard.standing == Standing::Serves && shard.awaits.is_none();
         serves.then_some(shard)
     }
@@ -407,6 +401,10 @@
     }
 
     fn expire(&mut self, now: Moment) {
+        if matches!(self.standing, Standing::Copies { until, .. } if until <= now) {
+            // Whatever was forgotten has run out everywhere by now.
+            self.standing = Standing::Serves;
+        }
         while self.expiry.first().is_some_and(|(until, _)| *until <= now) {
             if let Some((_, key)) = self.expiry.pop_first() {
                 self.claims.remove(&key);
--- /dev/null
+++ b/crates/requests/tests/suspicion.rs
@@ -0,0 +1,106 @@
+//! Requests that crash servers: who is suspected, who is cleared, and what other entries learn.
+
+use quickcheck::{Gen, QuickCheck, Testable};
+
+use snipemast_core::prelude::*;
+use snipemast_requests::suspicion::{Known, Standing};
+use snipemast_requests::{Crash, Fingerprint, Suspicions};
+
+const HOLD: Span = Span::from_secs(300);
+const NOW: Moment = Moment::from_millis(1_000);
+
+fn process(host: &str) -> ProcessId {
+    ProcessId::new(host.parse().expect("a name"), Incarnation::new(1))
+}
+
+fn crash(number: u64) -> Crash {
+    let agent = process("agent-0");
+    Crash { agent, number }
+}
+
+fn request(body: u8) -> Fingerprint {
+    let workspace = "cordillera".parse().expect("a name");
+    Fingerprint::of(&workspace, "POST", "/v1/completions", &[body])
+}
+
+fn entry(number: u8) -> Suspicions {
+    Suspicions::new(process(&format!("entry-{number}")), HOLD)
+}
+
+fn exchange(from: &Suspicions, to: &mut Suspicions) {
+    let delta = from.delta(NOW, &to.known());
+    to.merge(NOW, delta);
+}
+
+// Ten copies of a harmless request run beside one that kills the server. Counted by copies, they
+// would all be quarantined after a single crash.
+#[test]
+fn twins_count_once() {
+    let (mut one, mut other) = (entry(0), entry(1));
+    for _ in 0..10 {
+        one.crashed(NOW, request(1), crash(1));
+        other.crashed(NOW, request(1), crash(1));
+    }
+    exchange(&other, &mut one);
+    assert_eq!(one.standing(NOW, request(1)), Standing::Suspect(crash(1)));
+}
+
+// An innocent neighbour of a crash is retried alone and finishes: it must not stay suspected,
+// at any entry.
+#[test]
+fn innocent_cleared() {
+    let (mut one, mut other) = (entry(0), entry(1));
+    one.crashed(NOW, request(1), crash(1));
+    exchange(&one, &mut other);
+    other.finished(NOW, request(1));
+    exchange(&other, &mut one);
+    assert_eq!(one.standing(NOW, request(1)), Standing::Clear);
+    assert_eq!(other.standing(NOW, request(1)), Standing::Clear);
+}
+
+// After two crashes a request is held back, until an operator lifts it or it expires.
+#[test]
+fn quarantine_lifted() {
+    let mut one = entry(0);
+    one.crashed(NOW, request(1), crash(1));
+    one.crashed(NOW, request(1), crash(2));
+    one.finished(NOW, request(1));
+    assert_eq!(one.standing(NOW, request(1)), Standing::Quarantined);
+    let later = NOW + HOLD.times(2);
+    assert_eq!(one.standing(later, request(1)), Standing::Clear);
+    assert!(one.lift(NOW, request(1)));
+    assert_eq!(one.standing(NOW, request(1)), Standing::Clear);
+    one.expire(later);
+    assert!(one.is_empty());
+}
+
+// Three entries that exchange in any order end with the same suspicions.
+#[test]
+fn any_order() {
+    fn holds(facts: Vec<(u8, u8, u8)>, turns: Vec<(u8, u8)>) -> bool {
+        let mut entries = [entry(0), entry(1), entry(2)];
+        for (at, body, number) in facts.into_iter().take(40) {
+            let at = usize::from(at) % 3;
+            match number % 4 {
+                0 => entries[at].finished(NOW, request(body % 5)),
+                n => entries[at].crashed(NOW, request(body % 5), crash(u64::from(n))),
+            }
+        }
+        let whole = (0..3).flat_map(|a| (0..3).map(move |b| (a, b)));
+        let all = turns.into_iter().chain(whole.clone()).chain(whole);
+        for (from, to) in all {
+            let (from, to) = (usize::from(from) % 3, usize::from(to) % 3);
+            let delta = entries[from].delta(NOW, &Known::default());
+            entries[to].merge(NOW, delta);
+        }
+        let first = entries[0].list(NOW);
+        entries.iter().all(|e| e.list(NOW) == first)
+    }
+    check(holds as fn(Vec<(u8, u8, u8)>, Vec<(u8, u8)>) -> bool);
+}
+
+/// Checks a property over the same cases at every run.
+fn check(property: impl Testable) {
+    let gen = Gen::from_size_and_seed(100, 7);
+    QuickCheck::new().rng(gen).tests(500).quickcheck(property);
+}
