--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -33,6 +33,10 @@
     History(HistoryArgs),
     #[options(help = "print what an entry host knows, and who lags behind")]
     Status(DeskArgs),
+    #[options(help = "print or draw the events of all processes")]
+    Timeline(TimelineArgs),
+    #[options(help = "print the hash of a key, for the configuration or settings")]
+    Hash(HashArgs),
     #[options(help = "run a whole small fleet in this process")]
     Demo(DemoArgs),
 }
@@ -125,6 +129,36 @@
     pub(crate) json: bool,
 }
 
+/// Arguments of `timeline`.
+#[derive(Debug, Options)]
+pub(crate) struct TimelineArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(help = "only the events about this request", meta = "ID", no_short)]
+    pub(crate) request: Option<String>,
+    #[options(
+        help = "only the events of the last span, like 5m",
+        meta = "SPAN",
+        no_short
+    )]
+    pub(crate) since: Option<Span>,
+    #[options(help = "draw them into this file", meta = "FILE", no_short)]
+    pub(crate) svg: Option<PathBuf>,
+    #[options(help = "the operators' address of a host", meta = "IP:PORT")]
+    pub(crate) to: Option<SocketAddr>,
+    #[options(help = "the operator's key", meta = "KEY")]
+    pub(crate) key: Option<String>,
+    #[options(help = "print the answer as JSON", no_short)]
+    pub(crate) json: bool,
+}
+
+/// Arguments of `hash`.
+#[derive(Debug, Options)]
+pub(crate) struct HashArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+}
+
 /// Arguments of `demo`.
 #[derive(Debug, Options)]
 pub(crate) struct DemoArgs {
@@ -132,4 +166,6 @@
     pub(crate) help: bool,
     #[options(help = "stay up until interrupted")]
     pub(crate) serve: bool,
+    #[options(help = "run only the backend servers of examples/loopback", no_short)]
+    pub(crate) servers: bool,
 }
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -19,7 +19,7 @@
 use crate::{exit, tables};
 
 /// The result of a verb.
-type Result<T> = std::result::Result<T, Report<ClientError>>;
+pub(crate) type Result<T> = std::result::Result<T, Report<ClientError>>;
 
 /// Where operators connect to a host that runs on this machine.
 const DEFAULT_DESK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7003);
@@ -28,7 +28,7 @@
 
 /// A verb that brought nothing.
 #[derive(Debug, Clone, PartialEq, Eq)]
-enum ClientError {
+pub(crate) enum ClientError {
     /// The command line asks for nothing there is.
     Usage(&'static str),
     /// A file can't be read.
@@ -143,7 +143,7 @@
     ExitCode::from(exit::REFUSED)
 }
 
-fn finish(result: Result<ExitCode>) -> ExitCode {
+pub(crate) fn finish(result: Result<ExitCode>) -> ExitCode {
     result.unwrap_or_else(|report| {
         eprintln!("snipemast: {}", report.current_context());
         ExitCode::from(report.current_context().code())
@@ -151,32 +151,37 @@
 }
 
 /// The operators' interface of one host.
-struct Desk<'a> {
+pub(crate) struct Desk<'a> {
     address: SocketAddr,
     key: Option<&'a str>,
     json: bool,
 }
 
 /// An answer as it came.
-struct Answer {
+pub(crate) struct Answer {
     status: u16,
     text: String,
 }
 
 impl Answer {
-    fn is_success(&self) -> bool {
+    pub(crate) fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
 
     /// Prints a problem as it came.
-    fn refuse(&self) -> Result<ExitCode> {
+    /// Reads the document.
+    pub(crate) fn read<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_str(&self.text).change_context(ClientError::Malformed)
+    }
+
+    pub(crate) fn refuse(&self) -> Result<ExitCode> {
         eprintln!("snipemast: {}", tables::problem(&self.text));
         Ok(refused())
     }
 }
 
 impl<'a> Desk<'a> {
-    fn new(address: Option<SocketAddr>, key: Option<&'a str>, json: bool) -> Self {
+    pub(crate) fn new(address: Option<SocketAddr>, key: Option<&'a str>, json: bool) -> Self {
         Self {
             address: address.unwrap_or(DEFAULT_DESK),
             key,
@@ -184,7 +189,7 @@
         }
     }
 
-    fn get(&self, path: &str) -> Result<Answer> {
+    pub(crate) fn get(&self, path: &str) -> Result<Answer> {
         self.ask(client().get(self.url(path).as_str()))
     }
 
@@ -217,7 +222,7 @@
     }
 
     /// Prints an answer: as it came, or as a table.
-    fn show<T: DeserializeOwned>(
+    pub(crate) fn show<T: DeserializeOwned>(
         &self,
         answer: Answer,
         table: impl FnOnce(&T) -> String,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,8 +3,10 @@
 mod args;
 mod client;
 mod demo;
+mod drawing;
 mod serve;
 mod tables;
+mod timeline;
 
 use std::process::ExitCode;
 
@@ -14,6 +16,8 @@
 
 /// Exit codes that a script can use.
 mod exit {
+    /// It was done.
+    pub(crate) const DONE: u8 = 0;
     /// What was asked for was refused.
     pub(crate) const REFUSED: u8 = 1;
     /// The command line or a file is faulty.
@@ -35,6 +39,8 @@
         Some(Command::Config(args)) => client::config(&args),
         Some(Command::History(args)) => client::history(&args),
         Some(Command::Status(args)) => client::status(&args),
+        Some(Command::Timeline(args)) => timeline::timeline(&args),
+        Some(Command::Hash(_)) => serve::hash(),
         Some(Command::Demo(args)) => demo::demo(&args),
         None => {
             eprintln!(
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -8,6 +8,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use snipemast_config::KeyHash;
 use snipemast_core::prelude::*;
 use snipemast_entry::Entry;
 use snipemast_settings::check::check;
@@ -69,6 +70,17 @@
     }
 }
 
+/// Prints the hash of a key that is read from standard input, so that no shell remembers it.
+pub(crate) fn hash() -> ExitCode {
+    let mut key = String::new();
+    if std::io::stdin().read_line(&mut key).is_err() || key.trim().is_empty() {
+        eprintln!("snipemast: usage: snipemast hash, with the key on standard input");
+        return ExitCode::from(exit::USAGE);
+    }
+    println!("{}", KeyHash::of(key.trim()));
+    ExitCode::SUCCESS
+}
+
 fn print_json(kind: &str, faults: &[Fault]) {
     let faults: Vec<_> = faults
         .iter()
--- /dev/null
+++ b/crates/cli/src/timeline.rs
@@ -0,0 +1,68 @@
+//! `timeline`: the events of all processes, as a table, as JSON or as a drawing.
+
+use std::fmt::Write;
+use std::process::ExitCode;
+
+use snipemast_core::prelude::*;
+use snipemast_operators::timeline::{Asked, PATH};
+use snipemast_operators::Timeline;
+
+use crate::args::TimelineArgs;
+use crate::client::{finish, ClientError, Desk};
+use crate::drawing;
+use crate::exit;
+
+/// Collects the time line and shows it.
+pub(crate) fn timeline(args: &TimelineArgs) -> ExitCode {
+    finish(run(args))
+}
+
+fn run(args: &TimelineArgs) -> crate::client::Result<ExitCode> {
+    let asked = Asked {
+        since: args.since,
+        request: args.request.clone(),
+    };
+    let desk = Desk::new(args.to, args.key.as_deref(), args.json);
+    let answer = desk.get(&format!("{PATH}?{}", asked.query()))?;
+    let Some(file) = &args.svg else {
+        return desk.show(answer, table);
+    };
+    if !answer.is_success() {
+        return answer.refuse();
+    }
+    let timeline: Timeline = answer.read()?;
+    let drawing = drawing::draw(&timeline);
+    std::fs::write(file, drawing).map_err(|_| ClientError::File(file.clone()))?;
+    println!(
+        "{} events drawn into {}",
+        timeline.records.len(),
+        file.display()
+    );
+    Ok(ExitCode::from(exit::DONE))
+}
+
+/// The time line as a table, with the seconds since its first event.
+pub(crate) fn table(timeline: &Timeline) -> String {
+    let mut text = String::new();
+    let start = timeline.records.first().map_or(0, |r| r.stamp.micros);
+    let width = |text: &dyn Fn(&Record) -> usize| timeline.records.iter().map(text).max();
+    let process = width(&|r| r.process.host.as_str().len()).unwrap_or(0);
+    let name = width(&|r| r.event.name().len()).unwrap_or(0);
+    for record in &timeline.records {
+        let seconds = record.stamp.micros.saturating_sub(start) as f64 / 1e6;
+        let (host, event) = (record.process.host.as_str(), record.event);
+        let line = format!(
+            "{seconds:>10.6}  {host:<process$}  {} {:<name$}  {} {}",
+            event.number(),
+            event.name(),
+            record.subject,
+            record.detail
+        );
+        // Writing into a string never fails.
+        let _ = writeln!(text, "{}", line.trim_end());
+    }
+    for address in &timeline.unreachable {
+        let _ = writeln!(text, "no events of {address}: it did not answer");
+    }
+    text
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
+//! - [`timeline`]: collects the events of every process that this one knows.
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
@@ -28,6 +29,7 @@
 pub mod relay;
 pub mod shared;
 pub mod spread;
+pub mod timeline;
 pub mod voter;
 
 pub use process::{Entry, EntryError};
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -19,6 +19,7 @@
 use crate::front::Front;
 use crate::own::Own;
 use crate::shared::Shared;
+use crate::timeline::TimelineHandler;
 
 /// The result of starting an entry.
 pub type Result<T> = std::result::Result<T, Report<EntryError>>;
@@ -67,7 +68,7 @@
         let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
-            Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
+            Some(address) => Some(bind(address, operators(&shared)).await?),
             None => None,
         };
         shared
@@ -138,6 +139,12 @@
     }
 }
 
+/// What operators reach: the time line first, and the desk for everything else.
+fn operators(shared: &Arc<Shared>) -> impl Handler {
+    let timeline = TimelineHandler::new(Arc::clone(shared));
+    (timeline, Desk::new(Arc::clone(shared)))
+}
+
 async fn bind(address: SocketAddr, handler: impl Handler) -> Result<Listening> {
     listen(address, handler)
         .await
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -3,11 +3,14 @@
 //! - [`route`]: what an operator asks for, read from method, path and query.
 //! - [`author`]: who asks, by key, and what the role allows.
 //! - [`answer`]: the JSON shapes of the answers.
+//! - [`timeline`]: the events of many processes in one order.
 
 pub mod answer;
 pub mod author;
 pub mod route;
+pub mod timeline;
 
 pub use answer::{Dry, HistoryLine, StatusReport, VerdictAnswer};
 pub use author::{authorize, Author, Denied};
 pub use route::{Route, RouteError};
+pub use timeline::Timeline;
--- /dev/null
+++ b/crates/operators/src/timeline.rs
@@ -0,0 +1,71 @@
+//! The time line as an operator gets it: the events of many processes in one order.
+
+use snipemast_core::data;
+use snipemast_core::prelude::*;
+use snipemast_core::units::UnitError;
+
+/// The path of the time line.
+pub const PATH: &str = "/timeline";
+
+data! {
+    /// Events of all processes that answered.
+    pub struct Timeline {
+        /// The events, causes before their effects.
+        pub records: Vec<Record>,
+        /// The processes that answered.
+        pub reached: Vec<ProcessId>,
+        /// The addresses of the processes that did not: their events are missing.
+        pub unreachable: Vec<String>,
+    }
+
+    /// Which events are asked for.
+    #[derive(Default)]
+    pub struct Asked {
+        /// Only those of the last span; all that are kept without it.
+        pub since: Option<Span>,
+        /// Only those about this request.
+        pub request: Option<String>,
+    }
+}
+
+impl Asked {
+    /// Reads the query of a URL; what it does not know is passed over.
+    pub fn read(query: &str) -> Result<Self, UnitError> {
+        let mut asked = Self::default();
+        for (key, value) in query.split('&').filter_map(|pair| pair.split_once('=')) {
+            match key {
+                "since" => asked.since = Some(value.parse()?),
+                "request" => asked.request = Some(value.to_string()),
+                _ => {}
+            }
+        }
+        Ok(asked)
+    }
+
+    /// The query that says the same.
+    pub fn query(&self) -> String {
+        let since = self.since.map(|since| format!("since={since}"));
+        let request = self.request.as_ref().map(|id| format!("request={id}"));
+        since
+            .into_iter()
+            .chain(request)
+            .collect::<Vec<_>>()
+            .join("&")
+    }
+
+    /// The earliest stamp that is asked for.
+    pub fn from(&self, now: Stamp) -> Stamp {
+        let micros = self
+            .since
+            .map_or(0, |since| now.micros.saturating_sub(since.as_micros()));
+        Stamp { micros, counter: 0 }
+    }
+
+    /// Whether a record is about what is asked for.
+    pub fn wants(&self, record: &Record) -> bool {
+        let Some(id) = &self.request else {
+            return true;
+        };
+        record.subject == *id || record.detail.split(' ').any(|word| word == id)
+    }
+}
