--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: messages between the agents of a group and towards their engines.
+//! - [`gossip`]: how membership travels.
 //! - [`codec`]: messages to bytes and back.
 //! - [`connect`]: connections that send a body without waiting for `100-continue`.
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
@@ -18,6 +19,7 @@
 pub mod control;
 pub mod follow;
 pub mod frame;
+pub mod gossip;
 pub mod group;
 pub mod message;
 pub mod peer;
@@ -28,8 +30,9 @@
 pub use config::ConfigPoll;
 pub use follow::{follow_forever, Sink};
 pub use frame::{Frame, FrameReader, FrameWriter, Part};
+pub use gossip::Packed;
 pub use message::{
-    Announce, Announced, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled, Settlement,
+    Announce, Call, Cancel, Dispatch, Header, ResumeFrom, Settle, Settled, Settlement,
 };
 pub use peer::{Peer, PeerError, PeerErrorKind, Stream};
 pub use pipe::{pipe, PipeReader, PipeWriter};
