--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -1,10 +1,12 @@
 //! The life of an agent process: start, announce, drain, stop.
 
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
 
 use snipemast_core::prelude::*;
 use snipemast_servers::Engine;
@@ -14,6 +16,11 @@
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
 
+/// How long entries may take to hear of a drain before the agent looks whether it is idle.
+const SPREAD: Span = Span::from_millis(200);
+/// How long the last frames may take to be written.
+const FLUSH: Span = Span::from_secs(5);
+
 /// The result of starting an agent.
 pub type Result<T> = std::result::Result<T, Report<AgentError>>;
 
@@ -92,16 +99,35 @@
     }
 
     /// Drains, waits until nothing is in flight or the bound has passed, and ends.
+    ///
+    /// Failure guarded against: an answer that is cut by a planned restart. It shows as a stream
+    /// that an entry can't resume. The drain spreads first, so that entries choose other servers;
+    /// what still comes is refused as not run; and the listener ends last, once its last frames
+    /// are written.
     pub async fn stop(self) {
         self.drain();
+        smol::Timer::after(SPREAD.as_duration()).await;
         let empty = self.gate.wait_empty(self.shutdown).await;
-        let event = if empty {
+        self.announcing.stop().await;
+        let written = within(FLUSH, self.listening.stop()).await;
+        let event = if empty && written {
             Event::ProcessEnded
         } else {
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
-        self.announcing.stop().await;
-        self.listening.stop().await;
     }
 }
+
+/// Waits for the end of some work; false where the bound passed first.
+async fn within(bound: Span, work: impl Future<Output = ()>) -> bool {
+    let work = async {
+        work.await;
+        true
+    };
+    let late = async {
+        smol::Timer::after(bound.as_duration()).await;
+        false
+    };
+    work.or(late).await
+}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -22,6 +22,9 @@
 /// about this many have come, and the first token would wait with them.
 const PADDING: usize = 1_024;
 
+/// When a caller comes back whom a leaving host refused: its balancer knows by then.
+const RETRY_AFTER: Span = Span::from_secs(1);
+
 /// Serves callers.
 #[derive(Debug)]
 pub struct Front {
@@ -47,6 +50,10 @@
     }
 
     async fn serve(&self, conn: &mut Conn) -> Result<Reply, Problem> {
+        if self.shared.is_closed() {
+            let problem = Problem::new(ProblemKind::Unavailable, "this host is leaving");
+            return Err(problem.with_retry(RETRY_AFTER));
+        }
         let config = self.shared.config();
         let workspace = authorize(&config, conn)?;
         let ask = Ask::read(conn, self.shared.settings.limits.body).await?;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,10 +1,12 @@
 //! The life of an entry process: start, drain, stop.
 
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use futures_lite::FutureExt;
 use smol::Task;
 use trillium::Handler;
 
@@ -114,20 +116,39 @@
     }
 
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
+    ///
+    /// Failure guarded against: an answer that is cut by a planned restart. It shows as a broken
+    /// connection at the caller. In this order it can't happen within the bound: the platform's
+    /// balancer is told first, and new requests are still taken while it finds out; then nothing
+    /// new is taken; then the callers' listener ends, which waits until the last byte of each answer
+    /// is written; and only then goes what the answers came over.
     pub async fn stop(self) {
-        self.shared.drain();
-        let empty = wait_empty(&self.shared).await;
-        let event = if empty {
+        let Self {
+            shared,
+            callers,
+            own,
+            operators,
+            tasks,
+        } = self;
+        shared.drain();
+        smol::Timer::after(shared.settings.limits.notice.as_duration()).await;
+        shared.close();
+        let whole = within(shared.settings.limits.shutdown, callers.stop()).await;
+        let event = if whole {
             Event::ProcessEnded
         } else {
             Event::DrainExpired
         };
-        self.shared.journal.record(event, &self.shared.process, "");
-        self.shared.gossip.leave(&self.shared);
+        shared.journal.record(event, &shared.process, "");
+        shared.gossip.leave(&shared);
         smol::Timer::after(FAREWELL.as_duration()).await;
-        for task in self.tasks {
+        for task in tasks {
             task.cancel().await;
         }
+        within(FAREWELL, own.stop()).await;
+        if let Some(operators) = operators {
+            within(FAREWELL, operators.stop()).await;
+        }
     }
 }
 
@@ -158,14 +179,15 @@
         .change_context(EntryError::Bind(address))
 }
 
-async fn wait_empty(shared: &Shared) -> bool {
-    let clock = Clock::new();
-    let bound = clock.now() + shared.settings.limits.shutdown;
-    while shared.running() > 0 {
-        if clock.now() > bound {
-            return false;
-        }
-        smol::Timer::after(Span::from_millis(10).as_duration()).await;
-    }
-    true
+/// Waits for the end of some work; false where the bound passed first.
+async fn within(bound: Span, work: impl Future<Output = ()>) -> bool {
+    let work = async {
+        work.await;
+        true
+    };
+    let late = async {
+        smol::Timer::after(bound.as_duration()).await;
+        false
+    };
+    work.or(late).await
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -47,6 +47,7 @@
     alone: Option<Alone>,
     counter: AtomicU64,
     draining: AtomicBool,
+    closed: AtomicBool,
     running: AtomicU64,
 }
 
@@ -77,6 +78,7 @@
             alone,
             counter: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             running: AtomicU64::new(0),
         }
     }
@@ -173,6 +175,16 @@
         }
     }
 
+    /// Takes no new request from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// Whether the process is on its way out.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
--- a/crates/entry/src/timeline.rs
+++ b/crates/entry/src/timeline.rs
@@ -10,6 +10,7 @@
 use snipemast_callers::problem::{Problem, ProblemKind};
 use snipemast_config::Role;
 use snipemast_core::prelude::*;
+use snipemast_membership::Node;
 use snipemast_operators::authorize;
 use snipemast_operators::timeline::{Asked, Timeline, PATH};
 use snipemast_wire::message::path;
@@ -107,6 +108,18 @@
     let hosts = settings.seeds.iter().chain(voters);
     let hosts = hosts.map(|address| (*address, Arc::new(Peer::new(*address))));
     let mut known: BTreeMap<_, _> = hosts.collect();
+    let rows = |_, node: &Node| -> Vec<SocketAddr> {
+        node.table()
+            .rows()
+            .values()
+            .map(|row| row.card.address)
+            .collect()
+    };
+    for address in shared.gossip.look(rows).unwrap_or_default() {
+        known
+            .entry(address)
+            .or_insert_with(|| Arc::new(Peer::new(address)));
+    }
     known.extend(agents);
     known.remove(&settings.own);
     known
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -68,6 +68,8 @@
         pub deadline: Span,
         /// How long an agent's lease runs.
         pub lease: Span,
+        /// How long a leaving host still takes requests, so that the balancer hears of it first.
+        pub notice: Span,
         /// How long a shutdown waits for requests in flight.
         pub shutdown: Span,
         /// How long a connection may be silent before it counts as dead.
@@ -83,6 +85,7 @@
             body: Size::from_mib(8),
             deadline: Span::from_secs(120),
             lease: Span::from_secs(3),
+            notice: Span::from_secs(2),
             shutdown: Span::from_secs(60),
             silence: Span::from_secs(2),
             events: 4_096,
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -57,7 +57,11 @@
 impl Fleet {
     /// Starts an entry with the control role and one workspace.
     pub async fn start() -> Self {
-        let settings = entry_settings("entry-0");
+        Self::start_with(entry_settings("entry-0")).await
+    }
+
+    /// Starts an entry with these settings and one workspace.
+    pub async fn start_with(settings: EntrySettings) -> Self {
         let journal = journal(&settings.host);
         let entry = Entry::start(settings, Incarnation::new(1), journal).await;
         let entry = entry.expect("an entry starts on port 0");
