--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -6,15 +6,18 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
-use serde_json::json;
+use serde_json::{json, Value};
 use trillium_client::{Client, KnownHeaderName};
 use trillium_smol::ClientConfig;
 
 use snipemast_agent::Agent;
+use snipemast_callers::problem::REQUEST_HEADER;
 use snipemast_config::{KeyHash, Patch};
 use snipemast_core::prelude::*;
+use snipemast_entry::timeline::collect;
 use snipemast_entry::Entry;
 use snipemast_fakes::{FakeEngine, FakeService};
+use snipemast_operators::timeline::Asked;
 use snipemast_settings::agent::AgentLimits;
 use snipemast_settings::entry::EntryLimits;
 use snipemast_settings::{AgentSettings, ControlSettings, EntrySettings};
@@ -23,6 +26,8 @@
 use crate::args::DemoArgs;
 use crate::exit;
 use crate::serve::start_incarnation;
+use crate::servers::servers;
+use crate::timeline::table;
 
 /// The result of a step of the demonstration.
 type Result<T> = std::result::Result<T, Report<DemoError>>;
@@ -60,6 +65,9 @@
 
 /// Runs the demonstration.
 pub(crate) fn demo(args: &DemoArgs) -> ExitCode {
+    if args.servers {
+        return servers();
+    }
     match smol::block_on(run(args.serve)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
@@ -86,18 +94,24 @@
     }
     fleet.ask_model("a first reading").await?;
     fleet.ask_service().await?;
-    println!("\n-- a patch sends lector to another model");
+    println!("\n== a patch sends lector to another model");
     fleet.patch(json!({ "services": { "lector": { "model": "lector-2" } } }))?;
     fleet.ask_model("a reading after the patch").await?;
-    println!("\n-- one server of lector-2 drains");
+    println!("\n== one of the two servers of lector-2 drains");
     fleet.agents[2].drain();
     smol::Timer::after(Span::from_millis(300).as_duration()).await;
     fleet.ask_model("a reading after the drain").await?;
-    fleet.print_timeline();
+    fleet.print_timeline().await;
     fleet.stop().await;
     Ok(())
 }
 
+/// An answer, and the id of its request.
+struct Answer {
+    text: String,
+    request: String,
+}
+
 /// A whole small fleet in this process.
 struct Fleet {
     entry: Entry,
@@ -179,23 +193,44 @@
     }
 
     async fn ask_model(&self, title: &str) -> Result<()> {
-        println!("\n-- {title}");
+        println!("\n== {title}: a bordereau of 2 lines to lector");
         let body = json!({ "model": "lector", "prompt": BORDEREAU, "max_tokens": 8 });
         let answer = self.call("/v1/completions", Some(body.to_string())).await?;
-        println!("{answer}");
+        let document: Value = serde_json::from_str(&answer.text).unwrap_or_default();
+        let text = document["choices"][0]["text"].as_str();
+        println!("   answer  {}", text.unwrap_or(&answer.text));
+        self.print_route(&answer).await;
         Ok(())
     }
 
     async fn ask_service(&self) -> Result<()> {
-        println!("\n-- a lookup");
-        let answer = self
-            .call("/services/mesa/treaties/QS-2026-01", None)
-            .await?;
-        println!("{answer}");
+        println!("\n== a lookup of a treaty by mesa");
+        let path = "/services/mesa/treaties/QS-2026-01";
+        let answer = self.call(path, None).await?;
+        println!("   answer  {}", answer.text);
+        self.print_route(&answer).await;
         Ok(())
     }
 
-    async fn call(&self, path: &str, body: Option<String>) -> Result<String> {
+    /// Where a request went, out of its events.
+    async fn print_route(&self, answer: &Answer) {
+        let asked = Asked {
+            request: Some(answer.request.clone()),
+            since: None,
+        };
+        let timeline = collect(self.entry.shared(), &asked).await;
+        let mut hosts: Vec<&str> = Vec::new();
+        for record in &timeline.records {
+            let host = record.process.host.as_str();
+            if hosts.last() != Some(&host) {
+                hosts.push(host);
+            }
+        }
+        println!("   request {}", answer.request);
+        println!("   route   {}", hosts.join(" > "));
+    }
+
+    async fn call(&self, path: &str, body: Option<String>) -> Result<Answer> {
         let client = Client::new(ClientConfig::default());
         let url = format!("http://{}{path}", self.entry.callers());
         let conn = match body {
@@ -211,7 +246,9 @@
             .await
             .change_context(DemoError::Request)?;
         if conn.status().is_some_and(|s| s.is_success()) {
-            Ok(text)
+            let request = conn.response_headers().get_str(REQUEST_HEADER);
+            let request = request.unwrap_or_default().to_string();
+            Ok(Answer { text, request })
         } else {
             Err(Report::new(DemoError::Request).attach(text))
         }
@@ -225,16 +262,10 @@
         );
     }
 
-    fn print_timeline(&self) {
-        println!("\n-- the time line");
-        let mut records = self.entry.shared().journal.ring().since(Stamp::default());
-        for agent in &self.agents {
-            records.extend(agent.gate().journal().ring().since(Stamp::default()));
-        }
-        records.sort_by_key(|r| r.stamp);
-        for record in records {
-            println!("{record}");
-        }
+    async fn print_timeline(&self) {
+        println!("\n== the time line of all processes (seconds since the first event)");
+        let timeline = collect(self.entry.shared(), &Asked::default()).await;
+        print!("{}", table(&timeline));
     }
 
     async fn stop(self) {
@@ -261,7 +292,10 @@
         }),
         data: None,
         statsd: None,
-        limits: EntryLimits::default(),
+        limits: EntryLimits {
+            notice: Span::default(),
+            ..EntryLimits::default()
+        },
     }
 }
 
@@ -281,7 +315,7 @@
     }
 }
 
-fn server_info(name: &str, offer: Offer) -> ServerInfo {
+pub(crate) fn server_info(name: &str, offer: Offer) -> ServerInfo {
     ServerInfo {
         server: id(name),
         offers: vec![offer],
@@ -300,6 +334,6 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-fn id<T: std::str::FromStr<Err = snipemast_core::ids::IdError>>(text: &str) -> T {
+pub(crate) fn id<T: std::str::FromStr<Err = snipemast_core::ids::IdError>>(text: &str) -> T {
     text.parse().expect("the demonstration's names are valid")
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod drawing;
 mod serve;
+mod servers;
 mod tables;
 mod timeline;
 
