Refuse what callers may not send, by name

Cause: a path of a plain service could reach the system's own paths of a backend server; a completion without a question went to an engine; a refusal named no request. Change: service paths are checked as the most lenient reader would read them; questions and max_tokens are checked; every refusal names its request.

--- a/crates/callers/src/ask.rs
+++ b/crates/callers/src/ask.rs
@@ -8,11 +8,17 @@
 use snipemast_config::KeyHash;
 use snipemast_core::prelude::*;
 
+use crate::path::service_path;
 use crate::problem::{Problem, ProblemKind};
 
 /// The result of reading what a caller asks.
 pub type Result<T> = std::result::Result<T, AskError>;
 
+/// Where a prompt is completed.
+const COMPLETIONS: &str = "/v1/completions";
+/// Where a conversation is continued.
+const CHAT: &str = "/v1/chat/completions";
+
 /// A request to a service, read and checked.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -63,6 +69,8 @@
     KeyMissing,
     /// Nothing stands at this path.
     PathUnknown,
+    /// The path would be read in more than one way.
+    PathMalformed,
     /// The path takes another method.
     MethodWrong,
     /// The body is longer than this limit.
@@ -82,6 +90,7 @@
         match self {
             Self::KeyMissing => f.write_str("the Authorization header holds no bearer key"),
             Self::PathUnknown => f.write_str("nothing stands at this path"),
+            Self::PathMalformed => f.write_str("the path could be read in more than one way"),
             Self::MethodWrong => f.write_str("the path takes another method"),
             Self::BodyTooLarge(limit) => write!(f, "the body is over {limit}"),
             Self::BodyCut => f.write_str("the body broke off"),
@@ -102,6 +111,7 @@
             AskError::MethodWrong => ProblemKind::Method,
             AskError::BodyTooLarge(_) => ProblemKind::TooLarge,
             AskError::BodyCut
+            | AskError::PathMalformed
             | AskError::BodyMalformed(_)
             | AskError::FieldWrong(_)
             | AskError::HeaderWrong(_) => ProblemKind::Malformed,
@@ -129,7 +139,7 @@
         let path = conn.path().to_string();
         let key = key(conn)?;
         match path.as_str() {
-            "/v1/completions" | "/v1/chat/completions" => {
+            COMPLETIONS | CHAT => {
                 let body = body(conn, limit).await?;
                 Self::completion(conn, path, body, key)
             }
@@ -155,6 +165,12 @@
         let wrong = |field: &str| AskError::FieldWrong(field.into());
         let name = document["model"].as_str().ok_or_else(|| wrong("model"))?;
         let service = name.parse().map_err(|_| wrong("model"))?;
+        if !is_asked(&path, &document) {
+            return Err(wrong(asked_field(&path)));
+        }
+        if !matches!(&document["max_tokens"], Value::Null) && !document["max_tokens"].is_u64() {
+            return Err(wrong("max_tokens"));
+        }
         let stream = match &document["stream"] {
             Value::Null => false,
             Value::Bool(stream) => *stream,
@@ -195,14 +211,22 @@
     }
 }
 
-/// Splits `/services/{service}/{rest}`.
-fn service_path(path: &str) -> Result<(ServiceId, String)> {
-    let rest = path
-        .strip_prefix("/services/")
-        .ok_or(AskError::PathUnknown)?;
-    let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    let service = name.parse().map_err(|_| AskError::PathUnknown)?;
-    Ok((service, format!("/{rest}")))
+/// The field that holds the question.
+fn asked_field(path: &str) -> &'static str {
+    if path == CHAT {
+        "messages"
+    } else {
+        "prompt"
+    }
+}
+
+/// Whether a completion asks something: engines differ in how they fail where it does not.
+fn is_asked(path: &str, document: &Value) -> bool {
+    match &document[asked_field(path)] {
+        Value::Array(parts) => !parts.is_empty(),
+        Value::String(_) => path != CHAT,
+        _ => false,
+    }
 }
 
 fn key(conn: &Conn) -> Result<Option<RequestKey>> {
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -38,18 +38,20 @@
     }
 
     async fn answer(&self, mut conn: Conn) -> Conn {
-        match self.serve(&mut conn).await {
+        let request = self.shared.next_request();
+        match self.serve(&mut conn, &request).await {
             Ok(Reply { begun, stream }) => write(conn, begun, stream).await,
             Err(problem) => {
                 self.shared
                     .journal
-                    .record(Event::RequestRefused, conn.path(), &problem);
+                    .record(Event::RequestRefused, &request, &problem);
+                let conn = conn.with_response_header(REQUEST_HEADER, request.to_string());
                 problem.answer(conn)
             }
         }
     }
 
-    async fn serve(&self, conn: &mut Conn) -> Result<Reply, Problem> {
+    async fn serve(&self, conn: &mut Conn, request: &RequestId) -> Result<Reply, Problem> {
         if self.shared.is_closed() {
             let problem = Problem::new(ProblemKind::Unavailable, "this host is leaving");
             return Err(problem.with_retry(RETRY_AFTER));
@@ -58,7 +60,7 @@
         let workspace = authorize(&config, conn)?;
         let ask = Ask::read(conn, self.shared.settings.limits.body).await?;
         let stream = matches!(ask.target, Target::Model { stream: true, .. });
-        let begun = begin(&self.shared, &config, workspace, ask).await?;
+        let begun = begin(&self.shared, &config, workspace, ask, request.clone()).await?;
         Ok(Reply { begun, stream })
     }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -52,8 +52,8 @@
     config: &Config,
     workspace: WorkspaceId,
     ask: Ask,
+    request: RequestId,
 ) -> Result<Begun> {
-    let request = shared.next_request();
     shared
         .journal
         .record(Event::RequestReceived, &request, ask.target.service());
