Send metrics to statsd and let a setting choose what is logged

Cause: the metrics address of the settings was read and not used; every request logged eight lines. Change: the ring counts each event, and a task sends the new counts and a few gauges by cadence once a second; limits.log is info or debug; the ring keeps every event all the same. Conclusion: a request pays one addition for its metrics.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,11 +1,13 @@
 //! The agent beside a backend server: the one gate in front of it.
 //!
 //! - [`process`]: start, announce, drain, stop.
+//! - [`metrics`]: reports the metrics, again and again.
 //! - [`gate`]: takes dispatches, passes them to the backend server, frames the answer.
 //! - [`announce`]: tells entry hosts what the backend server offers and how loaded it is.
 
 pub mod announce;
 pub mod gate;
+pub mod metrics;
 pub mod process;
 
 pub use process::{Agent, AgentError};
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -47,7 +47,7 @@
     let incarnation = start_incarnation();
     let process = ProcessId::new(settings.host.clone(), incarnation);
     let ring = Arc::new(Ring::new(process, settings.limits.events as usize));
-    let journal = Journal::new(ring);
+    let journal = Journal::new(ring, settings.limits.log);
     let mut signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
         Err(e) => {
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -8,13 +8,16 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 
+use smol::Task;
 use snipemast_core::prelude::*;
+use snipemast_platform::metrics::Metrics;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, Listening};
+use snipemast_wire::{listen, spawn, Listening};
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
+use crate::metrics::report_forever;
 
 /// How long entries may take to hear of a drain before the agent looks whether it is idle.
 const SPREAD: Span = Span::from_millis(200);
@@ -29,6 +32,8 @@
 pub enum AgentError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// Metrics can't be sent to the address.
+    Metrics(SocketAddr),
     /// The backend server does not describe itself.
     Server(SocketAddr),
 }
@@ -37,6 +42,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Metrics(address) => write!(f, "metrics can't be sent to {address}"),
             Self::Server(address) => write!(f, "no backend server answers at {address}"),
         }
     }
@@ -51,6 +57,7 @@
     listening: Listening,
     announcing: Announcing,
     shutdown: Span,
+    reporting: Option<Task<()>>,
 }
 
 impl Agent {
@@ -72,6 +79,14 @@
             .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
+        let reporting = match settings.statsd {
+            Some(address) => {
+                let metrics = Metrics::new(address, &settings.host);
+                let metrics = metrics.change_context(AgentError::Metrics(address))?;
+                Some(spawn(report_forever(Arc::clone(&gate), metrics)))
+            }
+            None => None,
+        };
         let shutdown = settings.limits.shutdown;
         let address = listening.address();
         let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
@@ -80,6 +95,7 @@
             listening,
             announcing,
             shutdown,
+            reporting,
         })
     }
 
@@ -116,6 +132,9 @@
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
+        if let Some(reporting) = self.reporting {
+            reporting.cancel().await;
+        }
     }
 }
 
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -93,6 +93,7 @@
     let incarnation = start_incarnation();
     let process = ProcessId::new(settings.host.clone(), incarnation);
     let ring = Arc::new(Ring::new(process, settings.limits.events as usize));
+    let journal = Journal::new(ring, settings.limits.log);
     let mut signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
         Err(e) => {
@@ -100,7 +101,7 @@
             return ExitCode::from(exit::UNREACHABLE);
         }
     };
-    match smol::block_on(Entry::start(settings, incarnation, Journal::new(ring))) {
+    match smol::block_on(Entry::start(settings, incarnation, journal)) {
         Ok(entry) => {
             signals.forever().next();
             smol::block_on(entry.stop());
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -5,6 +5,7 @@
 
 use std::collections::VecDeque;
 use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 
@@ -238,6 +239,7 @@
     clock: HybridClock,
     bound: usize,
     records: Mutex<VecDeque<Record>>,
+    counts: Vec<AtomicU64>,
 }
 
 impl Ring {
@@ -249,6 +251,7 @@
             clock: HybridClock::new(),
             bound: bound.max(1),
             records,
+            counts: Event::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
         }
     }
 
@@ -264,6 +267,9 @@
 
     /// Keeps an event, stamped now.
     pub fn record(&self, event: Event, subject: impl fmt::Display, detail: impl fmt::Display) {
+        if let Ok(place) = Event::ALL.binary_search(&event) {
+            self.counts[place].fetch_add(1, Ordering::Relaxed);
+        }
         let record = Record {
             stamp: self.clock.tick(),
             process: self.process.clone(),
@@ -278,6 +284,16 @@
         records.push_back(record);
     }
 
+    /// How often each event that happened did so, also where its records fell out.
+    pub fn counts(&self) -> Vec<(Event, u64)> {
+        let counts = self
+            .counts
+            .iter()
+            .map(|count| count.load(Ordering::Relaxed));
+        let all = Event::ALL.iter().copied().zip(counts);
+        all.filter(|(_, count)| *count > 0).collect()
+    }
+
     /// The records since a stamp, oldest first.
     pub fn since(&self, stamp: Stamp) -> Vec<Record> {
         self.records
--- a/crates/core/src/logs.rs
+++ b/crates/core/src/logs.rs
@@ -3,10 +3,25 @@
 use std::io;
 use std::sync::Arc;
 
-use slog::{o, Drain, Logger};
+use slog::{o, Drain, Level, Logger};
 
+use crate as snipemast_core;
+use crate::data;
 use crate::events::{Event, Ring};
 
+data! {
+    /// How much a process logs; its ring keeps every event all the same.
+    #[derive(Copy, Default)]
+    #[serde(rename_all = "lowercase")]
+    pub enum LogLevel {
+        /// Everything but the events of single requests.
+        #[default]
+        Info,
+        /// The events of single requests too.
+        Debug,
+    }
+}
+
 /// Writes events both to the log and to the process's ring.
 #[derive(Clone, Debug)]
 pub struct Journal {
@@ -15,10 +30,15 @@
 }
 
 impl Journal {
-    /// A journal that logs JSON lines to standard error.
-    pub fn new(ring: Arc<Ring>) -> Self {
+    /// A journal that logs JSON lines of at least this level to standard error.
+    pub fn new(ring: Arc<Ring>, level: LogLevel) -> Self {
         let json = slog_json::Json::default(io::stderr()).fuse();
         let drain = slog_async::Async::new(json).chan_size(4_096).build().fuse();
+        let level = match level {
+            LogLevel::Info => Level::Info,
+            LogLevel::Debug => Level::Debug,
+        };
+        let drain = drain.filter_level(level).fuse();
         let log = Logger::root(drain, o!("process" => ring.process().to_string()));
         Self { log, ring }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
+//! - [`metrics`]: reports the metrics, again and again.
 //! - [`timeline`]: collects the events of every process that this one knows.
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`spread`]: passes the configuration on.
@@ -25,6 +26,7 @@
 pub mod follow;
 pub mod front;
 pub mod gossip;
+pub mod metrics;
 pub mod own;
 pub mod process;
 pub mod registry;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,21 @@
+//! Reports the entry's metrics, again and again.
+
+use std::sync::Arc;
+
+use snipemast_platform::metrics::{Metrics, INTERVAL};
+
+use crate::shared::Shared;
+
+/// Reports once an interval.
+pub async fn report_forever(shared: Arc<Shared>, mut metrics: Metrics) {
+    loop {
+        smol::Timer::after(INTERVAL.as_duration()).await;
+        let gauges = [
+            ("running", shared.running()),
+            ("members", shared.registry.members().len() as u64),
+            ("version", shared.config().version.get()),
+            ("draining", u64::from(shared.is_draining())),
+        ];
+        metrics.report(shared.journal.ring(), &gauges);
+    }
+}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -11,6 +11,7 @@
 use trillium::Handler;
 
 use snipemast_core::prelude::*;
+use snipemast_platform::metrics::Metrics;
 use snipemast_settings::EntrySettings;
 use snipemast_wire::{listen, spawn, Listening};
 
@@ -20,6 +21,7 @@
 use crate::follow::follow_forever;
 use crate::front::Front;
 use crate::gossip::gossip_forever;
+use crate::metrics::report_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 use crate::timeline::TimelineHandler;
@@ -35,12 +37,15 @@
 pub enum EntryError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// Metrics can't be sent to the address.
+    Metrics(SocketAddr),
 }
 
 impl fmt::Display for EntryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Metrics(address) => write!(f, "metrics can't be sent to {address}"),
         }
     }
 }
@@ -86,6 +91,11 @@
         let sync = spawn(sync_forever(Arc::clone(&shared)));
         let mut tasks = vec![follow, gossip, sync];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
+        if let Some(address) = shared.settings.statsd {
+            let metrics = Metrics::new(address, &shared.settings.host);
+            let metrics = metrics.change_context(EntryError::Metrics(address))?;
+            tasks.push(spawn(report_forever(Arc::clone(&shared), metrics)));
+        }
         Ok(Self {
             shared,
             callers,
--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -51,6 +51,8 @@
         pub answers: Size,
         /// How many events the ring keeps.
         pub events: u32,
+        /// How much is logged: `info`, or `debug` for the events of single requests too.
+        pub log: LogLevel,
     }
 }
 
@@ -64,6 +66,7 @@
             ledger: 100_000,
             answers: Size::from_mib(16),
             events: 2_048,
+            log: LogLevel::Info,
         }
     }
 }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -76,6 +76,8 @@
         pub silence: Span,
         /// How many events the ring keeps.
         pub events: u32,
+        /// How much is logged: `info`, or `debug` for the events of single requests too.
+        pub log: LogLevel,
     }
 }
 
@@ -89,6 +91,7 @@
             shutdown: Span::from_secs(60),
             silence: Span::from_secs(2),
             events: 4_096,
+            log: LogLevel::Info,
         }
     }
 }
