--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -113,11 +113,16 @@
     }
 
     async fn add_agent(&mut self, name: &str, fake: Listening) {
-        let settings = agent_settings(name, fake.address(), self.entry.own());
+        self.add_beside(name, fake.address()).await;
+        self.fakes.push(fake);
+    }
+
+    /// Adds an agent beside a backend server that listens at this address.
+    pub async fn add_beside(&mut self, name: &str, server: SocketAddr) {
+        let settings = agent_settings(name, server, self.entry.own());
         let journal = journal(&settings.host);
         let agent = Agent::start(settings, Incarnation::new(1), journal).await;
         self.agents.push(agent.expect("an agent starts on port 0"));
-        self.fakes.push(fake);
         while self.entry.shared().registry.members().len() < self.agents.len() {
             pause(5).await;
         }
