--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -3,13 +3,16 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
-use serde_json::{json, Value};
+use serde_json::Value;
 use trillium::{async_trait, Conn, Handler, Status};
 
 use snipemast_core::prelude::*;
 use snipemast_servers::protocol;
 use snipemast_wire::{pipe, spawn, PipeWriter};
 
+use crate::cache::Cache;
+use crate::shape::{Range, Shape};
+
 /// Filler behind the first event: the HTTP library holds a response's first bytes back.
 const PADDING: usize = 1_024;
 
@@ -20,6 +23,7 @@
     tokens: u32,
     pace: Span,
     running: Arc<AtomicU32>,
+    cache: Arc<Cache>,
 }
 
 impl FakeEngine {
@@ -30,6 +34,7 @@
             tokens: 16,
             pace: Span::default(),
             running: Arc::default(),
+            cache: Arc::default(),
         }
     }
 
@@ -58,7 +63,7 @@
         }
     }
 
-    async fn complete(&self, mut conn: Conn) -> Conn {
+    async fn complete(&self, mut conn: Conn, shape: Shape) -> Conn {
         let body = conn
             .request_body()
             .await
@@ -68,35 +73,41 @@
         let Ok(request) = serde_json::from_slice::<Value>(&body) else {
             return conn.with_status(Status::BadRequest).halt();
         };
-        let count = request["max_tokens"]
-            .as_u64()
-            .map_or(self.tokens, |n| n as u32);
+        if self.info.capabilities.prefix {
+            self.cache.store(&prompt(&request));
+        }
+        let tokens = self.tokens(&request);
         if request["stream"].as_bool().unwrap_or(false) {
-            self.stream(conn, count)
+            self.stream(conn, shape, tokens)
         } else {
-            self.whole(conn, &request, count).await
+            self.whole(conn, shape, &request, tokens).await
         }
     }
 
-    async fn whole(&self, conn: Conn, request: &Value, count: u32) -> Conn {
+    /// The tokens to answer: those behind the text that was delivered already.
+    fn tokens(&self, request: &Value) -> Range {
+        let asked = request["max_tokens"].as_u64();
+        let count = asked.map_or(self.tokens, |n| n as u32);
+        let delivered = request["continue_text"].as_str().unwrap_or_default();
+        let start = delivered.split_whitespace().count() as u32;
+        start.min(count)..count
+    }
+
+    async fn whole(&self, mut conn: Conn, shape: Shape, request: &Value, tokens: Range) -> Conn {
         let _running = Running::new(&self.running);
-        self.wait(u64::from(count)).await;
-        let words: Vec<String> = (0..count).map(word).collect();
-        let answer = json!({
-            "object": "text_completion",
-            "model": request["model"],
-            "served_by": self.info.server,
-            "choices": [{ "index": 0, "text": words.concat(), "finish_reason": "stop" }],
-            "usage": { "completion_tokens": count },
-        });
+        let work = self.wait(tokens.len() as u64);
+        if conn.cancel_on_disconnect(work).await.is_none() {
+            return conn.halt();
+        }
+        let answer = shape.whole(&request["model"], &self.info.server, tokens);
         conn.with_response_header("content-type", "application/json")
             .ok(answer.to_string())
     }
 
-    fn stream(&self, conn: Conn, count: u32) -> Conn {
+    fn stream(&self, conn: Conn, shape: Shape, tokens: Range) -> Conn {
         let (writer, reader) = pipe(64);
         let engine = self.clone();
-        spawn(async move { engine.write_events(writer, count).await }).detach();
+        spawn(async move { engine.write_events(writer, shape, tokens).await }).detach();
         let body = trillium::Body::new_streaming(reader, None);
         conn.with_response_header("content-type", "text/event-stream")
             .with_status(Status::Ok)
@@ -104,12 +115,13 @@
             .halt()
     }
 
-    async fn write_events(&self, writer: PipeWriter, count: u32) {
+    async fn write_events(&self, writer: PipeWriter, shape: Shape, tokens: Range) {
         let _running = Running::new(&self.running);
-        for n in 0..count {
+        let first = tokens.start;
+        for n in tokens {
             self.wait(1).await;
-            let mut event = token_event(n);
-            if n == 0 {
+            let mut event = shape.event(n);
+            if n == first {
                 event.push_str(&format!(":{:PADDING$}\n\n", ""));
             }
             if writer.send(event.into_bytes()).await.is_err() {
@@ -120,6 +132,16 @@
         let _ = writer.send(b"data: [DONE]\n\n".to_vec()).await;
     }
 
+    fn cached(&self, conn: Conn) -> Conn {
+        if !self.info.capabilities.prefix {
+            return conn.with_status(Status::NotFound).halt();
+        }
+        let query = conn.querystring();
+        let after = query.strip_prefix("after=").and_then(|n| n.parse().ok());
+        let events = self.cache.after(after.unwrap_or(0));
+        answer_json(conn, &events)
+    }
+
     async fn wait(&self, tokens: u64) {
         if self.pace > Span::default() {
             smol::Timer::after(self.pace.times(tokens).as_duration()).await;
@@ -133,8 +155,11 @@
         match conn.path() {
             protocol::INFO => answer_json(conn, &self.info),
             protocol::LOAD => answer_json(conn, &self.load()),
-            "/v1/completions" | "/v1/chat/completions" => self.complete(conn).await,
-            _ => conn.with_status(Status::NotFound).halt(),
+            protocol::CACHE => self.cached(conn),
+            path => match Shape::of(path) {
+                Some(shape) => self.complete(conn, shape).await,
+                None => conn.with_status(Status::NotFound).halt(),
+            },
         }
     }
 }
@@ -146,13 +171,12 @@
         .ok(text)
 }
 
-fn token_event(n: u32) -> String {
-    let data = json!({ "choices": [{ "index": 0, "text": word(n) }] });
-    format!("data: {data}\n\n")
-}
-
-fn word(n: u32) -> String {
-    format!("w{n} ")
+/// The text that a prompt's prefix is taken from.
+fn prompt(request: &Value) -> String {
+    match &request["prompt"] {
+        Value::String(text) => text.clone(),
+        _ => request["messages"].to_string(),
+    }
 }
 
 /// Counts a request while it runs, also when its reader leaves early.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,11 +6,13 @@
 //! - [`fleet`]: the membership of many processes over a virtual wire and clock.
 //! - [`links`]: what that wire loses and delays.
 
+mod cache;
 pub mod engine;
 pub mod fleet;
 pub mod group;
 pub mod links;
 pub mod service;
+mod shape;
 
 pub use engine::FakeEngine;
 pub use fleet::Fleet;
--- a/crates/servers/src/protocol.rs
+++ b/crates/servers/src/protocol.rs
@@ -4,5 +4,7 @@
 pub const INFO: &str = "/engine/info";
 /// `GET`: the server's [`LoadReport`](snipemast_core::server::LoadReport).
 pub const LOAD: &str = "/engine/load";
+/// `GET`: the cache events behind a number, of engines that cache prompt prefixes.
+pub const CACHE: &str = "/engine/cache";
 /// The header that names the attempt a call belongs to.
 pub const DISPATCH_HEADER: &str = "snipemast-dispatch";
