--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -8,11 +8,14 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use snipemast_config::KeyHash;
 use snipemast_core::prelude::*;
 use snipemast_entry::Entry;
 use snipemast_settings::check::check;
 use snipemast_settings::{AgentSettings, EntrySettings, Fault};
 
+use snipemast_wire::serve::set_threads;
+
 use crate::args::{CheckArgs, ServeArgs};
 use crate::exit;
 
@@ -69,6 +72,17 @@
     }
 }
 
+/// Prints the hash of a key that is read from standard input, so that no shell remembers it.
+pub(crate) fn hash() -> ExitCode {
+    let mut key = String::new();
+    if std::io::stdin().read_line(&mut key).is_err() || key.trim().is_empty() {
+        eprintln!("snipemast: usage: snipemast hash, with the key on standard input");
+        return ExitCode::from(exit::USAGE);
+    }
+    println!("{}", KeyHash::of(key.trim()));
+    ExitCode::SUCCESS
+}
+
 fn print_json(kind: &str, faults: &[Fault]) {
     let faults: Vec<_> = faults
         .iter()
@@ -81,6 +95,8 @@
     let incarnation = start_incarnation();
     let process = ProcessId::new(settings.host.clone(), incarnation);
     let ring = Arc::new(Ring::new(process, settings.limits.events as usize));
+    let journal = Journal::new(ring, settings.limits.log);
+    set_threads(settings.limits.threads);
     let mut signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
         Err(e) => {
@@ -88,7 +104,7 @@
             return ExitCode::from(exit::UNREACHABLE);
         }
     };
-    match smol::block_on(Entry::start(settings, incarnation, Journal::new(ring))) {
+    match smol::block_on(Entry::start(settings, incarnation, journal)) {
         Ok(entry) => {
             signals.forever().next();
             smol::block_on(entry.stop());
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -253,6 +253,7 @@
     bound: usize,
     ignored: AtomicU64,
     records: Mutex<VecDeque<Record>>,
+    counts: Vec<AtomicU64>,
 }
 
 impl Ring {
@@ -265,6 +266,7 @@
             bound: bound.max(1),
             ignored: AtomicU64::new(0),
             records,
+            counts: Event::ALL.iter().map(|_| AtomicU64::new(0)).collect(),
         }
     }
 
@@ -297,6 +299,9 @@
 
     /// Keeps an event, stamped now.
     pub fn record(&self, event: Event, subject: impl fmt::Display, detail: impl fmt::Display) {
+        if let Ok(place) = Event::ALL.binary_search(&event) {
+            self.counts[place].fetch_add(1, Ordering::Relaxed);
+        }
         let (subject, detail) = (subject.to_string(), detail.to_string());
         let mut records = self.records.lock();
         // Stamped under the lock, so that the ring is in the order of its stamps and pages of it
@@ -335,6 +340,16 @@
             .map_or_else(Stamp::default, |r| r.stamp)
     }
 
+    /// How often each event that happened did so, also where its records fell out.
+    pub fn counts(&self) -> Vec<(Event, u64)> {
+        let counts = self
+            .counts
+            .iter()
+            .map(|count| count.load(Ordering::Relaxed));
+        let all = Event::ALL.iter().copied().zip(counts);
+        all.filter(|(_, count)| *count > 0).collect()
+    }
+
     /// The records since a stamp, oldest first.
     pub fn since(&self, stamp: Stamp) -> Vec<Record> {
         self.records
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,8 @@
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
+//! - [`metrics`]: reports the metrics, again and again.
+//! - [`timeline`]: collects the events of every process that this one knows.
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`orders`]: orders of the control leader.
 //! - [`spread`]: passes the configuration on.
@@ -27,6 +29,7 @@
 pub mod front;
 pub mod gossip;
 pub mod keys;
+pub mod metrics;
 pub mod orders;
 pub mod own;
 pub mod process;
@@ -34,6 +37,7 @@
 pub mod relay;
 pub mod shared;
 pub mod spread;
+pub mod timeline;
 pub mod voter;
 
 pub use process::{Entry, EntryError};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -50,6 +50,7 @@
     control: OnceLock<Control>,
     counter: AtomicU64,
     draining: AtomicBool,
+    closed: AtomicBool,
     running: AtomicU64,
 }
 
@@ -79,6 +80,7 @@
             control: OnceLock::new(),
             counter: AtomicU64::new(0),
             draining: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
             running: AtomicU64::new(0),
         }
     }
@@ -154,6 +156,16 @@
         }
     }
 
+    /// Takes no new request from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new requests are refused.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
     /// Whether the process is on its way out.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::SeqCst)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,5 +1,7 @@
 //! Interfaces towards the platform: balancer, weight store, metrics sink.
 //!
 //! - [`weights`]: the rate-limited weight store, and the budget that all groups share.
+//! - [`metrics`]: counters and gauges, sent to a statsd address.
 
+pub mod metrics;
 pub mod weights;
