Let cold servers look fuller by a bounded amount

Cause: a restarted server looked ten times as full for its first seconds; in a wave of restarts the warm ones took its part and requests waited.

Change: a bounded amount is added to a cold server's load instead.

--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -12,6 +12,11 @@
 const UNKNOWN_USUAL: Span = Span::from_secs(5);
 /// How much fuller a server looks that is a tier farther away.
 const FARTHER: f64 = 0.1;
+/// How much fuller a server looks that has only just come up.
+///
+/// Added rather than multiplied: where all the others are nearly full, as in a wave of restarts,
+/// the cold ones have to carry their part.
+const COLD: f64 = 0.4;
 /// A server's step time counts at most this many times the mean.
 const PACE_BOUND: f64 = 8.0;
 /// Up to this many times the mean, a step time says no more than how full the server is.
@@ -244,7 +249,7 @@
                 load,
                 near,
             },
-            score: (load + one) * pace / ramp,
+            score: (load + one) * pace + COLD * (1.0 - ramp),
         })
     }
 
