--- a/crates/routing/src/demand.rs
+++ b/crates/routing/src/demand.rs
@@ -4,7 +4,7 @@
 //! of a limit is its part of the demand, plus an equal part of a small rest so that a first
 //! request finds some room anywhere.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use snipemast_core::prelude::*;
 
@@ -15,8 +15,10 @@
 pub const ITEMS: usize = 64;
 /// The part of each limit that is split equally.
 const EQUAL: f64 = 0.1;
-/// How long an entry may be silent before it counts as late.
-const LATE: Span = Span::from_millis(2_200);
+/// How long after a summary another entry must be heard for it to have surely arrived there.
+const SURE: Span = Span::from_secs(1);
+/// How many summaries are remembered.
+const TOLD: usize = 8;
 /// How long an entry may be silent before its part counts as cut off.
 const SILENT: Span = Span::from_secs(5);
 /// Rates are told in thousandths.
@@ -76,19 +78,27 @@
     entry: ProcessId,
     number: u64,
     own: HashMap<Topic, Pace>,
-    told: [HashMap<Topic, f64>; 2],
+    /// What was told lately, the last first.
+    told: VecDeque<Told>,
+    /// The least that was told since all others surely heard.
+    settled: HashMap<Topic, f64>,
     others: BTreeMap<HostId, Other>,
     /// The sums over the others that are not cut off.
     sums: HashMap<Topic, f64>,
     live: usize,
-    /// How things stood when all the others were last on time.
-    known: Known,
-    /// Whether some other is late.
-    late: bool,
+    /// How things stood lately, the last first.
+    known: VecDeque<Known>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
+struct Told {
+    at: Moment,
+    rates: HashMap<Topic, f64>,
+}
+
+#[derive(Debug)]
 struct Known {
+    at: Moment,
     own: HashMap<Topic, f64>,
     sums: HashMap<Topic, f64>,
     live: usize,
@@ -101,12 +111,12 @@
             entry,
             number: 0,
             own: HashMap::new(),
-            told: [HashMap::new(), HashMap::new()],
+            told: VecDeque::new(),
+            settled: HashMap::new(),
             others: BTreeMap::new(),
             sums: HashMap::new(),
             live: 0,
-            known: Known::default(),
-            late: false,
+            known: VecDeque::new(),
         }
     }
 
@@ -130,8 +140,12 @@
         items.sort_by_key(|d| (std::cmp::Reverse(d.rate), d.topic));
         items.truncate(ITEMS);
         self.number += 1;
-        self.told.swap(0, 1);
-        self.told[0] = rates(&items);
+        self.told.push_front(Told {
+            at: now,
+            rates: rates(&items),
+        });
+        self.told.truncate(TOLD);
+        self.settle(now);
         Summary {
             entry: self.entry.clone(),
             number: self.number,
@@ -175,25 +189,14 @@
     /// own entries had when all were last heard, until the others are heard again or known to be
     /// gone.
     pub fn settle(&mut self, now: Moment) {
-        let live = |o: &&Other| o.lost.is_none();
-        self.late = self
-            .others
-            .values()
-            .filter(live)
-            .any(|o| now.since(o.heard) > LATE);
-        if !self.late {
-            let own = self.told[0].clone();
-            self.known = Known {
-                own,
-                sums: self.sums.clone(),
-                live: self.live,
-            };
-            return;
-        }
+        let live = self.others.values().filter(|o| o.lost.is_none());
+        let heard = live.map(|o| o.heard).min().unwrap_or(Moment::NEVER);
+        self.settled = self.settled_by(heard);
+        self.remember(now);
         let is_silent = |o: &Other| o.lost.is_none() && now.since(o.heard) > SILENT;
         let silent = self.others.values().filter(|o| is_silent(o));
         let hosts: Vec<_> = silent.map(|o| o.entry.host.clone()).collect();
-        let free: HashMap<_, _> = self.known.sums.keys().map(|&t| (t, self.free(t))).collect();
+        let free: HashMap<_, _> = self.sums.keys().map(|&t| (t, self.free(t))).collect();
         for host in hosts {
             let Some(mut other) = self.others.remove(&host) else {
                 continue;
@@ -206,25 +209,17 @@
 
     /// This entry's share of a limit, from 0 to 1.
     ///
-    /// A demand that rises counts only once it has been told twice, one that falls at once:
-    /// while the others have not heard of it, their shares have not shrunk yet. While some other
-    /// is late, nothing rises.
+    /// A demand that rises counts only once all others surely have heard of it, one that falls at
+    /// once: while they have not heard, their shares have not shrunk yet. So nothing rises while
+    /// some other is silent, and a partition can't make both sides take more.
     pub fn share(&self, now: Moment, topic: Topic) -> f64 {
         let mut own = self.present(now, topic);
-        if !self.others.is_empty() {
-            own = own
-                .min(rate(&self.told[0], topic))
-                .min(rate(&self.told[1], topic));
+        if self.live > 0 {
+            own = own.min(rate(&self.settled, topic));
         }
         let others = rate(&self.sums, topic);
         let count = 1.0 + self.live as f64;
-        let share = self.free(topic) * split(own, own + others, count);
-        if !self.late {
-            return share;
-        }
-        let known = &self.known;
-        let (own, others) = (rate(&known.own, topic), rate(&known.sums, topic));
-        share.min(self.free(topic) * split(own, own + others, 1.0 + known.live as f64))
+        self.free(topic) * split(own, own + others, count)
     }
 
     /// The sum of all entries' demands for a thing, a second.
@@ -239,7 +234,8 @@
         let mut all: Vec<_> = live
             .map(|o| (&o.entry.host, rate(&o.rates, topic)))
             .collect();
-        all.push((&self.entry.host, rate(&self.told[0], topic)));
+        let own = self.last_told().map_or(0.0, |told| rate(told, topic));
+        all.push((&self.entry.host, own));
         all.sort_by_key(|(host, _)| stable(&(topic.0, host)));
         let (sum, count) = (all.iter().map(|(_, r)| r).sum::<f64>(), all.len() as f64);
         let whole = f64::from(whole) * self.free(topic);
@@ -259,6 +255,26 @@
         self.own.get(&topic).map_or(0.0, |p| p.per_second(now))
     }
 
+    fn last_told(&self) -> Option<&HashMap<Topic, f64>> {
+        self.told.front().map(|told| &told.rates)
+    }
+
+    /// The least that was told since the last time that all others must have heard of: they have
+    /// been heard again a good while after it.
+    fn settled_by(&self, heard: Moment) -> HashMap<Topic, f64> {
+        let sure = self.told.iter().position(|t| t.at + SURE <= heard);
+        let Some(sure) = sure else {
+            return HashMap::new();
+        };
+        let mut least = self.told[sure].rates.clone();
+        for told in self.told.iter().take(sure) {
+            for (&topic, rate) in &mut least {
+                *rate = rate.min(self::rate(&told.rates, topic));
+            }
+        }
+        least
+    }
+
     fn count(&mut self, other: &Other) {
         self.live += 1;
         for (&topic, rate) in &other.rates {
@@ -285,9 +301,28 @@
         (1.0 - sum).max(0.0)
     }
 
-    /// The parts that an entry had when all were last heard.
+    /// Keeps how things stand, at most once a second.
+    fn remember(&mut self, now: Moment) {
+        let due = self.known.front().is_none_or(|k| now.since(k.at) >= SURE);
+        if due {
+            let (own, sums) = (self.settled.clone(), self.sums.clone());
+            self.known.push_front(Known {
+                at: now,
+                own,
+                sums,
+                live: self.live,
+            });
+            self.known.truncate(TOLD);
+        }
+    }
+
+    /// The parts that an entry had when it was last heard: what the others told since, it does
+    /// not know, and it goes on with the part that it had.
     fn parts_of(&self, other: &Other, free: &HashMap<Topic, f64>) -> HashMap<Topic, f64> {
-        let known = &self.known;
+        let then = self.known.iter().find(|k| k.at <= other.heard);
+        let Some(known) = then.or(self.known.back()) else {
+            return HashMap::new();
+        };
         let part = |&topic: &Topic| {
             let sum = rate(&known.own, topic) + rate(&known.sums, topic);
             let part = split(rate(&other.rates, topic), sum, 1.0 + known.live as f64);
--- a/crates/routing/src/lane.rs
+++ b/crates/routing/src/lane.rs
@@ -27,7 +27,7 @@
 impl Default for LanePolicy {
     fn default() -> Self {
         Self {
-            fill: 1.2,
+            fill: 1.25,
             reserve: 0.1,
             grab: 1.0,
             credit: Span::from_secs(3),
