--- a/crates/benches/src/policies.rs
+++ b/crates/benches/src/policies.rs
@@ -3,10 +3,11 @@
 use std::collections::HashMap;
 
 use snipemast_core::prelude::*;
+use snipemast_requests::RetryBudget;
 use snipemast_routing::hash::{below, mix};
 use snipemast_routing::{
-    Arrival, Budget, Called, Demands, Departure, Door, Ended, Facts, Lane, LanePolicy, Place,
-    Policy, Prefix, Priority, Query, Room, Router, Seat, Slot, Summary, Ticket, Topic, Wanted,
+    Arrival, Called, Demands, Departure, Door, Ended, Facts, Lane, LanePolicy, Place, Policy,
+    Prefix, Priority, Query, Room, Router, Seat, Slot, Summary, Ticket, Topic, Wanted,
 };
 
 use crate::queue::{End, Entry, Job, Micros, Step};
@@ -146,7 +147,7 @@
     router: Router,
     lane: Option<Lane>,
     demands: Demands,
-    budget: Budget,
+    budget: RetryBudget,
     wanted: Wanted,
     hosts: Vec<HostId>,
     slots: Vec<Slot>,
@@ -217,7 +218,7 @@
             lane: options.lane.map(Lane::new),
             router,
             demands: Demands::new(ProcessId::new(name("entry", n), Incarnation::new(1))),
-            budget: Budget::default(),
+            budget: RetryBudget::new(20),
             wanted,
             hosts,
             slots,
@@ -245,7 +246,9 @@
 
     fn send(&mut self, now: Moment, job: &Job, out: &mut Vec<Step>) {
         let prefix = self.options.prefix.then_some(Prefix(job.prefix));
-        let query = Query::new(&self.wanted).with_prefix(prefix);
+        let query = Query::new(&self.wanted)
+            .with_prefix(prefix)
+            .with_backlog(!self.waiting.is_empty());
         let Ok(choice) = self.router.choose(now, &query) else {
             out.push(Step::Refuse(job.id, 1_000_000));
             return;
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -160,6 +160,7 @@
             running: shared.running(),
             draining: shared.is_draining(),
             members: members.iter().map(member).collect(),
+            limits: shared.admission.status(),
         }
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry host process: takes callers' requests and brings back whole answers.
 //!
+//! - [`admit`]: limits, fair shares and early refusal.
 //! - [`process`]: start, drain, stop.
 //! - [`shared`]: what all requests of the process share.
 //! - [`gossip`]: the shell around membership.
@@ -20,6 +21,7 @@
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 //! - [`voter`]: the control role: one voter of the replicated log.
 
+pub mod admit;
 pub mod attempt;
 pub mod choose;
 pub mod control;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,6 +13,7 @@
 use snipemast_settings::EntrySettings;
 use snipemast_wire::{listen, spawn, Listening, Stamped};
 
+use crate::admit::{admit_forever, tell_forever};
 use crate::choose::sync_forever;
 use crate::control::{attest_forever, Control};
 use crate::copy::{keep_forever, Copy};
@@ -107,7 +108,9 @@
         let attest = spawn(attest_forever(Arc::clone(&shared)));
         let order = spawn(order_forever(Arc::clone(&shared)));
         let keys = spawn(keep_keys_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, gossip, sync, attest, order, keys];
+        let admit = spawn(admit_forever(Arc::clone(&shared)));
+        let tell = spawn(tell_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync, attest, order, keys, admit, tell];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         if let Some(address) = shared.settings.statsd {
             let metrics = Metrics::new(address, &shared.settings.host);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use snipemast_routing::Place;
 use snipemast_settings::EntrySettings;
 
+use crate::admit::Admission;
 use crate::choose::Chooser;
 use crate::control::{self, Control};
 use crate::gossip::Gossip;
@@ -38,6 +39,8 @@
     pub registry: Registry,
     /// The choice of a backend server.
     pub chooser: Arc<Chooser>,
+    /// Who is let in.
+    pub admission: Arc<Admission>,
     /// The clock that requests' deadlines are on.
     pub clock: Clock,
     /// What is left for retries.
@@ -65,6 +68,7 @@
         let chooser = Arc::new(Chooser::new(place, &process, journal.clone()));
         let ring = Arc::clone(journal.ring());
         let keys = Keys::new(&process, settings.limits.hold);
+        let admission = Admission::new(&process, Arc::clone(&chooser), journal.clone());
         Self {
             keys,
             settings,
@@ -73,6 +77,7 @@
             gossip: Gossip::new(),
             registry: Registry::new(ring),
             chooser,
+            admission: Arc::new(admission),
             clock: Clock::new(),
             retries: Mutex::new(RetryBudget::new(RETRY_RESERVE)),
             spread,
