--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,9 +3,12 @@
 //! - [`process`]: start, announce, drain, stop.
 //! - [`gate`]: takes dispatches, passes them to the backend server, frames the answer.
 //! - [`announce`]: tells entry hosts what the backend server offers and how loaded it is.
+//! - [`rank`]: a rank's part in its group: the shell around the machines of agreement.
 
 pub mod announce;
 pub mod gate;
 pub mod process;
+pub mod rank;
 
 pub use process::{Agent, AgentError};
+pub use rank::{RankHandler, RankShell};
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -13,6 +13,7 @@
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
+use crate::rank::{RankHandler, RankShell};
 
 /// The result of starting an agent.
 pub type Result<T> = std::result::Result<T, Report<AgentError>>;
@@ -44,6 +45,7 @@
     listening: Listening,
     announcing: Announcing,
     shutdown: Span,
+    rank: Option<Arc<RankShell>>,
 }
 
 impl Agent {
@@ -60,7 +62,14 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
-        let listening = listen(settings.own, GateHandler::new(Arc::clone(&gate)))
+        let rank = info.rank.clone().map(|place| {
+            RankShell::new(place, incarnation, settings.server, gate.journal().clone())
+        });
+        let handlers = (
+            rank.clone().map(RankHandler::new),
+            GateHandler::new(Arc::clone(&gate)),
+        );
+        let listening = listen(settings.own, handlers)
             .await
             .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
@@ -73,6 +82,7 @@
             listening,
             announcing,
             shutdown,
+            rank,
         })
     }
 
@@ -86,6 +96,11 @@
         &self.gate
     }
 
+    /// The rank's part in its group, where the backend server is a rank.
+    pub fn rank(&self) -> Option<&Arc<RankShell>> {
+        self.rank.as_ref()
+    }
+
     /// Refuses new dispatches from now on; the announcements spread it.
     pub fn drain(&self) {
         self.gate.drain();
--- a/crates/groups/src/agree/lead.rs
+++ b/crates/groups/src/agree/lead.rs
@@ -1,5 +1,7 @@
 //! The lead's part: proposes a map, gathers promises, decides; recovers what an earlier lead left.
 
+use std::fmt;
+
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -66,6 +68,8 @@
     Rank {
         /// The rank.
         from: u32,
+        /// The reign that it answers.
+        reign: Reign,
         /// Its message.
         message: RankMessage,
     },
@@ -170,7 +174,10 @@
         match input {
             LeadInput::Begin => self.tell_missing(&mut out),
             LeadInput::Propose(proposal) => self.propose(proposal, &mut out),
-            LeadInput::Rank { from, message } => self.rank_says(from, message, &mut out),
+            // Failure guarded against: an answer to an earlier reign of this lead counts for this
+            // one, although its rank has restarted in between and knows nothing of it.
+            LeadInput::Rank { reign, .. } if reign != self.reign => {}
+            LeadInput::Rank { from, message, .. } => self.rank_says(from, message, &mut out),
             LeadInput::Fired(LeadTimer::Resend) => self.tell_missing(&mut out),
             LeadInput::Fired(LeadTimer::LoadOver(version)) => self.load_over(version, &mut out),
             LeadInput::Fired(LeadTimer::PromiseOver(version)) => {
@@ -291,10 +298,6 @@
     }
 
     fn reported(&mut self, from: usize, report: Report, out: &mut Vec<LeadOutput>) {
-        // A report to an earlier reign of this lead may be out of date.
-        if report.reign != self.reign {
-            return;
-        }
         let Phase::Asking { reports } = &mut self.phase else {
             return;
         };
@@ -485,7 +488,10 @@
                 self.give_up_load(Rejection::Stale(fence), out);
             }
             Refusal::Unfenced => self.give_up_load(Rejection::Unfenced, out),
-            Refusal::Unloaded(version) => self.load_over(version, out),
+            Refusal::Unloaded(version) => {
+                self.unloaded(version, out);
+                self.load_over(version, out);
+            }
             Refusal::Late(attempt) | Refusal::Busy(attempt) => self.again(attempt, out),
             Refusal::Outranked(_) | Refusal::Unasked(_) | Refusal::Stale(_) => {}
         }
@@ -509,6 +515,17 @@
         self.decide(late, Verdict::Abort, out);
     }
 
+    /// Aborts an attempt whose weights a rank has lost since it had them.
+    fn unloaded(&mut self, version: MapVersion, out: &mut Vec<LeadOutput>) {
+        let Phase::Promising { attempt, .. } = &self.phase else {
+            return;
+        };
+        if attempt.version == version {
+            let attempt = *attempt;
+            self.again(attempt, out);
+        }
+    }
+
     fn load_over(&mut self, version: MapVersion, out: &mut Vec<LeadOutput>) {
         if matches!(&self.phase, Phase::Loading { plan, .. } if plan.version == version) {
             self.give_up_load(Rejection::Unloaded, out);
@@ -570,3 +587,17 @@
         }
     }
 }
+
+impl fmt::Display for Rejection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Stale(fence) => write!(f, "fencing number {fence} is later"),
+            Self::Rebased(version) => write!(f, "map {version} is in force by now"),
+            Self::Busy => f.write_str("another map is under way"),
+            Self::Replaced => f.write_str("a later control leader's map took its place"),
+            Self::Unloaded => f.write_str("a rank could not load the weights in time"),
+            Self::Unpromised => f.write_str("a rank did not promise in time"),
+            Self::Unfenced => f.write_str("an agent does not know the fencing number yet"),
+        }
+    }
+}
--- a/crates/groups/tests/common/mod.rs
+++ b/crates/groups/tests/common/mod.rs
@@ -144,7 +144,12 @@
                     .as_ref()
                     .is_some_and(listens)
                 {
-                    self.lead(reign.rank, LeadInput::Rank { from, message });
+                    let input = LeadInput::Rank {
+                        from,
+                        reign,
+                        message,
+                    };
+                    self.lead(reign.rank, input);
                 }
             }
             Packet::Peer(from, to, message) => self.rank(to, RankInput::Peer { from, message }),
--- a/crates/groups/tests/explore.rs
+++ b/crates/groups/tests/explore.rs
@@ -88,11 +88,34 @@
             let packet = self.world.sent.remove(n);
             self.world.deliver(packet);
         }
+        self.drop_dead();
         self.world.held = 0;
         self.world.rejected = 0;
         self.world.sent.sort_by_cached_key(hash);
     }
 
+    /// Forgets messages that can have no effect any more: answers to a reign that nobody holds,
+    /// and, once no agent can forget its reign, orders of a reign that nobody holds to ranks that
+    /// obey a later one.
+    fn drop_dead(&mut self) {
+        let World {
+            leads,
+            agents,
+            sent,
+            ..
+        } = &mut self.world;
+        let held = |reign: Reign| leads.iter().flatten().any(|l| l.reign() == reign);
+        let forgets = self.budget.agents > 0;
+        sent.retain(|packet| match packet {
+            Packet::ToLead(_, reign, _) => held(*reign),
+            Packet::ToRank(to, message) => {
+                let reign = message.reign();
+                forgets || held(reign) || agents[*to as usize].reign() <= reign
+            }
+            _ => true,
+        });
+    }
+
     fn key(&self) -> u64 {
         let mut sent: Vec<u64> = self.world.sent.iter().map(hash).collect();
         sent.sort_unstable();
@@ -251,7 +274,7 @@
             if !explorer.seen.insert(state.key()) {
                 continue;
             }
-            if explorer.seen.len() % 500000 == 0 {
+            if explorer.seen.len() % 500_000 == 0 {
                 println!("{} {} {}", explorer.seen.len(), explorer.rests, open.len());
             }
             if let Err(fault) = state.check() {
--- a/crates/wire/src/group.rs
+++ b/crates/wire/src/group.rs
@@ -1,5 +1,7 @@
 //! Messages between the agents of a group's ranks, and from an agent to its rank's engine.
 
+use std::net::SocketAddr;
+
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 use snipemast_groups::agree::{LeadMessage, PeerMessage, Proposal, RankMessage, Reign};
@@ -39,6 +41,10 @@
         Propose(Proposal),
         /// From the control role: become the lead.
         Appoint,
+        /// From the control role: the fencing number that a majority knows.
+        Fence(Fence),
+        /// From an entry that knows the members: where the agents of all ranks listen.
+        Roster(Vec<SocketAddr>),
     }
 
     /// The word that a message was taken; what comes of it is sent by itself.
