--- a/crates/benches/benches/rebalance.rs
+++ b/crates/benches/benches/rebalance.rs
@@ -1,7 +1,7 @@
 //! Skew against disturbance: the policy against baselines of our own, on several traces.
 //!
-//! `cargo bench --bench rebalance -- --json` prints the figures, `-- --plots DIR` draws skew
-//! against cost for the whole range of weights.
+//! `cargo bench --bench rebalance -- --json` prints the figures; `-- --plots` draws skew against
+//! cost for the whole range of weights into `docs/plots/`.
 
 #[path = "../../groups/tests/common/mod.rs"]
 mod common;
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use plotters::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -330,7 +331,63 @@
     }
 }
 
+/// The weights of skew that are drawn; disturbance weighs the rest of 1000.
+const DRAWN: [u32; 9] = [5, 20, 50, 100, 300, 500, 700, 900, 980];
+
+/// Draws one group size's skew against its loads, both as parts of a full re-pack or static map.
+fn plot(name: &str, title: &str, traces: &[Trace]) -> Result<(), Box<dyn std::error::Error>> {
+    let mut movers = vec![Mover::Static, Mover::Repack, Mover::Replicate];
+    let weighed = |skew| Mover::Weighed(Weights::new(skew, 1_000 - skew));
+    movers.extend(DRAWN.map(weighed));
+    let scores = run_all(traces, &movers);
+    let at = |m: usize| {
+        let loads = ratio(&scores, m, 1, |s| s.loads).max(1e-4);
+        (loads, ratio(&scores, m, 0, |s| s.skew))
+    };
+    let path = format!("{}/../../docs/plots/{name}.svg", env!("CARGO_MANIFEST_DIR"));
+    let area = SVGBackend::new(&path, (760, 480)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(44)
+        .y_label_area_size(56)
+        .build_cartesian_2d((5e-4..1.5f64).log_scale(), 0.0..0.3f64)?;
+    chart
+        .configure_mesh()
+        .x_desc("weight loads, as a part of a full re-pack each interval")
+        .y_desc("skew, as a part of the static map's")
+        .draw()?;
+    let line: Vec<(f64, f64)> = (0..DRAWN.len()).map(|n| at(n + 3)).collect();
+    chart.draw_series(LineSeries::new(line.clone(), &BLUE))?;
+    for (skew, point) in DRAWN.iter().zip(&line) {
+        println!(
+            "{name}: skew weight {skew}: loads {:.4} skew {:.4}",
+            point.0, point.1
+        );
+        let label = format!("{skew}");
+        chart.draw_series([EmptyElement::at(*point)
+            + Circle::new((0, 0), 3, BLUE.filled())
+            + Text::new(label, (6, -14), ("sans-serif", 12))])?;
+    }
+    for (m, label) in [(1, "full re-pack"), (2, "greedy replication")] {
+        println!("{name}: {label}: loads {:.4} skew {:.4}", at(m).0, at(m).1);
+        chart.draw_series([EmptyElement::at(at(m))
+            + Circle::new((0, 0), 4, RED.filled())
+            + Text::new(label, (-70, -16), ("sans-serif", 12))])?;
+    }
+    area.present()?;
+    Ok(())
+}
+
 fn main() {
+    if std::env::args().any(|a| a == "--plots") {
+        let few = "16 ranks x 64 experts: skew against cost, by weight of skew";
+        plot("rebalance-16x64", few, &traces(small(4), 300)).expect("a plot is drawn");
+        let many = "128 ranks x 256 experts: skew against cost, by weight of skew";
+        plot("rebalance-128x256", many, &traces(large(2), 200)).expect("a plot is drawn");
+        return;
+    }
     let args = BenchArgs::parse();
     let quick = args.quick;
     let movers = [
--- a/crates/groups/src/estimate.rs
+++ b/crates/groups/src/estimate.rs
@@ -180,8 +180,13 @@
                 continue;
             }
             for (track, count) in tracks.iter_mut().zip(layer) {
-                track.take(f64::from(*count) / total, fast, slow);
+                let share = f64::from(*count) / total;
+                track.fast += fast * (share - track.fast);
                 track.judge(counts.at, lasting, total, fast);
+                // The first report of a burst already stays out of the slow average.
+                if track.trend == Trend::Steady {
+                    track.slow += slow * (share - track.slow);
+                }
             }
         }
     }
@@ -196,13 +201,6 @@
 }
 
 impl Track {
-    fn take(&mut self, share: f64, fast: f64, slow: f64) {
-        self.fast += fast * (share - self.fast);
-        if self.since.is_none() {
-            self.slow += slow * (share - self.slow);
-        }
-    }
-
     /// Tells noise, burst and lasting drift apart.
     ///
     /// Failure guarded against: experts are moved for a burst and moved back after it, which
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`pack`](mod@pack): a layer packed anew, but kept as it is where that costs little evenness.
 //! - [`search`]: few changes of slots that even out the ranks of one layer.
 //! - [`policy`]: which moves to make, and why or why not.
+//! - [`planner`]: one group's planner, which takes reports and remembers why it decided so.
 //! - [`steer`]: what a request would add to a skewed group, and what to defer.
 
 pub mod agree;
@@ -14,6 +15,7 @@
 pub mod map;
 pub mod pace;
 pub mod pack;
+pub mod planner;
 pub mod policy;
 pub mod search;
 pub mod steer;
