--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! - [`process`]: start, announce, drain, stop.
 //! - [`gate`]: takes dispatches, passes them to the backend server, frames the answer.
+//! - [`orders`]: the gate for orders.
 //! - [`announce`]: tells entry hosts what the backend server offers and how loaded it is.
 //! - [`rank`]: a rank's part in its group: the shell around the machines of agreement.
 
 pub mod announce;
 pub mod gate;
+pub mod orders;
 pub mod process;
 pub mod rank;
 
--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,14 +5,16 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use smol::Task;
 
 use snipemast_core::prelude::*;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, Listening};
+use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
+use crate::orders::desk::{OrderDesk, OrderHandler};
 use crate::rank::{RankHandler, RankShell};
 
 /// The result of starting an agent.
@@ -44,6 +46,8 @@
     gate: Arc<Gate>,
     listening: Listening,
     announcing: Announcing,
+    orders: Arc<OrderDesk>,
+    learning: Vec<Task<()>>,
     shutdown: Span,
     rank: Option<Arc<RankShell>>,
 }
@@ -54,6 +58,16 @@
         settings: AgentSettings,
         incarnation: Incarnation,
         journal: Journal,
+    ) -> Result<Self> {
+        Self::start_behind(settings, incarnation, journal, None).await
+    }
+
+    /// Starts an agent that others reach at another address than the one it binds.
+    pub async fn start_behind(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        journal: Journal,
+        reached: Option<SocketAddr>,
     ) -> Result<Self> {
         let engine = Engine::new(settings.server);
         let info = engine
@@ -62,25 +76,39 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
+        let desk = OrderDesk::new(
+            gate.process().clone(),
+            settings.clone(),
+            gate.journal().clone(),
+        );
+        let desk = Arc::new(desk);
         let rank = info.rank.clone().map(|place| {
             RankShell::new(place, incarnation, settings.server, gate.journal().clone())
         });
-        let handlers = (
+        let handler = (
             rank.clone().map(RankHandler::new),
+            OrderHandler::new(Arc::clone(&desk)),
             GateHandler::new(Arc::clone(&gate)),
         );
-        let listening = listen(settings.own, handlers)
+        let handler = Stamped::new(Arc::clone(gate.journal().ring()), handler);
+        let listening = listen(settings.own, handler)
             .await
             .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
         let shutdown = settings.limits.shutdown;
-        let address = listening.address();
+        let address = reached.unwrap_or(listening.address());
         let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
+        let learning = vec![
+            spawn(Arc::clone(&desk).learn_forever()),
+            spawn(Arc::clone(&desk).follow_forever()),
+        ];
         Ok(Self {
             gate,
             listening,
             announcing,
+            orders: desk,
+            learning,
             shutdown,
             rank,
         })
@@ -101,6 +129,11 @@
         self.rank.as_ref()
     }
 
+    /// The gate for orders, and what the agent knows of the configuration.
+    pub fn orders(&self) -> &Arc<OrderDesk> {
+        &self.orders
+    }
+
     /// Refuses new dispatches from now on; the announcements spread it.
     pub fn drain(&self) {
         self.gate.drain();
@@ -116,7 +149,13 @@
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
+        if let Some(rank) = &self.rank {
+            rank.end();
+        }
         self.announcing.stop().await;
+        for task in self.learning {
+            task.cancel().await;
+        }
         self.listening.stop().await;
     }
 }
--- a/crates/agent/src/rank.rs
+++ b/crates/agent/src/rank.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
@@ -66,6 +67,7 @@
     engine: Peer,
     permits: (Sender<Permit>, Receiver<Permit>),
     machines: Mutex<Option<Machines>>,
+    ended: AtomicBool,
 }
 
 impl RankShell {
@@ -79,6 +81,7 @@
             engine: Peer::new(engine),
             permits: async_channel::bounded(QUEUE),
             machines: Mutex::new(None),
+            ended: AtomicBool::new(false),
         });
         spawn(Arc::clone(&shell).follow_engine()).detach();
         spawn(Arc::clone(&shell).pass_permits()).detach();
@@ -91,10 +94,17 @@
         machines.as_ref().and_then(|m| m.rank.standing().cloned())
     }
 
+    /// Issues no permit and sends no message from now on.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        self.permits.0.close();
+        *self.machines.lock() = None;
+    }
+
     /// Takes a message of another agent, an entry or the control role.
     pub fn take(self: &Arc<Self>, message: GroupMessage) {
         let GroupMessage { group, from, body } = message;
-        if group != self.place.group {
+        if group != self.place.group || self.ended.load(Ordering::SeqCst) {
             return;
         }
         match body {
@@ -324,7 +334,7 @@
 
     /// Asks the engine again and again where it stands.
     async fn follow_engine(self: Arc<Self>) {
-        loop {
+        while !self.ended.load(Ordering::SeqCst) {
             let status = self
                 .engine
                 .call::<_, EngineStatus>(path::ENGINE_STATUS, &(), SEND)
--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -286,7 +286,7 @@
         other => panic!("not one question: {other:?}"),
     };
     let (first, poll) = ask(&follower.handle(Moment::ZERO, Input::Tick));
-    let reply = source.answer(poll, None);
+    let reply = source.answer(poll, Some(Span::default()));
     let late = follower.wake();
     follower.handle(late, Input::Tick);
     let again = follower.wake();
@@ -322,7 +322,9 @@
                     linked: true,
                     fence: Fence::default(),
                 };
-                follower.handle(now, Input::Reply { ask: id, reply });
+                let retired = follower.handle(now, Input::Reply { ask: id, reply });
+                let old = Output::Retire { source: 0 };
+                assert_eq!(retired.contains(&old), source == 0);
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`front`]: the HTTP interface towards callers.
 //! - [`relay`]: one request's way to a backend server and its answer's way back.
 //! - [`attempt`]: the shell around one request's decisions.
+//! - [`keys`]: keys and suspicions: its own share as a keeper, and its claims at others.
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
 //! - [`follow`]: keeps up with the configuration of other hosts.
+//! - [`orders`]: orders of the control leader.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 //! - [`voter`]: the control role: one voter of the replicated log.
@@ -24,6 +26,8 @@
 pub mod follow;
 pub mod front;
 pub mod gossip;
+pub mod keys;
+pub mod orders;
 pub mod own;
 pub mod process;
 pub mod registry;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -10,17 +10,23 @@
 
 use snipemast_core::prelude::*;
 use snipemast_settings::EntrySettings;
-use snipemast_wire::{listen, spawn, Listening};
+use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::choose::sync_forever;
+use crate::control::{attest_forever, Control};
 use crate::copy::{keep_forever, Copy};
 use crate::desk::Desk;
 use crate::follow::follow_forever;
 use crate::front::Front;
 use crate::gossip::gossip_forever;
+use crate::keys::keep_keys_forever;
+use crate::orders::order_forever;
 use crate::own::Own;
 use crate::shared::Shared;
 
+/// How long a draining host still takes requests, until the balancer has noticed.
+const GRACE: Span = Span::from_millis(200);
+
 /// How long the last word to the other entries may take.
 const FAREWELL: Span = Span::from_millis(100);
 
@@ -32,12 +38,15 @@
 pub enum EntryError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// The control role can't begin.
+    Control,
 }
 
 impl fmt::Display for EntryError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Control => f.write_str("the control role can't begin"),
         }
     }
 }
@@ -68,7 +77,18 @@
             start_from(&shared, copy);
         }
         let settings = &shared.settings;
-        let own = bind(settings.own, Own::new(Arc::clone(&shared))).await?;
+        let own = bind(
+            settings.own,
+            Stamped::new(
+                Arc::clone(shared.journal.ring()),
+                Own::new(Arc::clone(&shared)),
+            ),
+        )
+        .await?;
+        if let Some(control) = &settings.control {
+            let control = Control::start(&shared, control, own.address());
+            shared.begin_control(control.change_context(EntryError::Control)?);
+        }
         shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
@@ -81,7 +101,10 @@
         let follow = spawn(follow_forever(Arc::clone(&shared)));
         let gossip = spawn(gossip_forever(Arc::clone(&shared)));
         let sync = spawn(sync_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, gossip, sync];
+        let attest = spawn(attest_forever(Arc::clone(&shared)));
+        let order = spawn(order_forever(Arc::clone(&shared)));
+        let keys = spawn(keep_keys_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync, attest, order, keys];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
         Ok(Self {
             shared,
@@ -113,20 +136,41 @@
     }
 
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
+    ///
+    /// Failure guarded against: an answer that is complete here and cut on its last bytes, or a
+    /// peer that goes on talking to a process that has ended, over a connection that stays open.
+    /// The listeners close their idle connections and end only after the last byte was written.
     pub async fn stop(self) {
-        self.shared.drain();
-        let empty = wait_empty(&self.shared).await;
-        let event = if empty {
-            Event::ProcessEnded
-        } else {
-            Event::DrainExpired
+        let Self {
+            shared,
+            callers,
+            own,
+            operators,
+            tasks,
+        } = self;
+        shared.drain();
+        shared.spread.close();
+        // The balancer needs a moment to read that this host is not ready any more.
+        smol::Timer::after(GRACE.as_duration()).await;
+        let bound = shared.settings.limits.shutdown;
+        let written = callers.stop_within(bound).await && wait_empty(&shared).await;
+        let event = match written {
+            true => Event::ProcessEnded,
+            false => Event::DrainExpired,
         };
-        self.shared.journal.record(event, &self.shared.process, "");
-        self.shared.gossip.leave(&self.shared);
+        shared.journal.record(event, &shared.process, "");
+        shared.gossip.leave(&shared);
         smol::Timer::after(FAREWELL.as_duration()).await;
-        for task in self.tasks {
+        own.stop_within(FAREWELL).await;
+        if let Some(operators) = operators {
+            operators.stop_within(FAREWELL).await;
+        }
+        for task in tasks {
             task.cancel().await;
         }
+        if let Some(control) = shared.control() {
+            control.voter().kill();
+        }
     }
 }
 
