--- a/crates/control/tests/voters.rs
+++ b/crates/control/tests/voters.rs
@@ -133,8 +133,8 @@
     world.heal();
 }
 
-// Voters stand in three zones. One more in a zone that has one already would give that zone
-// half of the votes, and its loss would take the majority along.
+// One of three voters left, and the one to take its place stands in a zone that has a voter
+// already. That zone would hold two of three votes, and its loss would take the majority along.
 #[test]
 fn crowded_zone() {
     let mut world = with_newcomer(4);
