--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -5,14 +5,23 @@
 use std::sync::Arc;
 
 use error_stack::{Report, ResultExt};
+use smol::Task;
 
 use snipemast_core::prelude::*;
+use snipemast_platform::metrics::Metrics;
 use snipemast_servers::Engine;
 use snipemast_settings::AgentSettings;
-use snipemast_wire::{listen, Listening};
+use snipemast_wire::{listen, spawn, Listening, Stamped};
 
 use crate::announce::Announcing;
 use crate::gate::{Gate, GateHandler};
+use crate::metrics::report_forever;
+use crate::orders::desk::{OrderDesk, OrderHandler};
+
+/// How long entries may take to hear of a drain before the agent looks whether it is idle.
+const SPREAD: Span = Span::from_millis(200);
+/// How long the last frames may take to be written.
+const FLUSH: Span = Span::from_secs(5);
 
 /// The result of starting an agent.
 pub type Result<T> = std::result::Result<T, Report<AgentError>>;
@@ -22,6 +31,8 @@
 pub enum AgentError {
     /// The address can't be bound.
     Bind(SocketAddr),
+    /// Metrics can't be sent to the address.
+    Metrics(SocketAddr),
     /// The backend server does not describe itself.
     Server(SocketAddr),
 }
@@ -30,6 +41,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
+            Self::Metrics(address) => write!(f, "metrics can't be sent to {address}"),
             Self::Server(address) => write!(f, "no backend server answers at {address}"),
         }
     }
@@ -43,7 +55,10 @@
     gate: Arc<Gate>,
     listening: Listening,
     announcing: Announcing,
+    orders: Arc<OrderDesk>,
+    learning: Vec<Task<()>>,
     shutdown: Span,
+    reporting: Option<Task<()>>,
 }
 
 impl Agent {
@@ -52,6 +67,16 @@
         settings: AgentSettings,
         incarnation: Incarnation,
         journal: Journal,
+    ) -> Result<Self> {
+        Self::start_behind(settings, incarnation, journal, None).await
+    }
+
+    /// Starts an agent that others reach at another address than the one it binds.
+    pub async fn start_behind(
+        settings: AgentSettings,
+        incarnation: Incarnation,
+        journal: Journal,
+        reached: Option<SocketAddr>,
     ) -> Result<Self> {
         let engine = Engine::new(settings.server);
         let info = engine
@@ -60,19 +85,45 @@
             .change_context(AgentError::Server(settings.server))?;
         let process = ProcessId::new(settings.host.clone(), incarnation);
         let gate = Arc::new(Gate::new(process, engine, settings.limits.clone(), journal));
-        let listening = listen(settings.own, GateHandler::new(Arc::clone(&gate)))
+        let desk = OrderDesk::new(
+            gate.process().clone(),
+            settings.clone(),
+            gate.journal().clone(),
+        );
+        let desk = Arc::new(desk);
+        let handler = (
+            OrderHandler::new(Arc::clone(&desk)),
+            GateHandler::new(Arc::clone(&gate)),
+        );
+        let handler = Stamped::new(Arc::clone(gate.journal().ring()), handler);
+        let listening = listen(settings.own, handler)
             .await
             .change_context(AgentError::Bind(settings.own))?;
         gate.journal()
             .record(Event::ProcessStarted, &settings.host, listening.address());
+        let reporting = match settings.statsd {
+            Some(address) => {
+                let metrics = Metrics::new(address, &settings.host);
+                let metrics = metrics.change_context(AgentError::Metrics(address))?;
+                Some(spawn(report_forever(Arc::clone(&gate), metrics)))
+            }
+            None => None,
+        };
         let shutdown = settings.limits.shutdown;
-        let address = listening.address();
+        let address = reached.unwrap_or(listening.address());
         let announcing = Announcing::start(Arc::clone(&gate), settings, address, info);
+        let learning = vec![
+            spawn(Arc::clone(&desk).learn_forever()),
+            spawn(Arc::clone(&desk).follow_forever()),
+        ];
         Ok(Self {
             gate,
             listening,
             announcing,
+            orders: desk,
+            learning,
             shutdown,
+            reporting,
         })
     }
 
@@ -86,22 +137,36 @@
         &self.gate
     }
 
+    /// The gate for orders, and what the agent knows of the configuration.
+    pub fn orders(&self) -> &Arc<OrderDesk> {
+        &self.orders
+    }
+
     /// Refuses new dispatches from now on; the announcements spread it.
     pub fn drain(&self) {
         self.gate.drain();
     }
 
     /// Drains, waits until nothing is in flight or the bound has passed, and ends.
+    ///
+    /// Failure guarded against: an answer that is cut by a planned restart. It shows as a stream
+    /// that an entry can't resume. The drain spreads first, so that entries choose other servers;
+    /// what still comes is refused as not run; and the listener ends last, once its last frames
+    /// are written.
     pub async fn stop(self) {
         self.drain();
+        smol::Timer::after(SPREAD.as_duration()).await;
         let empty = self.gate.wait_empty(self.shutdown).await;
-        let event = if empty {
+        self.announcing.stop().await;
+        let written = self.listening.stop_within(FLUSH).await;
+        let event = if empty && written {
             Event::ProcessEnded
         } else {
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
-        self.announcing.stop().await;
-        self.listening.stop().await;
+        for task in self.learning.into_iter().chain(self.reporting) {
+            task.cancel().await;
+        }
     }
 }
--- /dev/null
+++ b/crates/entry/src/admit.rs
@@ -0,0 +1,603 @@
+//! Lets requests in: limits of workspaces, fair shares of pools, early refusal.
+//!
+//! The decisions stand in `snipemast_routing`; here they are held in shards under locks, and a
+//! request that waits gets its turn over a channel.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use async_channel::{bounded, Receiver, Sender};
+use futures_lite::FutureExt;
+use parking_lot::Mutex;
+use serde::Deserialize;
+
+use snipemast_callers::problem::{Problem, ProblemKind};
+use snipemast_callers::{Ask, Target};
+use snipemast_config::Config;
+use snipemast_core::prelude::*;
+use snipemast_membership as gossip;
+use snipemast_routing::hash::stable;
+use snipemast_routing::{
+    Arrival, Called, Demands, Departure, Door, Held, Lane, LanePolicy, LaneStatus, LimitStatus,
+    Limiter, Part, Prefix, Priority, Reason, Refusal, Room, Summary, Ticket, Topic, Wanted, Wish,
+    WishPolicy, Wishes,
+};
+use snipemast_wire::codec::{decode, encode};
+
+use crate::choose::Chooser;
+use crate::shared::Shared;
+
+/// The number of shards of lanes and of accounts.
+const SHARDS: usize = 8;
+/// The tokens that a request which names none is taken to ask for.
+const TOKENS: f64 = 256.0;
+/// The bytes of a prompt that count as its prefix.
+const PREFIX: usize = 512;
+/// How often lanes look whether room has come free elsewhere.
+const LOOK: Span = Span::from_millis(20);
+/// How often demands are told in a small fleet.
+const PACE: Span = Span::from_secs(1);
+/// How much longer that takes for each entry: the exchange has a budget of bytes.
+const PACE_EACH: Span = Span::from_millis(50);
+/// How many times the pace a told demand lives.
+const LIFE: u64 = 4;
+/// How often others' demands are looked at between two tellings.
+const HEARINGS: u64 = 4;
+/// How often demands are settled, in looks.
+const SETTLE: u64 = 50;
+
+/// The admission state of an entry process.
+#[derive(Debug)]
+pub struct Admission {
+    clock: Clock,
+    journal: Journal,
+    chooser: Arc<Chooser>,
+    lanes: Box<[Mutex<HashMap<Wanted, Gate>>]>,
+    accounts: Box<[Mutex<Limiter>]>,
+    demands: Mutex<Demands>,
+    wishes: Mutex<Wishes>,
+}
+
+/// A lane, and whom its tickets belong to.
+#[derive(Debug)]
+struct Gate {
+    lane: Lane,
+    turns: HashMap<Ticket, Sender<Turn>>,
+}
+
+type Turn = Result<(), Refusal>;
+
+/// What a request asks of admission.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// Who pays.
+    pub workspace: WorkspaceId,
+    /// What it wants.
+    pub wanted: Wanted,
+    /// The tokens that it asks for.
+    pub tokens: f64,
+    /// The prefix of its prompt.
+    pub prefix: Option<Prefix>,
+    /// Its order within the workspace.
+    pub priority: Priority,
+    /// The time that it has.
+    pub left: Span,
+}
+
+impl Demand {
+    /// What a request asks for.
+    pub fn new(workspace: &WorkspaceId, wanted: &Wanted, ask: &Ask, left: Span) -> Self {
+        let shape = match &ask.target {
+            Target::Model { .. } => Shape::read(&ask.body),
+            Target::Plain { .. } => Shape::plain(),
+        };
+        let prefix = |text: &String| Prefix::new(workspace, head(text.as_bytes()));
+        Self {
+            workspace: workspace.clone(),
+            wanted: wanted.clone(),
+            tokens: shape.max_tokens.unwrap_or(TOKENS).max(1.0),
+            prefix: shape.text().map(prefix),
+            priority: Priority::Normal,
+            left,
+        }
+    }
+}
+
+impl Demand {
+    fn departure(&self, took: Option<Span>) -> Departure {
+        let workspace = self.workspace.clone();
+        // What the engine generated is not known here, so the whole is charged.
+        Departure {
+            workspace,
+            asked: self.tokens,
+            got: self.tokens,
+            took,
+        }
+    }
+}
+
+fn head(text: &[u8]) -> &[u8] {
+    &text[..text.len().min(PREFIX)]
+}
+
+/// The fields of a model request that admission looks at.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Shape {
+    max_tokens: Option<f64>,
+    prompt: Option<String>,
+    messages: Vec<Message>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Message {
+    content: Option<String>,
+}
+
+impl Shape {
+    /// Another shape than these fields is the engine's matter; admission takes the usual.
+    fn read(body: &[u8]) -> Self {
+        serde_json::from_slice(body).unwrap_or_default()
+    }
+
+    fn plain() -> Self {
+        Self {
+            max_tokens: Some(1.0),
+            ..Self::default()
+        }
+    }
+
+    fn text(&self) -> Option<&String> {
+        let first = self.messages.first().and_then(|m| m.content.as_ref());
+        self.prompt.as_ref().or(first)
+    }
+}
+
+/// Lets a request in, at once or after a wait, or says why not.
+pub async fn admit(shared: &Shared, config: &Config, demand: Demand) -> Result<Admitted, Problem> {
+    let admission = &shared.admission;
+    if shared.chooser.capacity(&demand.wanted).is_none() {
+        shared.chooser.sync(&shared.registry.members());
+    }
+    let outcome = admission.admit(config, &demand).await;
+    outcome.map_err(|refusal| {
+        admission.note(&demand.workspace, refusal);
+        problem(refusal)
+    })
+}
+
+/// A refusal in the form that callers get.
+fn problem(refusal: Refusal) -> Problem {
+    let kind = match refusal.reason {
+        Reason::Requests | Reason::Tokens | Reason::Concurrency | Reason::Queue => {
+            ProblemKind::Limited
+        }
+        Reason::Deadline | Reason::Unloaded => ProblemKind::Unavailable,
+    };
+    Problem::new(kind, refusal.reason).with_retry(refusal.retry)
+}
+
+/// Looks again and again whether what waits may run.
+pub async fn admit_forever(shared: Arc<Shared>) {
+    for look in 0_u64.. {
+        smol::Timer::after(LOOK.as_duration()).await;
+        shared.admission.look();
+        if look % SETTLE == 0 {
+            shared.admission.settle();
+        }
+    }
+}
+
+/// Tells the other entries this one's demands, and takes theirs, again and again.
+pub async fn tell_forever(shared: Arc<Shared>) {
+    let admission = &shared.admission;
+    loop {
+        let entries = shared
+            .gossip
+            .look(|_, node| node.table().rows().len())
+            .unwrap_or_default();
+        let pace = admission.set_pace(entries as u64);
+        let summary = encode(&admission.summary());
+        shared
+            .gossip
+            .publish(&shared, gossip::Topic::Demand, summary, pace.times(LIFE));
+        for _ in 0..HEARINGS {
+            let part = Span::from_micros(pace.as_micros() / HEARINGS);
+            smol::Timer::after(part.as_duration()).await;
+            hear(&shared);
+        }
+    }
+}
+
+fn hear(shared: &Shared) {
+    for (_, value) in shared.gossip.values(gossip::Topic::Demand) {
+        // A value of a later release that can't be read is an entry that says nothing.
+        if let Ok(summary) = decode::<Summary>(&value) {
+            shared.admission.merge(&summary);
+        }
+    }
+    // Only a zone buries its own entries: one that is merely cut off keeps its part.
+    let buried = |_, node: &gossip::Node| node.table().tombs().keys().cloned().collect();
+    let gone: Vec<HostId> = shared.gossip.look(buried).unwrap_or_default();
+    for host in gone {
+        shared.admission.forget(&host);
+    }
+}
+
+impl Admission {
+    /// The state of a process that has let nothing in yet.
+    pub fn new(process: &ProcessId, chooser: Arc<Chooser>, journal: Journal) -> Self {
+        Self {
+            clock: Clock::new(),
+            journal,
+            chooser,
+            lanes: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            accounts: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            demands: Mutex::new(Demands::new(process.clone())),
+            wishes: Mutex::new(Wishes::new(WishPolicy::default())),
+        }
+    }
+
+    /// Fits the pace of the exchange to the number of entries, and returns it.
+    fn set_pace(&self, entries: u64) -> Span {
+        let pace = Span::from_micros(PACE.as_micros() + PACE_EACH.times(entries).as_micros());
+        self.demands.lock().set_pace(pace);
+        pace
+    }
+
+    /// This entry's demands, for the membership exchange to carry about once a second.
+    pub fn summary(&self) -> Summary {
+        self.demands.lock().summary(self.clock.now())
+    }
+
+    /// Takes another entry's demands from the membership exchange.
+    pub fn merge(&self, summary: &Summary) {
+        self.demands.lock().merge(self.clock.now(), summary);
+    }
+
+    /// Gives back the part of an entry that is known to be gone, not merely cut off.
+    pub fn forget(&self, host: &HostId) {
+        self.demands.lock().forget(host);
+    }
+
+    /// The loads that control should order, within the platform's budget.
+    pub fn orders(&self) -> Vec<Wish> {
+        self.wishes.lock().orders(self.clock.now())
+    }
+
+    async fn admit(
+        self: &Arc<Self>,
+        config: &Config,
+        demand: &Demand,
+    ) -> Result<Admitted, Refusal> {
+        let account = self.charge(config, demand)?;
+        let weight = config
+            .workspaces
+            .get(&demand.workspace)
+            .map_or(1, |w| w.weight);
+        let waiting = match self.arrive(demand, f64::from(weight.max(1)))? {
+            Entered::Open => return Ok(account.run()),
+            Entered::Wait(waiting) => waiting,
+        };
+        waiting.turn(demand.left).await?;
+        Ok(account.run())
+    }
+
+    /// Charges the workspace's limits; what is returned gives them back when it is dropped.
+    fn charge(self: &Arc<Self>, config: &Config, demand: &Demand) -> Result<Admitted, Refusal> {
+        let now = self.clock.now();
+        let limits = config.workspaces.get(&demand.workspace).map(|w| &w.limits);
+        let limits = limits.cloned().unwrap_or_default();
+        let part = self.part(now, demand, limits.concurrency);
+        let shard = self.account_of(&demand.workspace);
+        let charged =
+            self.accounts[shard]
+                .lock()
+                .admit(now, &demand.workspace, &limits, part, demand.tokens);
+        charged.map(|()| Admitted {
+            admission: Arc::clone(self),
+            demand: demand.clone(),
+            begun: now,
+            running: false,
+            whole: false,
+        })
+    }
+
+    /// This entry's part of the workspace's limits, by the demand that entries have told.
+    fn part(&self, now: Moment, demand: &Demand, concurrency: Option<u32>) -> Part {
+        let topic = Topic::workspace(&demand.workspace);
+        let pool = Topic::pool(demand.wanted.family());
+        let mut demands = self.demands.lock();
+        demands.note(now, topic, demand.tokens);
+        demands.note(now, pool, demand.tokens);
+        Part {
+            share: demands.share(now, topic),
+            concurrency: concurrency.map(|whole| demands.allot(topic, whole)),
+        }
+    }
+
+    fn arrive(self: &Arc<Self>, demand: &Demand, weight: f64) -> Result<Entered, Refusal> {
+        let now = self.clock.now();
+        let Some(room) = self.room(now, &demand.wanted) else {
+            return Err(self.unloaded(now, &demand.wanted));
+        };
+        let arrival = Arrival {
+            workspace: demand.workspace.clone(),
+            weight,
+            priority: demand.priority,
+            tokens: demand.tokens,
+            deadline: now + demand.left,
+        };
+        let mut lanes = self.lanes[lane_of(&demand.wanted)].lock();
+        let gate = lanes.entry(demand.wanted.clone()).or_insert_with(Gate::new);
+        match gate.lane.arrive(now, arrival, room) {
+            Door::Open => Ok(Entered::Open),
+            Door::Refused(refusal) => Err(refusal),
+            Door::Wait(ticket) => {
+                let (sender, turn) = bounded(1);
+                gate.turns.insert(ticket, sender);
+                Ok(Entered::Wait(Waiting {
+                    admission: Arc::clone(self),
+                    demand: demand.clone(),
+                    ticket,
+                    turn,
+                    called: false,
+                }))
+            }
+        }
+    }
+
+    /// Never a silent wait for what nothing offers: a model is wished for, and the caller told.
+    fn unloaded(&self, now: Moment, wanted: &Wanted) -> Refusal {
+        match wanted {
+            Wanted::Model { .. } => self.wishes.lock().ask(now, wanted),
+            Wanted::Service(_) => Refusal {
+                reason: Reason::Unloaded,
+                retry: Span::from_secs(1),
+            },
+        }
+    }
+
+    /// The pool as it is now, or nothing where no server offers what is wanted.
+    fn room(&self, now: Moment, wanted: &Wanted) -> Option<Room> {
+        let (slots, load) = self.chooser.capacity(wanted)?;
+        let share = self.demands.lock().share(now, Topic::pool(wanted.family()));
+        Some(Room {
+            share: slots * share,
+            free: (slots - load).max(0.0),
+        })
+    }
+
+    /// Calls what may run now in one pool.
+    fn call(&self, wanted: &Wanted) {
+        let now = self.clock.now();
+        let mut lanes = self.lanes[lane_of(wanted)].lock();
+        let Some(gate) = lanes.get_mut(wanted) else {
+            return;
+        };
+        if gate.lane.waiting() == 0 {
+            return;
+        }
+        let room = self.room(now, wanted).unwrap_or_default();
+        gate.call(now, room);
+    }
+
+    fn look(&self) {
+        for shard in &self.lanes {
+            let busy = |(wanted, gate): (&Wanted, &Gate)| {
+                (gate.lane.waiting() > 0).then(|| wanted.clone())
+            };
+            let waiting: Vec<_> = shard.lock().iter().filter_map(busy).collect();
+            for wanted in waiting {
+                self.call(&wanted);
+            }
+        }
+    }
+
+    fn settle(&self) {
+        self.demands.lock().settle(self.clock.now());
+        for wish in self.orders() {
+            if self.chooser.capacity(&wish.wanted).is_some() {
+                self.wishes.lock().loaded(&wish.wanted);
+            }
+        }
+        for shard in &self.lanes {
+            let idle = |g: &Gate| g.lane.waiting() == 0 && g.lane.running() == 0;
+            shard
+                .lock()
+                .retain(|w, g| !idle(g) || self.chooser.capacity(w).is_some());
+        }
+    }
+
+    fn note(&self, workspace: &WorkspaceId, refusal: Refusal) {
+        let now = self.clock.now();
+        let shard = self.account_of(workspace);
+        if self.accounts[shard].lock().note(now, workspace, refusal) {
+            self.journal.record(Event::LimitReached, workspace, refusal);
+        }
+    }
+
+    fn account_of(&self, workspace: &WorkspaceId) -> usize {
+        (stable(workspace) % SHARDS as u64) as usize
+    }
+
+    /// Who is held back and why, and what waits where.
+    pub fn status(&self) -> LimitStatus {
+        let now = self.clock.now();
+        let mut status = LimitStatus {
+            ejected: self.chooser.ejected(),
+            wishes: self.orders(),
+            ..LimitStatus::default()
+        };
+        for shard in &self.accounts {
+            let held = shard.lock().held(now);
+            status
+                .held
+                .extend(held.into_iter().map(|(workspace, back)| Held {
+                    share: percent(self.demands.lock().share(now, Topic::workspace(&workspace))),
+                    workspace,
+                    reason: back.reason,
+                    rate: (back.rate * 60.0).round() as u32,
+                    retry: back.retry,
+                }));
+        }
+        for shard in &self.lanes {
+            for (wanted, gate) in shard.lock().iter() {
+                let room = self.room(now, wanted).unwrap_or_default();
+                status.lanes.push(LaneStatus {
+                    pool: wanted.to_string(),
+                    running: gate.lane.running(),
+                    waiting: gate.lane.waiting() as u32,
+                    share: room.share.round() as u32,
+                    free: room.free.round() as u32,
+                });
+            }
+        }
+        status
+            .held
+            .sort_by(|a, b| (&a.workspace, a.reason).cmp(&(&b.workspace, b.reason)));
+        status.lanes.sort_by(|a, b| a.pool.cmp(&b.pool));
+        status
+    }
+}
+
+impl Gate {
+    fn new() -> Self {
+        Self {
+            lane: Lane::new(LanePolicy::default()),
+            turns: HashMap::new(),
+        }
+    }
+
+    fn call(&mut self, now: Moment, room: Room) {
+        while let Some(called) = self.lane.call(now, room) {
+            let (ticket, turn) = match called {
+                Called::Run(ticket) => (ticket, Ok(())),
+                Called::Refused(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(sender) = self.turns.remove(&ticket) {
+                // The receiver counts the request as ended where it can't take its turn.
+                let _ = sender.try_send(turn);
+            }
+        }
+    }
+}
+
+#[derive(Debug)]
+enum Entered {
+    Open,
+    Wait(Waiting),
+}
+
+/// A request that waits; dropped, it leaves its place.
+#[derive(Debug)]
+struct Waiting {
+    admission: Arc<Admission>,
+    demand: Demand,
+    ticket: Ticket,
+    turn: Receiver<Turn>,
+    called: bool,
+}
+
+impl Waiting {
+    /// Waits for the turn, at most as long as the request has.
+    ///
+    /// A request that is given up gets its final answer at once: its caller would hold on to a
+    /// connection for nothing.
+    async fn turn(mut self, left: Span) -> Result<(), Refusal> {
+        let late = Refusal {
+            reason: Reason::Deadline,
+            retry: Span::from_secs(1),
+        };
+        let called = async { self.turn.recv().await.unwrap_or(Err(late)) };
+        let timer = async {
+            smol::Timer::after(left.as_duration()).await;
+            Err(late)
+        };
+        let turn = called.or(timer).await;
+        self.called = turn.is_ok();
+        turn
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.called {
+            return;
+        }
+        let mut lanes = self.admission.lanes[lane_of(&self.demand.wanted)].lock();
+        let Some(gate) = lanes.get_mut(&self.demand.wanted) else {
+            return;
+        };
+        if gate.turns.remove(&self.ticket).is_some() {
+            gate.lane.give_up(self.ticket);
+        } else if matches!(self.turn.try_recv(), Ok(Ok(()))) {
+            // The turn came just as its caller left: the slot must not stay taken.
+            gate.lane.depart(&self.demand.departure(None));
+        }
+    }
+}
+
+/// A request that was let in; it counts until this is dropped.
+#[derive(Debug)]
+pub struct Admitted {
+    admission: Arc<Admission>,
+    demand: Demand,
+    begun: Moment,
+    running: bool,
+    whole: bool,
+}
+
+impl Admitted {
+    /// The prefix of the request's prompt.
+    pub fn prefix(&self) -> Option<Prefix> {
+        self.demand.prefix
+    }
+
+    /// Says that the request was answered in whole; unsaid, its time says nothing of the pool.
+    pub fn finish(&mut self) {
+        self.whole = true;
+    }
+
+    fn run(mut self) -> Self {
+        self.running = true;
+        self.begun = self.admission.clock.now();
+        self
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let Demand {
+            workspace,
+            tokens,
+            wanted,
+            ..
+        } = &self.demand;
+        let now = self.admission.clock.now();
+        let shard = self.admission.account_of(workspace);
+        if !self.running {
+            self.admission.accounts[shard]
+                .lock()
+                .give_back(now, workspace, *tokens);
+            return;
+        }
+        self.admission.accounts[shard]
+            .lock()
+            .ended(now, workspace, *tokens, *tokens);
+        let took = self.whole.then(|| now.since(self.begun));
+        if let Some(gate) = self.admission.lanes[lane_of(wanted)].lock().get_mut(wanted) {
+            gate.lane.depart(&self.demand.departure(took));
+        }
+        self.admission.call(wanted);
+    }
+}
+
+fn percent(part: f64) -> u32 {
+    (part * 100.0).round() as u32
+}
+
+fn lane_of(wanted: &Wanted) -> usize {
+    (wanted.family() % SHARDS as u64) as usize
+}
--- a/crates/operators/src/answer.rs
+++ b/crates/operators/src/answer.rs
@@ -4,6 +4,7 @@
 
 use snipemast_config::{Census, Fault, Refusal, Standing, Verdict};
 use snipemast_core::prelude::*;
+use snipemast_routing::LimitStatus;
 
 data! {
     /// What became of a patch.
@@ -76,6 +77,9 @@
         pub census: Census,
         /// The agents that announced themselves here.
         pub members: Vec<MemberLine>,
+        /// Who is held back and why, and what waits where.
+        #[serde(default)]
+        pub limits: LimitStatus,
     }
 
     /// One agent and its backend server.
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -1,6 +1,11 @@
 //! A small fleet over loopback, for the tests of the whole path.
 //!
 //! - [`Fleet`]: one entry with the control role, agents and fakes, in this process.
+//! - [`wired`]: a fleet whose agents stand behind wires that misbehave.
+//! - [`zones`]: three entries of three zones before shared agents.
+
+pub mod wired;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -57,7 +62,11 @@
 impl Fleet {
     /// Starts an entry with the control role and one workspace.
     pub async fn start() -> Self {
-        let settings = entry_settings("entry-0");
+        Self::start_with(entry_settings("entry-0")).await
+    }
+
+    /// Starts an entry with these settings and one workspace.
+    pub async fn start_with(settings: EntrySettings) -> Self {
         let journal = journal(&settings.host);
         let entry = Entry::start(settings, Incarnation::new(1), journal).await;
         let entry = entry.expect("an entry starts on port 0");
@@ -109,11 +118,16 @@
     }
 
     async fn add_agent(&mut self, name: &str, fake: Listening) {
-        let settings = agent_settings(name, fake.address(), self.entry.own());
+        self.add_beside(name, fake.address()).await;
+        self.fakes.push(fake);
+    }
+
+    /// Adds an agent beside a backend server that listens at this address.
+    pub async fn add_beside(&mut self, name: &str, server: SocketAddr) {
+        let settings = agent_settings(name, server, self.entry.own());
         let journal = journal(&settings.host);
         let agent = Agent::start(settings, Incarnation::new(1), journal).await;
         self.agents.push(agent.expect("an agent starts on port 0"));
-        self.fakes.push(fake);
         while self.entry.shared().registry.members().len() < self.agents.len() {
             pause(5).await;
         }
@@ -189,7 +203,8 @@
         operators: Some(loopback()),
         seeds: Vec::new(),
         control: Some(ControlSettings {
-            data: "data".into(),
+            data: None,
+            forgetful: true,
             voters: Vec::new(),
             operator: None,
         }),
