--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`faults`]: orders and streams while wires misbehave, ours and a plain proxy's.
 //! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
 //! - [`policies`]: the routing policies that are compared.
+//! - [`voters`]: voters with real HTTP and disks over loopback.
 //! - [`splits`]: the split of fleet-wide limits among entries, without servers.
 //! - [`traces`]: expert popularity over time, and baselines of rebalancing.
 
@@ -19,3 +20,4 @@
 pub mod report;
 pub mod splits;
 pub mod traces;
+pub mod voters;
