Measure what the configuration costs

Cause: the costs of patches, catching up and traffic were unknown. Change: a bench part over real processes, with whole-document baselines in the same run.

--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -4,11 +4,13 @@
 //! - [`load`]: a load generator for HTTP over loopback.
 //! - [`members`]: fleets of membership's state machines, of three sizes.
 //! - [`capacity`]: what each role costs at the size of two years, from the benches' figures.
+//! - [`config_costs`]: what the configuration costs: patches, catching up, and traffic.
 //! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
 //! - [`policies`]: the routing policies that are compared.
 //! - [`splits`]: the split of fleet-wide limits among entries, without servers.
 
 pub mod capacity;
+pub mod config_costs;
 pub mod load;
 pub mod members;
 pub mod policies;
