--- a/crates/config/tests/follower.rs
+++ b/crates/config/tests/follower.rs
@@ -350,3 +350,28 @@
     assert!((300..700).contains(&asked), "{asked} questions in 600 s");
     assert!(!follower.is_linked());
 }
+
+#[test]
+fn misplaced_piece() {
+    // A source answers with a piece from another place of the snapshot. The fetch ends at once
+    // and begins anew elsewhere, and nothing of the piece is kept.
+    let (versions, snapshots) = versions();
+    let mut source = Source::new(&versions, &snapshots, 0);
+    source.advance();
+    let mut follower = Follower::new(1, Arc::default(), 1);
+    let asked = |outputs: &[Output]| match outputs {
+        [Output::Send { id, ask, .. }] => (*id, *ask),
+        other => panic!("not one question: {other:?}"),
+    };
+    let (id, poll) = asked(&follower.handle(Moment::ZERO, Input::Tick));
+    let reply = source.answer(poll, Some(Span::default()));
+    let (id, ask) = asked(&follower.handle(Moment::ZERO, Input::Reply { ask: id, reply }));
+    let Ask::Piece { version, .. } = ask else {
+        panic!("no piece is asked for: {ask:?}");
+    };
+    let elsewhere = Ask::Piece { version, offset: 9 };
+    let reply = source.answer(elsewhere, Some(Span::default()));
+    let outputs = follower.handle(Moment::ZERO, Input::Reply { ask: id, reply });
+    assert_eq!(outputs, [Output::Retire { source: 0 }]);
+    assert_eq!(follower.config().version, Version::new(0));
+}
--- a/tests/tests/configuration.rs
+++ b/tests/tests/configuration.rs
@@ -199,3 +199,23 @@
         panic!("the census counts {total} of 3");
     });
 }
+
+#[test]
+fn older_passed_over() {
+    // Two tasks of a process bring versions, and the earlier one comes last. Requests would
+    // be served by a version that was replaced.
+    smol::block_on(async {
+        let entry = follower("edge-0", &[]).await;
+        let versions: Vec<_> = [2, 1]
+            .into_iter()
+            .map(|n| snipemast_config::Config {
+                version: Version::new(n),
+                ..Default::default()
+            })
+            .collect();
+        for config in versions {
+            entry.shared().apply(Arc::new(config));
+        }
+        assert_eq!(entry.shared().config().version, Version::new(2));
+    });
+}
