--- a/crates/membership/src/judge.rs
+++ b/crates/membership/src/judge.rs
@@ -186,7 +186,7 @@
         let zone = &self.me.zone;
         let suspects: Vec<_> = self
             .others()
-            .filter(|r| r.card.zone == *zone && r.standing != Standing::Alive)
+            .filter(|r| r.standing != Standing::Alive && r.card.zone == *zone)
             .map(|r| r.card.process.host.clone())
             .collect();
         if suspects.is_empty() {
--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -24,6 +24,9 @@
 /// The most owners whose news waits; beyond it the least pressing waits for a comparison.
 pub const MAX_NEWS: usize = 96;
 
+/// The most owners whose news goes into one packet.
+const MAX_PICKED: usize = 24;
+
 /// News that this process still passes on.
 #[derive(Debug, Default)]
 pub struct Spread {
@@ -92,13 +95,12 @@
         budget: &mut usize,
     ) -> (Vec<Verdict>, Vec<Delta>) {
         let verdicts = self.pick_verdicts(table, peer, repeats, budget);
-        let mut order: Vec<_> = self
-            .news
-            .iter()
-            .filter(|(host, _)| !peer.knows(table, host))
-            .map(|(host, news)| (news.rank, news.sent, host.clone()))
-            .collect();
-        order.sort();
+        let known = peer.known(table);
+        let waiting = self.news.iter().filter(|(host, _)| !known.contains(host));
+        let mut order: Vec<_> = waiting.map(|(h, n)| (n.rank, n.sent, h)).collect();
+        order.sort_unstable();
+        let first = order.into_iter().take(MAX_PICKED);
+        let order: Vec<_> = first.map(|(r, s, h)| (r, s, h.clone())).collect();
         let mut deltas = Vec::new();
         for (rank, _, host) in order {
             let Some(news) = self.news.get_mut(&host) else {
@@ -160,14 +162,16 @@
 }
 
 impl Hearer<'_> {
-    /// Whether the peer has just told the same.
+    /// The owners of whom the peer has just told all that is known here.
     ///
     /// Failure guarded against: answers that tell a peer its own news use up the repeats, and a
     /// third process never hears of it. It shows as one entry that learns of a drain seconds late.
-    fn knows(&self, table: &Table, owner: &HostId) -> bool {
-        let version = table.row(owner).map_or(0, |r| r.set.version());
-        let told = |d: &Delta| d.card.process.host == *owner && d.to >= version;
-        self.said.is_some_and(|p| p.deltas.iter().any(told))
+    fn known(&self, table: &Table) -> Vec<&HostId> {
+        let said = self.said.into_iter().flat_map(|p| &p.deltas);
+        let version = |host| table.row(host).map_or(0, |r| r.set.version());
+        said.filter(|d| d.to >= version(&d.card.process.host))
+            .map(|d| &d.card.process.host)
+            .collect()
     }
 }
 
