--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -14,6 +14,7 @@
 use snipemast_operators::{
     authorize, Author, Denied, Dry, HistoryLine, Route, RouteError, StatusReport, VerdictAnswer,
 };
+use snipemast_requests::Fingerprint;
 use snipemast_wire::Sink;
 
 use crate::control::{self, ControlError};
@@ -29,6 +30,19 @@
 /// The most versions of the history that are shown at once.
 const MAX_LINES: usize = 1_024;
 
+/// A request that is suspected of crashing backend servers.
+#[derive(Debug, Serialize)]
+struct Suspect {
+    request: String,
+    crashes: usize,
+}
+
+/// Whether there was something to lift.
+#[derive(Debug, Serialize)]
+struct Lifted {
+    lifted: bool,
+}
+
 /// Serves operators.
 #[derive(Debug)]
 pub struct Desk {
@@ -56,9 +70,23 @@
             Route::Back { to } => Answer::ok(&self.back(to)?),
             Route::History { last } => Answer::ok(&self.history(last)?),
             Route::Status => Answer::ok(&self.status()),
+            Route::Suspects => Answer::ok(&self.suspects()),
+            Route::Lift { request } => {
+                let lifted = self.shared.keys.lift(&self.shared, request).await;
+                Answer::ok(&Lifted { lifted })
+            }
         }
     }
 
+    fn suspects(&self) -> Vec<Suspect> {
+        let suspects = self.shared.keys.suspects(self.shared.clock.now());
+        let line = |(fingerprint, crashes): (Fingerprint, usize)| Suspect {
+            request: fingerprint.to_string(),
+            crashes,
+        };
+        suspects.into_iter().map(line).collect()
+    }
+
     fn authorize(&self, conn: &Conn, route: &Route) -> Result<Author> {
         let key = bearer(conn)?;
         let control = self.shared.settings.control.as_ref();
--- a/crates/operators/src/route.rs
+++ b/crates/operators/src/route.rs
@@ -5,6 +5,7 @@
 
 use snipemast_config::Role;
 use snipemast_core::prelude::*;
+use snipemast_requests::Fingerprint;
 
 /// The result of reading a request.
 pub type Result<T> = std::result::Result<T, RouteError>;
@@ -43,6 +44,13 @@
     },
     /// `GET /status`: what this host knows.
     Status,
+    /// `GET /suspects`: the requests that are suspected of crashing backend servers.
+    Suspects,
+    /// `POST /suspects/lift?request=F`: clear a request of what is known so far.
+    Lift {
+        /// The request's fingerprint.
+        request: Fingerprint,
+    },
 }
 
 /// A request that asks for nothing there is.
@@ -89,6 +97,10 @@
                 last: query.get("last")?.unwrap_or(LAST),
             },
             "/status" => Self::Status,
+            "/suspects" => Self::Suspects,
+            "/suspects/lift" => Self::Lift {
+                request: query.required("request")?,
+            },
             _ => return Err(RouteError::NotFound),
         };
         if method == route.method() {
@@ -101,24 +113,26 @@
     /// The role that it takes.
     pub fn role(&self) -> Role {
         match self {
-            Self::Submit => Role::Write,
+            Self::Submit | Self::Lift { .. } => Role::Write,
             Self::DryRun
             | Self::Config { .. }
             | Self::Diff { .. }
             | Self::Back { .. }
             | Self::History { .. }
-            | Self::Status => Role::Read,
+            | Self::Status
+            | Self::Suspects => Role::Read,
         }
     }
 
     fn method(&self) -> &'static str {
         match self {
-            Self::Submit | Self::DryRun => "POST",
+            Self::Submit | Self::DryRun | Self::Lift { .. } => "POST",
             Self::Config { .. }
             | Self::Diff { .. }
             | Self::Back { .. }
             | Self::History { .. }
-            | Self::Status => "GET",
+            | Self::Status
+            | Self::Suspects => "GET",
         }
     }
 }
--- a/crates/operators/tests/routes.rs
+++ b/crates/operators/tests/routes.rs
@@ -11,6 +11,13 @@
     let version = Version::new;
     let read = |method, path, query| Route::read(method, path, query);
     assert_eq!(read("POST", "/patches", ""), Ok(Route::Submit));
+    assert_eq!(read("GET", "/suspects", ""), Ok(Route::Suspects));
+    let lift = read(
+        "POST",
+        "/suspects/lift",
+        "request=00000000000000000000000000000007",
+    );
+    assert!(matches!(lift, Ok(Route::Lift { .. })));
     assert_eq!(read("POST", "/patches", "dry-run=true"), Ok(Route::DryRun));
     assert_eq!(
         read("GET", "/config/diff", "from=2&to=5"),
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -161,6 +161,10 @@
             let why = "a request must outlive one dead connection";
             faults.push(Fault::below("limits.deadline", self.silence, why));
         }
+        if self.hold < self.deadline {
+            let why = "a key must outlive every attempt that was made for it";
+            faults.push(Fault::below("limits.hold", self.deadline, why));
+        }
         if self.body == Size::default() {
             let kind = FaultKind::TooSmall("1B".into(), "no request would fit");
             faults.push(Fault::new("limits.body", kind));
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -126,6 +126,8 @@
 fn short_lease() {
     let text = format!("{}\n[limits]\nlease = \"1s\"\n", EntrySettings::SAMPLE);
     assert!(names(&entry_faults(&text), 13, "limits.lease"));
+    let text = format!("{}\n[limits]\nhold = \"1s\"\n", EntrySettings::SAMPLE);
+    assert!(names(&entry_faults(&text), 13, "limits.hold"));
     let text = format!(
         "{}\n[limits]\nannounce = \"2s\"\nbeat = \"5s\"\n",
         AgentSettings::SAMPLE
@@ -162,7 +164,7 @@
     for _ in 0..50 {
         let (lease, body, events) = limits(&mut gen);
         let text = format!(
-            "{}\n[limits]\nlease = \"{lease}\"\nbody = \"{body}\"\nevents = {events}\ndeadline = \"1h\"\n",
+            "{}\n[limits]\nlease = \"{lease}\"\nbody = \"{body}\"\nevents = {events}\ndeadline = \"1h\"\nhold = \"2h\"\n",
             EntrySettings::SAMPLE
         );
         let read = check::<EntrySettings>(&text).expect("no faults").limits;
--- a/tests/tests/requests_keys.rs
+++ b/tests/tests/requests_keys.rs
@@ -155,6 +155,9 @@
         }
         let lost = dead.iter().filter(|d| d.load(Ordering::SeqCst)).count();
         assert_eq!(lost, 2);
+        let keys = &zones.entries[2].shared().keys;
+        let now = zones.entries[2].shared().clock.now();
+        assert_eq!(keys.suspects(now).len(), 1);
         let innocent = json!({ "model": "lector", "prompt": "read" }).to_string();
         let request = zones.request(1, "POST", "/v1/completions");
         assert_eq!(answer(request.with_body(innocent)).await.status, 200);
