Pass nothing to a dead server, and let go of callers that read no more

Cause: a request that came just after its server died was blamed for the death; ten finders of one death could count several; a caller that stays connected and reads nothing held its request for ever. Change: an agent refuses as not run until its server answers again, numbers deaths by the life in which a dispatch began, and probes a dead server by itself; an entry cancels a request whose caller took nothing for 30 s. Conclusion: suspect_runs_once and two_servers_lost pass; the innocent are served.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -1,10 +1,12 @@
 //! The gate: the one way to a backend server.
 //!
 //! - [`shards`]: the ledger in shards, each under its own lock, with whom to wake.
-//! - [`work`]: runs a dispatch on the backend server and keeps its answer.
-//! - [`relay`]: reads a kept answer and frames it for an entry.
+//! - `work`: runs a dispatch on the backend server and keeps its answer.
+//! - `relay`: reads a kept answer and frames it for an entry.
+//! - `crashes`: tells a dead backend server from a broken connection, and counts its deaths.
 //! - [`handler`]: the endpoints for the system's own processes.
 
+mod crashes;
 pub mod handler;
 mod relay;
 pub mod shards;
@@ -16,10 +18,12 @@
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
-use snipemast_requests::LedgerLimits;
+use snipemast_requests::{LedgerLimits, Refused};
 use snipemast_servers::Engine;
 use snipemast_settings::agent::AgentLimits;
+use snipemast_wire::Dispatch;
 
+use crashes::Crashes;
 use shards::Shards;
 
 pub use handler::GateHandler;
@@ -139,6 +143,21 @@
         }
     }
 
+    /// Whether a dispatch is refused before it comes to the ledger, and why.
+    ///
+    /// Failure guarded against: a request that comes just after its server died is blamed for
+    /// the death. It shows as innocent requests under suspicion; until the server answers again
+    /// nothing is passed to it.
+    fn refusal(&self, dispatch: &Dispatch) -> Option<Refused> {
+        if self.crashes.lock().is_down() {
+            Some(Refused::Unreachable)
+        } else if dispatch.suspect && !self.take_suspect(&dispatch.id) {
+            Some(Refused::Suspect)
+        } else {
+            None
+        }
+    }
+
     /// Takes the one place for suspects; false where another suspect has it.
     ///
     /// Failure guarded against: two suspects side by side when the backend server dies again.
@@ -162,32 +181,6 @@
     }
 }
 
-/// The deaths of the backend server.
-///
-/// All dispatches that one death takes with it carry the same number, so that ten copies of an
-/// innocent request beside a culprit count one crash and not ten.
-#[derive(Debug, Default)]
-struct Crashes {
-    number: u64,
-    is_down: bool,
-}
-
-impl Crashes {
-    /// The backend server was seen alive.
-    fn up(&mut self) {
-        self.is_down = false;
-    }
-
-    /// The backend server was found dead; returns the number of the death.
-    fn down(&mut self) -> u64 {
-        if !self.is_down {
-            self.is_down = true;
-            self.number += 1;
-        }
-        self.number
-    }
-}
-
 /// Work in flight.
 #[derive(Debug)]
 struct InFlight {
--- a/crates/agent/src/gate/handler.rs
+++ b/crates/agent/src/gate/handler.rs
@@ -45,10 +45,14 @@
     /// Takes a dispatch into the ledger and starts its work, unless it runs already.
     fn take(&self, dispatch: Dispatch) -> Result<DispatchId, (DispatchId, Refused)> {
         let (gate, id) = (&self.gate, dispatch.id.clone());
-        if dispatch.suspect && !gate.take_suspect(&id) {
-            // A refusal binds: a second copy of the dispatch must not run later.
-            gate.shards.settle(&id, &dispatch.agent, dispatch.left);
-            return Err((id, Refused::Suspect));
+        if let Some(reason) = gate.refusal(&dispatch) {
+            // A refusal binds: a second copy of the dispatch must not run later. One that runs
+            // already is not refused.
+            if gate.shards.settle(&id, &dispatch.agent, dispatch.left) == Settled::Barred {
+                gate.journal
+                    .record(Event::DispatchRefused, &dispatch.request, reason);
+                return Err((id, reason));
+            }
         }
         let arrival = Arrival {
             id: id.clone(),
--- a/crates/agent/src/gate/work.rs
+++ b/crates/agent/src/gate/work.rs
@@ -22,8 +22,6 @@
 const ORPHAN: Span = Span::from_secs(10);
 /// How often a wait looks whether it should go on.
 const STEP: Span = Span::from_millis(100);
-/// How long a backend server whose connection broke gets to show that it lives.
-const PROBE: Span = Span::from_secs(1);
 
 /// One dispatch at work.
 #[derive(Debug)]
@@ -36,6 +34,7 @@
     left: Span,
     ring: Receiver<()>,
     restarts: u32,
+    life: u64,
 }
 
 /// How a dispatch's work ended.
@@ -51,9 +50,11 @@
     /// The work at a dispatch that the ledger took.
     pub(super) fn new(gate: Arc<Gate>, dispatch: &Dispatch, ring: Receiver<()>) -> Self {
         let restarts = gate.load().restarts;
+        let life = gate.crashes.lock().life();
         Self {
             gate,
             restarts,
+            life,
             id: dispatch.id.clone(),
             request: dispatch.request.clone(),
             keyed: dispatch.keyed,
@@ -193,21 +194,8 @@
         Ended::Failed(self.broken().await)
     }
 
-    /// Whether the backend server died, or only the connection to it.
     async fn broken(&self) -> Failure {
-        let engine = &self.gate.engine;
-        let load = async { engine.load().await.ok() };
-        let late = async {
-            smol::Timer::after(PROBE.as_duration()).await;
-            None
-        };
-        match load.or(late).await {
-            Some(load) if load.restarts == self.restarts => {
-                self.gate.crashes.lock().up();
-                Failure::Broken
-            }
-            Some(_) | None => Failure::Died(self.gate.crashes.lock().down()),
-        }
+        self.gate.broken(self.life, self.restarts).await
     }
 
     fn conclude(&self, ended: Ended) {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -24,6 +24,8 @@
 const ATTEMPTS: u32 = 3;
 /// The longest body that is held for a caller that doesn't stream.
 const HELD_BODY: usize = 32 << 20;
+/// How long a caller may take nothing before it counts as gone.
+const STALL: Span = Span::from_secs(30);
 /// The bytes of pieces that go to a caller at once.
 const BATCH: usize = 16 << 10;
 
@@ -216,7 +218,7 @@
                 Some(Step::Head(..)) => {}
                 Some(Step::Data(bytes)) => {
                     let batch = self.batch(bytes);
-                    if out.send(batch).await.is_err() {
+                    if !taken(&out, batch).await {
                         return self.run.leave();
                     }
                 }
@@ -253,6 +255,19 @@
     }
 }
 
+/// Gives a caller the next bytes; false where it left or has taken nothing for too long.
+///
+/// Failure guarded against: a caller that is connected and reads no more. It shows as requests
+/// that never end and engines that wait for them; the request is cancelled instead.
+async fn taken(out: &PipeWriter, bytes: Vec<u8>) -> bool {
+    let sent = async { out.send(bytes).await.is_ok() };
+    let stalled = async {
+        smol::Timer::after(STALL.as_duration()).await;
+        false
+    };
+    sent.or(stalled).await
+}
+
 /// A verdict in the form that callers get.
 pub fn problem(verdict: Verdict) -> Problem {
     let Verdict { reason, outcome } = verdict;
--- a/tests/tests/requests_keys.rs
+++ b/tests/tests/requests_keys.rs
@@ -10,6 +10,7 @@
 use snipemast_fakes::{FakeEngine, FakeService, FakeWire};
 use snipemast_tests::zones::{serve, Zones};
 use snipemast_tests::{answer, id, info, loopback, pause, Answer};
+use snipemast_wire::Listening;
 
 fn mesa() -> serde_json::Value {
     json!({ "services": { "mesa": { "kind": "plain" } } })
@@ -103,63 +104,105 @@
     pause(60_000).await;
 }
 
-// One request kills each server that runs it, and its caller sends it again, to every entry at
-// once. Without a bound the pool is gone within a minute; two servers are lost, and no third.
-#[test]
-fn two_servers_lost() {
-    smol::block_on(async {
+/// Five engines that die of one prompt, before three entries.
+struct Pool {
+    zones: Zones,
+    dead: Vec<Arc<AtomicBool>>,
+    _served: Vec<Listening>,
+}
+
+impl Pool {
+    async fn start(idempotent: bool) -> Self {
         let services = json!({
             "models": { "lector-1": { "version": "1" } },
-            "services": { "lector": { "kind": "model", "model": "lector-1" } },
+            "services": {
+                "lector": { "kind": "model", "model": "lector-1", "idempotent": idempotent },
+            },
         });
-        let mut zones = Zones::start(services).await;
-        let mut dead = Vec::new();
-        let mut served = Vec::new();
+        let mut pool = Self {
+            zones: Zones::start(services).await,
+            dead: Vec::new(),
+            _served: Vec::new(),
+        };
         for n in 0..5 {
-            let name = format!("engine-{n}");
-            let (model, version) = (id("lector-1"), "1".into());
-            let offer = Offer::Model {
-                model,
-                version,
-                adapters: Vec::new(),
-            };
-            let engine = FakeEngine::new(info(&name, offer));
-            let flag = Arc::new(AtomicBool::new(false));
-            let fragile = Fragile {
-                engine,
-                dead: Arc::clone(&flag),
-            };
-            let listening = serve(fragile).await;
-            let wire = FakeWire::start().await.expect("port 0");
-            wire.aim(listening.address());
-            zones.add_agent(&name, wire.address()).await;
-            snipemast_wire::spawn(bury(wire, Arc::clone(&flag))).detach();
-            served.push(listening);
-            dead.push(flag);
+            pool.add(&format!("engine-{n}")).await;
         }
-        zones.keepers_ready().await;
-        let body = json!({ "model": "lector", "prompt": "kill" }).to_string();
-        let send = |entry: usize| {
-            let request = zones.request(entry, "POST", "/v1/completions");
-            answer(request.with_body(body.clone()))
+        pool.zones.keepers_ready().await;
+        pool
+    }
+
+    async fn add(&mut self, name: &str) {
+        let (model, version) = (id("lector-1"), "1".into());
+        let offer = Offer::Model {
+            model,
+            version,
+            adapters: Vec::new(),
+        };
+        let dead = Arc::new(AtomicBool::new(false));
+        let fragile = Fragile {
+            engine: FakeEngine::new(info(name, offer)),
+            dead: Arc::clone(&dead),
         };
-        let first = send(0).await;
+        let served = serve(fragile).await;
+        let wire = FakeWire::start().await.expect("port 0");
+        wire.aim(served.address());
+        self.zones.add_agent(name, wire.address()).await;
+        snipemast_wire::spawn(bury(wire, Arc::clone(&dead))).detach();
+        self._served.push(served);
+        self.dead.push(dead);
+    }
+
+    async fn send(&self, entry: usize, prompt: &str) -> Answer {
+        let body = json!({ "model": "lector", "prompt": prompt }).to_string();
+        let request = self.zones.request(entry, "POST", "/v1/completions");
+        answer(request.with_body(body)).await
+    }
+
+    async fn send_to_all(&self, prompt: &str) -> [Answer; 3] {
+        let both = futures_lite::future::zip(self.send(0, prompt), self.send(1, prompt));
+        let all = futures_lite::future::zip(both, self.send(2, prompt));
+        let ((first, second), third) = all.await;
+        [first, second, third]
+    }
+
+    fn lost(&self) -> usize {
+        let dead = |d: &&Arc<AtomicBool>| d.load(Ordering::SeqCst);
+        self.dead.iter().filter(dead).count()
+    }
+}
+
+// One request kills each server that runs it, and its caller sends it again, to every entry at
+// once. Without a bound the pool is gone within a minute; two servers are lost, and no third.
+#[test]
+fn two_servers_lost() {
+    smol::block_on(async {
+        let pool = Pool::start(true).await;
+        let first = pool.send(0, "kill").await;
         assert_eq!(first.status, 422, "{}", first.body);
-        let both = futures_lite::future::zip(send(0), send(1));
-        let (both, third) = futures_lite::future::zip(both, send(2)).await;
-        for refused in [both.0, both.1, third] {
-            assert_eq!(
-                (refused.status, refused.outcome.as_deref()),
-                (422, Some("not-run"))
-            );
+        for refused in pool.send_to_all("kill").await {
+            let outcome = refused.outcome.as_deref();
+            assert_eq!((refused.status, outcome), (422, Some("not-run")));
         }
-        let lost = dead.iter().filter(|d| d.load(Ordering::SeqCst)).count();
-        assert_eq!(lost, 2);
-        let keys = &zones.entries[2].shared().keys;
-        let now = zones.entries[2].shared().clock.now();
-        assert_eq!(keys.suspects(now).len(), 1);
-        let innocent = json!({ "model": "lector", "prompt": "read" }).to_string();
-        let request = zones.request(1, "POST", "/v1/completions");
-        assert_eq!(answer(request.with_body(innocent)).await.status, 200);
+        assert_eq!(pool.lost(), 2);
+        assert_eq!(pool.send(1, "read").await.status, 200);
+    });
+}
+
+// The same request where the system may not repeat it by itself: after the first crash the caller
+// sends it to three entries at the same moment. All three know of the crash; one of them runs it.
+#[test]
+fn suspect_runs_once() {
+    smol::block_on(async {
+        let pool = Pool::start(false).await;
+        let first = pool.send(0, "kill").await;
+        assert_eq!((first.status, first.outcome.as_deref()), (502, Some("ran")));
+        assert_eq!(pool.lost(), 1);
+        let answers = pool.send_to_all("kill").await;
+        let denied = answers
+            .iter()
+            .filter(|a| a.outcome.as_deref() == Some("not-run"));
+        assert_eq!(denied.count(), 2);
+        assert_eq!(pool.lost(), 2);
+        assert_eq!(pool.send(1, "read").await.status, 200);
     });
 }
