--- a/crates/benches/benches/routing.rs
+++ b/crates/benches/benches/routing.rs
@@ -6,6 +6,7 @@
 use std::hint::black_box;
 use std::time::Instant;
 
+use snipemast_benches::plots::{draw, Line, Scale};
 use snipemast_benches::policies::{facts, name, wanted, Baseline, Options, Ours, Rule};
 use snipemast_benches::queue::{run, Fault, Micros, Outcome, Setup};
 use snipemast_benches::report::{BenchArgs, Figures};
@@ -23,13 +24,16 @@
     figures.add("capacity_tokens_s", full);
     calm(args, &small, full, &mut figures);
     lags(&small, full, &mut figures);
-    overload(&small, full, &mut figures);
+    overload(args, &small, full, &mut figures);
     flood(&small, full, &mut figures);
     burst(&small, full, &mut figures);
     gray(&small, full, &mut figures);
     subsets(args, &mut figures);
     splits::measure(&mut figures);
     decision(&mut figures);
+    if std::env::args().any(|a| a == "--plots") {
+        plots(&small, full);
+    }
     figures.print(args);
 }
 
@@ -252,6 +256,65 @@
     f64::from(own) / (others / 4.0)
 }
 
+/// Draws the main figures into `docs/plots`.
+fn plots(small: &Setup, full: f64) {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/plots");
+    let rules = [
+        ("round robin", Rule::RoundRobin),
+        ("least report", Rule::LeastReport),
+        ("two reports", Rule::TwoReports),
+    ];
+    let lags = [100, 250, 500, 1_000, 2_000];
+    let wait = |outcome: &Outcome| quantile(&outcome.waits, 0.99) / 1e3;
+    let at = |lag: u64| Setup {
+        lag: lag * 1_000,
+        ..at_load(small, full, 0.9)
+    };
+    let line = |run: &dyn Fn(&Setup) -> Outcome| {
+        lags.iter()
+            .map(|&lag| (lag as f64, wait(&run(&at(lag)))))
+            .collect()
+    };
+    let mut waits = vec![Line::new("ours", line(&|s| ours(s, &Options::default())))];
+    waits.extend(rules.map(|(name, rule)| Line::new(name, line(&|s| baseline(s, rule)))));
+    let titles = [
+        "p99 wait by age of reports",
+        "age of reports, ms",
+        "p99 wait, ms",
+    ];
+    draw(
+        &format!("{folder}/wait-by-lag.svg"),
+        titles,
+        Scale::Log,
+        &waits,
+    );
+    let setup = burst_setup(small, full);
+    let by_second = |outcome: &Outcome| {
+        let parts = outcome.good[5..60].iter().enumerate();
+        parts
+            .map(|(n, good)| (n as f64 + 5.0, good / full))
+            .collect()
+    };
+    let lines = [
+        Line::new("ours", by_second(&ours(&setup, &Options::default()))),
+        Line::new(
+            "round robin",
+            by_second(&baseline(&setup, Rule::RoundRobin)),
+        ),
+    ];
+    let titles = [
+        "a burst of three times the load from 20 s to 30 s",
+        "s",
+        "goodput / capacity",
+    ];
+    draw(
+        &format!("{folder}/burst.svg"),
+        titles,
+        Scale::Linear,
+        &lines,
+    );
+}
+
 /// The wait at other lags.
 fn lags(small: &Setup, full: f64, figures: &mut Figures) {
     for (label, lag) in [
@@ -281,40 +344,55 @@
     }
 }
 
-/// Twice the load: what is still answered in time, and who gets it.
-fn overload(small: &Setup, full: f64, figures: &mut Figures) {
-    let setup = Setup {
-        again: 3,
-        ..at_load(small, full, 2.0)
-    };
-    let mine = ours(&setup, &Options::default());
-    let robin = baseline(&setup, Rule::RoundRobin);
-    figures.add("goodput_2x", mean_good(&setup, &mine) / full);
-    figures.add("goodput_2x_robin", mean_good(&setup, &robin) / full);
-    // The level up to which what the pool gets through covers every workspace's demand.
-    let demands: Vec<f64> = {
-        let sum: f64 = setup.workspaces.iter().sum();
-        setup.workspaces.iter().map(|w| 2.0 * w / sum).collect()
-    };
-    let level = fair_level(&demands, mean_good(&setup, &mine) / full);
-    let kept = |o: &Outcome| {
-        let within = demands
-            .iter()
-            .zip(&o.shares)
-            .filter(|(d, _)| **d < 0.95 * level);
-        within
-            .map(|(_, (asked, got))| got / asked)
-            .fold(1.0, f64::min)
-    };
-    figures.add("share_kept", kept(&mine));
-    figures.add("share_kept_robin", kept(&robin));
-    let over = |o: &Outcome| {
-        let over = demands.iter().zip(&o.shares).filter(|(d, _)| **d > level);
-        jain(&over.map(|(_, s)| s.1).collect::<Vec<_>>())
-    };
-    figures.add("jain_2x", over(&mine));
-    figures.add("jain_2x_robin", over(&robin));
-    describe("twice_ours", &mine, figures);
+/// Twice the load: what is still answered in time, and who gets it; the mean over some seeds.
+fn overload(args: BenchArgs, small: &Setup, full: f64, figures: &mut Figures) {
+    let seeds = if args.quick { 1 } else { 3 };
+    let mut means = Vec::new();
+    for seed in 1..=seeds {
+        let setup = Setup {
+            again: 3,
+            seed,
+            ..at_load(small, full, 2.0)
+        };
+        let mine = ours(&setup, &Options::default());
+        let robin = baseline(&setup, Rule::RoundRobin);
+        means.push(("goodput_2x", mean_good(&setup, &mine) / full));
+        means.push(("goodput_2x_robin", mean_good(&setup, &robin) / full));
+        let demands = demands(&setup);
+        // The level up to which what the pool gets through covers every workspace's demand.
+        let level = fair_level(&demands, mean_good(&setup, &mine) / full);
+        means.push(("share_kept", kept(&mine, &demands, level)));
+        means.push(("share_kept_robin", kept(&robin, &demands, level)));
+        means.push(("jain_2x", jain(&mine, &demands, level)));
+        means.push(("jain_2x_robin", jain(&robin, &demands, level)));
+        if seed == 1 {
+            describe("twice_ours", &mine, figures);
+        }
+    }
+    for (key, _) in &means[..6] {
+        let same = means.iter().filter(|(k, _)| k == key);
+        figures.add(
+            key,
+            same.map(|(_, v)| v).sum::<f64>() / f64::from(seeds as u32),
+        );
+    }
+}
+
+/// The demand of each workspace at twice the load, as parts of the capacity.
+fn demands(setup: &Setup) -> Vec<f64> {
+    let sum: f64 = setup.workspaces.iter().sum();
+    setup.workspaces.iter().map(|w| 2.0 * w / sum).collect()
+}
+
+/// What the worst-off of the workspaces within their share gets of its demand.
+fn kept(outcome: &Outcome, demands: &[f64], level: f64) -> f64 {
+    let within = demands
+        .iter()
+        .zip(&outcome.shares)
+        .filter(|(d, _)| **d < 0.95 * level);
+    within
+        .map(|(_, (asked, got))| got / asked)
+        .fold(1.0, f64::min)
 }
 
 fn fair_level(demands: &[f64], whole: f64) -> f64 {
@@ -331,7 +409,13 @@
     low
 }
 
-fn jain(values: &[f64]) -> f64 {
+/// Jain's index over what the workspaces above their share get.
+fn jain(outcome: &Outcome, demands: &[f64], level: f64) -> f64 {
+    let over = demands
+        .iter()
+        .zip(&outcome.shares)
+        .filter(|(d, _)| **d > level);
+    let values: Vec<f64> = over.map(|(_, s)| s.1).collect();
     let sum: f64 = values.iter().sum();
     let squares: f64 = values.iter().map(|v| v * v).sum();
     sum * sum / (values.len() as f64 * squares)
@@ -363,17 +447,21 @@
     figures.add("flood_p99_vs_busy", flooded / waits(&busy));
 }
 
-/// A burst of three times the load, with callers that send again.
-fn burst(small: &Setup, full: f64, figures: &mut Figures) {
+fn burst_setup(small: &Setup, full: f64) -> Setup {
     let usual = 0.8 * full / small.tokens;
     let rates = vec![(0, usual), (20 * SECOND, 3.0 * usual), (30 * SECOND, usual)];
-    let setup = Setup {
+    Setup {
         rates,
         again: 5,
         deadline: 4 * SECOND,
         length: 100 * SECOND,
         ..small.clone()
-    };
+    }
+}
+
+/// A burst of three times the load, with callers that send again.
+fn burst(small: &Setup, full: f64, figures: &mut Figures) {
+    let setup = burst_setup(small, full);
     let before = |o: &Outcome| o.good[10..20].iter().sum::<f64>() / 10.0;
     let recovery = |o: &Outcome| {
         let level = 0.95 * before(o);
--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`members`]: fleets of membership's state machines, of three sizes.
 //! - [`capacity`]: what each role costs at the size of two years, from the benches' figures.
 //! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
+//! - [`plots`]: lines over an axis, drawn as SVG.
 //! - [`policies`]: the routing policies that are compared.
 //! - [`splits`]: the split of fleet-wide limits among entries, without servers.
 
 pub mod capacity;
 pub mod load;
 pub mod members;
+pub mod plots;
 pub mod policies;
 pub mod queue;
 pub mod report;
