--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -2,47 +2,41 @@
 //!
 //! The decisions stand in `snipemast_routing`; here they are held in shards under locks, and a
 //! request that waits gets its turn over a channel.
+//!
+//! - [`demand`]: what a request asks of admission.
+//! - [`turn`]: a lane with those who wait at it.
+//! - [`tell`]: the exchange of demands with other entries.
+
+pub mod demand;
+pub mod tell;
+mod turn;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use async_channel::{bounded, Receiver, Sender};
-use futures_lite::FutureExt;
+use async_channel::bounded;
 use parking_lot::Mutex;
-use serde::Deserialize;
 
 use snipemast_callers::problem::{Problem, ProblemKind};
-use snipemast_callers::{Ask, Target};
 use snipemast_config::Config;
 use snipemast_core::prelude::*;
-use snipemast_membership as gossip;
 use snipemast_routing::hash::stable;
 use snipemast_routing::{
-    Arrival, Called, Demands, Departure, Door, Held, Lane, LanePolicy, LaneStatus, LimitStatus,
-    Limiter, Part, Prefix, Priority, Reason, Refusal, Room, Summary, Ticket, Topic, Wanted, Wish,
-    WishPolicy, Wishes,
+    Arrival, Demands, Door, Held, LaneStatus, LimitStatus, Limiter, Part, Prefix, Reason, Refusal,
+    Room, Summary, Topic, Wanted, Wish, WishPolicy, Wishes,
 };
-use snipemast_wire::codec::{decode, encode};
 
 use crate::choose::Chooser;
 use crate::shared::Shared;
 
+pub use demand::Demand;
+pub use tell::tell_forever;
+use turn::{Entered, Gate, Waiting};
+
 /// The number of shards of lanes and of accounts.
 const SHARDS: usize = 8;
-/// The tokens that a request which names none is taken to ask for.
-const TOKENS: f64 = 256.0;
-/// The bytes of a prompt that count as its prefix.
-const PREFIX: usize = 512;
 /// How often lanes look whether room has come free elsewhere.
 const LOOK: Span = Span::from_millis(20);
-/// How often demands are told in a small fleet.
-const PACE: Span = Span::from_secs(1);
-/// How much longer that takes for each entry: the exchange has a budget of bytes.
-const PACE_EACH: Span = Span::from_millis(50);
-/// How many times the pace a told demand lives.
-const LIFE: u64 = 4;
-/// How often others' demands are looked at between two tellings.
-const HEARINGS: u64 = 4;
 /// How often demands are settled, in looks.
 const SETTLE: u64 = 50;
 
@@ -58,102 +52,6 @@
     wishes: Mutex<Wishes>,
 }
 
-/// A lane, and whom its tickets belong to.
-#[derive(Debug)]
-struct Gate {
-    lane: Lane,
-    turns: HashMap<Ticket, Sender<Turn>>,
-}
-
-type Turn = Result<(), Refusal>;
-
-/// What a request asks of admission.
-#[derive(Debug, Clone)]
-pub struct Demand {
-    /// Who pays.
-    pub workspace: WorkspaceId,
-    /// What it wants.
-    pub wanted: Wanted,
-    /// The tokens that it asks for.
-    pub tokens: f64,
-    /// The prefix of its prompt.
-    pub prefix: Option<Prefix>,
-    /// Its order within the workspace.
-    pub priority: Priority,
-    /// The time that it has.
-    pub left: Span,
-}
-
-impl Demand {
-    /// What a request asks for.
-    pub fn new(workspace: &WorkspaceId, wanted: &Wanted, ask: &Ask, left: Span) -> Self {
-        let shape = match &ask.target {
-            Target::Model { .. } => Shape::read(&ask.body),
-            Target::Plain { .. } => Shape::plain(),
-        };
-        let prefix = |text: &String| Prefix::new(workspace, head(text.as_bytes()));
-        Self {
-            workspace: workspace.clone(),
-            wanted: wanted.clone(),
-            tokens: shape.max_tokens.unwrap_or(TOKENS).max(1.0),
-            prefix: shape.text().map(prefix),
-            priority: Priority::Normal,
-            left,
-        }
-    }
-}
-
-impl Demand {
-    fn departure(&self, took: Option<Span>) -> Departure {
-        let workspace = self.workspace.clone();
-        // What the engine generated is not known here, so the whole is charged.
-        Departure {
-            workspace,
-            asked: self.tokens,
-            got: self.tokens,
-            took,
-        }
-    }
-}
-
-fn head(text: &[u8]) -> &[u8] {
-    &text[..text.len().min(PREFIX)]
-}
-
-/// The fields of a model request that admission looks at.
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct Shape {
-    max_tokens: Option<f64>,
-    prompt: Option<String>,
-    messages: Vec<Message>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct Message {
-    content: Option<String>,
-}
-
-impl Shape {
-    /// Another shape than these fields is the engine's matter; admission takes the usual.
-    fn read(body: &[u8]) -> Self {
-        serde_json::from_slice(body).unwrap_or_default()
-    }
-
-    fn plain() -> Self {
-        Self {
-            max_tokens: Some(1.0),
-            ..Self::default()
-        }
-    }
-
-    fn text(&self) -> Option<&String> {
-        let first = self.messages.first().and_then(|m| m.content.as_ref());
-        self.prompt.as_ref().or(first)
-    }
-}
-
 /// Lets a request in, at once or after a wait, or says why not.
 pub async fn admit(shared: &Shared, config: &Config, demand: Demand) -> Result<Admitted, Problem> {
     let admission = &shared.admission;
@@ -189,42 +87,6 @@
     }
 }
 
-/// Tells the other entries this one's demands, and takes theirs, again and again.
-pub async fn tell_forever(shared: Arc<Shared>) {
-    let admission = &shared.admission;
-    loop {
-        let entries = shared
-            .gossip
-            .look(|_, node| node.table().rows().len())
-            .unwrap_or_default();
-        let pace = admission.set_pace(entries as u64);
-        let summary = encode(&admission.summary());
-        shared
-            .gossip
-            .publish(&shared, gossip::Topic::Demand, summary, pace.times(LIFE));
-        for _ in 0..HEARINGS {
-            let part = Span::from_micros(pace.as_micros() / HEARINGS);
-            smol::Timer::after(part.as_duration()).await;
-            hear(&shared);
-        }
-    }
-}
-
-fn hear(shared: &Shared) {
-    for (_, value) in shared.gossip.values(gossip::Topic::Demand) {
-        // A value of a later release that can't be read is an entry that says nothing.
-        if let Ok(summary) = decode::<Summary>(&value) {
-            shared.admission.merge(&summary);
-        }
-    }
-    // Only a zone buries its own entries: one that is merely cut off keeps its part.
-    let buried = |_, node: &gossip::Node| node.table().tombs().keys().cloned().collect();
-    let gone: Vec<HostId> = shared.gossip.look(buried).unwrap_or_default();
-    for host in gone {
-        shared.admission.forget(&host);
-    }
-}
-
 impl Admission {
     /// The state of a process that has let nothing in yet.
     pub fn new(process: &ProcessId, chooser: Arc<Chooser>, journal: Journal) -> Self {
@@ -239,11 +101,9 @@
         }
     }
 
-    /// Fits the pace of the exchange to the number of entries, and returns it.
-    fn set_pace(&self, entries: u64) -> Span {
-        let pace = Span::from_micros(PACE.as_micros() + PACE_EACH.times(entries).as_micros());
+    /// Takes the time that a summary needs to reach every other entry.
+    pub fn set_pace(&self, pace: Span) {
         self.demands.lock().set_pace(pace);
-        pace
     }
 
     /// This entry's demands, for the membership exchange to carry about once a second.
@@ -462,83 +322,6 @@
     }
 }
 
-impl Gate {
-    fn new() -> Self {
-        Self {
-            lane: Lane::new(LanePolicy::default()),
-            turns: HashMap::new(),
-        }
-    }
-
-    fn call(&mut self, now: Moment, room: Room) {
-        while let Some(called) = self.lane.call(now, room) {
-            let (ticket, turn) = match called {
-                Called::Run(ticket) => (ticket, Ok(())),
-                Called::Refused(ticket, refusal) => (ticket, Err(refusal)),
-            };
-            if let Some(sender) = self.turns.remove(&ticket) {
-                // The receiver counts the request as ended where it can't take its turn.
-                let _ = sender.try_send(turn);
-            }
-        }
-    }
-}
-
-#[derive(Debug)]
-enum Entered {
-    Open,
-    Wait(Waiting),
-}
-
-/// A request that waits; dropped, it leaves its place.
-#[derive(Debug)]
-struct Waiting {
-    admission: Arc<Admission>,
-    demand: Demand,
-    ticket: Ticket,
-    turn: Receiver<Turn>,
-    called: bool,
-}
-
-impl Waiting {
-    /// Waits for the turn, at most as long as the request has.
-    ///
-    /// A request that is given up gets its final answer at once: its caller would hold on to a
-    /// connection for nothing.
-    async fn turn(mut self, left: Span) -> Result<(), Refusal> {
-        let late = Refusal {
-            reason: Reason::Deadline,
-            retry: Span::from_secs(1),
-        };
-        let called = async { self.turn.recv().await.unwrap_or(Err(late)) };
-        let timer = async {
-            smol::Timer::after(left.as_duration()).await;
-            Err(late)
-        };
-        let turn = called.or(timer).await;
-        self.called = turn.is_ok();
-        turn
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        if self.called {
-            return;
-        }
-        let mut lanes = self.admission.lanes[lane_of(&self.demand.wanted)].lock();
-        let Some(gate) = lanes.get_mut(&self.demand.wanted) else {
-            return;
-        };
-        if gate.turns.remove(&self.ticket).is_some() {
-            gate.lane.give_up(self.ticket);
-        } else if matches!(self.turn.try_recv(), Ok(Ok(()))) {
-            // The turn came just as its caller left: the slot must not stay taken.
-            gate.lane.depart(&self.demand.departure(None));
-        }
-    }
-}
-
 /// A request that was let in; it counts until this is dropped.
 #[derive(Debug)]
 pub struct Admitted {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Choice of server, limits and overload decisions.
 //!
 //! - [`wanted`]: what a backend server must offer to answer a request.
+//! - [`query`]: what is asked of the choice, and what it says.
 //! - [`router`]: the choice of a server for one request.
 //! - [`load`]: a server's load, from reports that lag.
 //! - [`health`]: suspicion, ejection, slow start.
@@ -19,6 +20,7 @@
 mod pick;
 mod pool;
 mod server;
+mod upkeep;
 
 pub mod bucket;
 pub mod demand;
@@ -29,6 +31,7 @@
 pub mod limiter;
 pub mod load;
 pub mod prefix;
+pub mod query;
 pub mod refusal;
 pub mod router;
 pub mod status;
@@ -43,8 +46,9 @@
 pub use limiter::{Limiter, Part};
 pub use pool::{Near, Place, SpillPolicy};
 pub use prefix::{Prefix, PrefixPolicy};
+pub use query::{Cause, Choice, NoServer, Notice, Policy, Query, Slot};
 pub use refusal::{Reason, Refusal};
-pub use router::{Cause, Choice, NoServer, Notice, Policy, Query, Router, Slot};
+pub use router::Router;
 pub use server::Facts;
 pub use status::{Held, LaneStatus, LimitStatus};
 pub use subset::Seat;
--- a/crates/routing/src/pick.rs
+++ b/crates/routing/src/pick.rs
@@ -5,7 +5,7 @@
 use crate::hash::{below, mix};
 use crate::pool::{Means, Near, Pool, Tier};
 use crate::prefix::{Hints, Prefix};
-use crate::router::{Choice, Policy, Query, Slot};
+use crate::query::{Choice, Policy, Query, Slot};
 use crate::server::Server;
 
 /// The time without progress that counts as a stall where nothing is known of the pool yet.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -5,160 +5,31 @@
 use snipemast_core::prelude::*;
 
 use crate::hash::{mix, stable};
-use crate::health::{Ended, Health, HealthPolicy};
+use crate::health::{Ended, Health};
 use crate::load::Load;
-use crate::pick::{group_steps, means, View};
-use crate::pool::{Near, Place, Pool, SpillPolicy, TIERS};
+use crate::pick::View;
+use crate::pool::{Place, Pool};
 use crate::prefix::{Hints, Prefix, PrefixPolicy};
+use crate::query::{Cause, Choice, NoServer, Notice, Policy, Query, Slot};
 use crate::server::{Facts, Server};
 use crate::subset::Seat;
 use crate::wanted::Wanted;
 
-/// How servers are weighed.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Policy {
-    /// How many servers are drawn and compared.
-    pub draws: usize,
-    /// The age at which half of a report's word on other entries is believed.
-    pub fade: Span,
-    /// How old a tier's means may be.
-    pub refresh: Span,
-    /// When a server is held for ill.
-    pub health: HealthPolicy,
-    /// When requests spill into another zone.
-    pub spill: SpillPolicy,
-    /// How far a cached prefix may draw requests.
-    pub prefix: PrefixPolicy,
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            draws: 2,
-            fade: Span::from_millis(1_000),
-            refresh: Span::from_millis(20),
-            health: HealthPolicy::default(),
-            spill: SpillPolicy::default(),
-            prefix: PrefixPolicy::default(),
-        }
-    }
-}
-
-/// A server's position in the table; it is reused after the server left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Slot(pub(crate) u32);
-
-/// What is asked of the choice.
-#[derive(Debug, Clone, Copy)]
-pub struct Query<'a> {
-    /// What the server must offer.
-    pub wanted: &'a Wanted,
-    /// What its engine must be able to do.
-    pub needs: Capabilities,
-    /// The prompt's prefix.
-    pub prefix: Option<Prefix>,
-    /// The servers that were tried and are left out.
-    pub tried: &'a [ProcessId],
-    /// Whether requests wait at the entry.
-    pub backlog: bool,
-}
-
-impl<'a> Query<'a> {
-    /// Asks for a server that offers this.
-    pub fn new(wanted: &'a Wanted) -> Self {
-        Self {
-            wanted,
-            needs: Capabilities::default(),
-            prefix: None,
-            tried: &[],
-            backlog: false,
-        }
-    }
-
-    /// Prefers a server that has this prefix in its cache.
-    #[must_use]
-    pub fn with_prefix(mut self, prefix: Option<Prefix>) -> Self {
-        self.prefix = prefix;
-        self
-    }
-
-    /// Leaves out the servers that were tried.
-    #[must_use]
-    pub fn with_tried(mut self, tried: &'a [ProcessId]) -> Self {
-        self.tried = tried;
-        self
-    }
-
-    /// Says whether requests wait at the entry.
-    #[must_use]
-    pub fn with_backlog(mut self, backlog: bool) -> Self {
-        self.backlog = backlog;
-        self
-    }
-
-    /// Asks for a server whose engine can do this.
-    #[must_use]
-    pub fn with_needs(mut self, needs: Capabilities) -> Self {
-        self.needs = needs;
-        self
-    }
-}
-
-/// A server that was chosen.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Choice {
-    /// The server.
-    pub slot: Slot,
-    /// Requests that run or wait there, a slot, as far as one can tell.
-    pub load: f64,
-    /// How near it is.
-    pub near: Near,
-}
-
-/// Why no server was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoServer {
-    /// Nothing offers it.
-    Unloaded,
-    /// What offers it is draining, suspect, ejected, unable or tried.
-    Unfit,
-}
-
-/// Something that an operator should see.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Notice {
-    /// A server was ejected.
-    Ejected(ServerId, Cause),
-    /// A server came back from its ejection.
-    Returned(ServerId),
-    /// Requests begin to spill out of a tier, or stop.
-    Spilled(Near, bool),
-}
-
-/// Why a server was ejected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// It failed requests in a row.
-    Failures,
-    /// It has work and shows no progress.
-    Stalled,
-}
-
 /// One entry's table of servers, and the choice among them.
 #[derive(Debug)]
 pub struct Router {
     pub(crate) policy: Policy,
     pub(crate) servers: Vec<Option<Server>>,
     pub(crate) pools: HashMap<Wanted, Pool>,
-    place: Place,
-    seat: Option<Seat>,
-    hosts: BTreeMap<HostId, u32>,
+    pub(crate) place: Place,
+    pub(crate) seat: Option<Seat>,
+    pub(crate) hosts: BTreeMap<HostId, u32>,
     groups: BTreeMap<GroupId, u32>,
-    group_steps: Vec<f64>,
+    pub(crate) group_steps: Vec<f64>,
     hints: Hints,
     seed: u64,
     count: u64,
-    notices: Vec<Notice>,
+    pub(crate) notices: Vec<Notice>,
 }
 
 impl Router {
@@ -399,27 +270,6 @@
         }
     }
 
-    /// Whether each pool of the server would keep enough of its servers.
-    ///
-    /// Where something common to all makes requests fail, every server looks ill; ejecting them
-    /// all would turn slow answers into none. The share bounds what a wrong verdict can cost.
-    fn may_eject(&self, now: Moment, at: u32) -> bool {
-        self.pools.values().all(|pool| {
-            let mut of_pool = pool.tiers.iter().flat_map(|t| &t.list);
-            if !of_pool.clone().any(|&n| n == at) {
-                return true;
-            }
-            let out = |n: u32| {
-                self.servers[n as usize]
-                    .as_ref()
-                    .is_some_and(|s| s.health.is_ejected(now))
-            };
-            let bound = (pool.len() as f64 * self.policy.health.share) as usize;
-            let count = of_pool.by_ref().filter(|&&n| out(n)).count();
-            count < bound
-        })
-    }
-
     fn server_mut(&mut self, slot: Slot) -> Option<&mut Server> {
         self.servers.get_mut(slot.0 as usize)?.as_mut()
     }
@@ -444,66 +294,4 @@
         self.group_steps.resize(self.groups.len(), 0.0);
         at
     }
-
-    /// Builds the pools' lists anew: rare, so it may take its time.
-    fn relist(&mut self) {
-        let spilling: HashMap<Wanted, [bool; TIERS]> = self
-            .pools
-            .drain()
-            .map(|(wanted, pool)| (wanted, pool.tiers.each_ref().map(|t| t.spilling)))
-            .collect();
-        // In the order of names, so that all entries shuffle the same list.
-        for &at in self.hosts.values() {
-            let Some(server) = &self.servers[at as usize] else {
-                continue;
-            };
-            let near = Near::of(&self.place, server) as usize;
-            for wanted in server.wanted() {
-                let pool = self.pools.entry(wanted).or_default();
-                pool.tiers[near].list.push(at);
-            }
-        }
-        for (wanted, pool) in &mut self.pools {
-            for (n, tier) in pool.tiers.iter_mut().enumerate() {
-                tier.spilling = spilling.get(wanted).is_some_and(|s| s[n]);
-                let all = tier.list.len() as f64;
-                if let Some(seat) = self.seat {
-                    seat.cut(&mut tier.list);
-                }
-                let seed = |at: &u32| self.servers[*at as usize].as_ref().map_or(0, |s| s.seed);
-                tier.seeds = tier.list.iter().map(seed).collect();
-                tier.cut = all / (tier.list.len() as f64).max(1.0);
-            }
-        }
-    }
-
-    /// Works out the means of a pool's tiers where they are too old.
-    fn refresh(&mut self, now: Moment, wanted: &Wanted) {
-        let Some(pool) = self.pools.get_mut(wanted) else {
-            return;
-        };
-        let due = |m: Moment| now.since(m) >= self.policy.refresh;
-        if !pool.refreshed.is_none_or(due) {
-            return;
-        }
-        pool.refreshed = Some(now);
-        for server in pool.tiers.iter().flat_map(|t| &t.list) {
-            let Some(server) = self.servers[*server as usize].as_mut() else {
-                continue;
-            };
-            if server.health.take_return(now) {
-                let id = server.facts.info.server.clone();
-                self.notices.push(Notice::Returned(id));
-            }
-        }
-        group_steps(&mut self.group_steps, &self.servers, pool);
-        for (near, tier) in Near::ALL.into_iter().zip(&mut pool.tiers) {
-            let listed = tier.list.iter();
-            let servers = listed.filter_map(|&at| self.servers[at as usize].as_ref());
-            tier.means = means(servers, now);
-            if let Some(spilling) = tier.judge(&self.policy.spill) {
-                self.notices.push(Notice::Spilled(near, spilling));
-            }
-        }
-    }
 }
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -195,21 +195,18 @@
 
 #[test]
 fn refused_uncharged() {
-    // Requests that are refused for one limit must not use up another.
+    // Requests that are refused for one limit must not use up another: their tokens were never
+    // generated, and the workspace would pay for them with its next requests.
     let limits = Limits {
-        requests: Some(Rate::per_second(1)),
-        tokens: Some(Rate::per_second(1_000)),
+        requests: Some(Rate::per_second(2)),
+        tokens: Some(Rate::per_second(90)),
         ..Limits::default()
     };
     let mut limiter = Limiter::new();
-    for _ in 0..100 {
-        let _ = limiter.admit(CALM, &workspace("w"), &limits, WHOLE, 10.0);
-    }
-    let later = CALM + Span::from_secs(1);
-    assert_eq!(
-        limiter.admit(later, &workspace("w"), &limits, WHOLE, 90.0),
-        Ok(())
-    );
+    let mut admit = |now, tokens| limiter.admit(now, &workspace("w"), &limits, WHOLE, tokens);
+    assert!(admit(CALM, 1.0).is_ok());
+    assert!(admit(CALM, 200.0).is_err_and(|r| r.reason == Reason::Requests));
+    assert_eq!(admit(CALM + Span::from_millis(500), 1.0), Ok(()));
 }
 
 #[test]
