--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -61,8 +61,11 @@
         // Writing into a string never fails.
         let _ = writeln!(text, "{}", line.trim_end());
     }
-    for address in &timeline.unreachable {
-        let _ = writeln!(text, "no events of {address}: it did not answer");
+    for process in &timeline.unreachable {
+        let _ = writeln!(text, "no events of {process}: it did not answer");
+    }
+    if timeline.more {
+        let _ = writeln!(text, "there are more: ask with --since or --request");
     }
     text
 }
