--- a/crates/benches/benches/path.rs
+++ b/crates/benches/benches/path.rs
@@ -47,6 +47,8 @@
         eprintln!("path: {e}");
         std::process::exit(1);
     }
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    figures.add("cores", cores as f64);
     figures.print(args);
 }
 
