--- a/crates/groups/tests/agreement.rs
+++ b/crates/groups/tests/agreement.rs
@@ -5,7 +5,7 @@
 use common::{map, proposal, Packet, World};
 use snipemast_core::prelude::*;
 use snipemast_groups::agree::{
-    Attempt, Decided, LeadMessage, Margin, PeerMessage, RankInput, RankMessage, RankOutput,
+    Attempt, Decided, LeadMessage, Margin, Origin, PeerMessage, RankInput, RankMessage, RankOutput,
     Refusal, Verdict,
 };
 
@@ -302,3 +302,118 @@
     assert_eq!(world.group.last().unwrap().1, MapVersion::new(2));
     assert_eq!(world.group.torn(), None);
 }
+
+/// Proposes map 2 and delivers everything but what is lost.
+fn propose_losing(world: &mut World, lost: impl Fn(&Packet) -> bool) {
+    world.propose(0, proposal(1, 1, 2));
+    while let Some(packet) = world.sent.pop() {
+        if !lost(&packet) {
+            world.deliver(packet);
+        }
+    }
+}
+
+fn prepares(packet: &Packet, rank: u32) -> bool {
+    matches!(packet, Packet::ToRank(to, LeadMessage::Prepare { .. }) if *to == rank)
+}
+
+#[test]
+fn missing_promise_aborts() {
+    // One rank's agent stalls and does not promise. The others must not wait for it at the
+    // switch: the abort comes before.
+    let mut world = World::new(3, Margin::default());
+    world.form();
+    run(&mut world, 2);
+    propose_losing(&mut world, |p| prepares(p, 2));
+    let attempt = world.agents[1].pending().expect("rank 1 has promised");
+    abort(&mut world, attempt);
+    world.settle();
+    run(&mut world, 100);
+    assert_eq!(world.held, 0);
+    assert_eq!(world.group.last().unwrap().1, MapVersion::new(1));
+}
+
+#[test]
+fn unpromised_map_dropped() {
+    // One rank has promised, another has not, and the lead dies. The map can't have been
+    // committed: it must not come into force by the back door of a new incarnation.
+    let mut world = World::new(3, Margin::default());
+    world.form();
+    run(&mut world, 2);
+    propose_losing(&mut world, |p| prepares(p, 2));
+    world.restart_agent(0);
+    world.show_all();
+    world.rank(0, RankInput::Appointed);
+    world.settle();
+    run(&mut world, 20);
+    assert_eq!(world.group.last().unwrap().1, MapVersion::new(1));
+}
+
+#[test]
+fn second_attempt_refused() {
+    // A lead that skipped the recovery of an attempt asks for another promise: the rank has
+    // promised already and can't promise twice.
+    let mut world = World::new(3, Margin::default());
+    world.form();
+    run(&mut world, 2);
+    propose_losing(&mut world, |p| {
+        matches!(p, Packet::ToRank(2, LeadMessage::Decide { .. }))
+    });
+    let open = world.agents[2].pending().expect("rank 2 waits");
+    let reign = open.reign.succeeded(1, Incarnation::new(1));
+    let version = MapVersion::new(9);
+    let origin = Origin::Control(Fence::new(1));
+    let map = map(2);
+    world.rank(2, RankInput::Lead(LeadMessage::Ask { reign }));
+    let load = LeadMessage::Load {
+        reign,
+        origin,
+        version,
+        map,
+    };
+    world.rank(2, RankInput::Lead(load));
+    let attempt = Attempt {
+        reign,
+        version,
+        switch: Step::new(900),
+    };
+    let out = world.agents[2].handle(RankInput::Lead(LeadMessage::Prepare { attempt }));
+    let refusal = Refusal::Busy(open);
+    let refused = RankOutput::ToLead(reign, RankMessage::Refused { refusal });
+    assert_eq!(out, [refused]);
+}
+
+#[test]
+fn failed_start_bounds() {
+    // A start of the group failed after this rank promised it; another rank may have begun it,
+    // and its permits may still be under way. The next start must lie past them.
+    let mut world = World::new(3, Margin::default());
+    world.form();
+    let reign = world.agents[2].reign().reformed(1, Incarnation::new(1));
+    let origin = Origin::Recovery;
+    let (version, map) = (MapVersion::new(1), map(1));
+    let switch = Step::new(500);
+    let attempt = Attempt {
+        reign,
+        version,
+        switch,
+    };
+    let load = LeadMessage::Load {
+        reign,
+        origin,
+        version,
+        map,
+    };
+    world.rank(2, RankInput::Lead(LeadMessage::Ask { reign }));
+    world.rank(2, RankInput::Lead(load));
+    world.rank(2, RankInput::Lead(LeadMessage::Prepare { attempt }));
+    assert_eq!(world.agents[2].pending(), Some(attempt));
+    let next = reign.reformed(0, Incarnation::new(1));
+    let out = world.agents[2].handle(RankInput::Lead(LeadMessage::Ask { reign: next }));
+    let permitted = out.iter().find_map(|o| match o {
+        RankOutput::ToLead(_, RankMessage::Report(report)) => Some(report.permitted),
+        _ => None,
+    });
+    let past = Step::new(switch.get() + world.margin.window);
+    assert!(permitted >= Some(past), "{permitted:?}");
+}
--- a/crates/groups/tests/matrix.rs
+++ b/crates/groups/tests/matrix.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 
-use common::sim::{judge, Fault, Strike, Verdict};
+use common::sim::{judge, Fault, Sim, Strike, Verdict};
 
 /// Messages between agents in a run without faults: load, loaded, prepare, promise, decide,
 /// settled, for three ranks.
@@ -47,6 +47,23 @@
     assert_eq!(sim.world.held, 0);
 }
 
+#[test]
+fn first_try() {
+    // In ordinary running a switch lies far enough ahead: no attempt is refused as too near and
+    // made again under another version, and no step is held.
+    for seed in 0..50 {
+        let mut sim = Sim::new(3, seed, &[]);
+        sim.run_until(300_000);
+        let versions = sim
+            .world
+            .agents
+            .iter()
+            .map(|a| a.standing().map(|s| s.version.get()));
+        assert!(versions.into_iter().all(|v| v == Some(2)));
+        assert_eq!((sim.world.held, sim.world.rejected), (0, 0));
+    }
+}
+
 #[test]
 fn single_faults() {
     let cells = singles();
