--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry host process: takes callers' requests and brings back whole answers.
 //!
+//! - [`admit`]: limits, fair shares and early refusal.
 //! - [`process`]: start, drain, stop.
 //! - [`shared`]: what all requests of the process share.
 //! - [`gossip`]: the shell around membership.
@@ -12,12 +13,15 @@
 //! - [`own`]: the interface towards the system's own processes.
 //! - [`control`]: the control role of this host, or the way to a host that has it.
 //! - [`desk`]: the interface towards operators.
+//! - [`metrics`]: reports the metrics, again and again.
+//! - [`timeline`]: collects the events of every process that this one knows.
 //! - [`follow`]: keeps up with the configuration of other hosts.
 //! - [`orders`]: orders of the control leader.
 //! - [`spread`]: passes the configuration on.
 //! - [`copy`]: the local copy of the configuration, on hosts with a disk.
 //! - [`voter`]: the control role: one voter of the replicated log.
 
+pub mod admit;
 pub mod attempt;
 pub mod choose;
 pub mod control;
@@ -27,6 +31,7 @@
 pub mod front;
 pub mod gossip;
 pub mod keys;
+pub mod metrics;
 pub mod orders;
 pub mod own;
 pub mod process;
@@ -34,6 +39,7 @@
 pub mod relay;
 pub mod shared;
 pub mod spread;
+pub mod timeline;
 pub mod voter;
 
 pub use process::{Entry, EntryError};
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -9,9 +9,11 @@
 use trillium::Handler;
 
 use snipemast_core::prelude::*;
+use snipemast_platform::metrics::Metrics;
 use snipemast_settings::EntrySettings;
 use snipemast_wire::{listen, spawn, Listening, Stamped};
 
+use crate::admit::{admit_forever, tell_forever};
 use crate::choose::sync_forever;
 use crate::control::{attest_forever, Control};
 use crate::copy::{keep_forever, Copy};
@@ -20,12 +22,11 @@
 use crate::front::Front;
 use crate::gossip::gossip_forever;
 use crate::keys::keep_keys_forever;
+use crate::metrics::report_forever;
 use crate::orders::order_forever;
 use crate::own::Own;
 use crate::shared::Shared;
-
-/// How long a draining host still takes requests, until the balancer has noticed.
-const GRACE: Span = Span::from_millis(200);
+use crate::timeline::TimelineHandler;
 
 /// How long the last word to the other entries may take.
 const FAREWELL: Span = Span::from_millis(100);
@@ -40,6 +41,8 @@
     Bind(SocketAddr),
     /// The control role can't begin.
     Control,
+    /// Metrics can't be sent to the address.
+    Metrics(SocketAddr),
 }
 
 impl fmt::Display for EntryError {
@@ -47,6 +50,7 @@
         match self {
             Self::Bind(address) => write!(f, "{address} can't be bound"),
             Self::Control => f.write_str("the control role can't begin"),
+            Self::Metrics(address) => write!(f, "metrics can't be sent to {address}"),
         }
     }
 }
@@ -92,7 +96,7 @@
         shared.gossip.begin(&shared, own.address());
         let callers = bind(settings.callers, Front::new(Arc::clone(&shared))).await?;
         let operators = match settings.operators {
-            Some(address) => Some(bind(address, Desk::new(Arc::clone(&shared))).await?),
+            Some(address) => Some(bind(address, operators(&shared)).await?),
             None => None,
         };
         shared
@@ -104,8 +108,15 @@
         let attest = spawn(attest_forever(Arc::clone(&shared)));
         let order = spawn(order_forever(Arc::clone(&shared)));
         let keys = spawn(keep_keys_forever(Arc::clone(&shared)));
-        let mut tasks = vec![follow, gossip, sync, attest, order, keys];
+        let admit = spawn(admit_forever(Arc::clone(&shared)));
+        let tell = spawn(tell_forever(Arc::clone(&shared)));
+        let mut tasks = vec![follow, gossip, sync, attest, order, keys, admit, tell];
         tasks.extend(copy.map(|copy| spawn(keep_forever(Arc::clone(&shared), copy))));
+        if let Some(address) = shared.settings.statsd {
+            let metrics = Metrics::new(address, &shared.settings.host);
+            let metrics = metrics.change_context(EntryError::Metrics(address))?;
+            tasks.push(spawn(report_forever(Arc::clone(&shared), metrics)));
+        }
         Ok(Self {
             shared,
             callers,
@@ -137,9 +148,12 @@
 
     /// Drains, waits until every answer is whole or the bound has passed, and ends.
     ///
-    /// Failure guarded against: an answer that is complete here and cut on its last bytes, or a
-    /// peer that goes on talking to a process that has ended, over a connection that stays open.
-    /// The listeners close their idle connections and end only after the last byte was written.
+    /// Failure guarded against: an answer that is cut by a planned restart, or a peer that goes on
+    /// talking to a process that has ended, over a connection that stays open. They show as a
+    /// broken connection at the caller, and as silence at the peer. In this order it can't happen
+    /// within the bound: the platform's balancer is told first, and new requests are still taken
+    /// while it finds out; then nothing new is taken; then the callers' listener ends, which waits
+    /// until the last byte of each answer is written; and only then goes what they came over.
     pub async fn stop(self) {
         let Self {
             shared,
@@ -150,11 +164,10 @@
         } = self;
         shared.drain();
         shared.spread.close();
-        // The balancer needs a moment to read that this host is not ready any more.
-        smol::Timer::after(GRACE.as_duration()).await;
+        smol::Timer::after(shared.settings.limits.notice.as_duration()).await;
+        shared.close();
         let bound = shared.settings.limits.shutdown;
-        let written = callers.stop_within(bound).await && wait_empty(&shared).await;
-        let event = match written {
+        let event = match callers.stop_within(bound).await {
             true => Event::ProcessEnded,
             false => Event::DrainExpired,
         };
@@ -189,20 +202,14 @@
     }
 }
 
+/// What operators reach: the time line first, and the desk for everything else.
+fn operators(shared: &Arc<Shared>) -> impl Handler {
+    let timeline = TimelineHandler::new(Arc::clone(shared));
+    (timeline, Desk::new(Arc::clone(shared)))
+}
+
 async fn bind(address: SocketAddr, handler: impl Handler) -> Result<Listening> {
     listen(address, handler)
         .await
         .change_context(EntryError::Bind(address))
 }
-
-async fn wait_empty(shared: &Shared) -> bool {
-    let clock = Clock::new();
-    let bound = clock.now() + shared.settings.limits.shutdown;
-    while shared.running() > 0 {
-        if clock.now() > bound {
-            return false;
-        }
-        smol::Timer::after(Span::from_millis(10).as_duration()).await;
-    }
-    true
-}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -12,6 +12,7 @@
 use snipemast_routing::Wanted;
 use snipemast_wire::{Call, Header, PipeWriter};
 
+use crate::admit::{admit, Admitted, Demand};
 use crate::attempt::{Order, Run, Step};
 use crate::shared::{InFlight, Shared};
 
@@ -24,6 +25,8 @@
 const ATTEMPTS: u32 = 3;
 /// The longest body that is held for a caller that doesn't stream.
 const HELD_BODY: usize = 32 << 20;
+/// How long a caller may take nothing before it counts as gone.
+const STALL: Span = Span::from_secs(30);
 /// The bytes of pieces that go to a caller at once.
 const BATCH: usize = 16 << 10;
 
@@ -43,6 +46,7 @@
 pub struct Rest {
     shared: Arc<Shared>,
     run: Run,
+    admitted: Admitted,
     _running: InFlight,
 }
 
@@ -52,13 +56,15 @@
     config: &Config,
     workspace: WorkspaceId,
     ask: Ask,
+    request: RequestId,
 ) -> Result<Begun> {
-    let request = shared.next_request();
     shared
         .journal
         .record(Event::RequestReceived, &request, ask.target.service());
     let (wanted, idempotent) = wanted(config, &ask)?;
     let running = shared.enter();
+    let demand = Demand::new(&workspace, &wanted, &ask, shared.settings.limits.deadline);
+    let admitted = admit(shared, config, demand).await?;
     let plan = plan(shared, &ask, idempotent);
     let key = ask.key.clone();
     let fingerprint = Fingerprint::of(&workspace, ask.method.as_str(), &ask.path, &ask.body);
@@ -66,6 +72,7 @@
         request,
         workspace,
         wanted,
+        prefix: admitted.prefix(),
         key,
         fingerprint,
         call: call(config, ask)?,
@@ -77,6 +84,7 @@
                 let rest = Rest {
                     shared: Arc::clone(shared),
                     run,
+                    admitted,
                     _running: running,
                 };
                 return Ok(Begun {
@@ -198,7 +206,10 @@
                 Step::Head(..) => {}
                 Step::Data(bytes) if body.is_empty() => body = bytes,
                 Step::Data(bytes) => body.extend_from_slice(&bytes),
-                Step::End => return Ok(body),
+                Step::End => {
+                    self.admitted.finish();
+                    return Ok(body);
+                }
                 Step::Failed(verdict) => return Err(problem(verdict)),
             }
         }
@@ -216,11 +227,11 @@
                 Some(Step::Head(..)) => {}
                 Some(Step::Data(bytes)) => {
                     let batch = self.batch(bytes);
-                    if out.send(batch).await.is_err() {
+                    if !taken(&out, batch).await {
                         return self.run.leave();
                     }
                 }
-                Some(Step::End) => return,
+                Some(Step::End) => return self.admitted.finish(),
                 Some(Step::Failed(verdict)) => return self.break_off(verdict, &out).await,
                 None => return self.run.leave(),
             }
@@ -253,6 +264,19 @@
     }
 }
 
+/// Gives a caller the next bytes; false where it left or has taken nothing for too long.
+///
+/// Failure guarded against: a caller that is connected and reads no more. It shows as requests
+/// that never end and engines that wait for them; the request is cancelled instead.
+async fn taken(out: &PipeWriter, bytes: Vec<u8>) -> bool {
+    let sent = async { out.send(bytes).await.is_ok() };
+    let stalled = async {
+        smol::Timer::after(STALL.as_duration()).await;
+        false
+    };
+    sent.or(stalled).await
+}
+
 /// A verdict in the form that callers get.
 pub fn problem(verdict: Verdict) -> Problem {
     let Verdict { reason, outcome } = verdict;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Choice of server, limits and overload decisions.
 //!
 //! - [`wanted`]: what a backend server must offer to answer a request.
+//! - [`query`]: what is asked of the choice, and what it says.
 //! - [`router`]: the choice of a server for one request.
 //! - [`load`]: a server's load, from reports that lag.
 //! - [`health`]: suspicion, ejection, slow start.
@@ -11,7 +12,6 @@
 //! - [`limiter`]: each workspace's upper bounds.
 //! - [`demand`]: the split of fleet-wide limits among entries.
 //! - [`bucket`]: token buckets, and rates that fade.
-//! - [`budget`]: the budget for retries and hedges.
 //! - [`refusal`]: why a request is not let in, and when to come back.
 //! - [`wish`]: orders to load what nothing has loaded.
 //! - [`status`]: who is held back, and why.
@@ -20,9 +20,9 @@
 mod pick;
 mod pool;
 mod server;
+mod upkeep;
 
 pub mod bucket;
-pub mod budget;
 pub mod demand;
 pub mod fair;
 pub mod hash;
@@ -31,6 +31,7 @@
 pub mod limiter;
 pub mod load;
 pub mod prefix;
+pub mod query;
 pub mod refusal;
 pub mod router;
 pub mod status;
@@ -38,7 +39,6 @@
 pub mod wanted;
 pub mod wish;
 
-pub use budget::Budget;
 pub use demand::{Demands, Summary, Topic};
 pub use fair::{Priority, Ticket};
 pub use health::{Ended, HealthPolicy};
@@ -46,8 +46,9 @@
 pub use limiter::{Limiter, Part};
 pub use pool::{Near, Place, SpillPolicy};
 pub use prefix::{Prefix, PrefixPolicy};
+pub use query::{Cause, Choice, NoServer, Notice, Policy, Query, Slot};
 pub use refusal::{Reason, Refusal};
-pub use router::{Cause, Choice, NoServer, Notice, Policy, Query, Router, Slot};
+pub use router::Router;
 pub use server::Facts;
 pub use status::{Held, LaneStatus, LimitStatus};
 pub use subset::Seat;
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -75,12 +75,18 @@
         pub lease: Span,
         /// How long a key's claim and a request's suspicion are remembered.
         pub hold: Span,
+        /// How long a leaving host still takes requests, so that the balancer hears of it first.
+        pub notice: Span,
         /// How long a shutdown waits for requests in flight.
         pub shutdown: Span,
         /// How long a connection may be silent before it counts as dead.
         pub silence: Span,
         /// How many events the ring keeps.
         pub events: u32,
+        /// How many threads run the process's tasks; 0 for one a core.
+        pub threads: u32,
+        /// How much is logged: `info`, or `debug` for the events of single requests too.
+        pub log: LogLevel,
     }
 }
 
@@ -91,9 +97,12 @@
             deadline: Span::from_secs(120),
             lease: Span::from_secs(3),
             hold: Span::from_secs(300),
+            notice: Span::from_secs(2),
             shutdown: Span::from_secs(60),
             silence: Span::from_secs(2),
             events: 4_096,
+            threads: 0,
+            log: LogLevel::Info,
         }
     }
 }
@@ -166,6 +175,10 @@
             let why = "a request must outlive one dead connection";
             faults.push(Fault::below("limits.deadline", self.silence, why));
         }
+        if self.hold < self.deadline {
+            let why = "a key must outlive every attempt that was made for it";
+            faults.push(Fault::below("limits.hold", self.deadline, why));
+        }
         if self.body == Size::default() {
             let kind = FaultKind::TooSmall("1B".into(), "no request would fit");
             faults.push(Fault::new("limits.body", kind));
