--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`control`]: the messages between voters.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: messages between the agents of a group and towards their engines.
+//! - [`gossip`]: how membership travels.
 //! - [`order`]: orders to backend servers, and the fencing numbers that they carry.
 //! - [`gossip`]: how membership travels.
 //! - [`gossip`]: how membership travels.
