Refuse a control role without a folder for its log

Cause: the folder became optional for demonstrations, and a settings file without it passed. Change: it is missing unless the log is said to be forgetful, which only a single voter may be. Conclusion: missing_inside failed without it and passes with it.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -146,6 +146,14 @@
 impl ControlSettings {
     fn conflicts(&self, own: SocketAddr) -> Vec<Fault> {
         let mut faults = peers("control.voters", &self.voters);
+        if self.data.is_none() && !self.forgetful {
+            faults.push(Fault::new("control.data", FaultKind::Missing));
+        }
+        if self.forgetful && self.voters.len() > 1 {
+            let why = "voters that forget could elect two leaders";
+            let kind = FaultKind::TooLarge("1".into(), why);
+            faults.push(Fault::new("control.voters", kind));
+        }
         if self.voters.len().is_multiple_of(2) {
             let kind = FaultKind::Even(self.voters.len());
             faults.push(Fault::new("control.voters", kind));
