--- a/crates/agent/src/process.rs
+++ b/crates/agent/src/process.rs
@@ -17,6 +17,7 @@
 use crate::gate::{Gate, GateHandler};
 use crate::metrics::report_forever;
 use crate::orders::desk::{OrderDesk, OrderHandler};
+use crate::rank::{RankHandler, RankShell};
 
 /// How long entries may take to hear of a drain before the agent looks whether it is idle.
 const SPREAD: Span = Span::from_millis(200);
@@ -59,6 +60,7 @@
     learning: Vec<Task<()>>,
     shutdown: Span,
     reporting: Option<Task<()>>,
+    rank: Option<Arc<RankShell>>,
 }
 
 impl Agent {
@@ -91,7 +93,11 @@
             gate.journal().clone(),
         );
         let desk = Arc::new(desk);
+        let rank = info.rank.clone().map(|place| {
+            RankShell::new(place, incarnation, settings.server, gate.journal().clone())
+        });
         let handler = (
+            rank.clone().map(RankHandler::new),
             OrderHandler::new(Arc::clone(&desk)),
             GateHandler::new(Arc::clone(&gate)),
         );
@@ -124,6 +130,7 @@
             learning,
             shutdown,
             reporting,
+            rank,
         })
     }
 
@@ -137,6 +144,11 @@
         &self.gate
     }
 
+    /// The rank's part in its group, where the backend server is a rank.
+    pub fn rank(&self) -> Option<&Arc<RankShell>> {
+        self.rank.as_ref()
+    }
+
     /// The gate for orders, and what the agent knows of the configuration.
     pub fn orders(&self) -> &Arc<OrderDesk> {
         &self.orders
@@ -165,6 +177,9 @@
             Event::DrainExpired
         };
         self.gate.journal().record(event, self.gate.process(), "");
+        if let Some(rank) = &self.rank {
+            rank.end();
+        }
         for task in self.learning.into_iter().chain(self.reporting) {
             task.cancel().await;
         }
--- a/crates/entry/src/timeline.rs
+++ b/crates/entry/src/timeline.rs
@@ -10,14 +10,17 @@
 use snipemast_callers::problem::{Problem, ProblemKind};
 use snipemast_config::Role;
 use snipemast_core::prelude::*;
+use snipemast_membership::timeline::{Merge, Missing, Next, Page, PageAsk, MAX_PAGE};
 use snipemast_membership::Node;
 use snipemast_operators::authorize;
 use snipemast_operators::timeline::{Asked, Timeline, PATH};
-use snipemast_wire::message::path;
+use snipemast_wire::gossip::{self, Packed};
 use snipemast_wire::{spawn, Peer};
 
 use crate::shared::Shared;
 
+/// The most events that are brought together; a narrower question shows the rest.
+const MAX_RECORDS: usize = 50_000;
 /// How long a process may take to send its events.
 const TIMEOUT: Span = Span::from_secs(2);
 
@@ -62,74 +65,130 @@
     }
 }
 
-/// Asks every known process for its events, all at once, and merges what came in time.
+/// Asks every known process for its events, page by page, and merges them by their causes.
 pub async fn collect(shared: &Shared, asked: &Asked) -> Timeline {
-    let ring = shared.journal.ring();
-    let since = asked.from(ring.clock().tick());
-    let asking: Vec<_> = known(shared)
-        .into_iter()
-        .map(|(address, peer)| spawn(ask(address, peer, since)))
-        .collect();
+    let since = asked.from(shared.journal.ring().clock().tick());
+    let sources = sources(shared);
+    let mut merge = Merge::new(sources.iter().map(|source| source.name.clone()));
     let mut timeline = Timeline {
-        records: ring.since(since),
-        reached: vec![shared.process.clone()],
+        records: Vec::new(),
+        reached: Vec::new(),
         unreachable: Vec::new(),
+        more: false,
     };
-    for task in asking {
-        match task.await {
-            Ok(records) => {
-                timeline
-                    .reached
-                    .extend(records.first().map(|r| r.process.clone()));
-                timeline.records.extend(records);
+    while timeline.records.len() < MAX_RECORDS {
+        match merge.step() {
+            Next::Record(record) => timeline.records.push(*record),
+            Next::Need { .. } => {
+                let reached = feed(shared, &mut merge, &sources, asked, since).await;
+                timeline.reached.extend(reached);
             }
-            Err(address) => timeline.unreachable.push(address.to_string()),
+            Next::End => break,
         }
     }
-    timeline.records.retain(|record| asked.wants(record));
-    timeline
-        .records
-        .sort_by(|a, b| (a.stamp, &a.process).cmp(&(b.stamp, &b.process)));
+    timeline.more = timeline.records.len() == MAX_RECORDS;
     // A process that is known by two addresses answers twice.
     timeline.records.dedup();
     timeline.reached.sort();
     timeline.reached.dedup();
+    timeline.unreachable = merge.missing().map(described).collect();
     timeline
 }
 
-/// Agents that announced themselves, and the entry hosts of the settings.
-fn known(shared: &Shared) -> BTreeMap<SocketAddr, Arc<Peer>> {
-    let members = shared.registry.members();
-    let agents = members
-        .iter()
-        .map(|m| (m.peer.address(), Arc::clone(&m.peer)));
+/// A process that is unreachable, with what its peers saw of it last.
+fn described(missing: &Missing) -> String {
+    match missing.seen.last() {
+        Some(seen) => format!("{} (last seen: {seen})", missing.process),
+        None => missing.process.clone(),
+    }
+}
+
+/// A process whose events are asked for.
+struct Source {
+    name: String,
+    /// The way to it, or nothing for this process.
+    peer: Option<Arc<Peer>>,
+}
+
+/// Fetches every page that the merge needs now, all at once.
+async fn feed(
+    shared: &Shared,
+    merge: &mut Merge,
+    sources: &[Source],
+    asked: &Asked,
+    since: Stamp,
+) -> Vec<ProcessId> {
+    let needed: Vec<_> = merge.needed().collect();
+    let mut asking = Vec::new();
+    for (place, after) in needed {
+        let ask = PageAsk {
+            after: after.max(since),
+            limit: MAX_PAGE,
+            about: asked.request.clone(),
+        };
+        match &sources[place].peer {
+            Some(peer) => asking.push((place, spawn(fetch(Arc::clone(peer), ask)))),
+            None => merge.feed(place, Page::answer(shared.journal.ring(), &ask)),
+        }
+    }
+    let mut reached = vec![shared.process.clone()];
+    for (place, task) in asking {
+        match task.await {
+            Some(page) => {
+                reached.push(page.process.clone());
+                merge.feed(place, page);
+            }
+            None => merge.give_up(place),
+        }
+    }
+    reached
+}
+
+async fn fetch(peer: Arc<Peer>, ask: PageAsk) -> Option<Page> {
+    let packed: Packed = peer
+        .call_fresh(gossip::path::PAGE, &Packed::new(&ask), TIMEOUT)
+        .await
+        .ok()?;
+    packed.unpack().ok()
+}
+
+/// This process, the agents that announced themselves, and the entry hosts of settings and gossip.
+fn sources(shared: &Shared) -> Vec<Source> {
     let settings = &shared.settings;
     let voters = settings.control.iter().flat_map(|c| &c.voters);
     let hosts = settings.seeds.iter().chain(voters);
-    let hosts = hosts.map(|address| (*address, Arc::new(Peer::new(*address))));
-    let mut known: BTreeMap<_, _> = hosts.collect();
-    let rows = |_, node: &Node| -> Vec<SocketAddr> {
-        node.table()
-            .rows()
-            .values()
-            .map(|row| row.card.address)
+    let mut known: BTreeMap<SocketAddr, (String, Arc<Peer>)> = hosts
+        .map(|address| {
+            (
+                *address,
+                (address.to_string(), Arc::new(Peer::new(*address))),
+            )
+        })
+        .collect();
+    let rows = |_, node: &Node| -> Vec<(SocketAddr, ProcessId)> {
+        let cards = node.table().rows().values().map(|row| &row.card);
+        cards
+            .map(|card| (card.address, card.process.clone()))
             .collect()
     };
-    for address in shared.gossip.look(rows).unwrap_or_default() {
-        known
-            .entry(address)
-            .or_insert_with(|| Arc::new(Peer::new(address)));
+    for (address, process) in shared.gossip.look(rows).unwrap_or_default() {
+        let peer = Arc::new(Peer::new(address));
+        known.insert(address, (process.to_string(), peer));
+    }
+    for member in shared.registry.members() {
+        let name = member.announce.agent.to_string();
+        known.insert(member.peer.address(), (name, Arc::clone(&member.peer)));
     }
-    known.extend(agents);
     known.remove(&settings.own);
-    known
-}
-
-async fn ask(
-    address: SocketAddr,
-    peer: Arc<Peer>,
-    since: Stamp,
-) -> Result<Vec<Record>, SocketAddr> {
-    let records = peer.call_fresh(path::EVENTS, &since, TIMEOUT).await;
-    records.map_err(|_| address)
+    let itself = Source {
+        name: shared.process.to_string(),
+        peer: None,
+    };
+    let others = known.into_values().map(|(name, peer)| Source {
+        name,
+        peer: Some(peer),
+    });
+    std::iter::once(itself)
+        .chain(others.filter(|source| source.name != shared.process.to_string()))
+        .collect()
 }
