--- a/tests/src/zones.rs
+++ b/tests/src/zones.rs
@@ -39,6 +39,7 @@
         for n in 0..3 {
             let mut settings = entry_settings(&format!("entry-{n}"));
             settings.limits.hold = HOLD;
+            settings.limits.notice = Span::from_millis(200);
             if let Some(first) = zones.entries.first() {
                 settings.seeds = vec![first.own()];
                 settings.control = None;
