Test three guards that no test had missed

Cause: taken out, the vote's look at the log, the wait after a start and the early answer to a heartbeat broke no test: the pre-vote or a resend hid them. Change: each has a test of one voter, step by step.

--- a/crates/control/tests/steps.rs
+++ b/crates/control/tests/steps.rs
@@ -113,3 +113,87 @@
     node.handle(now, says(2, 1, 4, matched(3)));
     assert_eq!(node.commit(), Index(3));
 }
+
+fn stored_two() -> Stored {
+    Stored {
+        hard: Hard {
+            term: Term(2),
+            vote: None,
+        },
+        snapshot: None,
+        entries: vec![entry(1, 1), entry(2, 2)],
+    }
+}
+
+fn vote(term: u64, last: Position) -> Input {
+    says(3, 2, term, Message::Vote { last })
+}
+
+/// Syncs everything and gives the votes that leave then.
+fn votes(node: &mut Node<Ledger>, now: Moment) -> Vec<bool> {
+    let outputs = node.handle(now, Input::Synced { write: 99 });
+    let voted = |o: &Output| match o {
+        Output::Send(Envelope {
+            message: Message::Voted { granted },
+            ..
+        }) => Some(*granted),
+        _ => None,
+    };
+    outputs.iter().filter_map(voted).collect()
+}
+
+// A candidate that lacks a committed entry asks for a vote, past its pre-vote. If it were
+// elected, the entry would be overwritten.
+#[test]
+fn shorter_log() {
+    let now = Moment::from_millis(400);
+    for (last, granted) in [
+        (Position::new(Term(1), Index(9)), false),
+        (Position::new(Term(2), Index(1)), false),
+        (Position::new(Term(2), Index(2)), true),
+    ] {
+        let mut node = node(2, stored_two());
+        node.handle(now, vote(3, last));
+        assert_eq!(votes(&mut node, now), [granted]);
+    }
+}
+
+// A follower granted a leader its lease, crashed and is up again at once. It must help nobody
+// to depose that leader before the lease has surely ended.
+#[test]
+fn start_waits() {
+    let last = Position::new(Term(2), Index(2));
+    for (millis, cast) in [(100, Vec::new()), (250, vec![true])] {
+        let now = Moment::from_millis(millis);
+        let mut node = node(2, stored_two());
+        node.handle(now, vote(3, last));
+        assert_eq!(votes(&mut node, now), cast);
+    }
+}
+
+// A follower's disk takes long over an entry. The leader's heartbeats must still be answered,
+// with what is synced, or the leader steps down though everyone hears it.
+#[test]
+fn beat_answered() {
+    let mut node = node(2, Stored::default());
+    let now = Moment::from_millis(1);
+    node.handle(now, append(1, 1, vec![entry(1, 1)]));
+    node.handle(now, Input::Synced { write: 1 });
+    let message = Message::Append {
+        previous: Position::new(Term(1), Index(1)),
+        entries: Vec::new(),
+        commit: Index(0),
+        sent: now,
+    };
+    let outputs = node.handle(now, says(1, 2, 1, message));
+    let answers = |o: &Output| match o {
+        Output::Send(envelope) => Some(envelope.message.clone()),
+        _ => None,
+    };
+    let synced = Message::Matched {
+        index: Index(0),
+        sent: now,
+    };
+    let found: Vec<_> = outputs.iter().filter_map(answers).collect();
+    assert_eq!(found, [synced]);
+}
