--- a/crates/benches/benches/membership/scenes.rs
+++ b/crates/benches/benches/membership/scenes.rs
@@ -26,7 +26,7 @@
 }
 
 /// What a second costs where entries tell their demand once a minute only.
-pub fn sparse(members: &mut Members, calls: Calls, figures: &mut Figures) -> f64 {
+pub(crate) fn sparse(members: &mut Members, calls: Calls, figures: &mut Figures) -> f64 {
     with_riders(members, 20, 60);
     members.clear();
     with_riders(members, 20, 60);
