Break abandoned engine answers off, and pair voters' answers with their questions

Cause: two faults. An abandoned engine answer was marked closed in the request's headers, where the HTTP library looks at the answer's, so an engine that says keep-alive was read to its end for nobody. And an exchange between voters took along the answers that another exchange waited for, which then held its lane for 400 ms. Change: the mark goes into the answer's headers; an exchange takes no more answers than it brought questions. The control bench also prints the configuration's costs; the path bench keeps its run below the ledger's bound, at which a longer one was rightly refused.

--- a/crates/benches/benches/control.rs
+++ b/crates/benches/benches/control.rs
@@ -7,6 +7,7 @@
 
 use serde_json::json;
 
+use snipemast_benches::config_costs;
 use snipemast_benches::report::{BenchArgs, Figures};
 use snipemast_benches::voters::{command, folder, pause, Cluster};
 use snipemast_config::KeyHash;
@@ -28,6 +29,8 @@
 fn main() {
     let args = BenchArgs::parse();
     let mut figures = Figures::new();
+    begin("configuration");
+    config_costs::measure(&mut figures, args.quick);
     measure_apply(&mut figures);
     measure_restart(args, &mut figures);
     smol::block_on(measure_cluster(args, &mut figures));
--- a/crates/benches/benches/path.rs
+++ b/crates/benches/benches/path.rs
@@ -33,7 +33,9 @@
 
 fn main() {
     let args = BenchArgs::parse();
-    let (rounds, time) = if args.quick { (3, 700) } else { (5, 2_000) };
+    // Short rounds: one agent's ledger remembers 100,000 dispatches for their deadlines, and a run
+    // of all its rounds must stay below that.
+    let (rounds, time) = if args.quick { (3, 700) } else { (7, 600) };
     let time = Duration::from_millis(time);
     let fleet = smol::block_on(fleet());
     let sides = Sides::new(&fleet);
--- a/crates/entry/src/voter/links.rs
+++ b/crates/entry/src/voter/links.rs
@@ -26,6 +26,8 @@
 const LANES: usize = 3;
 /// How long a request waits for its answers at the other side.
 const ANSWER_WAIT: Span = Span::from_millis(400);
+/// How long a request waits for a further answer once it has one.
+const NEXT_WAIT: Span = Span::from_millis(2);
 /// How long a batch may take until the connection counts as dead.
 const DEADLINE: Span = Span::from_millis(1_500);
 
@@ -72,21 +74,30 @@
         let _ = queue.try_send(envelope);
     }
 
-    /// Takes a batch and waits a little for the answers to its sender.
+    /// Takes a batch and waits a little for as many answers as it brought questions.
+    ///
+    /// Failure guarded against: one exchange takes along the answer that another waits for. It
+    /// shows as a patch that takes half a second on an idle log: the other exchange holds its lane
+    /// until its wait ends. An exchange takes no more answers than it brought questions.
     pub(super) async fn receive(&self, batch: Batch) -> Batch {
         let answers = self.answers(batch.from).receiver;
+        let wanted = batch.envelopes.len();
         for envelope in batch.envelopes {
             self.input(envelope);
         }
-        let late = async {
-            smol::Timer::after(ANSWER_WAIT.as_duration()).await;
-            None
-        };
-        let first = async { answers.recv().await.ok() }.or(late).await;
-        let rest = std::iter::from_fn(|| answers.try_recv().ok());
+        let mut envelopes = Vec::new();
+        let mut wait = ANSWER_WAIT;
+        while envelopes.len() < wanted {
+            let Some(envelope) = within(wait, answers.recv()).await else {
+                break;
+            };
+            envelopes.push(envelope);
+            // One answer may speak for several questions, so the next is not waited for as long.
+            wait = NEXT_WAIT;
+        }
         Batch {
             from: self.own,
-            envelopes: first.into_iter().chain(rest).collect(),
+            envelopes,
         }
     }
 
@@ -173,6 +184,16 @@
     }
 }
 
+/// The next answer, or none once the wait is over.
+async fn within(wait: Span, answer: async_channel::Recv<'_, Envelope>) -> Option<Envelope> {
+    let late = async {
+        smol::Timer::after(wait.as_duration()).await;
+        None
+    };
+    let answer = async { answer.await.ok() };
+    answer.or(late).await
+}
+
 fn is_answer(message: &Message) -> bool {
     match message {
         Message::PreVoted { .. }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -132,6 +132,8 @@
         spawn(async move { engine.write_events(writer, shape, tokens).await }).detach();
         let body = trillium::Body::new_streaming(reader, None);
         conn.with_response_header("content-type", "text/event-stream")
+            // Many engines say so, and a client may then wish to keep the connection.
+            .with_response_header("connection", "keep-alive")
             .with_status(Status::Ok)
             .with_body(body)
             .halt()
--- a/crates/servers/src/engine.rs
+++ b/crates/servers/src/engine.rs
@@ -134,9 +134,14 @@
     }
 
     /// Breaks the connection off, which tells the server to stop its work.
+    ///
+    /// Failure guarded against: a caller leaves, and the engine goes on for tokens that nobody
+    /// reads. It shows as an engine that stays busy after its callers left: the HTTP library reads
+    /// an abandoned body to its end to keep the connection. It looks at the answer's headers when
+    /// it decides that, so a `close` there makes it drop the connection instead.
     pub fn abort(mut self) {
         self.conn
-            .request_headers_mut()
+            .response_headers_mut()
             .insert(KnownHeaderName::Connection, "close");
     }
 }
