Set the capacity page down from kept figures, and mend the pages of the code

Ruled out: a hang of the system in that bench; its callers had read the ends of streams again and again without a pause. It still does not end in time, for a reason that was not found.

--- a/crates/benches/src/capacity.rs
+++ b/crates/benches/src/capacity.rs
@@ -169,7 +169,7 @@
             ..row(
                 Role::Entry,
                 "limits",
-                "demand summaries, one a second, with membership",
+                "one demand summary, told each 18.5 s at this size",
                 "routing: control_bytes_per_summary_64",
             )
         },
--- a/crates/benches/src/faults.rs
+++ b/crates/benches/src/faults.rs
@@ -241,19 +241,20 @@
         spawn(async move {
             // What was under way before the silence is read first.
             let mut last = Instant::now();
-            loop {
-                next(&mut conn).await;
+            while next(&mut conn).await > 0 {
                 if last.elapsed() > Duration::from_millis(500) {
-                    return silenced.elapsed().as_secs_f64() * 1e3;
+                    return Some(silenced.elapsed().as_secs_f64() * 1e3);
                 }
                 last = Instant::now();
             }
+            // It ended before it felt the silence, or was cut: there is no resume to time.
+            None
         })
     });
     let waits: Vec<_> = waits.collect();
     let mut times = Vec::new();
     for wait in waits {
-        times.push(wait.await);
+        times.extend(wait.await);
     }
     times
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,6 @@
 //! The numbered configuration: its document, its patches and their checks.
 //!
-//! - [`document`]: workspaces, services, models and groups, as one [`Config`](document::Config).
+//! - [`document`]: workspaces, services, models and groups, as one [`Config`].
 //! - [`section`]: entries by name, which versions share until one of them changes.
 //! - [`patch`]: a change against a numbered version, taken whole or refused whole.
 //! - [`merge`]: JSON merge patches (RFC 7396).
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -4,7 +4,7 @@
 //! request that waits gets its turn over a channel.
 //!
 //! - [`demand`]: what a request asks of admission.
-//! - [`turn`]: a lane with those who wait at it.
+//! - `turn`: a lane with those who wait at it.
 //! - [`tell`]: the exchange of demands with other entries.
 
 pub mod demand;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,7 +16,7 @@
 //! - [`peer`]: calls to another process, each with a deadline, and retirement of connections.
 //! - [`serve`]: the server side: bind, read a message, write one.
 //! - [`stamp`]: stamps of the hybrid logical clock on messages.
-//! - [`pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
+//! - [`mod@pipe`]: a bounded byte pipe, which feeds a streaming HTTP body.
 
 pub mod codec;
 pub mod config;
