End the demonstration soon after its time line

Cause: the demonstration printed everything and then did not end within 90 seconds; its agents were stopped one after the other, each up to its bound, and the entry waited up to 60 s for its listener. Why the listener does not end sooner there was not found. Change: the agents stop side by side, and the demonstration's entry waits 2 s at most. Conclusion: the README's first command ends by itself; the slow end of an idle listener stays open.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -21,7 +21,7 @@
 use snipemast_settings::agent::AgentLimits;
 use snipemast_settings::entry::EntryLimits;
 use snipemast_settings::{AgentSettings, ControlSettings, EntrySettings};
-use snipemast_wire::{listen, Listening};
+use snipemast_wire::{listen, spawn, Listening};
 
 use crate::args::DemoArgs;
 use crate::exit;
@@ -270,8 +270,9 @@
 
     async fn stop(self) {
         self.entry.stop().await;
-        for agent in self.agents {
-            agent.stop().await;
+        let stops: Vec<_> = self.agents.into_iter().map(|a| spawn(a.stop())).collect();
+        for stop in stops {
+            stop.await;
         }
     }
 }
@@ -295,6 +296,7 @@
         statsd: None,
         limits: EntryLimits {
             notice: Span::default(),
+            shutdown: Span::from_secs(2),
             ..EntryLimits::default()
         },
     }
