Tell a shift of the demand from chance, and plan for what came after it

Cause: the demand for experts was a fading sum, so the first plan after a shift was made for a mixture of before and after, fitted neither, and kept the right one waiting for a whole switch.

Change: each look is compared with those before; where more choices went elsewhere than is usual, what came before is forgotten, and the look within which the shift came is not planned for. Looks come every 0.1 s, sooner while the demand shifts, and a plan begins its switch at once.

Test first: shift_settles_in_two_looks.

Ruled out: a fixed threshold. Chance alone moves 0.01 to 0.045 of the choices with 72 ranks and 0.04 to 0.12 with 16 (measured looks); 0.15 missed looks that a shift fell into, 0.07 took chance for shifts on the smaller sites.

--- a/crates/groups/src/demand.rs
+++ b/crates/groups/src/demand.rs
@@ -14,6 +14,19 @@
 /// seconds, and a fifth of one holds enough choices to tell.
 const MEMORY: Span = Span::from_millis(390);
 
+/// The part of the choices that must go to other experts than before for the demand to have shifted, and
+/// how many times what is usual from look to look it must be besides. Measured looks: 0.01 to 0.045 by
+/// chance with 18 of 72 ranks, 0.04 to 0.12 with 16 ranks and a look every 0.1 s; shifts 0.2 and more.
+const SHIFTED: f64 = 0.05;
+const TIMES: f64 = 1.5;
+
+/// What is taken for usual at first, and the part of it that each look replaces.
+const USUAL: f64 = 0.08;
+const REPLACED: f64 = 0.1;
+
+/// The fewest choices of a look that are compared with those before.
+const FEW: u64 = 4_000;
+
 data! {
     /// What a rank tells of its counts.
     pub struct Counted {
@@ -63,9 +76,13 @@
 pub struct Demand {
     /// By layer and expert.
     sums: Vec<Vec<f64>>,
+    /// What was told at the look that is under way.
+    fresh: Vec<Vec<u64>>,
     /// By rank: the place up to which its counts are known.
     places: Vec<u64>,
     last: Option<Moment>,
+    /// The part of the choices that goes elsewhere from look to look, as a rule.
+    usual: f64,
 }
 
 impl Demand {
@@ -73,8 +90,10 @@
     pub fn new(layers: usize, ranks: usize) -> Self {
         Self {
             sums: vec![Vec::new(); layers],
+            fresh: vec![Vec::new(); layers],
             places: vec![0; ranks],
             last: None,
+            usual: USUAL,
         }
     }
 
@@ -88,23 +107,13 @@
         sampled.then(|| self.places.get(rank).copied()).flatten()
     }
 
-    /// Lets earlier demand fade.
-    pub fn fade(&mut self, now: Moment) {
-        let since = self.last.replace(now).map(|last| last.until(now));
-        let span = since.unwrap_or_default();
-        let left = (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp();
-        for sum in self.sums.iter_mut().flatten() {
-            *sum *= left;
-        }
-    }
-
-    /// Adds what a rank told.
+    /// Adds what a rank told at this look.
     pub fn add(&mut self, rank: usize, counted: &Counted) {
         let Some(place) = self.places.get_mut(rank) else {
             return;
         };
         *place = counted.place;
-        let layers = self.sums.len().max(1);
+        let layers = self.fresh.len().max(1);
         let Some(chosen) = &counted.chosen else {
             return;
         };
@@ -112,14 +121,57 @@
             return;
         }
         let experts = chosen.len() / layers;
-        for (sums, chosen) in self.sums.iter_mut().zip(chosen.chunks(experts)) {
-            sums.resize(experts, 0.0);
-            for (sum, chosen) in sums.iter_mut().zip(chosen) {
-                *sum += *chosen as f64;
+        for (fresh, chosen) in self.fresh.iter_mut().zip(chosen.chunks(experts)) {
+            fresh.resize(experts, 0);
+            for (sum, chosen) in fresh.iter_mut().zip(chosen) {
+                *sum += chosen;
             }
         }
     }
 
+    /// Takes all of a look into account; false while the demand is shifting.
+    ///
+    /// Failure guarded against: a map is made for a mixture of the demand before a shift and after it,
+    /// fits neither, and keeps the right one waiting for a whole switch. What was before a shift
+    /// is forgotten at once, and a look within which it came is not planned for.
+    pub fn settle(&mut self, now: Moment) -> bool {
+        let since = self.last.replace(now).map(|last| last.until(now));
+        let total: u64 = self.fresh.iter().flatten().sum();
+        let moved = self.moved();
+        let shifted = total >= FEW && moved > SHIFTED + TIMES * self.usual;
+        if total >= FEW && !shifted {
+            self.usual += REPLACED * (moved - self.usual);
+        }
+        let span = since.unwrap_or_default();
+        let left = match shifted {
+            true => 0.0,
+            false => (-span.as_secs_f64() / MEMORY.as_secs_f64()).exp(),
+        };
+        for (sums, fresh) in self.sums.iter_mut().zip(&mut self.fresh) {
+            sums.resize(fresh.len(), 0.0);
+            for (sum, fresh) in sums.iter_mut().zip(fresh) {
+                *sum = *sum * left + std::mem::take(fresh) as f64;
+            }
+        }
+        !shifted
+    }
+
+    /// The part of this look's choices that went to other experts than those before.
+    fn moved(&self) -> f64 {
+        let layers = self.sums.iter().zip(&self.fresh);
+        let moved = layers.map(|(sums, fresh)| {
+            let before: f64 = sums.iter().sum();
+            let now: u64 = fresh.iter().sum();
+            if before == 0.0 || now == 0 {
+                return 0.0;
+            }
+            let both = sums.iter().zip(fresh);
+            let apart = both.map(|(b, n)| (b / before - *n as f64 / now as f64).abs());
+            apart.sum::<f64>() / 2.0
+        });
+        moved.sum::<f64>() / self.sums.len().max(1) as f64
+    }
+
     /// The demand by layer and expert, in choices.
     pub fn sums(&self) -> &[Vec<f64>] {
         &self.sums
--- a/crates/groups/tests/demand.rs
+++ b/crates/groups/tests/demand.rs
@@ -15,9 +15,9 @@
 fn differences_counted() {
     let (mut demand, mut tally) = (Demand::new(LAYERS, 1), Tally::new(70));
     for (at, by) in [(0, 100), (200, 110), (400, 120)] {
-        demand.fade(Moment::from_millis(at));
         let place = demand.place(0).unwrap_or_default();
         demand.add(0, &tally.tell(place, counts(by)));
+        demand.settle(Moment::from_millis(at));
     }
     // 10 choices of the first expert, and 0.6 of the 10 before.
     let first = demand.sums()[0][0];
@@ -34,14 +34,46 @@
     for by in [100, 110] {
         let place = demand.place(0).unwrap_or_default();
         demand.add(0, &tally.tell(place, counts(by)));
+        demand.settle(Moment::from_millis(by));
     }
     let before = demand.total();
     let mut tally = Tally::new(9_000);
     let place = demand.place(0).unwrap_or_default();
     demand.add(0, &tally.tell(place, counts(5_000)));
+    demand.settle(Moment::from_millis(110));
     assert_eq!(demand.total(), before);
 }
 
+/// A user sees words come late for two seconds after each shift of the demand, in place of one. A look
+/// falls onto the shift, a map is made for the mixture, and the one that is needed waits until that
+/// is in force.
+#[test]
+fn shift_settles_in_two_looks() {
+    let (mut demand, mut tally) = (Demand::new(1, 1), Tally::new(70));
+    let mut counts = vec![0, 0, 0, 0];
+    let mut look = |at, chosen: [u64; 4]| {
+        for (count, chosen) in counts.iter_mut().zip(chosen) {
+            *count += chosen;
+        }
+        let place = demand.place(0).unwrap_or_default();
+        demand.add(0, &tally.tell(place, counts.clone()));
+        let steady = demand.settle(Moment::from_millis(at));
+        let total = demand.total();
+        let shares = demand.sums()[0].iter().map(|s| s / total);
+        (steady, shares.collect::<Vec<f64>>())
+    };
+    for n in 0..10 {
+        let steady = look(n * 200, [7_000, 1_000, 1_100, 900]).0;
+        assert!(steady, "look {n}");
+    }
+    // The shift comes in the middle of a look.
+    assert!(!look(2_000, [4_000, 1_000, 4_000, 1_000]).0);
+    assert!(!look(2_200, [1_000, 1_000, 7_100, 900]).0);
+    let (steady, shares) = look(2_400, [1_050, 950, 7_000, 1_000]);
+    assert!(steady);
+    assert!(shares[0] < 0.12 && shares[2] > 0.68, "{shares:?}");
+}
+
 /// In a large group a quarter is asked, from each part of it; in a small one all are.
 #[test]
 fn sample_spread() {
--- a/crates/sidecar/src/group.rs
+++ b/crates/sidecar/src/group.rs
@@ -30,8 +30,9 @@
     pub(crate) version: MapVersion,
     /// The map that is being brought into force.
     pub(crate) next: Option<Arc<ExpertMap>>,
-    /// The demand for experts.
+    /// The demand for experts, and whether it has settled since its last shift.
     pub(crate) demand: Demand,
+    pub(crate) steady: bool,
     /// The processes beside the ranks.
     pub(crate) addresses: Vec<SocketAddr>,
     /// The ranks' states, as last seen.
@@ -55,6 +56,7 @@
             epoch: seen[0].state.epoch,
             switch: Switch::new(ranks, lead),
             demand: Demand::new(map.layers.len(), ranks),
+            steady: false,
             map: Arc::new(map),
             version: seen[0].state.map,
             next: None,
@@ -92,7 +94,6 @@
         if !same {
             return false;
         }
-        self.demand.fade(now);
         for (_, seen) in seen {
             self.states[seen.rank] = seen.state;
             self.paces[seen.rank] = seen.pace;
@@ -100,6 +101,7 @@
                 self.demand.add(seen.rank, counted);
             }
         }
+        self.steady = self.demand.settle(now);
         true
     }
 
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -14,11 +14,11 @@
 use crate::news::Reader;
 use crate::peers::{RankReport, StateQuery};
 
-/// How often the ranks are looked at while nothing is under way: demand shifts within seconds, and
-/// a fifth of one holds enough choices to tell.
-const PACE: Span = Span::from_millis(200);
+/// The pause between two looks while nothing is under way: demand shifts within seconds, and a tenth of
+/// one holds enough choices to tell.
+const PACE: Span = Span::from_millis(100);
 
-/// How often they are looked at while a switch is under way.
+/// The pause while a switch is under way, or the demand is shifting.
 const QUICK: Span = Span::from_millis(40);
 
 /// How many map numbers one switch leaves free for what ranks prepare to outdate armings.
@@ -45,8 +45,6 @@
     clock: BootClock,
     calls: Calls,
     group: Option<Group>,
-    /// A map that is worth a switch, once all ranks were seen to be ready for one.
-    wanted: Option<Evened>,
     /// Whether all ranks are to be looked at.
     whole: bool,
     /// The highest map number that was given out, in whatever epoch.
@@ -61,7 +59,6 @@
             clock: BootClock::new(),
             calls: Calls::new(),
             group: None,
-            wanted: None,
             whole: false,
             highest: MapVersion(0),
         }
@@ -71,9 +68,10 @@
     pub(crate) async fn run(mut self) {
         loop {
             let busy = self.group.as_ref().is_some_and(|g| !g.switch.is_idle());
-            let hurry = busy || self.whole;
+            let shifting = self.group.as_ref().is_some_and(|g| !g.steady);
+            let hurry = busy || self.whole || shifting;
             self.rest(if hurry { QUICK } else { PACE }).await;
-            self.look(hurry).await;
+            self.look(busy || self.whole).await;
             let now = self.clock.now();
             let sends = self.group.as_mut().map(|g| g.switch.tick(now));
             self.execute(sends.unwrap_or_default());
@@ -185,7 +183,7 @@
         self.execute(sends);
     }
 
-    /// Begins the switch that is wanted, once all ranks were seen to be ready for it.
+    /// Settles what all ranks were seen to have, where no switch is under way.
     fn settle(&mut self) {
         let Some(group) = self.group.as_mut().filter(|g| g.switch.is_idle()) else {
             return;
@@ -201,16 +199,10 @@
             self.execute(sends);
             return;
         }
-        if self.wanted.is_none() {
-            self.plan();
-        }
-        self.whole = false;
-        if let Some(evened) = self.wanted.take() {
-            self.begin(evened);
-        }
+        self.plan();
     }
 
-    /// Seeks a better map, and wants it where it is worth a switch.
+    /// Seeks a better map, and begins a switch to it where it is worth one.
     fn plan(&mut self) {
         let Some(experts) = self.experts() else {
             return;
@@ -222,7 +214,7 @@
             self.whole = true;
             return;
         }
-        if group.demand.total() < ENOUGH {
+        if !group.steady || group.demand.total() < ENOUGH {
             return;
         }
         let thresholds = Thresholds {
@@ -232,8 +224,9 @@
             step: STEP_GAIN,
         };
         let paces = group.paces();
-        self.wanted = even(&group.map, group.demand.sums(), &paces, &thresholds);
-        self.whole = self.wanted.is_some();
+        if let Some(evened) = even(&group.map, group.demand.sums(), &paces, &thresholds) {
+            self.begin(evened);
+        }
     }
 
     fn begin(&mut self, evened: Evened) {
@@ -241,7 +234,7 @@
         let Some(group) = self.group.as_mut() else {
             return;
         };
-        let version = self.highest.next();
+        let version = self.highest.max(group.highest()).next();
         self.highest = MapVersion(version.get() + BURNT);
         let detail = format!(
             "map {version}, {} copies, fullest rank {:.2} to {:.2}",
@@ -281,7 +274,7 @@
     /// Forgets the group; it is looked for anew.
     fn lose(&mut self, reason: &str) {
         self.journal.record(Event::MapAborted, "group", reason);
-        (self.group, self.wanted, self.whole) = (None, None, false);
+        (self.group, self.whole) = (None, false);
     }
 
     fn experts(&self) -> Option<Experts> {
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -58,7 +58,7 @@
     end: impl std::future::Future<Output = ()>,
 ) -> Result<()> {
     let server = settings.server.ok_or(SidecarError::NoServer)?;
-    let address = settings.internal_address();
+    let address = settings.internal_listen();
     let listener = socket::listen(address);
     let listener = listener.change_context_lazy(|| SidecarError::Taken(address))?;
     let rank = Arc::new(Rank::new(Engine::new(server), journal.clone()));
