Tell a request's story from logs alone, and soak the real programs

Cause: on the platform an engineer has standard output and the metrics address.

`snipemast explain REQUEST FILE...` tells a request's story over processes.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -41,6 +41,10 @@
     Status(DeskArgs),
     #[options(help = "print or draw the events of all processes")]
     Timeline(TimelineArgs),
+    #[options(
+        help = "print a request's story out of the logs of processes: explain REQUEST FILE..."
+    )]
+    Explain(ExplainArgs),
     #[options(help = "print the hash of a key, for the configuration or settings")]
     Hash(HashArgs),
     #[options(help = "run a whole small fleet in this process")]
@@ -63,6 +67,17 @@
     pub(crate) help: bool,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub(crate) struct ExplainArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(free, required, help = "the id of the request's attempt")]
+    pub(crate) request: String,
+    #[options(free, help = "the logs")]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, Options)]
 pub(crate) struct CheckArgs {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod demo;
 mod drawing;
+mod explain;
 mod platform;
 mod serve;
 mod servers;
@@ -45,6 +46,7 @@
         Some(Command::History(args)) => client::history(&args),
         Some(Command::Status(args)) => client::status(&args),
         Some(Command::Timeline(args)) => timeline::timeline(&args),
+        Some(Command::Explain(args)) => explain::explain(&args),
         Some(Command::Hash(_)) => serve::hash(),
         Some(Command::Demo(args)) => demo::demo(&args),
         None => {
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -66,7 +66,7 @@
     };
     let process = ProcessId::new(settings.host.clone(), start_incarnation());
     let ring = Arc::new(Ring::new(process, EVENTS));
-    let journal = Journal::new(ring, LogLevel::Debug);
+    let (journal, _lines) = Journal::new(ring, LogLevel::Debug, LogOutput::Stdout);
     let end = Box::pin(async move {
         // The thread that watches never ends before the process.
         let _ = signals.recv().await;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -95,7 +95,7 @@
     let incarnation = start_incarnation();
     let process = ProcessId::new(settings.host.clone(), incarnation);
     let ring = Arc::new(Ring::new(process, settings.limits.events as usize));
-    let journal = Journal::new(ring, settings.limits.log);
+    let (journal, _lines) = Journal::new(ring, settings.limits.log, LogOutput::Stderr);
     set_threads(settings.limits.threads);
     let mut signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -61,7 +61,8 @@
     let inside = settings.internal_address();
     let taken = |a| move || ControllerError::Taken(a);
     let outside = socket::listen(address).change_context_lazy(taken(address))?;
-    let internal = socket::listen(inside).change_context_lazy(taken(inside))?;
+    let bound = settings.internal_listen();
+    let internal = socket::listen(bound).change_context_lazy(taken(bound))?;
     let clock = BootClock::new();
     // A majority must outlive what may be lost at once.
     let voters = 2 * settings.lost as usize + 1;
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -57,6 +57,8 @@
     DrainExpired = 103;
     /// Settings were refused.
     SettingsRefused = 104;
+    /// Log lines were left out, by kind, because there were too many in a second.
+    LinesLeftOut = 105;
     /// A request arrived from a caller.
     RequestReceived = 200;
     /// A request was refused before it ran.
@@ -83,6 +85,8 @@
     FrameDropped = 211;
     /// A caller went away before its answer was whole.
     CallerGone = 212;
+    /// An answer began, paused or ended later than its route aims at.
+    AnswerLate = 213;
     /// An agent took a dispatch into its ledger.
     DispatchAccepted = 300;
     /// An agent refused a dispatch as not run.
@@ -174,6 +178,20 @@
     pub const fn number(self) -> u16 {
         self as u16
     }
+
+    /// Whether it happens to every request that goes well.
+    pub const fn is_routine(self) -> bool {
+        matches!(
+            self,
+            Self::RequestReceived
+                | Self::RequestRouted
+                | Self::RequestDispatched
+                | Self::AnswerBegun
+                | Self::AnswerDelivered
+                | Self::DispatchAccepted
+                | Self::DispatchFinished
+        )
+    }
 }
 
 impl From<Event> for u16 {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`events`]: the numbered events and the bounded ring that keeps them.
 //! - [`outcome`]: what a caller may conclude about a request.
 //! - [`server`]: what a backend server offers and reports.
+//! - [`log_budget`]: how many log lines of each kind there may be in a second.
 //! - [`logs`]: structured logs, one numbered event a line.
 
 mod macros;
@@ -15,6 +16,7 @@
 pub mod events;
 pub mod hlc;
 pub mod ids;
+pub mod log_budget;
 pub mod logs;
 pub mod outcome;
 pub mod prelude;
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -8,7 +8,7 @@
     MapVersion, ModelId, OperatorId, PatchId, ProcessId, RegionId, RequestId, RequestKey, ServerId,
     ServiceId, Step, Term, Version, WorkspaceId, ZoneId,
 };
-pub use crate::logs::{Journal, LogLevel};
+pub use crate::logs::{Journal, LogLevel, LogOutput};
 pub use crate::outcome::Outcome;
 pub use crate::server::{Capabilities, LoadReport, Offer, Rank, ServerInfo};
 pub use crate::time::{Clock, Moment};
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -18,8 +18,10 @@
 use snipemast_routes::{Denied, Match, Route};
 
 use crate::answer::{own, refusal, Answer, Outgoing, Pieces};
+use crate::metrics::Ended;
 use crate::send::{Failure, Job, Run};
 use crate::state::{ActiveRequest, State};
+use crate::story::Unsaid;
 use crate::stream;
 
 /// The most servers that one attempt is sent to, with those that refused it as not run.
@@ -95,6 +97,7 @@
         ask,
         route,
         name,
+        unsaid: Unsaid::default(),
     };
     state.budget.lock().note_request(started, &job.service);
     place(Arc::new(job), active).await
@@ -183,6 +186,7 @@
                 Err(unplaced) => return give_up(unplaced),
             };
             let server = choice.server.clone();
+            job.note_routed(&choice, self.sends > 0);
             let sent = job.send(choice, last).await;
             self.sends += 1;
             match sent {
@@ -221,9 +225,7 @@
         let now = job.state.clock.now();
         let granted = job.state.budget.lock().spend(now, &job.service);
         let detail = format_args!("send {}, granted: {granted}", self.sends + 1);
-        job.state
-            .journal
-            .record(Event::RequestRetried, &job.name, detail);
+        job.note_trouble(Event::RequestRetried, detail);
         granted
     }
 }
@@ -289,8 +291,7 @@
     if !*queued {
         *queued = true;
         let detail = format!("{unplaced:?}, for {span} at most");
-        let journal = &job.state.journal;
-        journal.record(Event::RequestQueued, &job.name, detail);
+        job.note_trouble(Event::RequestQueued, detail);
     }
     let reopened = job.state.reopened.listen();
     let wait = if out { PROBE } else { LOOK }.min(span);
@@ -308,9 +309,8 @@
 
 fn refuse(job: &Job, unplaced: Unplaced, after: Span) -> Answer {
     let detail = format_args!("{unplaced:?}, {} left, back after {after}", job.left());
-    job.state
-        .journal
-        .record(Event::RequestRefused, &job.name, detail);
+    job.note_trouble(Event::RequestRefused, detail);
+    job.state.metrics.end(Ended::Refused);
     let reason = match unplaced {
         Unplaced::AllFull => "every server is full",
         Unplaced::AllOut => "no server can be reached",
@@ -322,9 +322,8 @@
 
 fn fail(job: &Job, failure: Failure) -> Answer {
     let detail = format_args!("{failure:?}");
-    job.state
-        .journal
-        .record(Event::AnswerFailed, &job.name, detail);
+    job.note_trouble(Event::AnswerFailed, detail);
+    job.state.metrics.end(Ended::Unknown);
     match failure {
         Failure::Late => own(StatusCode::GATEWAY_TIMEOUT, "no answer came in time"),
         _ => own(
@@ -336,21 +335,21 @@
 
 /// Reads an answer in whole and passes it on; nothing where it breaks off.
 async fn read_whole(job: &Job, mut run: Run) -> Option<Answer> {
+    let pace = job.note_begun();
     let body = Limited::new(run.response.body_mut(), WHOLE).collect();
     let read = within(job.left(), body).await;
     let bytes: Bytes = match read {
         Some(Ok(body)) => body.to_bytes(),
         _ => {
             let detail = format_args!("{}: broken off", run.choice.server);
-            job.state
-                .journal
-                .record(Event::AnswerFailed, &job.name, detail);
+            job.note_trouble(Event::AnswerFailed, detail);
             return None;
         }
     };
     let mut answer = Response::new(Outgoing::Whole(Some(bytes)));
     *answer.status_mut() = run.response.status();
     *answer.headers_mut() = response::forward(run.response.headers());
+    job.note_delivered(&run.choice.server, &pace);
     run.finish(&job.state);
     Some(answer)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,8 @@
 //! - `handle`: a request's way from its caller to an answer.
 //! - `send`: one send of a request to one server.
 //! - `stream`: passes events on, and goes on at another server where a stream breaks.
+//! - `story`: what is logged and measured of one request.
+//! - `metrics`: what a gateway counts and measures.
 //! - `pool`: open connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
 
@@ -14,9 +16,11 @@
 
 mod answer;
 mod handle;
+mod metrics;
 mod news;
 mod pool;
 mod send;
+mod story;
 mod stream;
 
 pub use process::run;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -119,6 +119,7 @@
         "snipemast_configuration_version {}\n",
         state.version()
     ));
+    text.push_str(&state.metrics.text());
     text
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,6 +18,7 @@
 use snipemast_routes::Route;
 
 use crate::state::State;
+use crate::story::Unsaid;
 
 /// How long a connection to a server may take: some round trips between zones, without a lost
 /// packet's wait, because another server is nearer than that.
@@ -42,6 +43,8 @@
     pub(crate) deadline: Moment,
     /// For the log.
     pub(crate) name: String,
+    /// What the log has no line of yet.
+    pub(crate) unsaid: Unsaid,
 }
 
 /// A server that works on a request; dropping it closes the connection and stops the work.
@@ -231,7 +234,7 @@
         let out = self.state.servers.lock().note_trouble(now, id, trouble);
         let journal = &self.state.journal;
         let said = format_args!("{} at {id}: {trouble:?}, {detail}", self.name);
-        journal.record(Event::AnswerFailed, &self.name, said);
+        self.note_trouble(Event::AnswerFailed, said);
         let Some(out) = out else {
             return;
         };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use snipemast_registry::Table as Registry;
 use snipemast_routes::Table as Routes;
 
+use crate::metrics::Metrics;
 use crate::pool::Pool;
 
 /// What the parts of a gateway share; each part of the state has a lock of its own.
@@ -21,6 +22,7 @@
     pub(crate) settings: Settings,
     pub(crate) clock: BootClock,
     pub(crate) journal: Journal,
+    pub(crate) metrics: Metrics,
     /// The configuration in force; none until the first one has come.
     routes: RwLock<Option<Arc<Routes>>>,
     /// Wakes who waits for a configuration to come into force.
@@ -58,6 +60,7 @@
         Arc::new(Self {
             clock: BootClock::new(),
             journal,
+            metrics: Metrics::new(),
             routes: RwLock::new(None),
             applied: Signal::new(),
             registry: Mutex::new(Registry::new()),
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,106 @@
+//! What is logged of one request, so that its way can be told afterwards.
+
+use parking_lot::Mutex;
+
+use snipemast_core::prelude::*;
+use snipemast_placement::Choice;
+
+use crate::metrics::{Ended, Phase};
+use crate::send::Job;
+
+/// Lines that were left out of a full log, in case the request comes to grief.
+#[derive(Debug, Default)]
+pub(crate) struct Unsaid(Mutex<Vec<String>>);
+
+/// The times of an answer as it is passed on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Pace {
+    first: Span,
+    last: Moment,
+    gap: Span,
+}
+
+impl Job {
+    /// How long ago the request arrived.
+    pub(crate) fn age(&self) -> Span {
+        self.state.clock.now().since(self.started)
+    }
+
+    /// A server was chosen.
+    pub(crate) fn note_routed(&self, choice: &Choice, repeat: bool) {
+        let (state, age) = (&self.state, self.age());
+        state.metrics.send(repeat);
+        if !repeat {
+            state.metrics.took(Phase::Placed, age);
+        }
+        let next = match &choice.next {
+            Some((server, load)) => format!("next {server} with {load}"),
+            None => "no other".into(),
+        };
+        let detail = format!(
+            "{} of {} by {}, version {}: {} in flight, told {} ago, {next}; {age} after its arrival",
+            choice.server,
+            self.service,
+            self.route.name,
+            state.version(),
+            choice.load,
+            choice.age,
+        );
+        let journal = &state.journal;
+        if !journal.record_routine(Event::RequestRouted, &self.name, &detail) {
+            self.unsaid.0.lock().push(detail);
+        }
+    }
+
+    /// The request came to grief: what was left out of the log about it is said now.
+    pub(crate) fn say(&self) {
+        for detail in self.unsaid.0.lock().drain(..) {
+            let journal = &self.state.journal;
+            journal.log_after(Event::RequestRouted, &self.name, detail);
+        }
+    }
+
+    /// A trouble with this request.
+    pub(crate) fn note_trouble(&self, event: Event, detail: impl std::fmt::Display) {
+        self.say();
+        self.state.journal.record(event, &self.name, detail);
+    }
+
+    /// An answer begins.
+    pub(crate) fn note_begun(&self) -> Pace {
+        let first = self.age();
+        self.state.metrics.took(Phase::First, first);
+        Pace {
+            first,
+            last: self.state.clock.now(),
+            gap: Span::default(),
+        }
+    }
+
+    /// An answer was passed on in whole.
+    pub(crate) fn note_delivered(&self, server: &ServerId, pace: &Pace) {
+        let (metrics, whole) = (&self.state.metrics, self.age());
+        metrics.took(Phase::Whole, whole);
+        metrics.took(Phase::Gap, pace.gap);
+        let slow = self.route.gap.is_some_and(|gap| pace.gap > gap);
+        let late = slow || pace.first > self.route.objective;
+        metrics.end(if late { Ended::Late } else { Ended::OnTime });
+        let (first, gap) = (pace.first, pace.gap);
+        let detail =
+            format!("{server}: first after {first}, longest pause {gap}, whole after {whole}");
+        if late {
+            self.note_trouble(Event::AnswerLate, detail);
+        } else {
+            let journal = &self.state.journal;
+            journal.record_routine(Event::AnswerDelivered, &self.name, detail);
+        }
+    }
+}
+
+impl Pace {
+    /// A piece of the answer came.
+    pub(crate) fn piece(&mut self, now: Moment) {
+        self.gap = self.gap.max(now.since(self.last));
+        self.last = now;
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -14,7 +14,9 @@
 
 use crate::answer::Broken;
 use crate::handle::Tries;
+use crate::metrics::Ended;
 use crate::send::{Job, Run};
+use crate::story::Pace;
 
 /// How many pieces may wait for a caller that reads slowly.
 pub(crate) const WAITING: usize = 16;
@@ -41,25 +43,28 @@
     sender: Sender<Result<Bytes, Broken>>,
 ) {
     let mut events = Events::new(event_id, job.ask.last);
+    let mut pace = None;
     loop {
         let server = run.choice.server.clone();
-        let reason = match part(&job, &mut run, &mut events, &sender).await {
+        let reason = match part(&job, &mut run, &mut events, &mut pace, &sender).await {
             End::Whole => {
                 run.finish(&job.state);
-                job.state
-                    .journal
-                    .record(Event::AnswerDelivered, &job.name, &server);
+                let pace = pace.unwrap_or_else(|| job.note_begun());
+                job.note_delivered(&server, &pace);
+                return;
+            }
+            End::Unwanted => {
+                let detail = format!("{server}, after event {:?}", events.last());
+                let journal = &job.state.journal;
+                journal.record(Event::CallerGone, &job.name, detail);
                 return;
             }
-            End::Unwanted => return,
             End::Broken(reason) => reason,
         };
         // Dropped first: the server stops its work on what it can't deliver.
         drop(run);
         let detail = format!("{server}: {reason}, after event {:?}", events.last());
-        job.state
-            .journal
-            .record(Event::AnswerFailed, &job.name, detail);
+        job.note_trouble(Event::AnswerFailed, detail);
         tries.exclude(&server);
         events.cut();
         let resumable = job.route.repeat == Repeat::ResumableStream;
@@ -69,14 +74,13 @@
             None
         };
         let Some(next) = next else {
+            job.state.metrics.end(Ended::Broken);
             // A caller that is gone needs no word.
             let _ = sender.send(Err(Broken)).await;
             return;
         };
         let detail = format!("{} after event {:?}", next.choice.server, events.last());
-        job.state
-            .journal
-            .record(Event::StreamResumed, &job.name, detail);
+        job.note_trouble(Event::StreamResumed, detail);
         run = next;
     }
 }
@@ -86,6 +90,7 @@
     job: &Job,
     run: &mut Run,
     events: &mut Events,
+    pace: &mut Option<Pace>,
     sender: &Sender<Result<Bytes, Broken>>,
 ) -> End {
     loop {
@@ -106,6 +111,10 @@
         let Ok(whole) = events.push(&bytes) else {
             return End::Broken("an event without end");
         };
+        if !whole.is_empty() {
+            let now = job.state.clock.now();
+            pace.get_or_insert_with(|| job.note_begun()).piece(now);
+        }
         if !whole.is_empty() && sender.send(Ok(whole.into())).await.is_err() {
             return End::Unwanted;
         }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -50,6 +50,10 @@
     pub address: SocketAddr,
     /// What was believed to be in flight there.
     pub load: u32,
+    /// How old the other gateways' part of that is.
+    pub age: Span,
+    /// The next best server, if there was one, and what was believed to be in flight there.
+    pub next: Option<(ServerId, u32)>,
 }
 
 /// Why no server is chosen.
@@ -176,6 +180,7 @@
     ) -> Result<Choice, Unplaced> {
         let mut unplaced = Unplaced::Nobody;
         let mut best: Option<(f64, u64, &mut Server)> = None;
+        let mut next = None;
         let shunned: Vec<ServerId> = self
             .slow
             .keys()
@@ -213,7 +218,9 @@
             let cost = (f64::from(load) + away) / f64::from(offered.slots.max(1));
             let tie = mix(chance, &offered.server);
             if best.as_ref().is_none_or(|(c, t, _)| (cost, tie) < (*c, *t)) {
-                best = Some((cost, tie, server));
+                next = best.replace((cost, tie, server));
+            } else if next.as_ref().is_none_or(|(c, t, _)| (cost, tie) < (*c, *t)) {
+                next = Some((cost, tie, server));
             }
         }
         let (_, _, server) = best.ok_or(unplaced)?;
@@ -223,6 +230,8 @@
             server: server.offered.server.clone(),
             address: server.offered.address,
             load,
+            age: server.told.until(now),
+            next: next.map(|(_, _, s)| (s.offered.server.clone(), s.load(now))),
         })
     }
 
--- a/tests/src/site.rs
+++ b/tests/src/site.rs
@@ -16,10 +16,10 @@
 use smol::Task;
 
 use snipemast_core::prelude::*;
-use snipemast_net::{connect, exec};
+use snipemast_net::{connect, exec, Connection};
 use snipemast_platform::settings::{Bounds, Settings};
 
-pub use server::{Behavior, ModelServer};
+pub use server::{Behavior, ModelServer, Ran, EVENTS};
 
 mod server;
 
@@ -77,7 +77,7 @@
 }
 
 /// Runs the executor of the hosts on a thread of its own, once for all tests of a binary.
-fn start_executor() {
+pub(crate) fn start_executor() {
     static STARTED: OnceLock<()> = OnceLock::new();
     STARTED.get_or_init(|| {
         std::thread::spawn(|| exec::run(std::future::pending::<()>()));
@@ -85,7 +85,7 @@
 }
 
 /// A port that is free now on the loopback address.
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("it has an address").port()
 }
@@ -150,6 +150,7 @@
             ip: self.ip(host),
             zone: ZoneId::new(zone).expect("a zone's name"),
             internal: self.ports.internal,
+            internal_listen: None,
             seeds: self.seeds.clone(),
             first,
             folder: Some(self.folder.join(host.to_string())),
@@ -375,10 +376,22 @@
     body: String,
 ) -> Option<Reply> {
     let mut connection = connect(address, Span::from_secs(1)).await.ok()?;
+    let host = address.to_string();
+    let named = headers.iter().any(|(name, _)| *name == "host");
+    let host = (!named).then_some(("host", host.as_str()));
+    let headers: Vec<_> = headers.iter().copied().chain(host).collect();
+    exchange(&mut connection, method, path, &headers, body).await
+}
+
+/// Makes one call on an open connection; nothing where there is no answer.
+pub async fn exchange(
+    connection: &mut Connection,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: String,
+) -> Option<Reply> {
     let mut request = Request::builder().method(method).uri(path);
-    if !headers.iter().any(|(name, _)| *name == "host") {
-        request = request.header("host", address.to_string());
-    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
--- a/tests/src/site/server.rs
+++ b/tests/src/site/server.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -21,7 +22,7 @@
 use super::{call, Site};
 
 /// How many events a stream has.
-pub(super) const EVENTS: u64 = 12;
+pub const EVENTS: u64 = 12;
 
 /// The pause between two events, in ms.
 const PAUSE: u64 = 15;
@@ -58,6 +59,8 @@
     pub deadline: u64,
     /// The body.
     pub body: String,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 /// A stand-in for a model server.
@@ -96,6 +99,13 @@
 impl ModelServer {
     /// Starts a server at a host of a site, which announces itself to a controller.
     pub async fn start(site: &Site, host: u8, controller: u8, id: &str) -> Self {
+        let server = Self::listen(site.ip(host), id);
+        server.announce(site, controller).await;
+        server
+    }
+
+    /// Starts a server that has announced itself to nobody.
+    pub fn listen(ip: IpAddr, id: &str) -> Self {
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behavior: Mutex::new(Behavior::Well),
@@ -104,39 +114,47 @@
             sequence: AtomicU64::new(0),
             draining: Mutex::new(false),
         });
-        let address = free_address(site.ip(host));
+        let address = free_address(ip);
         let listener = socket::listen(address).expect("the address is free");
         let handler = Arc::clone(&shared);
         let serving = spawn(serve(listener, move |request, _| {
             answer(Arc::clone(&handler), request)
         }));
-        let server = Self {
+        Self {
             id: id.to_owned(),
             address,
             shared,
             _tasks: vec![serving],
-        };
-        server.announce(site, controller).await;
-        server
+        }
     }
 
     /// Announces itself once; whether that was acknowledged.
     pub async fn announce(&self, site: &Site, controller: u8) -> bool {
+        self.announce_to(site.control(controller), self.address)
+            .await
+    }
+
+    /// Announces an address that leads to it; whether that was acknowledged.
+    pub async fn announce_to(&self, control: SocketAddr, address: SocketAddr) -> bool {
         let draining = *self.shared.draining.lock();
         let body = json!({
-            "service": "lector", "address": self.address, "zone": "a", "version": "v1",
+            "service": "lector", "address": address, "zone": "a", "version": "v1",
             "slots": 12, "state": if draining { "draining" } else { "ready" }, "coldLeftMs": 0,
             "seq": self.shared.sequence.fetch_add(1, Ordering::Relaxed) + 1,
         });
         let path = format!("/-/instances/{}", self.id);
-        let control = site.control(controller);
         let reply = call(control, Method::PUT, &path, &[], body.to_string()).await;
         reply.is_some_and(|r| r.status == 200)
     }
 
+    /// Says so with each announcement that it leaves.
+    pub fn leave(&self) {
+        *self.shared.draining.lock() = true;
+    }
+
     /// Says that it leaves; whether that was acknowledged.
     pub async fn drain(&self, site: &Site, controller: u8) -> bool {
-        *self.shared.draining.lock() = true;
+        self.leave();
         self.announce(site, controller).await
     }
 
@@ -189,6 +207,7 @@
             .and_then(|d| d.parse().ok())
             .unwrap_or(0),
         body: String::new(),
+        at: Instant::now(),
     };
     let stream = request.uri().path().starts_with("/stream/");
     if let Ok(body) = request.into_body().collect().await {
--- /dev/null
+++ b/tests/src/soak/verdict.rs
@@ -0,0 +1,285 @@
+//! What callers, servers and the operator saw, and which promise it breaks.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use super::plan::AFTER;
+use crate::site::{Ran, EVENTS};
+
+/// How long a caller may wait: the routes' time, and some for a busy machine.
+const TIME: Duration = Duration::from_millis(3_000 + 750);
+
+/// How long after its acknowledgement a change is in force everywhere, and a server that leaves is
+/// sent nothing.
+const IN_FORCE: Duration = Duration::from_millis(2_000);
+const DRAINED: Duration = Duration::from_millis(2_000);
+
+/// What may be repeated.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// It runs at most once.
+    Once,
+    /// It may run again.
+    Safe,
+    /// It may go on elsewhere.
+    Stream,
+}
+
+/// Whom a trouble concerns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Whom {
+    /// The process of a host.
+    Host(u8),
+    /// A host's process that was told to end: no reason to break an answer off.
+    Ending(u8),
+    /// The servers.
+    Servers,
+}
+
+/// A trouble while it lasted.
+#[derive(Debug, Clone, Copy)]
+pub struct Cause {
+    /// Whom it concerns.
+    pub whom: Whom,
+    /// From when.
+    pub from: Instant,
+    /// Until when, if it is over.
+    pub until: Option<Instant>,
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum End {
+    /// No connection could be opened.
+    Unconnected,
+    /// The connection was closed before an answer began.
+    Closed,
+    /// It was given up without an answer.
+    Silent,
+    /// An answer came.
+    Answer {
+        /// Its status.
+        status: u16,
+        /// Whether a server made it.
+        sealed: bool,
+        /// Whether it came in whole.
+        whole: bool,
+        /// Its body.
+        body: String,
+    },
+}
+
+/// A request.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// The id of the attempt.
+    pub attempt: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// The gateway.
+    pub gateway: u8,
+    /// When it was sent, and when it ended.
+    pub sent: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// How.
+    pub end: End,
+}
+
+/// A read of the configuration that was answered.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadBack {
+    /// The controller.
+    pub host: u8,
+    /// When it was sent.
+    pub sent: Instant,
+    /// The version that came.
+    pub version: u64,
+}
+
+/// A server that said it leaves, once that was acknowledged.
+#[derive(Debug, Clone)]
+pub struct Drained {
+    /// The server.
+    pub server: String,
+    /// When the acknowledgement came.
+    pub at: Instant,
+}
+
+/// A promise that was broken.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken(pub String);
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// All that was seen.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// Requests.
+    pub asked: Vec<Asked>,
+    /// Troubles.
+    pub causes: Vec<Cause>,
+    /// Acknowledged versions.
+    pub acked: Vec<(u64, Instant)>,
+    /// Reads.
+    pub reads: Vec<ReadBack>,
+    /// Drains.
+    pub drained: Vec<Drained>,
+    /// Processes that ended by themselves.
+    pub ended: Vec<Broken>,
+}
+
+impl Record {
+    /// Which promises are broken, given what each server ran.
+    pub fn broken(&self, ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
+        let mut runs: HashMap<&str, usize> = HashMap::new();
+        for run in ran.values().flatten() {
+            *runs.entry(&run.attempt).or_default() += 1;
+        }
+        let mut broken = self.ended.clone();
+        for asked in &self.asked {
+            let runs = runs.get(asked.attempt.as_str()).copied().unwrap_or(0);
+            let said = self.judge(asked, runs);
+            broken.extend(said.map(|said| Broken(format!("{said}: {asked:?}, {runs} runs"))));
+        }
+        broken.extend(self.older_reads());
+        broken.extend(self.sent_to_drained(ran));
+        broken.extend(passed_keys(ran));
+        broken
+    }
+
+    /// A host's process is found not to run.
+    pub fn note_end(&mut self, host: u8) {
+        let now = Instant::now();
+        let told = |c: &Cause| matches!(c.whom, Whom::Host(h) | Whom::Ending(h) if h == host);
+        if !self.causes.iter().any(|c| told(c) && c.overlaps(now, now)) {
+            let said = format!("the process of host {host} ended by itself");
+            self.ended.push(Broken(said));
+        }
+    }
+
+    fn judge(&self, asked: &Asked, runs: usize) -> Option<&'static str> {
+        if asked.kind == Kind::Once && runs > 1 {
+            return Some("ran more than once");
+        }
+        let late = asked.ended - asked.sent > TIME;
+        if late && !self.excused(asked, false) {
+            return Some("had no final answer in time");
+        }
+        match &asked.end {
+            // Whoever can't connect goes elsewhere.
+            End::Unconnected => None,
+            End::Closed | End::Silent => {
+                let lost = runs > 0 && !self.excused(asked, true);
+                lost.then_some("ended without an answer")
+            }
+            End::Answer {
+                status,
+                sealed,
+                whole,
+                body,
+            } => self.judge_answer(asked, runs, (*status, *sealed, *whole), body),
+        }
+    }
+
+    fn judge_answer(
+        &self,
+        asked: &Asked,
+        runs: usize,
+        (status, sealed, whole): (u16, bool, bool),
+        body: &str,
+    ) -> Option<&'static str> {
+        let promise = matches!(status, 408 | 421 | 429 | 503);
+        match status {
+            200 if !sealed => Some("a success that no server made"),
+            200 if whole && body != expected(asked) => Some("another answer than the server's"),
+            200 if !whole && !self.excused(asked, true) => Some("was broken off"),
+            400..=404 => Some("was refused though it is proper"),
+            _ if promise && asked.kind == Kind::Once && runs > 0 => {
+                Some("was said not to have run")
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether a trouble explains why a request went wrong; `broken` where it was broken off.
+    fn excused(&self, asked: &Asked, broken: bool) -> bool {
+        self.causes.iter().any(|cause| {
+            let near = match cause.whom {
+                Whom::Host(host) => host == asked.gateway,
+                Whom::Ending(host) => host == asked.gateway && !broken,
+                Whom::Servers => true,
+            };
+            near && cause.overlaps(asked.sent, asked.ended)
+        })
+    }
+
+    /// Reads that came back older than what had been acknowledged long enough before.
+    fn older_reads(&self) -> Vec<Broken> {
+        let older = self.reads.iter().filter_map(|read| {
+            let due = self
+                .acked
+                .iter()
+                .filter(|(_, at)| *at + IN_FORCE <= read.sent);
+            let newest = due.map(|(version, _)| *version).max()?;
+            let said = format!("acknowledged version {newest} was read back older: {read:?}");
+            (read.version < newest).then_some(Broken(said))
+        });
+        older.collect()
+    }
+
+    fn sent_to_drained(&self, ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        for drained in &self.drained {
+            let due = drained.at + DRAINED;
+            let runs = ran.get(&drained.server).into_iter().flatten();
+            for run in runs.filter(|r| r.at > due) {
+                let asked = self.asked.iter().find(|a| a.attempt == run.attempt);
+                let excused = asked.is_none_or(|a| {
+                    // A gateway that is out of touch may not know yet.
+                    let trouble = |c: &&Cause| matches!(c.whom, Whom::Host(_) | Whom::Ending(_));
+                    let mut troubles = self.causes.iter().filter(trouble);
+                    troubles.any(|c| c.overlaps(drained.at, a.ended))
+                });
+                if !excused {
+                    let said = format!("{} was sent {run:?} after its drain", drained.server);
+                    broken.push(Broken(said));
+                }
+            }
+        }
+        broken
+    }
+}
+
+impl Cause {
+    /// Whether it may still have had an effect in a time.
+    fn overlaps(&self, from: Instant, until: Instant) -> bool {
+        let over = self.until.map(|over| over + AFTER.as_duration());
+        self.from <= until && over.is_none_or(|over| over >= from)
+    }
+}
+
+/// What a server answers.
+fn expected(asked: &Asked) -> String {
+    match asked.kind {
+        Kind::Once | Kind::Safe => format!("answer to {}", asked.attempt),
+        Kind::Stream => {
+            let events = (1..=EVENTS).map(|id| format!("id: {id}\ndata: word {id}\n\n"));
+            events.collect()
+        }
+    }
+}
+
+/// Runs that came with a caller's key, or for no workspace.
+fn passed_keys(ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
+    let runs = ran.values().flatten();
+    let wrong = runs.filter(|r| r.keyed || r.workspace.as_deref() != Some("andes"));
+    wrong
+        .map(|r| Broken(format!("for whom it runs is wrong: {r:?}")))
+        .collect()
+}
