--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -1,7 +1,7 @@
 //! A randomized soak: the real programs as processes on loopback, troubles from outside of them, and
 //! checks of every promise that callers, servers and operators can see.
 //!
-//! - [`plan`]: which troubles come when, by the seed.
+//! - [`plan`](mod@plan): which troubles come when, by the seed.
 //! - [`fleet`]: the processes, and signals to them.
 //! - [`proxy`]: delays, silences and resets connections.
 //! - [`servers`]: stand-ins for model servers, which leave, crash and misbehave.
