Let a first attempt wait in an outage before it comes back

Cause: in an outage a first attempt was sent back at once for a third of its time, and only the second one waited: a request outlived 4.3 s of an outage.

Change: both attempts wait up to 1.6 s, which callers of streams bear; so 5.3 s are outlived. The player of the test now follows each attempt to its end (it took a wait for a whole attempt); at 6 s it asks 0.85 where 0.68 was asked.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -278,7 +278,6 @@
     }
     let now = job.state.clock.now();
     let blocked = Blocked {
-        out,
         left: job.left(),
         waited: now.since(job.started),
         whole: job.route.timeout,
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -85,8 +85,6 @@
 /// A request that can't be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Blocked {
-    /// Whether its service is out; else all of its servers are full.
-    pub out: bool,
     /// How long its caller still waits.
     pub left: Span,
     /// How long it has waited here.
@@ -97,24 +95,24 @@
 
 /// What a request does that can't be sent now.
 ///
-/// In an outage a first attempt comes back later by itself: that costs nothing, and most outages
-/// are over by then. One that came back already waits here, because its caller gives up after a
-/// second refusal; and so does one that only lacks a free place. All wait only for as long as they
-/// can still be answered.
+/// It waits here for as long as its caller bears with that and it can still be answered after it. Then
+/// a first attempt comes back later by itself; one that came back already is refused, because its
+/// caller gives up after that. So a request outlives an outage of 5.3 s in all: 1.6 s here, a third
+/// of what is left, and 1.6 s again; 4.3 s where the first attempt was sent back at once.
 pub fn waiting(blocked: &Blocked) -> Waiting {
     /// A caller's first attempt has at least this part of the whole time left, in hundredths.
     const FIRST: u64 = 80;
     let had = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
     let first = had.times(100) >= blocked.whole.times(FIRST);
     let spare = less(blocked.left, SERVED).min(less(LONGEST, blocked.waited));
-    if first && (blocked.out || spare == Span::default()) {
+    if spare > Span::default() {
+        return Waiting::Queue(spare);
+    }
+    if first {
         let part = blocked.left.as_micros() / BACK_PART;
         return Waiting::RetryLater(Span::from_micros(part));
     }
-    if spare == Span::default() {
-        return Waiting::Refuse;
-    }
-    Waiting::Queue(spare)
+    Waiting::Refuse
 }
 
 fn less(span: Span, by: Span) -> Span {
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -11,9 +11,8 @@
     ServiceId::new("lector").unwrap()
 }
 
-fn out(left: Span, waited: Span) -> Blocked {
+fn blocked(left: Span, waited: Span) -> Blocked {
     Blocked {
-        out: true,
         left,
         waited,
         whole: WHOLE,
@@ -26,33 +25,49 @@
 fn answered(outage: u64) -> f64 {
     let arrivals = (0..outage).step_by(10);
     let total = arrivals.clone().count() as f64;
-    let served = arrivals.filter(|at| {
-        let mut now = *at;
-        let deadline = at + WHOLE.as_millis();
-        for _ in 0..2 {
-            let left = Span::from_millis(deadline - now);
-            match waiting(&out(left, Span::default())) {
-                Waiting::RetryLater(span) => now += span.as_millis(),
-                Waiting::Queue(span) => now = (now + span.as_millis()).min(outage.max(now)),
+    let served = arrivals.filter(|at| is_answered(*at, outage));
+    served.count() as f64 / total
+}
+
+fn is_answered(at: u64, outage: u64) -> bool {
+    let deadline = at + WHOLE.as_millis();
+    let mut now = at;
+    for _ in 0..2 {
+        let mut waited = 0;
+        loop {
+            let left = Span::from_millis(deadline.saturating_sub(now));
+            match waiting(&blocked(left, Span::from_millis(waited))) {
+                Waiting::Queue(span) => {
+                    let end = (now + span.as_millis()).min(outage.max(now));
+                    waited += end - now;
+                    now = end;
+                }
+                Waiting::RetryLater(span) => {
+                    now += span.as_millis();
+                    break;
+                }
                 Waiting::Refuse => return false,
             }
             if now >= outage {
                 return now + SERVED.as_millis() <= deadline;
             }
         }
-        false
-    });
-    served.count() as f64 / total
+        if now >= outage {
+            return now + SERVED.as_millis() <= deadline;
+        }
+    }
+    false
 }
 
-/// Every request of an outage of four seconds is answered, late, and most of one of six. With 0.3 s to
+/// Every request of an outage of five seconds is answered, late, and most of one of six. With 0.3 s to
 /// come back after each refusal it was the last 0.3 s of an outage only: 0.15 of two seconds, 0.05 of
-/// six.
+/// six; with a first attempt that comes back at once 0.68 of six.
 #[test]
 fn outage_waited_out() {
     assert!(answered(2_000) > 0.99, "{}", answered(2_000));
     assert!(answered(4_000) > 0.99, "{}", answered(4_000));
-    assert!(answered(6_000) > 0.68, "{}", answered(6_000));
+    assert!(answered(5_200) > 0.99, "{}", answered(5_200));
+    assert!(answered(6_000) > 0.85, "{}", answered(6_000));
 }
 
 /// Nobody waits for longer than callers bear with a stream that shows nothing.
@@ -60,26 +75,19 @@
 fn patience_bounded() {
     let left = Span::from_secs(5);
     assert_eq!(
-        waiting(&out(left, Span::default())),
+        waiting(&blocked(left, Span::default())),
         Waiting::Queue(LONGEST)
     );
     let after = Span::from_micros(left.as_micros() - LONGEST.as_micros());
-    assert_eq!(waiting(&out(after, LONGEST)), Waiting::Refuse);
+    assert_eq!(waiting(&blocked(after, LONGEST)), Waiting::Refuse);
 }
 
-/// A first attempt that only lacks a free place waits for one, and comes back after that.
+/// A first attempt waits, and comes back after that.
 #[test]
-fn full_waits_first() {
-    let blocked = Blocked {
-        out: false,
-        ..out(WHOLE, Span::default())
-    };
-    assert_eq!(waiting(&blocked), Waiting::Queue(LONGEST));
-    let waited = Blocked {
-        waited: LONGEST,
-        left: Span::from_millis(6_400),
-        ..blocked
-    };
+fn first_waits() {
+    let first = blocked(WHOLE, Span::default());
+    assert_eq!(waiting(&first), Waiting::Queue(LONGEST));
+    let waited = blocked(Span::from_millis(6_400), LONGEST);
     assert!(matches!(waiting(&waited), Waiting::RetryLater(_)));
 }
 
@@ -101,5 +109,5 @@
 /// A request that has no time left to be answered is refused at once.
 #[test]
 fn too_late_given_up() {
-    assert_eq!(waiting(&out(SERVED, Span::default())), Waiting::Refuse);
+    assert_eq!(waiting(&blocked(SERVED, Span::default())), Waiting::Refuse);
 }
