Hold a group past every step that was held before

Cause: a group without requests makes no steps, so the next switch may hold it at the same step again; a go for the hold before that got no answer lets it begin that step while its ranks are being armed: one pass on two maps.

Its price is a step a switch in an idle group.

--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -74,6 +74,8 @@
     arm_pending: bool,
     /// The highest map number that was given.
     highest: MapVersion,
+    /// The highest step that a hold named.
+    held: Step,
 }
 
 /// One order under way.
@@ -102,6 +104,7 @@
             seq: OrderSeq::default(),
             arm_pending: true,
             highest: MapVersion(0),
+            held: Step(0),
         }
     }
 
@@ -142,7 +145,7 @@
         }
         let (holds, order) = match &task.order {
             Order::Disarm { unused, old } => return self.disarm(*unused, old, task.tries, state),
-            Order::Hold { ahead } => return task.hold(*ahead, state),
+            Order::Hold { ahead } => return task.hold(*ahead, self.held, state),
             Order::Prepare { version, map } => (
                 state.prepared == Some(*version),
                 EngineOrder::Prepare(*version, Arc::clone(map)),
@@ -198,6 +201,7 @@
         match order {
             EngineOrder::Arm(..) => self.arm_pending = true,
             EngineOrder::Prepare(version, _) => self.highest = self.highest.max(*version),
+            EngineOrder::Hold(step) => self.held = self.held.max(*step),
             _ => {}
         }
         before
@@ -228,11 +232,15 @@
 }
 
 impl Task {
-    /// Holds the rank some steps ahead of where it says that it is.
+    /// Holds the rank some steps ahead of where it says that it is, and past every step held before.
+    ///
+    /// Failure guarded against: a group without requests makes no steps, so it would be held at the
+    /// same step again, and a go for the hold before that got no answer lets it begin that step
+    /// while ranks are armed: one pass on two maps.
     ///
     /// A step that has begun before the order arrived is given up for a later one. After a try
     /// without an answer the step stays: the group must not be held at two of them, one unknown.
-    fn hold(&mut self, ahead: u64, state: &RankState) -> Next {
+    fn hold(&mut self, ahead: u64, held: Step, state: &RankState) -> Next {
         if let Some(step) = self.step.filter(|s| state.held == Some(*s)) {
             return Next::Settled(Outcome::Held(step));
         }
@@ -247,7 +255,8 @@
         if kept.is_some() && self.refused > 0 {
             return Next::Settled(Outcome::Unsure);
         }
-        let step = kept.unwrap_or(Step(state.step.get() + ahead));
+        let fresh = Step(state.step.get() + ahead).max(held.next());
+        let step = kept.unwrap_or(fresh);
         self.step = Some(step);
         Next::Give(EngineOrder::Hold(step))
     }
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -132,6 +132,8 @@
     reach: u64,
     /// For how long the group did not begin a pass that was due, in ms.
     stood: u64,
+    /// Whether requests come and go, so that the group makes no passes for a time.
+    idles: bool,
     step: u64,
     engines: Vec<Engine>,
     executors: Vec<Executor>,
@@ -156,6 +158,7 @@
             lag: 0,
             reach: 5,
             stood: 0,
+            idles: false,
             step: 0,
             engines: vec![Engine::default(); RANKS],
             executors: vec![Executor::new(); RANKS],
@@ -237,6 +240,10 @@
     /// A pass begins, unless a rank holds the group there.
     fn pass(&mut self) {
         self.after(PASS, Event::Pass);
+        // Two seconds of each five without a request.
+        if self.idles && self.now % 5_000 < 2_000 {
+            return;
+        }
         let next = self.step + 1;
         if self
             .engines
@@ -415,6 +422,19 @@
     }
 }
 
+/// A user sees wrong words in an answer: one pass ran on two maps. A group without requests makes no
+/// passes. A go gets no answer and is given again; the next switch holds the group at the same step,
+/// and the first go is carried out while its ranks are being armed.
+#[test]
+fn late_go_of_idle_group() {
+    for seed in 0..3_000 {
+        let mut world = World::new(seed, 3);
+        world.idles = true;
+        world.run(30_000);
+        assert!(!world.mixed, "seed {seed}");
+    }
+}
+
 /// A user sees every stream stand still for good. A hold gets no answer and is given again; the group
 /// is let go on; the first copy of the hold is carried out before the step has begun.
 #[test]
