Wake who waits for pollers only when a poll shows something new

Cause: each poll of a controller woke every answer that waits there; the wakes grow with the square of the hosts (39 gateways: some 6,000 a second; 350 hosts that poll four times a second: half a million). Found by reading, not by a run.

Besides: a group's demand is settled, its ranks are steady; two names, not one.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -17,8 +17,9 @@
 
 /// Answers a poll, as soon as there is news or its wait is over.
 pub(crate) async fn answer(state: &State, poll: Poll) -> News {
-    state.pollers.lock().note(state.clock.now(), &poll);
-    state.announce();
+    if state.pollers.lock().note(state.clock.now(), &poll) {
+        state.announce();
+    }
     state.wait(poll.wait, |s| has_news(s, &poll)).await;
     let now = state.clock.now();
     let cursor = state.cursor();
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -30,8 +30,13 @@
 }
 
 impl Pollers {
-    /// Takes note of a poll.
-    pub fn note(&mut self, now: Moment, poll: &Poll) {
+    /// Takes note of a poll; whether the poller has another configuration or more of the table than when
+    /// it polled before.
+    ///
+    /// Load answered: whoever waits until all gateways have something is woken by this alone. Woken by
+    /// every poll, with 350 hosts that poll four times a second, 350 waiting answers would be looked
+    /// at half a million times a second.
+    pub fn note(&mut self, now: Moment, poll: &Poll) -> bool {
         let poller = Poller {
             kind: poll.kind,
             version: poll.version,
@@ -40,7 +45,8 @@
             flying: poll.flying.clone(),
             slow: poll.slow.clone(),
         };
-        self.known.insert(poll.host.clone(), poller);
+        let before = self.known.insert(poll.host.clone(), poller);
+        before.is_none_or(|b| b.version != poll.version || b.cursor != poll.cursor)
     }
 
     /// How many gateways are connected.
--- a/crates/sidecar/src/group.rs
+++ b/crates/sidecar/src/group.rs
@@ -30,9 +30,10 @@
     pub(crate) version: MapVersion,
     /// The map that is being brought into force.
     pub(crate) next: Option<Arc<ExpertMap>>,
-    /// The demand for experts, and whether it has settled since its last shift.
+    /// The demand for experts.
     pub(crate) demand: Demand,
-    pub(crate) steady: bool,
+    /// Whether it has settled since its last shift.
+    pub(crate) settled: bool,
     /// The processes beside the ranks.
     pub(crate) addresses: Vec<SocketAddr>,
     /// The ranks' states, as last seen.
@@ -56,7 +57,7 @@
             epoch: seen[0].state.epoch,
             switch: Switch::new(ranks, lead),
             demand: Demand::new(map.layers.len(), ranks),
-            steady: false,
+            settled: false,
             map: Arc::new(map),
             version: seen[0].state.map,
             next: None,
@@ -101,7 +102,7 @@
                 self.demand.add(seen.rank, counted);
             }
         }
-        self.steady = self.demand.settle(now);
+        self.settled = self.demand.settle(now);
         true
     }
 
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -68,15 +68,13 @@
     pub(crate) async fn run(mut self) {
         let mut looked = self.clock.now();
         loop {
-            let busy = self.group.as_ref().is_some_and(|g| !g.switch.is_idle());
-            let shifting = self.group.as_ref().is_some_and(|g| !g.steady);
-            let hurry = busy || self.whole || shifting;
+            let whole = self.whole || self.is(|g| !g.switch.is_idle());
+            let hurry = whole || self.is(|g| !g.settled);
             let due = self.clock.now().until(looked + PACE);
             self.rest(if hurry { QUICK } else { due.max(QUICK) }).await;
             looked = self.clock.now();
-            let waits = self.group.as_ref();
-            if !waits.is_some_and(|g| g.switch.awaits_orders()) {
-                self.look(busy || self.whole).await;
+            if !self.is(|g| g.switch.awaits_orders()) {
+                self.look(whole).await;
             }
             let now = self.clock.now();
             let sends = self.group.as_mut().map(|g| g.switch.tick(now));
@@ -85,6 +83,11 @@
         }
     }
 
+    /// Whether there is a group of which something holds.
+    fn is(&self, holds: impl Fn(&Group) -> bool) -> bool {
+        self.group.as_ref().is_some_and(holds)
+    }
+
     /// Takes what became of orders, until it is time to look again.
     async fn rest(&mut self, span: Span) {
         let end = self.clock.now() + span;
@@ -220,7 +223,7 @@
             self.whole = true;
             return;
         }
-        if !group.steady || group.demand.total() < ENOUGH {
+        if !group.settled || group.demand.total() < ENOUGH {
             return;
         }
         let thresholds = Thresholds {
