Let the soak see an answer to another request, and a second run

Change: an answer that names another attempt breaks a promise; the route that runs once allows two servers. Both checks are stricter than before.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -28,7 +28,7 @@
 use snipemast_net::connect;
 use snipemast_net::exec::{pause, spawn};
 
-use crate::site::{call, configuration, start_executor};
+use crate::site::{call, start_executor};
 use fleet::Fleet;
 use load::Versions;
 use plan::{plan, Planned, Sizes, Trouble};
@@ -167,7 +167,7 @@
 
     /// Sends the first configuration and waits until every gateway serves.
     async fn first_served(&self) -> bool {
-        let document = configuration(1).to_string();
+        let document = load::document(1).to_string();
         load::come_true(UP, || async {
             let put = call(
                 self.fleet.outside(1),
--- a/tests/src/soak/load.rs
+++ b/tests/src/soak/load.rs
@@ -6,7 +6,7 @@
 
 use hyper::Method;
 use parking_lot::Mutex;
-use serde_json::Value;
+use serde_json::{json, Value};
 
 use snipemast_control::Chance;
 use snipemast_core::prelude::*;
@@ -100,6 +100,7 @@
         Some(Some(reply)) => End::Answer {
             status: reply.status,
             sealed: reply.header("x-server-seal").is_some(),
+            foreign: reply.header("x-attempt-id").is_some_and(|id| id != attempt),
             whole: reply.whole,
             body: reply.body,
         },
@@ -140,12 +141,20 @@
     fn next(&mut self, chance: &mut Chance) -> (u64, Value) {
         let last = self.sent.keys().next_back().copied().unwrap_or(1);
         let number = last + 1 + chance.next_number() % 3;
-        let document = configuration(number);
+        let document = document(number);
         self.sent.insert(number, document.clone());
         (number, document)
     }
 }
 
+/// A configuration whose requests that run once may be sent to two servers: a route that allows one
+/// only would hide a gateway that sends them again.
+pub fn document(version: u64) -> Value {
+    let mut document = configuration(version);
+    document["routes"][0]["attempts"] = json!(2);
+    document
+}
+
 /// Reads the configuration at one controller after another.
 pub async fn read_on(fleet: Arc<Fleet>, record: Arc<Mutex<Record>>, seed: u64) {
     let mut chance = Chance::new(seed);
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -63,6 +63,8 @@
         status: u16,
         /// Whether a server made it.
         sealed: bool,
+        /// Whether it names another attempt than the one that it answers.
+        foreign: bool,
         /// Whether it came in whole.
         whole: bool,
         /// Its body.
@@ -178,11 +180,13 @@
                 let lost = runs > 0 && !self.excused(asked, true);
                 lost.then_some("ended without an answer")
             }
+            End::Answer { foreign: true, .. } => Some("the answer to another request"),
             End::Answer {
                 status,
                 sealed,
                 whole,
                 body,
+                ..
             } => self.judge_answer(asked, runs, (*status, *sealed, *whole), body),
         }
     }
