End a soak's processes with it

Cause: a soak's tasks hold its fleet, and are cancelled only when the executor polls them next; a soak that ended left its processes running, and its last task could start some again. Seen as some 40 controllers and gateways of earlier soaks, found by looking at what ran; they were ended by their ids.

A soak that is killed itself still leaves its processes: not mended.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -113,6 +113,7 @@
     }
     let versions: Arc<Mutex<Versions>> = Arc::default();
     if !soak.first_served().await {
+        fleet.stop();
         return Ok(soak.outcome(Vec::new(), vec![Broken("nothing was served".into())]));
     }
     let planned = plan(options.seed, options.length, sizes);
@@ -135,6 +136,7 @@
         broken = soak.recovered(&versions).await;
     }
     drop(tasks);
+    fleet.stop();
     broken.extend(soak.record.lock().broken(&soak.servers.ran()));
     if broken.is_empty() {
         // What can't be removed is in a temporary folder.
--- a/tests/src/soak/fleet.rs
+++ b/tests/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
@@ -25,6 +26,7 @@
     ports: Ports,
     sizes: Sizes,
     hosts: Vec<Host>,
+    stopped: AtomicBool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -59,6 +61,7 @@
             ports,
             sizes,
             hosts: Vec::new(),
+            stopped: AtomicBool::new(false),
         };
         let controllers = 1..=sizes.controllers;
         let gateways = GATEWAY..GATEWAY + sizes.gateways;
@@ -104,6 +107,10 @@
 
     /// Starts a host's process; `first` where the whole system starts for the first time.
     pub fn start(&self, number: u8, first: bool) -> io::Result<()> {
+        let mut child = self.host(number).child.lock();
+        if self.stopped.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         let folder = self.disk(number);
         std::fs::create_dir_all(&folder)?;
         let settings = self.folder.join(format!("host-{number}.toml"));
@@ -119,7 +126,7 @@
         };
         // A write beyond the limit that stands for a full disk is to fail, not to end the process:
         // the shell leaves the signal ignored, and is replaced by the program.
-        let child = Command::new("sh")
+        let started = Command::new("sh")
             .args(["-c", "trap '' XFSZ; exec \"$0\" \"$1\""])
             .arg(&self.binary)
             .arg(role)
@@ -128,7 +135,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        *self.host(number).child.lock() = Some(child);
+        *child = Some(started);
         Ok(())
     }
 
@@ -202,6 +209,17 @@
         }
     }
 
+    /// Kills all processes, for good.
+    ///
+    /// Failure guarded against: a soak is over, and its processes run on, started anew by a task that
+    /// has not been dropped yet: tasks are cancelled a moment later, if the executor still runs.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        for host in &self.hosts {
+            self.kill(host.number);
+        }
+    }
+
     /// Removes a host's folder.
     pub fn wipe(&self, number: u8) {
         // A folder that was never written to is as good as removed.
@@ -244,9 +262,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for host in &self.hosts {
-            self.kill(host.number);
-        }
+        self.stop();
     }
 }
 
