--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -294,9 +294,9 @@
             | Trouble::Full(host, _)
             | Trouble::Link(host, ..) => vec![Whom::Host(host)],
             Trouble::KillControllers => fleet.controllers().map(Whom::Host).collect(),
-            Trouble::ServerLink(..) | Trouble::Behave(..) | Trouble::Crash(_) => {
-                vec![Whom::Servers]
-            }
+            Trouble::ServerLink(server, ..)
+            | Trouble::Behave(server, ..)
+            | Trouble::Crash(server) => vec![Whom::Server(server)],
             // Leaving in order is no reason to lose anything.
             Trouble::Replace(_) => Vec::new(),
         };
@@ -345,7 +345,7 @@
                 Ok(drained) => self.record.lock().drained.push(drained),
                 // It went without an acknowledgement.
                 Err(since) => {
-                    let at = self.begin(Whom::Servers);
+                    let at = self.begin(Whom::Server(server));
                     self.record.lock().causes[at].from = since;
                     self.end(at);
                 }
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -33,8 +33,8 @@
     Host(u8),
     /// A host's process that was told to end: no reason to break an answer off.
     Ending(u8),
-    /// The servers.
-    Servers,
+    /// The servers of a place, one after another.
+    Server(u8),
 }
 
 /// A trouble while it lasted.
@@ -139,15 +139,18 @@
 impl Record {
     /// Which promises are broken, given what each server ran.
     pub fn broken(&self, ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
-        let mut runs: HashMap<&str, usize> = HashMap::new();
-        for run in ran.values().flatten() {
-            *runs.entry(&run.attempt).or_default() += 1;
+        let mut places: HashMap<&str, Vec<u8>> = HashMap::new();
+        for (server, runs) in ran {
+            for run in runs {
+                places.entry(&run.attempt).or_default().push(place(server));
+            }
         }
         let mut broken = self.ended.clone();
         for asked in &self.asked {
-            let runs = runs.get(asked.attempt.as_str()).copied().unwrap_or(0);
-            let said = self.judge(asked, runs);
-            broken.extend(said.map(|said| Broken(format!("{said}: {asked:?}, {runs} runs"))));
+            let at = places.get(asked.attempt.as_str());
+            let at = at.map_or(&[][..], Vec::as_slice);
+            let said = self.judge(asked, at);
+            broken.extend(said.map(|said| Broken(format!("{said}: {asked:?}, ran at {at:?}"))));
         }
         broken.extend(self.older_reads());
         broken.extend(self.sent_to_drained(ran));
@@ -165,19 +168,20 @@
         }
     }
 
-    fn judge(&self, asked: &Asked, runs: usize) -> Option<&'static str> {
-        if asked.kind == Kind::Once && runs > 1 {
+    /// Which promise a request's end breaks, given the places of the servers that ran it.
+    fn judge(&self, asked: &Asked, at: &[u8]) -> Option<&'static str> {
+        if asked.kind == Kind::Once && at.len() > 1 {
             return Some("ran more than once");
         }
         let late = asked.ended - asked.sent > TIME;
-        if late && !self.excused(asked, false) {
+        if late && !self.excused(asked, None) {
             return Some("had no final answer in time");
         }
         match &asked.end {
             // Whoever can't connect goes elsewhere.
             End::Unconnected => None,
             End::Closed | End::Silent => {
-                let lost = runs > 0 && !self.excused(asked, true);
+                let lost = !at.is_empty() && !self.excused(asked, Some(at));
                 lost.then_some("ended without an answer")
             }
             End::Answer { foreign: true, .. } => Some("the answer to another request"),
@@ -187,14 +191,14 @@
                 whole,
                 body,
                 ..
-            } => self.judge_answer(asked, runs, (*status, *sealed, *whole), body),
+            } => self.judge_answer(asked, at, (*status, *sealed, *whole), body),
         }
     }
 
     fn judge_answer(
         &self,
         asked: &Asked,
-        runs: usize,
+        at: &[u8],
         (status, sealed, whole): (u16, bool, bool),
         body: &str,
     ) -> Option<&'static str> {
@@ -202,22 +206,23 @@
         match status {
             200 if !sealed => Some("a success that no server made"),
             200 if whole && body != expected(asked) => Some("another answer than the server's"),
-            200 if !whole && !self.excused(asked, true) => Some("was broken off"),
+            200 if !whole && !self.excused(asked, Some(at)) => Some("was broken off"),
             400..=404 => Some("was refused though it is proper"),
-            _ if promise && asked.kind == Kind::Once && runs > 0 => {
+            _ if promise && asked.kind == Kind::Once && !at.is_empty() => {
                 Some("was said not to have run")
             }
             _ => None,
         }
     }
 
-    /// Whether a trouble explains why a request went wrong; `broken` where it was broken off.
-    fn excused(&self, asked: &Asked, broken: bool) -> bool {
+    /// Whether a trouble explains why a request went wrong: why it was late, or why it was broken off
+    /// at the servers that ran it.
+    fn excused(&self, asked: &Asked, broken: Option<&[u8]>) -> bool {
         self.causes.iter().any(|cause| {
             let near = match cause.whom {
                 Whom::Host(host) => host == asked.gateway,
-                Whom::Ending(host) => host == asked.gateway && !broken,
-                Whom::Servers => true,
+                Whom::Ending(host) => host == asked.gateway && broken.is_none(),
+                Whom::Server(place) => broken.is_none_or(|at| at.contains(&place)),
             };
             near && cause.overlaps(asked.sent, asked.ended)
         })
@@ -268,6 +273,12 @@
     }
 }
 
+/// The place of a server, out of its id.
+fn place(server: &str) -> u8 {
+    let place = server.split('-').nth(1).and_then(|p| p.parse().ok());
+    place.expect("the soak's servers are named by their place")
+}
+
 /// What a server answers.
 fn expected(asked: &Asked) -> String {
     match asked.kind {
