Keep the platform's words in its folder, in tests too

Found by reading the whole change again; behaviour and assertions stay.

- The stand-ins and the tests that speak the platform's protocol lived in tests/; they are a package in platform/ now (snipemast-site), and the soak and the test with unread output call it: headers, paths, settings files and configurations stand once.
- The soak had its own ports, settings text and caller's headers beside those of the site: gone.
A model had its own splitmix beside control's Chance: gone (same numbers, same seeds).
- Whom a trouble of the soak concerns is a step of its own.

--- a/crates/control/src/timing.rs
+++ b/crates/control/src/timing.rs
@@ -62,8 +62,13 @@
         z ^ (z >> 31)
     }
 
+    /// A number below the bound; 0 where that is 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.next_number() % bound.max(1)
+    }
+
     /// A span below the bound.
     pub fn span(&mut self, bound: Span) -> Span {
-        Span::from_micros(self.next_number() % bound.as_micros().max(1))
+        Span::from_micros(self.below(bound.as_micros()))
     }
 }
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -5,6 +5,7 @@
 
 use quickcheck::{quickcheck, TestResult};
 
+use snipemast_control::Chance;
 use snipemast_core::prelude::*;
 use snipemast_groups::executor::{Answer, EngineOrder, Executor, Next, OrderSeq, Task};
 use snipemast_groups::switch::{Ended, Order, Outcome, Phase, RankState, Send, Switch};
@@ -21,27 +22,6 @@
 /// How long a rank copies the experts of a map, in ms.
 const COPY: u64 = 250;
 
-/// A source of chance (splitmix64).
-struct Chance(u64);
-
-impl Chance {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.0;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-
-    fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound.max(1)
-    }
-
-    fn one_in(&mut self, count: u64) -> bool {
-        self.below(count) == 0
-    }
-}
-
 /// A rank's engine, as the platform describes it.
 #[derive(Clone, Default)]
 struct Engine {
@@ -153,7 +133,7 @@
             now: 0,
             events: BTreeMap::new(),
             count: 0,
-            chance: Chance(seed),
+            chance: Chance::new(seed),
             mute,
             lag: 0,
             reach: 5,
@@ -280,7 +260,7 @@
         if self.switch.is_idle() && !clean {
             let sends = self.switch.recover(states, Arc::default());
             self.send(sends);
-        } else if self.switch.is_idle() && self.chance.one_in(4) {
+        } else if self.switch.is_idle() && self.chance.below(4) == 0 {
             let had = self.engines.iter().map(|e| e.had).max().unwrap_or(0);
             self.version = had.max(self.version) + 1_000;
             let (old, map) = (Arc::default(), Arc::default());
@@ -304,7 +284,7 @@
                 lead: Ballot(self.lead),
                 number: self.number,
             };
-            let slow = self.mute < u64::MAX && self.chance.one_in(30);
+            let slow = self.mute < u64::MAX && self.chance.below(30) == 0;
             // The lead's own rank is on its host.
             let longest = match send.rank {
                 _ if slow => 4_000,
@@ -347,9 +327,13 @@
 
     fn give(&mut self, rank: usize, order: &EngineOrder) {
         let before = self.executors[rank].before_send(order);
-        if self.chance.one_in(self.mute) {
+        if self.chance.below(self.mute) == 0 {
             // The platform speaks of 2 to 12 s; sooner ones find the group still held.
-            let longest = if self.chance.one_in(2) { 900 } else { 12_000 };
+            let longest = if self.chance.below(2) == 0 {
+                900
+            } else {
+                12_000
+            };
             let late = GIVE + self.chance.below(longest);
             self.after(late, Event::Late(rank, order.clone()));
             self.after(
--- a/tests/src/lib.rs
+++ b/tests/src/lib.rs
@@ -3,10 +3,8 @@
 //! - [`Fleet`]: one entry with the control role, agents and fakes, in this process.
 //! - [`soak`]: the real programs as processes, with troubles from outside.
 //! - [`wired`]: a fleet whose agents stand behind wires that misbehave.
-//! - [`site`]: gateways, controllers and stand-ins of the users' platform.
 //! - [`zones`]: three entries of three zones before shared agents.
 
-pub mod site;
 pub mod soak;
 pub mod wired;
 pub mod zones;
--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -19,7 +19,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper::Method;
 use parking_lot::Mutex;
 use rustix::process::Signal;
 use smol::Task;
@@ -27,8 +26,8 @@
 use snipemast_core::prelude::*;
 use snipemast_net::connect;
 use snipemast_net::exec::{pause, spawn};
+use snipemast_site::{calls, document, start_executor};
 
-use crate::site::{call, start_executor};
 use fleet::Fleet;
 use load::Versions;
 use plan::{plan, Planned, Sizes, Trouble};
@@ -169,16 +168,10 @@
 
     /// Sends the first configuration and waits until every gateway serves.
     async fn first_served(&self) -> bool {
-        let document = load::document(1).to_string();
+        let document = document::lenient(1).to_string();
         load::come_true(UP, || async {
-            let put = call(
-                self.fleet.outside(1),
-                Method::PUT,
-                "/-/config",
-                &[],
-                document.clone(),
-            );
-            put.await.is_some_and(|r| r.status == 200)
+            let put = calls::put(self.fleet.outside(1), document.clone());
+            put.await == Some(200)
         })
         .await
             && self.serves_everywhere().await
@@ -269,7 +262,7 @@
             let Some(document) = load::read(&self.fleet, host).await else {
                 continue;
             };
-            let version = document["version"].as_u64().unwrap_or(0);
+            let version = document::version(&document);
             if acked.is_some_and(|acked| version < acked) {
                 broken.push(Broken(format!(
                     "host {host}: version {version}, acknowledged {acked:?}"
@@ -283,23 +276,28 @@
         broken
     }
 
-    /// Makes one trouble, and undoes it.
-    async fn trouble(&self, trouble: Trouble) {
-        let fleet = &self.fleet;
-        let whom = match trouble {
+    /// Whom a trouble gives a reason to break an answer off, or to be late.
+    fn concerned(&self, trouble: Trouble) -> Vec<Whom> {
+        match trouble {
             Trouble::Terminate(host) => vec![Whom::Ending(host)],
             Trouble::Kill(host)
             | Trouble::Pause(host, _)
             | Trouble::Wipe(host)
             | Trouble::Full(host, _)
             | Trouble::Link(host, ..) => vec![Whom::Host(host)],
-            Trouble::KillControllers => fleet.controllers().map(Whom::Host).collect(),
+            Trouble::KillControllers => self.fleet.controllers().map(Whom::Host).collect(),
             Trouble::ServerLink(server, ..)
             | Trouble::Behave(server, ..)
             | Trouble::Crash(server) => vec![Whom::Server(server)],
             // Leaving in order is no reason to lose anything.
             Trouble::Replace(_) => Vec::new(),
-        };
+        }
+    }
+
+    /// Makes one trouble, and undoes it.
+    async fn trouble(&self, trouble: Trouble) {
+        let fleet = &self.fleet;
+        let whom = self.concerned(trouble);
         let begun: Vec<usize> = whom.into_iter().map(|whom| self.begin(whom)).collect();
         match trouble {
             Trouble::Terminate(host) => self.terminate(host).await,
--- a/tests/src/soak/fleet.rs
+++ b/tests/src/soak/fleet.rs
@@ -10,9 +10,11 @@
 use parking_lot::Mutex;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
+use snipemast_platform::settings::{Settings, VARIABLE};
+use snipemast_site::hosts::{self, Ports};
+
 use super::plan::{Disturbance, Port, Sizes, GATEWAY};
 use super::proxy::Proxy;
-use crate::site::free_port;
 
 /// How far the address that a process listens at lies above the one that leads to it.
 const BEHIND: u8 = 100;
@@ -29,14 +31,6 @@
     stopped: AtomicBool,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Ports {
-    front: u16,
-    ready: u16,
-    control: u16,
-    internal: u16,
-}
-
 #[derive(Debug)]
 struct Host {
     number: u8,
@@ -48,12 +42,7 @@
 impl Fleet {
     /// Lays out the hosts; no process runs yet.
     pub fn new(binary: &Path, folder: &Path, net: u8, sizes: Sizes) -> io::Result<Self> {
-        let ports = Ports {
-            front: free_port(),
-            ready: free_port(),
-            control: free_port(),
-            internal: free_port(),
-        };
+        let ports = Ports::free();
         let mut fleet = Self {
             binary: binary.to_owned(),
             folder: folder.to_owned(),
@@ -114,7 +103,7 @@
         let folder = self.disk(number);
         std::fs::create_dir_all(&folder)?;
         let settings = self.folder.join(format!("host-{number}.toml"));
-        std::fs::write(&settings, self.settings(number, first))?;
+        std::fs::write(&settings, hosts::text(&self.settings(number, first)))?;
         let log = File::options()
             .create(true)
             .append(true)
@@ -130,7 +119,7 @@
             .args(["-c", "trap '' XFSZ; exec \"$0\" \"$1\""])
             .arg(&self.binary)
             .arg(role)
-            .env("SNIPEMAST_SETTINGS", &settings)
+            .env(VARIABLE, &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
@@ -139,34 +128,20 @@
         Ok(())
     }
 
-    fn settings(&self, number: u8, first: bool) -> String {
+    fn settings(&self, number: u8, first: bool) -> Settings {
         let (ip, behind) = (self.ip(number), self.ip(number + BEHIND));
-        let Ports {
-            front,
-            ready,
-            control,
-            internal,
-        } = self.ports;
-        let seeds: Vec<String> = self
-            .controllers()
-            .map(|c| format!("\"{}\"", self.outside(c)))
-            .collect();
-        let zone = ["a", "b", "c"][usize::from(number) % 3];
-        let listen = if number < GATEWAY {
-            format!("control = \"{behind}:{control}\"")
-        } else {
-            format!("front = \"{behind}:{front}\"\nready = \"{behind}:{ready}\"")
-        };
-        format!(
-            "node = \"host-{number}\"\nip = \"{ip}\"\nzone = \"{zone}\"\n\
-             internalPorts = [{internal}, {}]\ninternalListen = \"{behind}:{internal}\"\n\
-             seeds = [{}]\nbootstrap = {first}\ndataDir = \"{}\"\n\
-             [listen]\n{listen}\n[tolerate]\nmachines = 1\n\
-             [bounds]\ngraceS = 8\nretryRatio = 0.2\nretrySlack = 94\nretryWindowS = 10\n",
-            internal.wrapping_add(1),
-            seeds.join(", "),
-            self.disk(number).display(),
-        )
+        let at = |port| Some(SocketAddr::new(behind, port));
+        let (gateway, ports) = (number >= GATEWAY, self.ports);
+        Settings {
+            internal_listen: at(ports.internal),
+            seeds: self.controllers().map(|c| self.outside(c)).collect(),
+            first,
+            folder: Some(self.disk(number)),
+            front: at(ports.front).filter(|_| gateway),
+            ready: at(ports.ready).filter(|_| gateway),
+            control: at(ports.control).filter(|_| !gateway),
+            ..hosts::settings(number, ip, ports.internal)
+        }
     }
 
     /// Whether a host's process runs.
--- a/tests/src/soak/load.rs
+++ b/tests/src/soak/load.rs
@@ -4,18 +4,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper::Method;
 use parking_lot::Mutex;
-use serde_json::{json, Value};
+use serde_json::Value;
 
 use snipemast_control::Chance;
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, within};
 use snipemast_net::{connect, Connection};
+use snipemast_site::calls;
+use snipemast_site::document::{self, SITE_KEY};
 
 use super::fleet::Fleet;
 use super::verdict::{Asked, End, Kind, ReadBack, Record};
-use crate::site::{call, configuration, exchange, SITE_KEY};
 
 /// The longest pause of a caller between two requests, and of the operator between two changes.
 const THINK: Span = Span::from_millis(60);
@@ -39,7 +39,7 @@
     let gateways: Vec<u8> = fleet.gateways().collect();
     for number in 0_u64.. {
         pause(chance.span(THINK)).await;
-        let kind = match chance.next_number() % 3 {
+        let kind = match chance.below(3) {
             0 => Kind::Once,
             1 => Kind::Safe,
             _ => Kind::Stream,
@@ -50,7 +50,7 @@
         }
         let gateway = match &kept {
             Some((gateway, _)) => *gateway,
-            None => gateways[chance.next_number() as usize % gateways.len()],
+            None => gateways[chance.below(gateways.len() as u64) as usize],
         };
         let attempt = format!("{name}-{number}");
         let sent = Instant::now();
@@ -85,22 +85,14 @@
         Kind::Safe => "/safe/read",
         Kind::Stream => "/stream/read",
     };
-    let bearer = format!("Bearer {SITE_KEY}");
-    let headers = [
-        ("host", "readings.example"),
-        ("x-attempt-id", attempt),
-        ("x-deadline-ms", "4000"),
-        ("authorization", bearer.as_str()),
-    ];
-    let body = format!("body of {attempt}");
-    let work = exchange(&mut connection, Method::POST, path, &headers, body);
+    let work = calls::ask(&mut connection, path, attempt, SITE_KEY);
     let end = match within(PATIENCE, work).await {
         None => End::Silent,
         Some(None) => End::Closed,
         Some(Some(reply)) => End::Answer {
             status: reply.status,
-            sealed: reply.header("x-server-seal").is_some(),
-            foreign: reply.header("x-attempt-id").is_some_and(|id| id != attempt),
+            sealed: reply.is_sealed(),
+            foreign: reply.is_foreign(attempt),
             whole: reply.whole,
             body: reply.body,
         },
@@ -124,11 +116,10 @@
         let (number, document) = versions.lock().next(&mut chance);
         let text = document.to_string();
         loop {
-            let host = 1 + (chance.next_number() % fleet.controllers().count() as u64) as u8;
+            let host = 1 + chance.below(fleet.controllers().count() as u64) as u8;
             let (to, text) = (fleet.outside(host), text.clone());
-            let put = call(to, Method::PUT, "/-/config", &[], text);
-            let reply = within(CONNECT, put).await.flatten();
-            if reply.is_some_and(|r| r.status == 200) {
+            let status = within(CONNECT, calls::put(to, text)).await.flatten();
+            if status == Some(200) {
                 break;
             }
             pause(Span::from_millis(100)).await;
@@ -140,30 +131,22 @@
 impl Versions {
     fn next(&mut self, chance: &mut Chance) -> (u64, Value) {
         let last = self.sent.keys().next_back().copied().unwrap_or(1);
-        let number = last + 1 + chance.next_number() % 3;
-        let document = document(number);
+        let number = last + 1 + chance.below(3);
+        let document = document::lenient(number);
         self.sent.insert(number, document.clone());
         (number, document)
     }
 }
 
-/// A configuration whose requests that run once may be sent to two servers: a route that allows one
-/// only would hide a gateway that sends them again.
-pub fn document(version: u64) -> Value {
-    let mut document = configuration(version);
-    document["routes"][0]["attempts"] = json!(2);
-    document
-}
-
 /// Reads the configuration at one controller after another.
 pub async fn read_on(fleet: Arc<Fleet>, record: Arc<Mutex<Record>>, seed: u64) {
     let mut chance = Chance::new(seed);
     loop {
         pause(chance.span(THINK.times(4))).await;
-        let host = 1 + (chance.next_number() % fleet.controllers().count() as u64) as u8;
+        let host = 1 + chance.below(fleet.controllers().count() as u64) as u8;
         let sent = Instant::now();
         if let Some(document) = read(&fleet, host).await {
-            let version = document["version"].as_u64().unwrap_or(0);
+            let version = document::version(&document);
             let read = ReadBack {
                 host,
                 sent,
@@ -176,13 +159,7 @@
 
 /// The configuration at a controller, if it says one.
 pub async fn read(fleet: &Fleet, host: u8) -> Option<Value> {
-    let get = call(
-        fleet.outside(host),
-        Method::GET,
-        "/-/config",
-        &[],
-        String::new(),
-    );
+    let get = calls::read(fleet.outside(host));
     let reply = within(CONNECT, get).await.flatten()?;
     let found = reply.status == 200 && reply.whole;
     found.then(|| serde_json::from_str(&reply.body).ok())?
--- a/tests/src/soak/plan.rs
+++ b/tests/src/soak/plan.rs
@@ -3,7 +3,7 @@
 use snipemast_control::Chance;
 use snipemast_core::prelude::*;
 
-use crate::site::Behavior;
+use snipemast_site::Behavior;
 
 /// How many processes and servers there are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -126,7 +126,7 @@
 }
 
 fn draw(chance: &mut Chance, sizes: Sizes) -> Trouble {
-    let mut below = |bound: u64| chance.next_number() % bound.max(1);
+    let mut below = |bound| chance.below(bound);
     let controller = 1 + below(u64::from(sizes.controllers)) as u8;
     let gateway = GATEWAY + below(u64::from(sizes.gateways)) as u8;
     let server = below(u64::from(sizes.servers)) as u8;
--- a/tests/src/soak/servers.rs
+++ b/tests/src/soak/servers.rs
@@ -5,18 +5,18 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use hyper::Method;
 use parking_lot::Mutex;
 use smol::Task;
 
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn, within};
+use snipemast_site::hosts::free_port;
+use snipemast_site::{calls, Behavior, ModelServer, Ran};
 
 use super::fleet::Fleet;
 use super::plan::Disturbance;
 use super::proxy::Proxy;
 use super::verdict::Drained;
-use crate::site::{call, free_port, Behavior, ModelServer, Ran};
 
 /// The pause between two announcements, before an address is tried again, and how long a call may take.
 const BEAT: Span = Span::from_millis(400);
@@ -134,14 +134,9 @@
             }
         }
         pause(DRAIN).await;
-        let path = format!("/-/instances/{}", server.id);
         let host = self.fleet.outside(1);
         // A server that can't say good-bye is found to be silent.
-        let _ = within(
-            ANSWER,
-            call(host, Method::DELETE, &path, &[], String::new()),
-        )
-        .await;
+        let _ = within(ANSWER, calls::leave(host, &server.id)).await;
         // Another trouble may have put another server there meanwhile.
         let id = server.id.clone();
         drop(server);
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::plan::AFTER;
-use crate::site::{Ran, EVENTS};
+use snipemast_site::{Ran, EVENTS};
 
 /// How long a caller may wait: the routes' time, and some for a busy machine.
 const TIME: Duration = Duration::from_millis(3_000 + 750);
