Know a server that starts again under its id, and ignore words of other writers

Its heartbeats were taken for late ones: lost after 30 s, and for good where it had been leaving.

Change: announcements carry their start, and are ordered by start and count; a later start forgets what was believed of the earlier one (load, failures, pace, connections, holds, counts of experts). A good-bye names no start: it counts for what was heard before it, and a server that goes on announcing itself for 30 s is believed.

Ruled out: the time of a start alone as order (a clock that is set back between two starts leaves a server idle for good); forgetting by address (addresses are used again).

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -190,10 +190,16 @@
     async fn announce(&self, id: &str, body: &[u8]) -> Answer {
         let announcement = match heartbeat::read(id, body) {
             Ok(announcement) => announcement,
-            Err(report) => return plain(StatusCode::BAD_REQUEST, &report.to_string()),
+            Err(report) => return self.ignore(id, &format!("{report:?}")),
         };
         let (server, standing) = (announcement.id.clone(), announcement.standing());
         let address = announcement.address;
+        let known = self.state.table.lock().get(&server).is_some();
+        let (strangers, voter) = (&self.state.strangers, &self.state.voter);
+        if !known && !strangers.has_service(voter, &announcement.service) {
+            let reason = format!("{} is no service", announcement.service);
+            return self.ignore(id, &reason);
+        }
         let now = self.state.clock.now();
         if self.state.table.lock().announce(now, announcement) {
             self.state.announce();
@@ -209,6 +215,15 @@
         json_answer(StatusCode::OK, &json!({}))
     }
 
+    /// Answers an announcement that names no server to use.
+    fn ignore(&self, id: &str, reason: &str) -> Answer {
+        let State {
+            strangers, journal, ..
+        } = &*self.state;
+        strangers.note(journal, id, reason);
+        plain(StatusCode::BAD_REQUEST, "this names no server to use")
+    }
+
     async fn leave(&self, id: &str) -> Answer {
         let id = match heartbeat::read_id(id) {
             Ok(id) => id,
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod process;
 pub mod state;
+mod strangers;
 
 mod api;
 mod disk;
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -20,6 +20,7 @@
 use crate::join::{keep_joining, keep_running, Own};
 use crate::spread::Peers;
 use crate::state::State;
+use crate::strangers::Strangers;
 use crate::voter::Voter;
 
 /// The result of starting a controller.
@@ -78,6 +79,7 @@
         journal: journal.clone(),
         epoch: rand::random(),
         table: Mutex::new(Table::new()),
+        strangers: Strangers::default(),
         pollers: Mutex::new(Pollers::default()),
         changed: Signal::new(),
         voter: Arc::clone(&voter),
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -12,6 +12,7 @@
 use snipemast_platform::settings::Settings;
 use snipemast_registry::{Cursor, Pollers, Table};
 
+use crate::strangers::Strangers;
 use crate::voter::Voter;
 
 /// What the parts of a controller share.
@@ -27,6 +28,8 @@
     pub(crate) epoch: u64,
     /// The servers that are known.
     pub(crate) table: Mutex<Table>,
+    /// Who sent announcements that are ignored.
+    pub(crate) strangers: Strangers,
     /// Who polls.
     pub(crate) pollers: Mutex<Pollers>,
     /// Wakes who waits for news: of servers, of the configuration, or of what pollers have.
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -141,6 +141,8 @@
     IdentityClash = 504;
     /// A peer's clock is too far ahead to be followed.
     ClockIgnored = 505;
+    /// A server's words can't be read or name nothing that is known, and are ignored.
+    AnnouncementIgnored = 506;
     /// A new expert map was proposed.
     MapProposed = 600;
     /// A rank promised to enter no step without a verdict.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -103,6 +103,7 @@
         let ready = registry.iter().filter(|k| k.standing == Standing::Ready);
         let offered = ready.map(|k| Offered {
             server: k.announcement.id.clone(),
+            start: k.announcement.start,
             service: k.announcement.service.clone(),
             address: k.announcement.address,
             zone: k.announcement.zone.clone(),
@@ -110,7 +111,10 @@
         });
         let offered = offered.collect();
         drop(registry);
-        self.state.servers.lock().set_offered(offered);
+        let left = self.state.servers.lock().set_offered(offered);
+        for address in left {
+            self.state.pool.retire(address);
+        }
     }
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -62,11 +62,12 @@
 struct Flight {
     state: Arc<State>,
     server: ServerId,
+    start: Incarnation,
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        self.state.servers.lock().end(&self.server);
+        self.state.servers.lock().end(&self.server, self.start);
     }
 }
 
@@ -94,6 +95,7 @@
         let flight = Flight {
             state: Arc::clone(&self.state),
             server: choice.server.clone(),
+            start: choice.start,
         };
         let mut fresh = !self.may_share();
         loop {
@@ -231,7 +233,9 @@
     fn trouble(&self, choice: &Choice, trouble: Trouble, detail: &str) {
         let now = self.state.clock.now();
         let id = &choice.server;
-        let out = self.state.servers.lock().note_trouble(now, id, trouble);
+        let mut servers = self.state.servers.lock();
+        let out = servers.note_trouble(now, id, choice.start, trouble);
+        drop(servers);
         let journal = &self.state.journal;
         let said = format_args!("{} at {id}: {trouble:?}, {detail}", self.name);
         self.note_trouble(Event::AnswerFailed, said);
@@ -253,7 +257,7 @@
 async fn await_return(state: Arc<State>, choice: Choice, mut out: Span) {
     loop {
         pause(out).await;
-        if !state.servers.lock().knows(&choice.server) {
+        if !state.servers.lock().knows(&choice.server, choice.start) {
             return;
         }
         let reached = connect(choice.address, CONNECT).await.is_ok();
@@ -266,7 +270,7 @@
             journal.record(Event::ServerReturned, &choice.server, "connected");
             return;
         }
-        match servers.note_trouble(now, &choice.server, Trouble::Unreachable) {
+        match servers.note_trouble(now, &choice.server, choice.start, Trouble::Unreachable) {
             Some(longer) => out = longer,
             None => return,
         }
@@ -283,7 +287,8 @@
     pub(crate) fn finish(self, state: &State) {
         let well = !self.is_failure();
         if well {
-            state.servers.lock().note_success(&self.choice.server);
+            let mut servers = state.servers.lock();
+            servers.note_success(&self.choice.server, self.choice.start);
         }
         if !self.reply.closing {
             let now = state.clock.now();
--- a/crates/groups/src/demand.rs
+++ b/crates/groups/src/demand.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// The rank has started again, and counts anew.
+    pub fn forget(&mut self) {
+        self.told.clear();
+        self.place = self.place.wrapping_add(1);
+    }
+
     /// Tells what was chosen since a place, out of all that was counted since the rank started.
     pub fn tell(&mut self, since: u64, counts: Vec<u64>) -> Counted {
         let known = since == self.place && self.told.len() == counts.len();
--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -67,6 +67,8 @@
 /// Carries orders out on one rank.
 #[derive(Debug, Clone)]
 pub struct Executor {
+    /// The start of the rank, and its group's, that the rest is about.
+    known: Option<(Incarnation, GroupIncarnation)>,
     /// The place of the last order that was taken.
     seq: OrderSeq,
     /// Whether an arming may still be on its way. A process that has just started does not know
@@ -101,6 +103,7 @@
     /// An executor that has carried out nothing.
     pub fn new() -> Self {
         Self {
+            known: None,
             seq: OrderSeq::default(),
             arm_pending: true,
             highest: MapVersion(0),
@@ -113,6 +116,22 @@
         self.seq.lead
     }
 
+    /// The rank told which start of it and of its group this is.
+    ///
+    /// Failure guarded against: a rank starts again, its group counts its steps anew, and a hold names a
+    /// step past one of before, thousands of steps ahead. A new start is armed for nothing and held
+    /// nowhere, and orders that were given to an earlier one name its epoch and are refused.
+    pub fn saw(&mut self, start: Incarnation, epoch: GroupIncarnation) {
+        let told = (start, epoch);
+        if self
+            .known
+            .replace(told)
+            .is_some_and(|before| before != told)
+        {
+            (self.arm_pending, self.held) = (false, Step(0));
+        }
+    }
+
     /// Takes an order up; nothing where a later one was taken before.
     ///
     /// Failure guarded against: an arming is held up on its way from the lead, the lead gives up and
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -484,6 +484,31 @@
     assert!(executor.take(seq(1), go(), EPOCH).is_none());
 }
 
+/// A user sees every answer come late: a rank crashed and started again, its group counts steps from 0, and
+/// each new map is held thousands of steps ahead, past one that the rank was held at before.
+#[test]
+fn restart_forgets_holds() {
+    let mut executor = Executor::new();
+    let (start, epoch) = (Incarnation(5), EPOCH);
+    executor.saw(start, epoch);
+    executor.before_send(&EngineOrder::Hold(Step(9_000)));
+    executor.saw(start, epoch);
+    assert_eq!(hold(&mut executor, 1), EngineOrder::Hold(Step(9_001)));
+    executor.saw(Incarnation(6), epoch);
+    assert_eq!(hold(&mut executor, 2), EngineOrder::Hold(Step(2)));
+}
+
+/// What a rank at step 0 is given for a hold 2 steps ahead.
+fn hold(executor: &mut Executor, number: u64) -> EngineOrder {
+    let lead = Ballot(1);
+    let taken = executor.take(OrderSeq { lead, number }, Order::Hold { ahead: 2 }, EPOCH);
+    let mut task = taken.expect("it is the latest");
+    match executor.next(&mut task, &Engine::default().state(0)) {
+        Next::Give(order) => order,
+        Next::Settled(outcome) => panic!("{outcome:?}"),
+    }
+}
+
 /// A user sees wrong words in an answer: one pass ran on two maps. A group is lost and taken up again;
 /// a rank's word on an order of the time before comes late, and is taken for the one under way.
 #[test]
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -46,6 +46,8 @@
 pub struct Choice {
     /// The server.
     pub server: ServerId,
+    /// Which start of it.
+    pub start: Incarnation,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// What was believed to be in flight there.
@@ -74,6 +76,8 @@
 pub struct Offered {
     /// The server.
     pub server: ServerId,
+    /// Which start of it.
+    pub start: Incarnation,
     /// Its service.
     pub service: ServiceId,
     /// Where it takes requests.
@@ -114,17 +118,28 @@
         }
     }
 
-    /// Sets the servers that may be sent to; what is known of those that stay is kept.
-    pub fn set_offered(&mut self, offered: Vec<Offered>) {
-        let mut known = HashMap::with_capacity(offered.len());
+    /// Sets the servers that may be sent to; what is known of those that stay is kept. Tells where
+    /// servers took requests that are gone or have started again.
+    ///
+    /// Failure guarded against: a server crashes and starts again under its id, and the requests that its
+    /// earlier start had, its failures and its pace keep requests away from it.
+    pub fn set_offered(&mut self, offered: Vec<Offered>) -> Vec<SocketAddr> {
+        let mut before = std::mem::take(&mut self.known);
+        let mut left = Vec::new();
         for offered in offered {
-            let server = match self.known.remove(&offered.server) {
-                Some(server) => Server { offered, ..server },
-                None => Server::new(offered),
+            let known = before.remove(&offered.server);
+            let server = match known {
+                Some(known) if known.is(&offered) => Server { offered, ..known },
+                known => {
+                    left.extend(known.map(|s| s.offered.address));
+                    self.slow.remove(&offered.server);
+                    Server::new(offered)
+                }
             };
-            known.insert(server.offered.server.clone(), server);
+            self.known.insert(server.offered.server.clone(), server);
         }
-        self.known = known;
+        left.extend(before.into_values().map(|s| s.offered.address));
+        left
     }
 
     /// Sets what the other gateways have in flight.
@@ -228,6 +243,7 @@
         server.own += 1;
         Ok(Choice {
             server: server.offered.server.clone(),
+            start: server.offered.start,
             address: server.offered.address,
             load,
             age: server.told.until(now),
@@ -235,25 +251,37 @@
         })
     }
 
-    /// A request at a server has ended, however.
-    pub fn end(&mut self, server: &ServerId) {
-        if let Some(server) = self.known.get_mut(server) {
+    /// A request at a start of a server has ended, however.
+    pub fn end(&mut self, server: &ServerId, start: Incarnation) {
+        if let Some(server) = self.get(server, start) {
             server.own = server.own.saturating_sub(1);
         }
     }
 
-    /// A server answered well.
-    pub fn note_success(&mut self, server: &ServerId) {
-        if let Some(server) = self.known.get_mut(server) {
+    /// A start of a server answered well.
+    pub fn note_success(&mut self, server: &ServerId, start: Incarnation) {
+        if let Some(server) = self.get(server, start) {
             (server.failures, server.strikes) = (0, 0);
         }
     }
 
-    /// Something went wrong; for how long the server is left out, if it is.
-    pub fn note_trouble(&mut self, now: Moment, id: &ServerId, trouble: Trouble) -> Option<Span> {
+    /// A server, if it has not started again since.
+    fn get(&mut self, server: &ServerId, start: Incarnation) -> Option<&mut Server> {
+        let known = self.known.get_mut(server);
+        known.filter(|s| s.offered.start == start)
+    }
+
+    /// Something went wrong with a start of a server; for how long it is left out, if it is.
+    pub fn note_trouble(
+        &mut self,
+        now: Moment,
+        id: &ServerId,
+        start: Incarnation,
+        trouble: Trouble,
+    ) -> Option<Span> {
         /// How long a server that said it is full is not asked again.
         const FULL_PAUSE: Span = Span::from_millis(60);
-        let server = self.known.get_mut(id)?;
+        let server = self.get(id, start)?;
         if trouble == Trouble::Full {
             server.full = now + FULL_PAUSE;
             return None;
@@ -277,9 +305,10 @@
         }
     }
 
-    /// Whether a server may be sent to.
-    pub fn knows(&self, id: &ServerId) -> bool {
-        self.known.contains_key(id)
+    /// Whether a start of a server may be sent to.
+    pub fn knows(&self, id: &ServerId, start: Incarnation) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|s| s.offered.start == start)
     }
 }
 
@@ -297,6 +326,11 @@
         }
     }
 
+    /// Whether this is what a server offers: the same start of it, at the same place.
+    fn is(&self, offered: &Offered) -> bool {
+        self.offered.start == offered.start && self.offered.address == offered.address
+    }
+
     fn load(&self, now: Moment) -> u32 {
         let fresh = now < self.told + OTHERS_AGE;
         self.own + if fresh { self.others } else { 0 }
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -16,6 +16,7 @@
 fn offered(number: usize, zone: &str) -> Offered {
     Offered {
         server: id(number),
+        start: Incarnation(0),
         service: service(),
         address: format!("10.0.0.{number}:80").parse().unwrap(),
         zone: ZoneId::new(zone).unwrap(),
@@ -72,10 +73,10 @@
 fn unreachable_left_out() {
     let mut servers = servers(&["a"]);
     let first = servers
-        .note_trouble(NOW, &id(1), Trouble::Unreachable)
+        .note_trouble(NOW, &id(1), Incarnation(0), Trouble::Unreachable)
         .unwrap();
     let second = servers
-        .note_trouble(NOW, &id(1), Trouble::Unreachable)
+        .note_trouble(NOW, &id(1), Incarnation(0), Trouble::Unreachable)
         .unwrap();
     assert!(second > first);
     assert_eq!(place(&mut servers, 1), Err(Unplaced::AllOut));
@@ -95,3 +96,29 @@
     servers.set_slow((1..=3).map(|n| (id(n), 500)).collect());
     assert_eq!(place(&mut servers, 11), Ok(id(2)));
 }
+
+/// A user is refused although a server stands idle: it crashed with all it could carry and started again
+/// under its id. What it had, its failures and its pace are forgotten, and an old request's end counts for
+/// nothing.
+#[test]
+fn restart_forgets() {
+    let mut servers = servers(&["a"]);
+    for chance in 0..6 {
+        assert!(place(&mut servers, chance).is_ok());
+    }
+    assert_eq!(place(&mut servers, 7), Err(Unplaced::AllFull));
+    let again = Offered {
+        start: Incarnation(1),
+        ..offered(1, "a")
+    };
+    let left = servers.set_offered(vec![again.clone()]);
+    assert_eq!(left, vec![again.address]);
+    for chance in 0..6 {
+        assert!(place(&mut servers, chance).is_ok());
+    }
+    servers.end(&id(1), Incarnation(0));
+    assert_eq!(place(&mut servers, 7), Err(Unplaced::AllFull));
+    servers.end(&id(1), Incarnation(1));
+    assert!(place(&mut servers, 7).is_ok());
+    assert_eq!(servers.set_offered(vec![again]), Vec::new());
+}
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -8,8 +8,11 @@
 data! {
     /// One heartbeat of a server.
     pub struct Announcement {
-        /// This start of the server.
+        /// The server; it may start again under the same id.
         pub id: ServerId,
+        /// Which start of it this is: a later one is higher, and knows nothing of those before. 0 where
+        /// the server does not tell; such a server has another id after each start.
+        pub start: Incarnation,
         /// The service that it is part of.
         pub service: ServiceId,
         /// Where it takes requests.
@@ -20,7 +23,7 @@
         pub slots: u32,
         /// Whether it leaves.
         pub draining: bool,
-        /// Rises with each heartbeat, so that a late one is known as such.
+        /// Rises with each heartbeat of one start, so that a late one is known as such.
         pub sequence: u64,
     }
 
@@ -33,7 +36,7 @@
         Lost,
         /// It leaves, and serves only what it has.
         Draining,
-        /// It said good-bye; its id never comes back.
+        /// It said good-bye, and serves nothing until it starts again.
         Gone,
     }
 }
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -1,8 +1,8 @@
 //! The servers that are known, with their last word.
 //!
 //! Controllers fill a table from heartbeats and from each other; gateways fill theirs from the
-//! controllers. Entries of two tables merge in any order: the higher sequence of a server wins,
-//! and a good-bye wins over everything.
+//! controllers. Entries of two tables merge in any order: of a server's starts the later one wins, of one
+//! start the higher sequence, and a good-bye wins over every heartbeat before it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,7 +13,8 @@
 use crate::announcement::{Announcement, Standing};
 
 /// How long a server that is not heard any more is kept: past any cut between it and control
-/// that gateways don't share, so that only their own failures take it out of use.
+/// that gateways don't share, so that only their own failures take it out of use. No heartbeat is as late
+/// as this, so what is heard after it was said after it.
 pub const SILENCE: Span = Span::from_secs(30);
 
 /// How long a good-bye is remembered: longer than any heartbeat can be late.
@@ -49,7 +50,7 @@
 pub struct Table {
     servers: HashMap<ServerId, Known>,
     holders: HashMap<SocketAddr, ServerId>,
-    /// Good-byes of servers that were not heard before.
+    /// When servers said good-bye here last: it may be for a start that is not known here yet.
     departed: HashMap<ServerId, Moment>,
     place: u64,
 }
@@ -68,19 +69,16 @@
 
     /// Takes a good-bye; true where it is news.
     ///
-    /// The good-bye of a server that was never heard is kept until it is heard of: its heartbeats
-    /// may be late, or known to other controllers only.
+    /// A good-bye names no start. It is taken for the latest that is known, and remembered: the server may
+    /// have been heard by other controllers only, or have started again since it was heard here.
     pub fn leave(&mut self, now: Moment, id: &ServerId) -> bool {
+        self.departed.insert(id.clone(), now);
         match self.servers.get(id) {
-            Some(known) if known.standing == Standing::Gone => false,
-            Some(known) => {
+            Some(known) if known.standing != Standing::Gone => {
                 let announcement = known.announcement.clone();
                 self.put(now, announcement, Standing::Gone)
             }
-            None => {
-                self.departed.insert(id.clone(), now);
-                false
-            }
+            _ => false,
         }
     }
 
@@ -143,30 +141,41 @@
     /// Failure guarded against: a heartbeat that was held up arrives after a later one, or after
     /// the server's good-bye, and brings back a server that leaves or left.
     fn take(&mut self, heard: Moment, announcement: Announcement, standing: Standing) -> bool {
+        let said = Word {
+            start: announcement.start,
+            sequence: announcement.sequence,
+            standing,
+            heard,
+        };
+        let departed = self.departed.get(&announcement.id).copied();
         let Some(known) = self.servers.get_mut(&announcement.id) else {
-            let departed = self.departed.remove(&announcement.id).is_some();
-            let standing = if departed { Standing::Gone } else { standing };
-            return self.put(heard, announcement, standing);
+            return match departed {
+                Some(at) => self.put(at.max(heard), announcement, Standing::Gone),
+                None => self.put(heard, announcement, standing),
+            };
         };
-        let outdated = announcement.sequence <= known.announcement.sequence;
-        if known.standing == Standing::Gone || (outdated && standing <= known.standing) {
-            if outdated
-                && heard > known.heard
-                && announcement.sequence == known.announcement.sequence
-            {
-                known.heard = heard;
+        let last = known.word();
+        if said.start != last.start {
+            if !said.outranks(&last) {
+                return false;
             }
-            return false;
+            // Failure guarded against: the good-bye of this start came here while only the one before it was
+            // known, and was acknowledged; other controllers had heard the start before that.
+            return match departed.filter(|at| heard <= *at) {
+                Some(at) => self.put(at, announcement, Standing::Gone),
+                None => self.put(heard, announcement, standing),
+            };
         }
-        let standing = match known.standing {
-            // A server that began to leave never comes back under its id.
-            Standing::Draining => standing.max(Standing::Draining),
-            _ => standing,
+        let Some(standing) = last.joined(&said) else {
+            if said.sequence == last.sequence && standing != Standing::Gone {
+                known.heard = known.heard.max(heard);
+            }
+            return false;
         };
         let same = known.standing == standing
             && known.announcement.address == announcement.address
             && known.announcement.slots == announcement.slots;
-        if same && known.standing != Standing::Lost {
+        if same && standing != Standing::Lost {
             known.heard = known.heard.max(heard);
             known.announcement = announcement;
             return false;
@@ -191,11 +200,12 @@
     }
 
     /// Failure guarded against: a server crashed, another one got its address, and requests for
-    /// the first reach the second. Whoever was heard last holds the address; a held-up heartbeat
-    /// may take it away until the holder's next one, and the instance that each request names
-    /// keeps even those requests from running at the wrong server.
+    /// the first reach the second. Whoever started last holds the address, and where servers do not
+    /// tell their starts, whoever was heard last: then a held-up heartbeat may take it away until the
+    /// holder's next one, and the instance that each request names keeps even those requests from
+    /// running at the wrong server.
     fn hold(&mut self, address: SocketAddr, id: ServerId) {
-        let heard = self.servers[&id].heard;
+        let word = self.servers[&id].word();
         let Some(other) = self.holders.insert(address, id.clone()) else {
             return;
         };
@@ -205,7 +215,7 @@
         let Some(known) = self.servers.get(&other) else {
             return;
         };
-        let (loser, winner) = if known.heard > heard {
+        let (loser, winner) = if known.word().outranks(&word) {
             (id, other)
         } else {
             (other, id)
@@ -222,7 +232,67 @@
     }
 }
 
+/// The last word of one start of a server.
+#[derive(Debug, Clone, Copy)]
+struct Word {
+    start: Incarnation,
+    sequence: u64,
+    standing: Standing,
+    heard: Moment,
+}
+
+impl Word {
+    /// Whether it is of a later start than another word, of the same server or of one at its address.
+    ///
+    /// Starts are ordered by the time that servers give for them. A clock that is set back between two
+    /// starts turns them round, so a start that is heard long after the other one fell silent is later.
+    fn outranks(&self, other: &Self) -> bool {
+        if self.start == other.start {
+            return self.heard > other.heard;
+        }
+        if self.start > other.start {
+            return other.heard < self.heard + SILENCE;
+        }
+        self.heard >= other.heard + SILENCE
+    }
+
+    /// The standing after one more word of the same start; nothing where that is outdated.
+    fn joined(&self, said: &Self) -> Option<Standing> {
+        let outdated = said.sequence <= self.sequence;
+        if self.standing == Standing::Gone {
+            return (!outdated && said.is_after(self)).then_some(said.standing);
+        }
+        if said.standing == Standing::Gone {
+            let before = self.sequence > said.sequence && self.is_after(said);
+            return (!before).then_some(Standing::Gone);
+        }
+        if outdated && said.standing <= self.standing {
+            return None;
+        }
+        Some(match self.standing {
+            // A server that began to leave goes on leaving until it starts again.
+            Standing::Draining => said.standing.max(Standing::Draining),
+            _ => said.standing,
+        })
+    }
+
+    /// Whether it shows that a good-bye was not this start's: the good-bye of the start before it was
+    /// held up and crossed its first heartbeats, and it goes on announcing itself.
+    fn is_after(&self, farewell: &Self) -> bool {
+        self.standing != Standing::Gone && self.heard >= farewell.heard + SILENCE
+    }
+}
+
 impl Known {
+    fn word(&self) -> Word {
+        Word {
+            start: self.announcement.start,
+            sequence: self.announcement.sequence,
+            standing: self.standing,
+            heard: self.heard,
+        }
+    }
+
     fn to_entry(&self, now: Moment) -> Entry {
         Entry {
             announcement: self.announcement.clone(),
--- a/crates/sidecar/src/group.rs
+++ b/crates/sidecar/src/group.rs
@@ -38,6 +38,8 @@
     pub(crate) addresses: Vec<SocketAddr>,
     /// The ranks' states, as last seen.
     pub(crate) states: Vec<RankState>,
+    /// Which start of each rank belongs to the group.
+    starts: Vec<Incarnation>,
     /// How much longer than usual each rank takes, in hundredths.
     paces: Vec<u32>,
     /// Counts the looks.
@@ -63,6 +65,7 @@
             next: None,
             addresses,
             states: seen.iter().map(|s| s.state).collect(),
+            starts: seen.iter().map(|s| s.start).collect(),
             paces: seen.iter().map(|s| s.pace).collect(),
             looks: 0,
         }
@@ -90,7 +93,8 @@
     pub(crate) fn take(&mut self, now: Moment, seen: &[(SocketAddr, RankReport)]) -> bool {
         let same = seen.iter().all(|(address, seen)| {
             let known = self.addresses.get(seen.rank);
-            known == Some(address) && seen.state.epoch == self.epoch
+            let again = self.starts.get(seen.rank) != Some(&seen.start);
+            known == Some(address) && !again && seen.state.epoch == self.epoch
         });
         if !same {
             return false;
@@ -154,7 +158,9 @@
 /// The map out of what each rank says it holds; nothing where one did not say.
 fn held_map(experts: &Experts, seen: &[RankReport]) -> Option<ExpertMap> {
     let (sets, places) = (experts.sets as usize, experts.places as u16);
-    if seen.iter().any(|s| s.experts.len() != sets) {
+    let usual = |held: &Vec<u16>| held.iter().all(|e| u32::from(*e) < experts.count);
+    let whole = |s: &RankReport| s.experts.len() == sets && s.experts.iter().all(usual);
+    if !seen.iter().all(whole) {
         return None;
     }
     let mut layers = vec![Layer::new(seen.len() as u16, places); sets];
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -34,6 +34,8 @@
         pub(crate) rank: usize,
         /// How many ranks the group has.
         pub(crate) size: usize,
+        /// Which start of the rank this is.
+        pub(crate) start: Incarnation,
         /// Its state.
         pub(crate) state: RankState,
         /// How much longer than usual it takes, in hundredths.
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -8,7 +8,7 @@
 use snipemast_groups::executor::{Answer, EngineOrder, Executor, Next, OrderSeq, Task};
 use snipemast_groups::switch::{Order, Outcome, RankState};
 use snipemast_net::exec::pause;
-use snipemast_platform::server::{is_accepted, order};
+use snipemast_platform::server::{is_accepted, order, ServerReport};
 
 use crate::engine::Engine;
 use crate::peers::{Execute, Executed, RankReport, StateQuery};
@@ -28,6 +28,8 @@
     turn: Mutex<()>,
     executor: StateLock<Executor>,
     tally: StateLock<Tally>,
+    /// Which start of the rank was seen last.
+    start: StateLock<Incarnation>,
 }
 
 impl Rank {
@@ -38,12 +40,14 @@
             turn: Mutex::new(()),
             executor: StateLock::new(Executor::new()),
             tally: StateLock::new(Tally::new(rand::random())),
+            start: StateLock::default(),
         }
     }
 
     /// How the rank is; nothing where it does not answer or belongs to no group.
     pub(crate) async fn state(&self, query: &StateQuery) -> Option<RankReport> {
-        let report = self.engine.report().await.ok()?;
+        let report = self.report().await?;
+        let start = report.start;
         let rank = report.rank?;
         let counted = match query.counted {
             Some(since) => {
@@ -61,6 +65,7 @@
             group: rank.group,
             rank: rank.rank,
             size: rank.size,
+            start,
             state: rank.state,
             pace: rank.pace,
             counted,
@@ -69,10 +74,24 @@
         })
     }
 
+    /// The rank's report; what was believed of an earlier start of it is forgotten.
+    async fn report(&self) -> Option<ServerReport> {
+        let report = self.engine.report().await.ok()?;
+        if let Some(rank) = &report.rank {
+            let mut executor = self.executor.lock();
+            executor.saw(report.start, rank.state.epoch);
+        }
+        let before = std::mem::replace(&mut *self.start.lock(), report.start);
+        if before != report.start {
+            self.tally.lock().forget();
+        }
+        Some(report)
+    }
+
     /// Whether it is the first rank of its group.
     pub(crate) async fn leads(&self) -> bool {
-        let report = self.engine.report().await;
-        report.is_ok_and(|r| r.rank.is_some_and(|r| r.rank == 0))
+        let report = self.report().await;
+        report.is_some_and(|r| r.rank.is_some_and(|r| r.rank == 0))
     }
 
     /// Carries out a lead's order.
@@ -132,7 +151,7 @@
 
     /// How many orders the rank has accepted, and its state.
     async fn told(&self) -> Option<(u64, RankState)> {
-        let report = self.engine.report().await.ok()?;
+        let report = self.report().await?;
         Some((report.accepted, report.rank?.state))
     }
 }
