Hold a group at its second rank, so that the process there can let it go on

Change: the lead holds the second rank from its own host. The process beside that rank watches; where the group stands still and the lead is silent it disarms all ranks but the first and lets the group go on. The lead's own rank is armed last, after that process has pledged to leave the switch alone. A lead that recovers asks the holder's process whether a go was given, instead of guessing from what is armed.

--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -80,8 +80,11 @@
     highest: MapVersion,
     /// The highest step that a hold named.
     held: Step,
-    /// The highest map number that may stand on the rank, where its own process gives orders too.
-    bound: Option<MapVersion>,
+    /// The step of the last pledge, and of the last go.
+    pledged: Step,
+    gone: Step,
+    /// The step that the rank was held at when this process saw it first.
+    found: Option<Step>,
 }
 
 /// One order under way.
@@ -112,20 +115,9 @@
             arm_pending: true,
             highest: MapVersion(0),
             held: Step(0),
-            bound: None,
-        }
-    }
-
-    /// An executor on a rank whose own process is silent, and may wake up at any moment. It stops where the
-    /// rank has a map with a number above the bound: another lead is at work there.
-    ///
-    /// Failure guarded against: the process that took over freezes too, and wakes up when another lead arms the
-    /// ranks for the next map; ranks refuse its outdated orders, but the one that it orders from
-    /// afar is disarmed alone: one pass on two maps. Each lead's numbers lie above those before.
-    pub fn from_afar(bound: MapVersion) -> Self {
-        Self {
-            bound: Some(bound),
-            ..Self::new()
+            pledged: Step(0),
+            gone: Step(0),
+            found: None,
         }
     }
 
@@ -134,6 +126,23 @@
         self.seq.lead
     }
 
+    /// Lets another process take over from the lead; false where a pledge is in force, for a step that the rank
+    /// has not begun, or may have been given to an earlier process, or a later lead has given orders.
+    ///
+    /// Failure guarded against: the pledge arrives between the look at it and the first order of the takeover,
+    /// and the lead arms its own rank while the others are disarmed. No pledge is taken after this.
+    pub fn overtake(&mut self, ballot: Ballot, state: &RankState) -> bool {
+        let younger = self.found.is_some() && self.found == state.held;
+        if self.pledged > state.step || younger || ballot <= self.seq.lead {
+            return false;
+        }
+        self.seq = OrderSeq {
+            lead: ballot,
+            number: 0,
+        };
+        true
+    }
+
     /// What becomes of an order that is not taken up.
     pub fn refusal(&self, seq: OrderSeq) -> Outcome {
         if seq.lead < self.seq.lead {
@@ -156,11 +165,23 @@
     pub fn saw(&mut self, start: Incarnation, state: &RankState) {
         let told = (start, state.epoch);
         match self.known.replace(told) {
-            Some(before) if before == told => {}
+            Some(before) if before == told => return,
             Some(_) => (self.arm_pending, self.held) = (false, Step(0)),
             None if state.highest() == MapVersion(0) => {}
             None => self.held = Step(state.step.get() + MOST),
         }
+        (self.pledged, self.gone, self.found) = (Step(0), Step(0), state.held);
+    }
+
+    /// Whether a go was ordered for a step that the rank is held at.
+    fn settle(&self, step: Step) -> Outcome {
+        if self.gone == step {
+            Outcome::Refused
+        } else if self.found == Some(step) {
+            Outcome::Untold
+        } else {
+            Outcome::Done
+        }
     }
 
     /// Takes an order up; nothing where a later one was taken before.
@@ -173,6 +194,11 @@
             return None;
         }
         self.seq = seq;
+        match order {
+            Order::Pledge { step } => self.pledged = step,
+            Order::Go { step } => self.gone = step,
+            _ => {}
+        }
         Some(Task {
             order,
             epoch,
@@ -193,13 +219,12 @@
                 _ => Outcome::Refused,
             });
         }
-        if self.bound.is_some_and(|bound| state.highest() > bound) {
-            return Next::Settled(Outcome::Overtaken);
-        }
         let (holds, order) = match &task.order {
             Order::Disarm { unused, old } => return self.disarm(*unused, old, task.tries, state),
             Order::Hold { ahead } => return task.hold(*ahead, self.held, state),
-            Order::HoldAt { step } => (state.held == Some(*step), EngineOrder::Hold(*step)),
+            // Noted when it was taken up.
+            Order::Pledge { .. } => return Next::Settled(Outcome::Done),
+            Order::Settle { step } => return Next::Settled(self.settle(*step)),
             Order::Prepare { version, map } => (
                 state.prepared == Some(*version),
                 EngineOrder::Prepare(*version, Arc::clone(map)),
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -6,10 +6,14 @@
 //! one is the lead's fault. The order of things rules that out:
 //!
 //! 1. every rank has prepared the map;
-//! 2. the lead's own rank holds the group at a step that it has not begun;
-//! 3. every rank is armed for that step, or every rank is surely not armed;
+//! 2. the second rank holds the group at a step that it has not begun;
+//! 3. every rank is armed for that step, the lead's own the last of them, or every rank is surely not armed;
 //! 4. only then may the group go on.
 //!
+//! Where the lead falls silent in between, the process beside the second rank lets the group go on
+//! ([`takeover`](crate::takeover)): until it has heard that the lead's own rank is about to be armed, that rank
+//! surely isn't, and all others can be disarmed.
+//!
 //! An order that got no answer may be carried out much later; [`executor`](crate::executor) makes sure of
 //! each rank.
 
@@ -21,6 +25,7 @@
 
 use crate::ahead::Ahead;
 use crate::map::ExpertMap;
+use crate::takeover::DEPUTY;
 
 /// How long ranks may take to copy experts: some seconds at the usual sizes.
 pub const PREPARE: Span = Span::from_secs(4);
@@ -49,8 +54,15 @@
             /// How many steps after the one that the rank is in.
             ahead: u64,
         },
-        /// Keep the group from beginning one step and no other: a lead that is silent holds it there.
-        HoldAt {
+        /// Say whether a go was ordered for a step that the rank is held at: `Done` where none was and none will
+        /// be, `Refused` where one was, `Untold` where the process is younger than the hold.
+        Settle {
+            /// The step.
+            step: Step,
+        },
+        /// Know that the lead's own rank is about to be armed for a step: from now on only the lead settles
+        /// the switch.
+        Pledge {
             /// The step.
             step: Step,
         },
@@ -86,6 +98,8 @@
         Refused,
         /// It may or may not hold, now or later.
         Unsure,
+        /// The process can't tell.
+        Untold,
         /// A later lead has given orders since, and settles what is under way.
         Overtaken,
     }
@@ -110,11 +124,6 @@
     }
 }
 
-/// Whether another rank than the lead's holds the group: another process took over, or did once.
-fn is_taken(holds: &[Hold]) -> bool {
-    holds.iter().any(|(rank, _)| *rank != OWN)
-}
-
 impl RankState {
     /// The highest map number among what is in force, prepared and armed.
     pub fn highest(&self) -> MapVersion {
@@ -166,6 +175,8 @@
     /// The map in force.
     old: Arc<ExpertMap>,
     ahead: Ahead,
+    /// Since when the ranks of the switch that is let go on were being armed.
+    arming: Option<Moment>,
     ended: Option<Ended>,
 }
 
@@ -175,21 +186,21 @@
     Idle,
     /// Ranks copy what is new.
     Preparing { until: Moment },
-    /// The own rank is asked to hold the group.
+    /// The holder is asked to hold the group.
     Holding,
-    /// The group is held; ranks are armed.
+    /// The group is held; the other ranks are armed.
     Arming {
         step: Step,
         since: Moment,
         open: BTreeSet<usize>,
     },
-    /// The group is held, and every rank was armed by another lead; each is told so again.
-    Rearming {
-        holds: Vec<Hold>,
-        version: MapVersion,
-        step: Step,
-        open: BTreeSet<usize>,
-    },
+    /// All others are armed; the holder is told that the own rank is next.
+    Pledging { step: Step, since: Moment },
+    /// The own rank is armed.
+    ArmingOwn { step: Step, since: Moment },
+    /// The group was held by another lead, and its holder is asked whether that let it go on; whether all
+    /// ranks were seen armed alike.
+    Asking { holds: Vec<Hold>, alike: bool },
     /// The group is held; ranks are made sure not to be armed.
     Aborting {
         holds: Vec<Hold>,
@@ -210,7 +221,7 @@
 /// The lead's own rank.
 const OWN: usize = 0;
 
-/// Every hold that ranks tell of: the lead's own, and one of a process that took over for it.
+/// Every hold that ranks tell of.
 fn holds(states: &[RankState]) -> Vec<Hold> {
     let ranks = states.iter().enumerate();
     ranks
@@ -229,6 +240,7 @@
             version: MapVersion(0),
             old: Arc::default(),
             ahead: Ahead::new(ranks),
+            arming: None,
             ended: None,
         }
     }
@@ -241,7 +253,13 @@
     /// Whether the outcomes of orders are awaited that a look at all ranks would only hold up: for a
     /// bounded time, after which the ranks are looked at again, whatever became of them.
     pub fn awaits_orders(&self) -> bool {
-        matches!(self.stage, Stage::Holding | Stage::Arming { .. })
+        matches!(
+            self.stage,
+            Stage::Holding
+                | Stage::Arming { .. }
+                | Stage::Pledging { .. }
+                | Stage::ArmingOwn { .. }
+        )
     }
 
     /// What became of the last switch, once.
@@ -274,27 +292,39 @@
 
     /// Takes up what another lead left in the middle: the group may be held for good.
     ///
-    /// Failure guarded against: the lead's process dies while the group is held, and its last orders are
-    /// still on their way. Where every rank is armed alike, a go may be among them, so the group goes on
-    /// with the new map; each rank is told to be armed again first, and refuses an order to disarm
-    /// that comes after that. Else no go was given, and every rank is made sure not to be armed; so it is
-    /// where another rank holds the group too, because whoever took over disarms the lead's rank from
-    /// afar, and no go gets the group past that hold. Armings without a hold were let go already, and are
-    /// waited for.
+    /// Failure guarded against: the lead's process dies while the group is held, and its last orders may
+    /// be carried out much later. After a go every rank is armed and none may be disarmed; before it orders to
+    /// disarm may be on their way, and the group must not go on until that is so of every rank. The process
+    /// beside the holder knows which, and takes no more orders of the other lead.
     pub fn recover(&mut self, states: &[RankState], old: Arc<ExpertMap>) -> Vec<Send> {
         let own = states[OWN];
         let holds = holds(states);
-        let Some(step) = holds.iter().map(|(_, step)| *step).max() else {
+        let Some((rank, step)) = holds.first().copied() else {
             return Vec::new();
         };
         (self.epoch, self.old) = (own.epoch, old);
         let seen = states.iter().map(RankState::highest);
         self.version = seen.max().unwrap_or_default();
-        let alike = states.iter().all(|s| s.armed == own.armed);
-        match own.armed.filter(|_| alike && !is_taken(&holds)) {
-            Some(version) => self.rearm(holds, version, step),
-            None => self.abort(holds),
+        let alike = own.armed.is_some() && states.iter().all(|s| s.armed == own.armed);
+        self.enter(Stage::Asking { holds, alike });
+        vec![self.to(rank, Order::Settle { step })]
+    }
+
+    fn told(&mut self, holds: Vec<Hold>, alike: bool, outcome: Outcome) -> Vec<Send> {
+        let Some((rank, step)) = holds.first().copied() else {
+            return Vec::new();
+        };
+        let gone = match outcome {
+            Outcome::Done => false,
+            Outcome::Refused => true,
+            // A go is given only where every rank is armed.
+            Outcome::Untold => alike,
+            _ => return vec![self.to(rank, Order::Settle { step })],
+        };
+        if gone {
+            return self.release(holds, Some(step));
         }
+        self.abort(holds)
     }
 
     /// Takes what became of an order.
@@ -313,23 +343,27 @@
             Stage::Preparing { .. } => self.end(Ended::Kept("a rank did not prepare")),
             Stage::Holding => self.held(now, outcome),
             Stage::Arming { step, since, open } => match outcome {
-                Outcome::Done => self.armed(now, step, since, open, rank),
-                _ => self.abort(vec![(OWN, step)]),
+                Outcome::Done => self.armed(step, since, open, rank),
+                _ => self.abort(vec![(self.holder(), step)]),
             },
-            Stage::Rearming {
-                holds,
-                version,
-                step,
-                open,
-            } => match outcome {
-                Outcome::Done => self.rearmed(holds, version, step, open, rank),
-                // Disarmed by another process, whose hold keeps the group from going on.
-                Outcome::Refused => self.abort(holds),
-                // Not disarmed for sure: the other lead's go may be on its way.
-                _ => vec![self.to(rank, Order::Arm { version, step })],
+            Stage::Pledging { step, since } => match outcome {
+                Outcome::Done => {
+                    self.enter(Stage::ArmingOwn { step, since });
+                    let version = self.version;
+                    vec![self.to(OWN, Order::Arm { version, step })]
+                }
+                _ => self.abort(vec![(self.holder(), step)]),
             },
+            Stage::ArmingOwn { step, since } => match outcome {
+                Outcome::Done => {
+                    self.arming = Some(since);
+                    self.release(vec![(self.holder(), step)], Some(step))
+                }
+                _ => self.abort(vec![(self.holder(), step)]),
+            },
+            Stage::Asking { holds, alike } => self.told(holds, alike, outcome),
             Stage::Aborting { holds, open } => self.disarmed(holds, open, rank, outcome),
-            Stage::Releasing { holds, armed } => self.released(holds, armed, outcome),
+            Stage::Releasing { holds, armed } => self.released(now, holds, armed, outcome),
         }
     }
 
@@ -361,9 +395,6 @@
                 // is carried out after the go and before its step: the group stands still for good.
                 // Every rank is armed, so it may go on from wherever it is held.
                 let holds = holds(states);
-                if is_taken(&holds) {
-                    return self.abort(holds);
-                }
                 if !holds.is_empty() {
                     return self.release(holds, Some(step));
                 }
@@ -387,7 +418,7 @@
                 self.end(Ended::Kept("copying took too long"))
             }
             Stage::Arming { step, since, .. } if now >= since + ARM => {
-                self.abort(vec![(OWN, step)])
+                self.abort(vec![(self.holder(), step)])
             }
             _ => Vec::new(),
         }
@@ -396,27 +427,39 @@
     fn hold(&mut self) -> Vec<Send> {
         let ahead = self.ahead.steps();
         self.enter(Stage::Holding);
-        vec![self.to(OWN, Order::Hold { ahead })]
+        vec![self.to(self.holder(), Order::Hold { ahead })]
+    }
+
+    /// The rank that holds the group: not on the lead's host, so that the process beside it can let the group
+    /// go on where that host stands still.
+    fn holder(&self) -> usize {
+        DEPUTY.min(self.ranks - 1)
     }
 
     fn held(&mut self, now: Moment, outcome: Outcome) -> Vec<Send> {
         match outcome {
             Outcome::Held(step) => {
-                let open = (0..self.ranks).collect();
+                let open = (1..self.ranks).collect();
                 let since = now;
                 self.enter(Stage::Arming { step, since, open });
                 let version = self.version;
-                self.to_all(|| Order::Arm { version, step })
+                let mut sends = self.to_all(|| Order::Arm { version, step });
+                sends.remove(OWN);
+                if sends.is_empty() {
+                    return self.pledge(step, since);
+                }
+                sends
             }
             Outcome::Done | Outcome::Refused => self.end(Ended::Kept("the group can't be held")),
             // Where it arrives late, its step has begun, or the next look finds the group held.
-            Outcome::Unsure | Outcome::Overtaken => self.end(Ended::Kept("the hold got no answer")),
+            Outcome::Unsure | Outcome::Untold | Outcome::Overtaken => {
+                self.end(Ended::Kept("the hold got no answer"))
+            }
         }
     }
 
     fn armed(
         &mut self,
-        now: Moment,
         step: Step,
         since: Moment,
         mut open: BTreeSet<usize>,
@@ -424,43 +467,18 @@
     ) -> Vec<Send> {
         open.remove(&rank);
         if open.is_empty() {
-            self.ahead.armed(since.until(now));
-            return self.release(vec![(OWN, step)], Some(step));
+            return self.pledge(step, since);
         }
         self.stage = Stage::Arming { step, since, open };
         Vec::new()
     }
 
-    fn rearm(&mut self, holds: Vec<Hold>, version: MapVersion, step: Step) -> Vec<Send> {
-        let open = (0..self.ranks).collect();
-        self.enter(Stage::Rearming {
-            holds,
-            version,
-            step,
-            open,
-        });
-        self.to_all(|| Order::Arm { version, step })
-    }
-
-    fn rearmed(
-        &mut self,
-        holds: Vec<Hold>,
-        version: MapVersion,
-        step: Step,
-        mut open: BTreeSet<usize>,
-        rank: usize,
-    ) -> Vec<Send> {
-        open.remove(&rank);
-        if open.is_empty() {
-            return self.release(holds, Some(step));
-        }
-        self.stage = Stage::Rearming {
-            holds,
-            version,
-            step,
-            open,
-        };
-        Vec::new()
+    /// Failure guarded against: the process beside the holder takes the lead for gone, disarms the other
+    /// ranks and lets the group go on, while the lead, which only slept, arms its own rank: one pass on
+    /// two maps. The lead arms it only once that process has promised to leave the switch alone.
+    fn pledge(&mut self, step: Step, since: Moment) -> Vec<Send> {
+        self.enter(Stage::Pledging { step, since });
+        vec![self.to(self.holder(), Order::Pledge { step })]
     }
 
     /// Failure guarded against: some ranks are armed and others are not, and the group goes on: one
@@ -513,6 +531,7 @@
 
     fn released(
         &mut self,
+        now: Moment,
         mut holds: Vec<Hold>,
         armed: Option<Step>,
         outcome: Outcome,
@@ -520,6 +539,9 @@
         // Nobody else lets the group go on: without a sure answer it is ordered again.
         if outcome == Outcome::Done {
             holds.pop();
+            if let Some(since) = self.arming.take() {
+                self.ahead.armed(since.until(now));
+            }
             self.enter(Stage::Releasing { holds, armed });
         }
         self.let_go()
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -11,7 +11,9 @@
 use snipemast_groups::switch::{Order, Outcome, Phase, Send};
 use snipemast_net::exec::{pause, spawn};
 
+use crate::engine::Engine;
 use crate::peers::{path, Execute, RankReport, Relay, Relayed, StateQuery};
+use crate::rank::Rank;
 use crate::relay::{give, Clients};
 
 /// How long a rank may take to say how it is.
@@ -35,6 +37,8 @@
     number: u64,
     outcomes: (Sender<OrderOutcome>, Receiver<OrderOutcome>),
     orders: Vec<Task<()>>,
+    /// The rank that holds the group, as it is held from here.
+    holder: Option<Arc<Rank>>,
 }
 
 /// What became of an order.
@@ -56,9 +60,35 @@
             number: 0,
             outcomes: unbounded(),
             orders: Vec::new(),
+            holder: None,
         }
     }
 
+    /// Holds a group at this rank from now on.
+    ///
+    /// Failure guarded against: the host that gave the hold stands still, with the rank on it, which takes no
+    /// order then: the group stands as long as the host. So the lead gives it, on its host, to a rank on
+    /// another one, whose process can let the group go on.
+    pub(crate) fn hold_at(
+        &mut self,
+        server: SocketAddr,
+        seen: (SocketAddr, &RankReport),
+        journal: &Journal,
+    ) {
+        let (process, seen) = seen;
+        let known = self.holder.take().filter(|h| h.address() == server);
+        let holder = known.unwrap_or_else(|| {
+            let teller = self.clients.get(process);
+            Arc::new(Rank::from_afar(
+                Engine::new(server),
+                teller,
+                journal.clone(),
+            ))
+        });
+        holder.saw(seen.start, &seen.state);
+        self.holder = Some(holder);
+    }
+
     /// Gives orders as a lead above another one from now on; a lead's ballots are odd.
     pub(crate) fn lead_above(&mut self, other: Ballot) -> Ballot {
         let above = other.max(self.lead).next();
@@ -116,10 +146,16 @@
     fn send(&mut self, send: Send, addresses: &[SocketAddr]) {
         let client = self.clients.get(addresses[send.rank]);
         let (rank, phase) = (send.rank, send.phase);
+        let holds = matches!(send.order, Order::Hold { .. });
+        let holder = self.holder.clone().filter(|_| holds);
         let order = self.order(send);
         let sender = self.outcomes.0.clone();
         self.orders.push(spawn(async move {
-            let outcome = match give(&client, &order).await {
+            let outcome = match holder {
+                Some(holder) => Some(holder.execute(order).await.outcome),
+                None => give(&client, &order).await,
+            };
+            let outcome = match outcome {
                 Some(outcome) => outcome,
                 None => {
                     pause(AGAIN).await;
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -1,4 +1,4 @@
-//! On rank 1: lets the group go on where it is held and the process beside rank 0 is silent.
+//! On rank 1: lets the group go on that this rank holds for a lead that has fallen silent.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,12 +9,11 @@
 use snipemast_core::prelude::*;
 use snipemast_groups::map::ExpertMap;
 use snipemast_groups::switch::{Outcome, RankState};
-use snipemast_groups::takeover::{Takeover, TakeoverOrder, DEPUTY, LEAD, SILENT};
+use snipemast_groups::takeover::{Takeover, TakeoverOrder, LEAD, SILENT};
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::BootClock;
 
 use crate::calls::{deputy_above, Calls};
-use crate::engine::Engine;
 use crate::group::map_in_force;
 use crate::news::Reader;
 use crate::peers::{path, Execute, RankReport, StateQuery};
@@ -24,8 +23,8 @@
 /// How often the own rank is looked at.
 const WATCH: Span = Span::from_millis(100);
 
-/// How often the own rank is looked at during a takeover, and the pause after an order that reached nobody.
-const QUICK: Span = Span::from_millis(40);
+/// The pause after an order that was not carried out.
+const AGAIN: Span = Span::from_millis(40);
 
 /// How long the process beside rank 0 may take to answer before it is taken for silent. Measured with all of a
 /// small group's looks under way: 2 to 20 ms.
@@ -41,8 +40,17 @@
     calls: Calls,
     /// The step that the group is in, and since when.
     step: (Step, Moment),
-    /// The group's incarnation, and the process beside its first rank.
-    lead: Option<(GroupIncarnation, SocketAddr)>,
+    /// The group as it was when its map last changed.
+    group: Option<Known>,
+}
+
+/// What is known of a group between two changes of its map.
+struct Known {
+    epoch: GroupIncarnation,
+    version: MapVersion,
+    map: Arc<ExpertMap>,
+    /// The processes beside the ranks.
+    addresses: Vec<SocketAddr>,
 }
 
 /// What one takeover needs besides its decisions.
@@ -52,8 +60,6 @@
     number: u64,
     epoch: GroupIncarnation,
     addresses: Vec<SocketAddr>,
-    /// Carries out orders on rank 0 from here.
-    afar: Arc<Rank>,
     told: (Sender<Told>, Receiver<Told>),
     orders: Vec<Task<()>>,
 }
@@ -77,7 +83,7 @@
             clients: Arc::default(),
             calls: Calls::new(),
             step,
-            lead: None,
+            group: None,
         }
     }
 
@@ -85,116 +91,107 @@
     pub(crate) async fn run(mut self) {
         loop {
             pause(WATCH).await;
-            if !self.stands_still().await || self.lead_answers().await {
+            let Some((state, working)) = self.rank.at_work().await else {
+                continue;
+            };
+            let still = self.stands_still(&state, working);
+            self.learn(&state).await;
+            if !still || self.lead_answers().await {
                 continue;
             }
-            if let Some(work) = self.prepare().await {
+            if let Some(work) = self.prepare(&state) {
                 self.take_over(work).await;
             }
         }
     }
 
-    /// Whether the group has not begun a step for long, although the own rank has work.
-    async fn stands_still(&mut self) -> bool {
+    /// Whether the group has been held by the own rank for long, although that has work.
+    fn stands_still(&mut self, state: &RankState, working: bool) -> bool {
         let now = self.clock.now();
-        let Some((state, working)) = self.rank.at_work().await else {
-            return false;
-        };
-        if self.lead.is_none_or(|(epoch, _)| epoch != state.epoch) {
-            self.lead = self.find_lead(state.epoch).await;
-        }
-        if state.step != self.step.0 || !working || !state.open {
+        let held = state.held == Some(state.step.next());
+        if state.step != self.step.0 || !working || !held || !state.open {
             self.step = (state.step, now);
         }
         now >= self.step.1 + SILENT
     }
 
-    /// The process beside the group's first rank.
-    async fn find_lead(
-        &mut self,
-        epoch: GroupIncarnation,
-    ) -> Option<(GroupIncarnation, SocketAddr)> {
-        let ranks = self.reader.ranks().into_iter();
-        let asked = ranks.map(|address| (address, StateQuery::default()));
-        let all = self.calls.look(asked.collect()).await;
-        let is_lead = |seen: &RankReport| seen.rank == LEAD && seen.state.epoch == epoch;
-        let lead = all.into_iter().find(|(_, seen)| is_lead(seen));
-        lead.map(|(address, _)| (epoch, address))
+    /// Learns where the ranks are and what they hold, whenever the group has another map in force.
+    async fn learn(&mut self, state: &RankState) {
+        let group = self.group.as_ref();
+        let same = |g: &Known| (g.epoch, g.version) == (state.epoch, state.map);
+        if !state.open || state.held.is_some() || group.is_some_and(same) {
+            return;
+        }
+        let Some(experts) = self.reader.engine().and_then(|e| e.experts) else {
+            return;
+        };
+        let query = StateQuery {
+            experts: true,
+            counted: None,
+        };
+        let asked = self.reader.ranks().into_iter();
+        let asked = asked.map(|address| (address, query.clone()));
+        let mut all = self.calls.look(asked.collect()).await;
+        all.sort_by_key(|(_, seen)| seen.rank);
+        let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
+        let alike = |s: &RankReport| (s.state.epoch, s.state.map) == (state.epoch, state.map);
+        let whole = seen.first().is_some_and(|first| first.size == seen.len());
+        if !whole || !seen.iter().all(alike) {
+            return;
+        }
+        self.group = map_in_force(&experts, &seen).map(|map| Known {
+            epoch: state.epoch,
+            version: state.map,
+            map: Arc::new(map),
+            addresses,
+        });
     }
 
     /// Whether the process beside rank 0 answers; it settles its holds itself then.
-    async fn lead_answers(&mut self) -> bool {
-        let Some((_, lead)) = self.lead else {
+    async fn lead_answers(&self) -> bool {
+        let Some(group) = &self.group else {
             return true;
         };
-        let client = self.clients.get(lead);
+        let client = self.clients.get(group.addresses[LEAD]);
         let query = StateQuery::default();
         let asked = client.call::<_, RankReport>(path::STATE, &query, ANSWER);
         asked.await.is_ok()
     }
 
-    /// Gathers what a takeover needs; nothing where the group is not held, or a rank does not answer.
-    async fn prepare(&mut self) -> Option<Work> {
-        let (_, lead) = self.lead?;
-        let engine = self.reader.server_at(lead.ip())?;
-        let afar = Rank::new(Engine::new(engine), self.journal.clone());
-        let query = StateQuery {
-            experts: true,
-            counted: None,
-        };
-        let first = afar.state(&query).await?;
-        let others = self.reader.ranks().into_iter().filter(|a| *a != lead);
-        let asked = others.map(|address| (address, query.clone()));
-        let mut all = self.calls.look(asked.collect()).await;
-        all.push((lead, first));
-        all.sort_by_key(|(_, seen)| seen.rank);
-        let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
-        let states: Vec<RankState> = seen.iter().map(|s| s.state).collect();
-        let own = states.get(DEPUTY)?;
-        let alike = |s: &RankReport| s.state.open && s.state.epoch == own.epoch;
-        if seen.len() != seen[LEAD].size || !seen.iter().all(alike) {
+    /// Takes over, unless the lead is about to end what it is doing.
+    fn prepare(&self, own: &RankState) -> Option<Work> {
+        let known = self.group.as_ref()?;
+        let same = (known.epoch, known.version) == (own.epoch, own.map);
+        let step = own.held.filter(|_| same)?;
+        let lead = deputy_above(self.rank.lead());
+        if !self.rank.overtake(lead, own) {
             return None;
         }
-        let step = own.step.next();
-        let held = [LEAD, DEPUTY].map(|rank| states[rank].held);
-        if !held.contains(&Some(step)) {
-            return None;
-        }
-        let experts = self.reader.engine()?.experts?;
-        let old: Arc<ExpertMap> = Arc::new(map_in_force(&experts, &seen)?);
-        let (takeover, orders) = Takeover::begin(&states, step, old);
-        let leads = seen.iter().map(|s| s.lead);
+        let ranks = known.addresses.len();
+        let (takeover, orders) = Takeover::begin(ranks, &[*own], step, Arc::clone(&known.map));
         let mut work = Work {
-            lead: deputy_above(leads.max().unwrap_or_default()),
+            takeover,
+            lead,
             number: 0,
             epoch: own.epoch,
-            addresses,
-            afar: Arc::new(afar.bounded(takeover.bound())),
-            takeover,
+            addresses: known.addresses.clone(),
             told: unbounded(),
             orders: Vec::new(),
         };
-        let detail = format!("held at step {step}, {lead} is silent");
-        self.journal
-            .record(Event::LeadOvertaken, &seen[LEAD].group, detail);
+        let silent = known.addresses[LEAD];
+        let detail = format!("held at step {step}, {silent} is silent");
+        self.journal.record(Event::LeadOvertaken, "group", detail);
         work.execute(orders, &self.clients);
         Some(work)
     }
 
     async fn take_over(&mut self, mut work: Work) {
         while !work.takeover.is_over() {
-            if let Some(told) = work.next_told().await {
-                let orders = work.takeover.take(told.rank, told.phase, told.outcome);
-                work.execute(orders, &self.clients);
-                continue;
-            }
-            let Some((own, _)) = self.rank.at_work().await else {
-                continue;
-            };
-            if own.epoch != work.epoch {
+            // The sender is kept here.
+            let Ok(told) = work.told.1.recv().await else {
                 break;
-            }
-            let orders = work.takeover.observe(&own);
+            };
+            let orders = work.takeover.take(told.rank, told.phase, told.outcome);
             work.execute(orders, &self.clients);
         }
         self.step.1 = self.clock.now();
@@ -214,16 +211,12 @@
                 epoch: self.epoch,
                 order,
             };
-            let afar = Arc::clone(&self.afar);
             let client = clients.get(self.addresses[rank]);
             let sender = self.told.0.clone();
             self.orders.push(spawn(async move {
-                let outcome = match rank {
-                    LEAD => Some(afar.execute(order).await.outcome),
-                    _ => give(&client, &order).await,
-                };
+                let outcome = give(&client, &order).await;
                 if !matches!(outcome, Some(Outcome::Done)) {
-                    pause(QUICK).await;
+                    pause(AGAIN).await;
                 }
                 let outcome = outcome.unwrap_or(Outcome::Unsure);
                 // The takeover is over where nobody receives.
@@ -237,15 +230,4 @@
             }));
         }
     }
-
-    /// What became of the next order that is settled soon.
-    async fn next_told(&self) -> Option<Told> {
-        let receiver = self.told.1.clone();
-        let told = async { receiver.recv().await.ok() };
-        let late = async {
-            pause(QUICK).await;
-            None
-        };
-        futures_lite::future::or(told, late).await
-    }
 }
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Where the rank takes requests.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.connection.address()
+    }
+
     /// The rank's report.
     pub(crate) async fn report(&self) -> Result<ServerReport> {
         let asked = self.call(Method::GET, server::REPORT, Bytes::new(), LIMIT);
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -7,6 +7,7 @@
 use snipemast_groups::demand::Demand;
 use snipemast_groups::even::{even, Evened, Thresholds};
 use snipemast_groups::switch::{Ended, RankState, Send};
+use snipemast_groups::takeover::DEPUTY;
 use snipemast_net::BootClock;
 use snipemast_routes::engine::Experts;
 
@@ -183,6 +184,13 @@
         let Some(map) = map_in_force(&experts, seen) else {
             return;
         };
+        if let Some(process) = addresses.get(DEPUTY).copied() {
+            let Some(server) = self.reader.server_at(process.ip()) else {
+                return;
+            };
+            let holder = (process, &seen[DEPUTY]);
+            self.calls.hold_at(server, holder, &self.journal);
+        }
         let leads = seen.iter().map(|s| s.lead);
         let lead = self.calls.lead_above(leads.max().unwrap_or_default());
         let mut group = Group::new(lead, addresses, seen, map);
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -39,6 +39,8 @@
         pub(crate) start: Incarnation,
         /// Its state.
         pub(crate) state: RankState,
+        /// How many orders it has accepted since it started.
+        pub(crate) accepted: u64,
         /// How much longer than usual it takes, in hundredths.
         pub(crate) pace: u32,
         /// How often each expert was chosen, where that was wanted.
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -1,5 +1,8 @@
 //! Carries out orders on the rank beside this process, one after another.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+
 use parking_lot::Mutex as StateLock;
 use smol::lock::Mutex;
 
@@ -8,10 +11,11 @@
 use snipemast_groups::executor::{Answer, EngineOrder, Executor, Next, OrderSeq, Task};
 use snipemast_groups::switch::{Order, Outcome, RankState};
 use snipemast_net::exec::pause;
+use snipemast_net::RpcClient;
 use snipemast_platform::server::{is_accepted, order, ServerReport};
 
 use crate::engine::Engine;
-use crate::peers::{Execute, Executed, RankReport, StateQuery};
+use crate::peers::{path, Execute, Executed, RankReport, StateQuery};
 
 /// How often a report is asked for before an order's outcome is called unsure: before each of its tries, and
 /// twice besides.
@@ -20,10 +24,15 @@
 /// The pause before an order is given again.
 const PAUSE: Span = Span::from_millis(10);
 
-/// The rank beside this process.
+/// How long the process beside another rank may take to say how that is.
+const TOLD: Span = Span::from_millis(150);
+
+/// The rank beside this process, or another one that it holds from afar.
 #[derive(Debug)]
 pub(crate) struct Rank {
     engine: Engine,
+    /// Who tells how another rank is: its own reports to other hosts are some steps old.
+    teller: Option<Arc<RpcClient>>,
     journal: Journal,
     /// One order at a time.
     turn: Mutex<()>,
@@ -37,6 +46,7 @@
     pub(crate) fn new(engine: Engine, journal: Journal) -> Self {
         Self {
             engine,
+            teller: None,
             journal,
             turn: Mutex::new(()),
             executor: StateLock::new(Executor::new()),
@@ -45,14 +55,35 @@
         }
     }
 
-    /// For orders from afar: stops where the rank has a map with a number above the bound.
-    pub(crate) fn bounded(self, bound: MapVersion) -> Self {
+    /// Another rank, of which the process beside it tells.
+    pub(crate) fn from_afar(engine: Engine, teller: Arc<RpcClient>, journal: Journal) -> Self {
         Self {
-            executor: StateLock::new(Executor::from_afar(bound)),
-            ..self
+            teller: Some(teller),
+            ..Self::new(engine, journal)
         }
     }
 
+    /// Where the rank takes requests.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.engine.address()
+    }
+
+    /// The rank told which start of it this is, and its state.
+    pub(crate) fn saw(&self, start: Incarnation, state: &RankState) {
+        self.executor.lock().saw(start, state);
+    }
+
+    /// Takes over from the group's lead, if that is not about to end what it is doing; no order of it is taken
+    /// after that.
+    pub(crate) fn overtake(&self, ballot: Ballot, state: &RankState) -> bool {
+        self.executor.lock().overtake(ballot, state)
+    }
+
+    /// The highest lead that gave orders.
+    pub(crate) fn lead(&self) -> Ballot {
+        self.executor.lock().lead()
+    }
+
     /// The rank's state, and whether it has requests.
     pub(crate) async fn at_work(&self) -> Option<(RankState, bool)> {
         let report = self.report().await?;
@@ -81,6 +112,7 @@
             rank: rank.rank,
             size: rank.size,
             start,
+            accepted: report.accepted,
             state: rank.state,
             pace: rank.pace,
             counted,
@@ -122,7 +154,7 @@
             (executor.take(seq, request.order, request.epoch), refusal)
         };
         let outcome = match task {
-            Some(task) => self.run(task, request.epoch).await,
+            Some(task) => self.run(task, request.epoch, request.lead).await,
             None => refusal,
         };
         let subject = format_args!("epoch {}", request.epoch);
@@ -131,14 +163,17 @@
         Executed { outcome }
     }
 
-    async fn run(&self, mut task: Task, epoch: GroupIncarnation) -> Outcome {
+    async fn run(&self, mut task: Task, epoch: GroupIncarnation, request_lead: Ballot) -> Outcome {
         let mut reports = 0;
         while reports < REPORTS {
             reports += 1;
-            let Some((accepted, state)) = self.told().await else {
+            let Some((accepted, state, lead)) = self.told().await else {
                 pause(PAUSE).await;
                 continue;
             };
+            if lead > request_lead {
+                return Outcome::Overtaken;
+            }
             let next = self.executor.lock().next(&mut task, &state);
             let given = match next {
                 Next::Settled(outcome) => return outcome,
@@ -167,10 +202,18 @@
         }
     }
 
-    /// How many orders the rank has accepted, and its state.
-    async fn told(&self) -> Option<(u64, RankState)> {
-        let report = self.report().await?;
-        Some((report.accepted, report.rank?.state))
+    /// How many orders the rank has accepted, its state, and the highest lead that gave it orders.
+    async fn told(&self) -> Option<(u64, RankState, Ballot)> {
+        let Some(teller) = &self.teller else {
+            let report = self.report().await?;
+            return Some((report.accepted, report.rank?.state, self.lead()));
+        };
+        let query = StateQuery::default();
+        let told = teller.call::<_, RankReport>(path::STATE, &query, TOLD);
+        let told = told.await.ok()?;
+        let mut executor = self.executor.lock();
+        executor.saw(told.start, &told.state);
+        Some((told.accepted, told.state, told.lead))
     }
 }
 
@@ -179,7 +222,8 @@
     match order {
         Order::Prepare { version, .. } => format!("prepare map {version}"),
         Order::Hold { ahead } => format!("hold {ahead} steps ahead"),
-        Order::HoldAt { step } => format!("hold at step {step}"),
+        Order::Pledge { step } => format!("leave step {step} to the lead"),
+        Order::Settle { step } => format!("was step {step} let go"),
         Order::Arm { version, step } => format!("arm map {version} for step {step}"),
         Order::Disarm { .. } => "disarm".into(),
         Order::Go { step } => format!("go on with step {step}"),
