--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -173,6 +173,21 @@
         (self.pledged, self.gone, self.found) = (Step(0), Step(0), state.held);
     }
 
+    /// The process beside the rank told which start this is, its state, and up to which step it may be let go by
+    /// an order that is still on its way.
+    pub fn told(&mut self, start: Incarnation, state: &RankState, floor: Step) {
+        let told = (start, state.epoch);
+        if self.known.replace(told) != Some(told) {
+            self.held = Step(0);
+        }
+        self.held = self.held.max(floor);
+    }
+
+    /// Up to which step the rank may be let go by an order that is still on its way.
+    pub fn floor(&self) -> Step {
+        self.held.max(self.gone)
+    }
+
     /// Whether a go was ordered for a step that the rank is held at.
     fn settle(&self, step: Step) -> Outcome {
         if self.gone == step {
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -221,7 +221,7 @@
             mixed: false,
             switched: 0,
         };
-        for executor in &mut world.executors {
+        for executor in &mut world.executors[..RANKS] {
             executor.saw(Incarnation(1), &Engine::default().state(0));
         }
         world.after(PASS, Event::Pass);
@@ -317,8 +317,7 @@
         self.number = 0;
         self.version += 1_000_000;
         let states = self.states();
-        self.executors[AFAR].saw(Incarnation(1), &states[DEPUTY]);
-        for (executor, state) in self.executors.iter_mut().zip(&states) {
+        for (executor, state) in self.executors[..RANKS].iter_mut().zip(&states) {
             executor.saw(Incarnation(1), state);
         }
         let sends = self.switch.recover(&states, Arc::default());
@@ -470,6 +469,10 @@
         let engine = engine(rank);
         self.engines[engine].copy(self.now);
         let state = self.engines[engine].state(self.step);
+        if rank == AFAR {
+            let floor = self.executors[DEPUTY].floor();
+            self.executors[AFAR].told(Incarnation(1), &state, floor);
+        }
         if self.tasks[rank].is_none() {
             let Some(given) = self.queues[rank].pop_front() else {
                 return;
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -69,24 +69,13 @@
     /// Failure guarded against: the host that gave the hold stands still, with the rank on it, which takes no
     /// order then: the group stands as long as the host. So the lead gives it, on its host, to a rank on
     /// another one, whose process can let the group go on.
-    pub(crate) fn hold_at(
-        &mut self,
-        server: SocketAddr,
-        seen: (SocketAddr, &RankReport),
-        journal: &Journal,
-    ) {
-        let (process, seen) = seen;
-        let known = self.holder.take().filter(|h| h.address() == server);
-        let holder = known.unwrap_or_else(|| {
-            let teller = self.clients.get(process);
-            Arc::new(Rank::from_afar(
-                Engine::new(server),
-                teller,
-                journal.clone(),
-            ))
-        });
-        holder.saw(seen.start, &seen.state);
-        self.holder = Some(holder);
+    pub(crate) fn hold_at(&mut self, server: SocketAddr, process: SocketAddr, journal: &Journal) {
+        if self.holder.as_ref().is_some_and(|h| h.address() == server) {
+            return;
+        }
+        let teller = self.clients.get(process);
+        let rank = Rank::from_afar(Engine::new(server), teller, journal.clone());
+        self.holder = Some(Arc::new(rank));
     }
 
     /// Gives orders as a lead above another one from now on; a lead's ballots are odd.
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -188,8 +188,7 @@
             let Some(server) = self.reader.server_at(process.ip()) else {
                 return;
             };
-            let holder = (process, &seen[DEPUTY]);
-            self.calls.hold_at(server, holder, &self.journal);
+            self.calls.hold_at(server, process, &self.journal);
         }
         let leads = seen.iter().map(|s| s.lead);
         let lead = self.calls.lead_above(leads.max().unwrap_or_default());
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -49,6 +49,8 @@
         pub(crate) experts: Vec<Vec<u16>>,
         /// The highest lead that gave orders.
         pub(crate) lead: Ballot,
+        /// Up to which step the rank may be let go by an order that is still on its way.
+        pub(crate) floor: Step,
     }
 
     /// An order of a lead.
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -68,11 +68,6 @@
         self.engine.address()
     }
 
-    /// The rank told which start of it this is, and its state.
-    pub(crate) fn saw(&self, start: Incarnation, state: &RankState) {
-        self.executor.lock().saw(start, state);
-    }
-
     /// Takes over from the group's lead, if that is not about to end what it is doing; no order of it is taken
     /// after that.
     pub(crate) fn overtake(&self, ballot: Ballot, state: &RankState) -> bool {
@@ -117,7 +112,8 @@
             pace: rank.pace,
             counted,
             experts,
-            lead: self.executor.lock().lead(),
+            lead: self.lead(),
+            floor: self.executor.lock().floor(),
         })
     }
 
@@ -212,7 +208,7 @@
         let told = teller.call::<_, RankReport>(path::STATE, &query, TOLD);
         let told = told.await.ok()?;
         let mut executor = self.executor.lock();
-        executor.saw(told.start, &told.state);
+        executor.told(told.start, &told.state, told.floor);
         Some((told.accepted, told.state, told.lead))
     }
 }
