--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,5 +1,7 @@
 //! One send of a request to one server.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -12,10 +14,11 @@
 use snipemast_net::connect::SendError;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_net::{connect, Connection};
+use snipemast_placement::servers::STILL;
 use snipemast_placement::{Choice, Trouble};
 use snipemast_platform::request::{forward, Ask, Forward};
 use snipemast_platform::response::Reply;
-use snipemast_routes::Route;
+use snipemast_routes::{Repeat, Route};
 
 use crate::state::State;
 use crate::story::Unsaid;
@@ -110,19 +113,18 @@
             };
             let request = self.request(&choice, last).ok_or(Failure::NotRun)?;
             let limit = Span::from_micros(self.left().as_micros() + OVERTIME.as_micros());
-            let sent = within(limit, connection.send(request)).await;
-            match sent {
-                None => return Err(Failure::Late),
-                Some(Ok(response)) => {
+            let sent = self.head(&choice, limit, connection.send(request)).await;
+            match sent? {
+                Ok(response) => {
                     return self.judge(choice, response, connection, flight);
                 }
                 // The server closed the pooled connection before anything was written to it.
-                Some(Err(SendError::Unsent)) if !fresh => fresh = true,
-                Some(Err(SendError::Unsent)) => {
+                Err(SendError::Unsent) if !fresh => fresh = true,
+                Err(SendError::Unsent) => {
                     self.trouble(&choice, Trouble::Broken, "closed before the request");
                     return Err(Failure::NotRun);
                 }
-                Some(Err(SendError::Unknown(e))) => {
+                Err(SendError::Unknown(e)) => {
                     self.state.pool.retire(choice.address);
                     self.trouble(&choice, Trouble::Broken, &e.to_string());
                     return Err(Failure::Unknown);
@@ -131,6 +133,40 @@
         }
     }
 
+    /// Waits for the head of an answer; not for all of its time where the server alone stands still.
+    async fn head<T>(
+        &self,
+        choice: &Choice,
+        limit: Span,
+        sending: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        let since = self.state.clock.now();
+        let mut sending = pin!(sending);
+        loop {
+            let waited = self.state.clock.now().since(since);
+            let left = Span::from_micros(limit.as_micros().saturating_sub(waited.as_micros()));
+            if left == Span::default() {
+                return Err(Failure::Late);
+            }
+            if let Some(sent) = within(left.min(STILL), sending.as_mut()).await {
+                return Ok(sent);
+            }
+            if self.stands_still(choice, since) {
+                self.state.pool.retire(choice.address);
+                self.trouble(choice, Trouble::Unreachable, "stands still");
+                return Err(Failure::Unknown);
+            }
+        }
+    }
+
+    /// Whether a server has shown nothing since a moment while others go on, and the request may go elsewhere.
+    pub(crate) fn stands_still(&self, choice: &Choice, since: Moment) -> bool {
+        let now = self.state.clock.now();
+        let servers = self.state.servers.lock();
+        self.route.repeat == Repeat::ResumableStream
+            && servers.stands_still(now, &choice.server, since)
+    }
+
     /// Failure guarded against: a pooled connection is closed by the server, is silent, or holds
     /// a late answer to an earlier request, and a request that may run once only is written to it:
     /// its outcome is unknown, and it can't be sent again. Such requests get a connection of
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -77,6 +77,12 @@
         }
     }
 
+    /// A piece of a stream came from a server.
+    pub(crate) fn note_piece(&self, choice: &Choice, now: Moment) {
+        let mut servers = self.state.servers.lock();
+        servers.note_piece(now, &choice.server, choice.start);
+    }
+
     /// A piece of a stream came after a pause.
     pub(crate) fn note_pause(&self, pause: Span) {
         let Some(promised) = self.route.gap else {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,9 +5,11 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
+use snipemast_placement::servers::STILL;
 use snipemast_placement::Events;
 use snipemast_platform::response::event_id;
 use snipemast_routes::Repeat;
@@ -85,6 +87,21 @@
     }
 }
 
+/// What a server sends next; nothing where it stays silent for too long, or it alone stands still.
+async fn next_frame(job: &Job, run: &mut Run) -> Option<Next> {
+    let since = job.state.clock.now();
+    let limit = SILENCE.min(job.left());
+    let frame = within(limit.min(STILL), run.response.body_mut().frame()).await;
+    if frame.is_some() || limit <= STILL || job.stands_still(&run.choice, since) {
+        return frame;
+    }
+    let rest = Span::from_micros(limit.as_micros() - STILL.as_micros());
+    within(rest, run.response.body_mut().frame()).await
+}
+
+/// A part of an answer's body, or its end.
+type Next = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// Passes on what one server sends.
 async fn part(
     job: &Job,
@@ -94,8 +111,7 @@
     sender: &Sender<Result<Bytes, Broken>>,
 ) -> End {
     loop {
-        let limit = SILENCE.min(job.left());
-        let Some(frame) = within(limit, run.response.body_mut().frame()).await else {
+        let Some(frame) = next_frame(job, run).await else {
             return End::Broken("silent");
         };
         let bytes = match frame {
@@ -113,6 +129,7 @@
         };
         if !whole.is_empty() {
             let now = job.state.clock.now();
+            job.note_piece(&run.choice, now);
             match pace {
                 Some(pace) => job.note_pause(pace.piece(now)),
                 None => *pace = Some(job.note_begun()),
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -24,6 +24,13 @@
 /// its own queue begins without a round trip, and it refuses what is beyond that.
 const FULL: f64 = 1.5;
 
+/// How long a server may show nothing of a stream before it is asked whether it alone stands still: some times
+/// the longest pass, so that the rest of the 2 s that callers wait is enough for another server.
+pub const STILL: Span = Span::from_millis(900);
+
+/// How long a piece of a stream shows that a service goes on: the longest pass, and its way.
+const GOING: Span = Span::from_millis(400);
+
 /// From this pace on, in hundredths of the usual time, a server is slow: a request on a rank that
 /// takes half as long again lengthens every pass of its group by more than the usual unevenness.
 const SLOW: u32 = 150;
@@ -106,6 +113,8 @@
     strikes: u32,
     out: Moment,
     full: Moment,
+    /// When a piece of a stream came last.
+    piece: Moment,
 }
 
 impl Servers {
@@ -258,6 +267,27 @@
         }
     }
 
+    /// A piece of a stream came from a start of a server.
+    pub fn note_piece(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
+        if let Some(server) = self.get(server, start) {
+            server.piece = now;
+        }
+    }
+
+    /// Whether a server has shown nothing since a moment while others of its service go on.
+    ///
+    /// Failure guarded against: a server's host stands still. What was sent to it waits there until its
+    /// caller has given up after 2 s, and is worked on for nobody when the host wakes up. A stream that may
+    /// be resumed is sent to another server while its caller still waits.
+    pub fn stands_still(&self, now: Moment, server: &ServerId, since: Moment) -> bool {
+        let Some(silent) = self.known.get(server).filter(|s| s.piece < since) else {
+            return false;
+        };
+        let same = self.known.values();
+        let mut same = same.filter(|s| s.offered.service == silent.offered.service);
+        same.any(|s| now < s.piece + GOING && s.piece > since)
+    }
+
     /// A start of a server answered well.
     pub fn note_success(&mut self, server: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(server, start) {
@@ -323,6 +353,7 @@
             strikes: 0,
             out: Moment::ZERO,
             full: Moment::ZERO,
+            piece: Moment::ZERO,
         }
     }
 
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -122,3 +122,21 @@
     assert!(place(&mut servers, 7).is_ok());
     assert_eq!(servers.set_offered(vec![again]), Vec::new());
 }
+
+/// A user sees nothing of an answer and gives up after two seconds: the host of one server stands still while
+/// its service goes on elsewhere. That is told from a group that pauses as a whole.
+#[test]
+fn lone_server_stands_still() {
+    let mut servers = servers(&["a", "a"]);
+    let at = |millis| NOW + Span::from_millis(millis);
+    let start = Incarnation(0);
+    servers.note_piece(NOW, &id(1), start);
+    servers.note_piece(NOW, &id(2), start);
+    assert!(!servers.stands_still(at(900), &id(1), at(1)));
+    servers.note_piece(at(800), &id(2), start);
+    assert!(servers.stands_still(at(900), &id(1), at(1)));
+    assert!(!servers.stands_still(at(900), &id(2), at(1)));
+    servers.note_piece(at(850), &id(1), start);
+    assert!(!servers.stands_still(at(900), &id(1), at(1)));
+    assert!(!servers.stands_still(at(2_000), &id(1), at(900)));
+}
