Reset connections that are given up, so that a host that stands still has nothing left of them

Ruled out: leaving connections to the usual close with a shorter bound of unacknowledged bytes (a frozen host's kernel acknowledges them).

--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -49,5 +49,8 @@
         .await
         .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     tune(&stream)?;
+    // Failure guarded against: a request is given up that its peer's host, which stands still, has not read; on
+    // a plain close its bytes stay there and are worked on when the host wakes up. A reset takes them back.
+    sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
     Ok(stream)
 }
