--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -27,6 +27,10 @@
 /// packet's wait, because another server is nearer than that.
 const CONNECT: Span = Span::from_millis(250);
 
+/// How often it is asked after that whether a server stands still: its group may stand as a whole at first, and go
+/// on without it.
+pub(crate) const STILL_AGAIN: Span = Span::from_millis(100);
+
 /// How long beyond its time a server may take to say itself that the time is over.
 const OVERTIME: Span = Span::from_millis(60);
 
@@ -142,23 +146,30 @@
     ) -> Result<T, Failure> {
         let since = self.state.clock.now();
         let mut sending = pin!(sending);
+        let mut wait = STILL;
         loop {
             let waited = self.state.clock.now().since(since);
             let left = Span::from_micros(limit.as_micros().saturating_sub(waited.as_micros()));
             if left == Span::default() {
                 return Err(Failure::Late);
             }
-            if let Some(sent) = within(left.min(STILL), sending.as_mut()).await {
+            if let Some(sent) = within(left.min(wait), sending.as_mut()).await {
                 return Ok(sent);
             }
             if self.stands_still(choice, since) {
-                self.state.pool.retire(choice.address);
-                self.trouble(choice, Trouble::Unreachable, "stands still");
+                self.leave_still(choice);
                 return Err(Failure::Unknown);
             }
+            wait = STILL_AGAIN;
         }
     }
 
+    /// Leaves a server out that stands still.
+    pub(crate) fn leave_still(&self, choice: &Choice) {
+        self.state.pool.retire(choice.address);
+        self.trouble(choice, Trouble::Still, "stands still");
+    }
+
     /// Whether a server has shown nothing since a moment while others go on, and the request may go elsewhere.
     pub(crate) fn stands_still(&self, choice: &Choice, since: Moment) -> bool {
         let now = self.state.clock.now();
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::answer::Broken;
 use crate::handle::Tries;
 use crate::metrics::Ended;
-use crate::send::{Job, Run};
+use crate::send::{Job, Run, STILL_AGAIN};
 use crate::story::Pace;
 
 /// How many pieces may wait for a caller that reads slowly.
@@ -91,12 +91,23 @@
 async fn next_frame(job: &Job, run: &mut Run) -> Option<Next> {
     let since = job.state.clock.now();
     let limit = SILENCE.min(job.left());
-    let frame = within(limit.min(STILL), run.response.body_mut().frame()).await;
-    if frame.is_some() || limit <= STILL || job.stands_still(&run.choice, since) {
-        return frame;
+    let mut wait = STILL;
+    loop {
+        let waited = job.state.clock.now().since(since);
+        let left = Span::from_micros(limit.as_micros().saturating_sub(waited.as_micros()));
+        if left == Span::default() {
+            return None;
+        }
+        let frame = within(left.min(wait), run.response.body_mut().frame()).await;
+        if frame.is_some() {
+            return frame;
+        }
+        if job.stands_still(&run.choice, since) {
+            job.leave_still(&run.choice);
+            return None;
+        }
+        wait = STILL_AGAIN;
     }
-    let rest = Span::from_micros(limit.as_micros() - STILL.as_micros());
-    within(rest, run.response.body_mut().frame()).await
 }
 
 /// A part of an answer's body, or its end.
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -46,6 +46,8 @@
     Failed,
     /// It refused a request because it is full.
     Full,
+    /// It shows nothing while others of its service go on.
+    Still,
 }
 
 /// One server as a request is placed.
@@ -115,6 +117,8 @@
     full: Moment,
     /// When a piece of a stream came last.
     piece: Moment,
+    /// Whether it is left out until a piece comes from it: a host that stands still takes connections too.
+    still: bool,
 }
 
 impl Servers {
@@ -271,6 +275,9 @@
     pub fn note_piece(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(server, start) {
             server.piece = now;
+            if std::mem::take(&mut server.still) {
+                server.out = now;
+            }
         }
     }
 
@@ -316,6 +323,11 @@
             server.full = now + FULL_PAUSE;
             return None;
         }
+        if trouble == Trouble::Still {
+            server.still = true;
+            server.out = now + OUT_LONGEST;
+            return Some(OUT_LONGEST);
+        }
         server.failures += 1;
         if trouble != Trouble::Unreachable && server.failures < FAILURES {
             return None;
@@ -354,6 +366,7 @@
             out: Moment::ZERO,
             full: Moment::ZERO,
             piece: Moment::ZERO,
+            still: false,
         }
     }
 
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -140,3 +140,16 @@
     assert!(!servers.stands_still(at(900), &id(1), at(1)));
     assert!(!servers.stands_still(at(2_000), &id(1), at(900)));
 }
+
+/// A user's request is sent to a host that stands still, again and again, because it takes connections: it is left
+/// out until it shows something.
+#[test]
+fn still_server_left_out() {
+    let mut servers = servers(&["a", "b"]);
+    let start = Incarnation(0);
+    let out = servers.note_trouble(NOW, &id(1), start, Trouble::Still);
+    assert!(out.is_some_and(|out| out >= Span::from_secs(3)));
+    assert_eq!(place(&mut servers, 1), Ok(id(2)));
+    servers.note_piece(NOW, &id(1), start);
+    assert_eq!(place(&mut servers, 2), Ok(id(1)));
+}
