--- a/crates/groups/src/ahead.rs
+++ b/crates/groups/src/ahead.rs
@@ -4,11 +4,13 @@
 
 use snipemast_core::prelude::*;
 
+use crate::delivery::calls_in_turn;
+
 /// The most steps ahead: the old map stays in force meanwhile, some 1.5 s at usual lengths of a step.
 pub const MOST: u64 = 16;
 
-/// How long it takes to arm a rank, until it has been measured.
-const RANK: Span = Span::from_millis(3);
+/// How long one of the calls takes that arm a group, until it has been measured.
+const CALL: Span = Span::from_millis(3);
 
 /// How many armings are remembered; the longest but one of them is what one takes, so that one that waited
 /// for lost orders changes nothing.
@@ -39,7 +41,7 @@
         Self {
             seen: None,
             step: None,
-            armings: VecDeque::from([RANK.times(ranks as u64)]),
+            armings: VecDeque::from([CALL.times(calls_in_turn(ranks) as u64)]),
         }
     }
 
--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -55,6 +55,8 @@
     Settled(Outcome),
     /// Give the engine this order.
     Give(EngineOrder),
+    /// Have the engine prepare, under this number, a map in which the rank holds what it holds already.
+    Keep(MapVersion),
 }
 
 /// The place of an order among all orders of all leads.
@@ -235,7 +237,7 @@
             });
         }
         let (holds, order) = match &task.order {
-            Order::Disarm { unused, old } => return self.disarm(*unused, old, task.tries, state),
+            Order::Disarm { unused } => return self.disarm(*unused, task.tries, state),
             Order::Hold { ahead } => return task.hold(*ahead, self.held, state),
             // Noted when it was taken up.
             Order::Pledge { .. } => return Next::Settled(Outcome::Done),
@@ -263,20 +265,14 @@
         Next::Give(order)
     }
 
-    /// Disarms, and prepares the old map under a new number where an arming may be on its way: that
+    /// Disarms, and prepares what the rank holds under a new number where an arming may be on its way: that
     /// copies nothing, and the arming is refused because its map is not the prepared one any more.
-    fn disarm(
-        &self,
-        unused: MapVersion,
-        old: &Arc<ExpertMap>,
-        tries: u32,
-        state: &RankState,
-    ) -> Next {
-        let order = match (state.armed, state.prepared) {
-            (Some(version), _) => EngineOrder::Disarm(version),
+    fn disarm(&self, unused: MapVersion, tries: u32, state: &RankState) -> Next {
+        let next = match (state.armed, state.prepared) {
+            (Some(version), _) => Next::Give(EngineOrder::Disarm(version)),
             (None, Some(prepared)) if self.arm_pending => {
                 let highest = prepared.max(state.map).max(self.highest);
-                EngineOrder::Prepare(unused.max(highest.next()), Arc::clone(old))
+                Next::Keep(unused.max(highest.next()))
             }
             // Nothing is prepared: whatever arming may come is refused.
             (None, _) => return Next::Settled(Outcome::Done),
@@ -284,7 +280,7 @@
         if tries >= TRIES {
             return Next::Settled(Outcome::Unsure);
         }
-        Next::Give(order)
+        next
     }
 
     /// An order is about to be given; until it is answered it is on its way.
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`planner`]: one group's planner, which takes reports and remembers why it decided so.
 //! - [`order`]: what a lead asks of ranks of ordered engines, and what they say.
 //! - [`switch`]: how the lead of a group of ordered engines brings a map into force.
+//! - [`delivery`]: how orders reach many ranks over narrow links.
 //! - [`takeover`]: how another process lets a group go on whose lead has fallen silent.
 //! - [`ahead`]: how many steps ahead a group is held for that.
 //! - [`executor`]: carries a lead's orders out on one rank, each surely or not at all.
@@ -19,6 +20,7 @@
 
 pub mod agree;
 pub mod ahead;
+pub mod delivery;
 pub mod demand;
 pub mod estimate;
 pub mod even;
--- a/crates/groups/src/map.rs
+++ b/crates/groups/src/map.rs
@@ -81,6 +81,27 @@
         layer
     }
 
+    /// A layer in which one rank holds what is given, and each other expert is on one other rank.
+    ///
+    /// # Panics
+    ///
+    /// Where the one rank is the only one and does not hold every expert.
+    pub fn around(rank: u16, held: &[u16], ranks: u16, experts: u16) -> Self {
+        let others: Vec<u16> = (0..ranks).filter(|r| *r != rank).collect();
+        let rest: Vec<u16> = (0..experts).filter(|e| !held.contains(e)).collect();
+        assert!(rest.is_empty() || !others.is_empty());
+        let slots = held.len().max(rest.len().div_ceil(others.len().max(1)));
+        let mut layer = Self::new(ranks, slots as u16);
+        for (slot, expert) in held.iter().enumerate() {
+            layer.set(rank, slot as u16, *expert);
+        }
+        for (number, expert) in rest.into_iter().enumerate() {
+            let (slot, other) = (number / others.len(), number % others.len());
+            layer.set(others[other], slot as u16, expert);
+        }
+        layer
+    }
+
     /// How many ranks there are.
     pub fn ranks(&self) -> u16 {
         self.ranks
@@ -174,6 +195,20 @@
         }
     }
 
+    /// A whole map in which one rank holds what is given, by layer; what others hold is made up.
+    ///
+    /// # Panics
+    ///
+    /// Where the one rank is the only one and does not hold every expert.
+    pub fn around(rank: u16, held: &[Vec<u16>], ranks: u16, experts: u16) -> Self {
+        let layers = held.iter();
+        Self {
+            layers: layers
+                .map(|held| Layer::around(rank, held, ranks, experts))
+                .collect(),
+        }
+    }
+
     /// The moves that lead from this map to another of the same shape.
     pub fn moves_to(&self, other: &Self) -> Vec<Move> {
         let layers = self.layers.iter().zip(&other.layers).enumerate();
--- a/crates/groups/src/order.rs
+++ b/crates/groups/src/order.rs
@@ -43,11 +43,12 @@
             step: Step,
         },
         /// Be surely not armed: take an arming back, and outdate one that is on its way.
+        ///
+        /// Load answered: 192 ranks, whose map takes 17 kB, behind links of 6 Mbit/s. With the old map in it
+        /// this order took 4.4 s to leave for all of them, and a group that had been held as long stood still.
         Disarm {
-            /// A number that no rank has had, under which the old map may be prepared.
+            /// A number that no rank has had, under which the rank may prepare what it holds already.
             unused: MapVersion,
-            /// The old map.
-            old: Arc<ExpertMap>,
         },
         /// Let the group go on.
         Go {
@@ -93,6 +94,43 @@
     }
 }
 
+/// A phase of a lead's work; outcomes of orders of another one are ignored.
+///
+/// Failure guarded against: a group is lost and taken up again, and a rank's late word that it was
+/// armed for the switch before counts for the one under way. Each lead has a ballot of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Phase {
+    lead: Ballot,
+    number: u64,
+}
+
+impl Phase {
+    /// The first phase of a lead.
+    pub(crate) fn first(lead: Ballot) -> Self {
+        Self { lead, number: 0 }
+    }
+
+    /// The phase after this one.
+    #[must_use]
+    pub(crate) fn next(self) -> Self {
+        let number = self.number + 1;
+        Self { number, ..self }
+    }
+}
+
+/// An order for a rank; its outcome is told with the same phase.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    /// The rank; the lead's own is 0.
+    pub rank: usize,
+    /// Which phase of the work it belongs to.
+    pub phase: Phase,
+    /// The group's incarnation that it is for.
+    pub epoch: GroupIncarnation,
+    /// The order.
+    pub order: Order,
+}
+
 impl RankState {
     /// The highest map number among what is in force, prepared and armed.
     pub fn highest(&self) -> MapVersion {
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -24,7 +24,7 @@
 
 use crate::ahead::Ahead;
 use crate::map::ExpertMap;
-pub use crate::order::{Order, Outcome, RankState};
+pub use crate::order::{Order, Outcome, Phase, RankState, Send};
 use crate::takeover::DEPUTY;
 
 /// How long ranks may take to copy experts: some seconds at the usual sizes.
@@ -38,29 +38,6 @@
 /// any more counts as lost: a look at many ranks spans two.
 const PAST: u64 = 2;
 
-/// A phase of a lead's switches; outcomes of orders of another one are ignored.
-///
-/// Failure guarded against: a group is lost and taken up again, and a rank's late word that it was
-/// armed for the switch before counts for the one under way. Each lead has a ballot of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Phase {
-    lead: Ballot,
-    number: u64,
-}
-
-/// An order for a rank; its outcome is told with the same phase.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Send {
-    /// The rank; the lead's own is 0.
-    pub rank: usize,
-    /// Which phase of the switch it belongs to.
-    pub phase: Phase,
-    /// The group's incarnation that it is for.
-    pub epoch: GroupIncarnation,
-    /// The order.
-    pub order: Order,
-}
-
 /// What became of a switch.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -78,8 +55,6 @@
     phase: Phase,
     stage: Stage,
     version: MapVersion,
-    /// The map in force.
-    old: Arc<ExpertMap>,
     ahead: Ahead,
     /// Since when the ranks of the switch that is let go on were being armed.
     arming: Option<Moment>,
@@ -141,10 +116,9 @@
         Self {
             ranks,
             epoch: GroupIncarnation(0),
-            phase: Phase { lead, number: 0 },
+            phase: Phase::first(lead),
             stage: Stage::Idle,
             version: MapVersion(0),
-            old: Arc::default(),
             ahead: Ahead::new(ranks),
             arming: None,
             ended: None,
@@ -178,16 +152,15 @@
         self.ahead.saw(now, step);
     }
 
-    /// Begins a switch from the map in force to another one, under a number that no rank has had.
+    /// Begins a switch to another map, under a number that no rank has had.
     pub fn begin(
         &mut self,
         now: Moment,
         epoch: GroupIncarnation,
         version: MapVersion,
-        old: Arc<ExpertMap>,
         map: Arc<ExpertMap>,
     ) -> Vec<Send> {
-        (self.epoch, self.version, self.old) = (epoch, version, old);
+        (self.epoch, self.version) = (epoch, version);
         let until = now + PREPARE;
         self.enter(Stage::Preparing { until });
         self.to_all(|| Order::Prepare {
@@ -202,13 +175,13 @@
     /// be carried out much later. After a go every rank is armed and none may be disarmed; before it orders to
     /// disarm may be on their way, and the group must not go on until that is so of every rank. The process
     /// beside the holder knows which, and takes no more orders of the other lead.
-    pub fn recover(&mut self, states: &[RankState], old: Arc<ExpertMap>) -> Vec<Send> {
+    pub fn recover(&mut self, states: &[RankState]) -> Vec<Send> {
         let own = states[OWN];
         let holds = holds(states);
         let Some((rank, step)) = holds.first().copied() else {
             return Vec::new();
         };
-        (self.epoch, self.old) = (own.epoch, old);
+        self.epoch = own.epoch;
         let seen = states.iter().map(RankState::highest);
         self.version = seen.max().unwrap_or_default();
         let alike = own.armed.is_some() && states.iter().all(|s| s.armed == own.armed);
@@ -456,12 +429,11 @@
     fn disarm(&self) -> Order {
         Order::Disarm {
             unused: self.version.next(),
-            old: Arc::clone(&self.old),
         }
     }
 
     fn enter(&mut self, stage: Stage) {
-        self.phase.number += 1;
+        self.phase = self.phase.next();
         self.stage = stage;
     }
 
--- a/crates/groups/src/takeover.rs
+++ b/crates/groups/src/takeover.rs
@@ -11,15 +11,18 @@
 //!
 //! A lead that wakes up is told that it was overtaken, and takes the group up anew with a higher ballot.
 //!
+//! Lead and deputy may both be at it: the lead's process starts anew while the takeover is under way, and each
+//! overtakes the other before it has ended. So a lead leaves a takeover [`FINISH`] to end, and a deputy that was
+//! overtaken lets the group stand for twice as long before it tries again. 192 ranks behind links of 6 Mbit/s
+//! stood for 26 s that way, each round of orders taking 4.4 s; they stand for half a second.
+//!
 //! A group whose lead's host froze for 4.0 s just after the hold stood for all of them; it stands for 0.4 s.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use snipemast_core::prelude::*;
 
-use crate::map::ExpertMap;
-use crate::switch::{Order, Outcome, RankState};
+use crate::order::{Order, Outcome, Phase, RankState, Send};
 
 /// The lead's rank.
 pub const LEAD: usize = 0;
@@ -31,15 +34,77 @@
 /// this long.
 pub const SILENT: Span = Span::from_millis(200);
 
-/// An order of a takeover.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct TakeoverOrder {
-    /// The rank.
-    pub rank: usize,
-    /// Which phase it belongs to; its outcome is told with the same one.
-    pub phase: u32,
-    /// The order.
-    pub order: Order,
+/// How long a lead that finds the group held by a takeover leaves it to that: some times what one of 192 ranks
+/// takes.
+pub const FINISH: Span = Span::from_secs(1);
+
+/// The longest that a group is left to stand still after a takeover that was overtaken.
+const PATIENCE: Span = Span::from_millis(3_200);
+
+/// The ballot of a lead above another one: odd, so that a takeover that begins at the same time has another one.
+pub fn lead_above(other: Ballot) -> Ballot {
+    let above = other.next();
+    match is_takeover(above) {
+        true => above.next(),
+        false => above,
+    }
+}
+
+/// The ballot of a takeover above another one.
+pub fn takeover_above(other: Ballot) -> Ballot {
+    let above = other.next();
+    match is_takeover(above) {
+        true => above,
+        false => above.next(),
+    }
+}
+
+/// Whether a ballot is a takeover's.
+pub fn is_takeover(ballot: Ballot) -> bool {
+    ballot.get().is_multiple_of(2)
+}
+
+/// Whether a lead leaves a group to the takeover that is at work on it, given the highest ballot that ranks tell of,
+/// whether one is held, and since when that is seen.
+pub fn leaves_to_takeover(highest: Ballot, held: bool, seen: Span) -> bool {
+    held && highest != Ballot(0) && is_takeover(highest) && seen < FINISH
+}
+
+/// Tells whether a group that is held stands still.
+#[derive(Debug, Clone)]
+pub struct Stillness {
+    step: Step,
+    since: Moment,
+    patience: Span,
+}
+
+impl Stillness {
+    /// Nothing was seen yet.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            step: Step(0),
+            since: now,
+            patience: SILENT,
+        }
+    }
+
+    /// The rank that holds the group was seen, and whether it has work; true where it has stood still for long.
+    pub fn saw(&mut self, now: Moment, state: &RankState, working: bool) -> bool {
+        let held = state.held == Some(state.step.next());
+        if state.step != self.step {
+            self.patience = SILENT;
+        }
+        if state.step != self.step || !working || !held || !state.open {
+            (self.step, self.since) = (state.step, now);
+        }
+        now >= self.since + self.patience
+    }
+
+    /// A takeover was tried.
+    pub fn tried(&mut self, now: Moment) {
+        self.since = now;
+        self.patience = self.patience.times(2).min(PATIENCE);
+    }
 }
 
 /// One takeover of a group that is held.
@@ -47,10 +112,10 @@
 pub struct Takeover {
     /// The step that the group is held at.
     step: Step,
-    /// A map number that no rank has had, and the map in force.
+    /// A map number that no rank has had.
     unused: MapVersion,
-    old: Arc<ExpertMap>,
-    phase: u32,
+    epoch: GroupIncarnation,
+    phase: Phase,
     stage: Stage,
 }
 
@@ -65,21 +130,15 @@
 }
 
 impl Takeover {
-    /// A takeover of a group of so many ranks that the own one holds at a step, and its first orders. `states`
-    /// are of those ranks that tell; the own one takes no order of the lead any more.
-    pub fn begin(
-        ranks: usize,
-        states: &[RankState],
-        step: Step,
-        old: Arc<ExpertMap>,
-    ) -> (Self, Vec<TakeoverOrder>) {
-        let highest = states.iter().map(RankState::highest).max();
+    /// A takeover, under a ballot above the lead's, of a group of so many ranks that the own one holds at a step,
+    /// and its first orders. The own rank takes no order of the lead any more.
+    pub fn begin(ranks: usize, lead: Ballot, own: &RankState, step: Step) -> (Self, Vec<Send>) {
         let open: BTreeSet<usize> = (DEPUTY..ranks).collect();
         let takeover = Self {
             step,
-            unused: highest.unwrap_or_default().next(),
-            old,
-            phase: 0,
+            unused: own.highest().next(),
+            epoch: own.epoch,
+            phase: Phase::first(lead),
             stage: Stage::Disarming { open },
         };
         let orders = (DEPUTY..ranks).map(|rank| takeover.disarm(rank));
@@ -93,7 +152,7 @@
     }
 
     /// Takes what became of an order.
-    pub fn take(&mut self, rank: usize, phase: u32, outcome: Outcome) -> Vec<TakeoverOrder> {
+    pub fn take(&mut self, rank: usize, phase: Phase, outcome: Outcome) -> Vec<Send> {
         if phase != self.phase {
             return Vec::new();
         }
@@ -110,12 +169,7 @@
         }
     }
 
-    fn disarmed(
-        &mut self,
-        mut open: BTreeSet<usize>,
-        rank: usize,
-        done: bool,
-    ) -> Vec<TakeoverOrder> {
+    fn disarmed(&mut self, mut open: BTreeSet<usize>, rank: usize, done: bool) -> Vec<Send> {
         if !done {
             return vec![self.disarm(rank)];
         }
@@ -127,31 +181,32 @@
         Vec::new()
     }
 
-    fn release(&mut self) -> Vec<TakeoverOrder> {
+    fn release(&mut self) -> Vec<Send> {
         self.enter(Stage::Releasing);
         vec![self.go()]
     }
 
-    fn disarm(&self, rank: usize) -> TakeoverOrder {
-        let (unused, old) = (self.unused, Arc::clone(&self.old));
-        self.to(rank, Order::Disarm { unused, old })
+    fn disarm(&self, rank: usize) -> Send {
+        let unused = self.unused;
+        self.to(rank, Order::Disarm { unused })
     }
 
-    fn go(&self) -> TakeoverOrder {
+    fn go(&self) -> Send {
         let step = self.step;
         self.to(DEPUTY, Order::Go { step })
     }
 
-    fn to(&self, rank: usize, order: Order) -> TakeoverOrder {
-        TakeoverOrder {
+    fn to(&self, rank: usize, order: Order) -> Send {
+        Send {
             rank,
             phase: self.phase,
+            epoch: self.epoch,
             order,
         }
     }
 
-    fn enter(&mut self, stage: Stage) -> Vec<TakeoverOrder> {
-        self.phase += 1;
+    fn enter(&mut self, stage: Stage) -> Vec<Send> {
+        self.phase = self.phase.next();
         self.stage = stage;
         Vec::new()
     }
--- a/crates/groups/tests/ordered/mod.rs
+++ b/crates/groups/tests/ordered/mod.rs
@@ -3,19 +3,23 @@
 // Each test binary uses a part of it.
 #![allow(dead_code)]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use snipemast_control::Chance;
 use snipemast_core::prelude::*;
+use snipemast_groups::delivery::{deliveries, Delivery};
 use snipemast_groups::executor::{Answer, EngineOrder, Executor, Next, OrderSeq, Task};
+use snipemast_groups::map::ExpertMap;
 use snipemast_groups::switch::{Ended, Order, Outcome, Phase, RankState, Send, Switch};
-use snipemast_groups::takeover::{Takeover, TakeoverOrder, DEPUTY, LEAD, SILENT};
+use snipemast_groups::takeover::{
+    lead_above, leaves_to_takeover, takeover_above, Stillness, Takeover, DEPUTY, LEAD,
+};
 
 pub(crate) const RANKS: usize = 4;
 
 /// What holds the second rank for the lead, from the lead's host, beside the processes of the ranks.
-pub(crate) const AFAR: usize = RANKS;
+pub(crate) const AFAR: usize = usize::MAX;
 pub(crate) const EPOCH: GroupIncarnation = GroupIncarnation(1);
 
 /// How long a pass takes, how often the lead looks, and how long a call may take, in ms.
@@ -27,6 +31,9 @@
 /// The longest way of an order on its own host, in ms.
 pub(crate) const NEAR: u64 = 5;
 
+/// How late an answer may be before a process is taken for silent, in ms.
+pub(crate) const ANSWER: u64 = 150;
+
 /// How long a rank copies the experts of a map, in ms.
 pub(crate) const COPY: u64 = 250;
 
@@ -92,7 +99,17 @@
 #[derive(Clone, Copy)]
 pub(crate) enum From {
     Lead(Phase),
-    Deputy(u32),
+    Deputy(Phase),
+}
+
+/// What a call takes on the wire besides its order, and the address of a rank that it is passed on to, in bytes.
+pub(crate) const CALL_BYTES: u64 = 300;
+pub(crate) const ADDRESS_BYTES: u64 = 24;
+
+/// What an order takes on the wire, in bytes.
+pub(crate) fn bytes(order: &Order) -> u64 {
+    let text = rmp_serde::to_vec_named(order).expect("an order can be written");
+    CALL_BYTES + text.len() as u64
 }
 
 /// An order on its way.
@@ -109,6 +126,8 @@
     Look,
     /// What the ranks said at a look reaches the lead.
     Seen(Vec<RankState>),
+    /// An order reaches the process beside a rank, which passes it on to some.
+    Relay(usize, Vec<usize>, Given),
     /// An order reaches the process beside a rank.
     Arrive(usize, Given),
     /// That process goes on with what it has in executor.
@@ -121,6 +140,10 @@
     Told(usize, From, Outcome),
     /// The lead's process is killed and starts again.
     Restart,
+    /// The lead's process is killed, and away for so long.
+    Kill(u64),
+    /// The lead's process looks for a group to take up.
+    Adopt,
     /// The host of a rank's process stands still until a time.
     Freeze(usize, u64),
     /// The deputy looks whether its group stands still.
@@ -134,11 +157,19 @@
         match self {
             Self::Look | Self::Seen(_) | Self::Told(_, From::Lead(_), _) => Some(LEAD),
             Self::Watch | Self::Told(_, From::Deputy(_), _) => Some(DEPUTY),
-            Self::Arrive(rank, _) | Self::Work(rank) | Self::Answered(rank, ..) => match *rank {
+            Self::Relay(rank, ..)
+            | Self::Arrive(rank, _)
+            | Self::Work(rank)
+            | Self::Answered(rank, ..) => match *rank {
                 AFAR => Some(LEAD),
                 rank => Some(rank),
             },
-            Self::Pass | Self::Late(..) | Self::Restart | Self::Freeze(..) => None,
+            Self::Pass
+            | Self::Late(..)
+            | Self::Restart
+            | Self::Kill(_)
+            | Self::Adopt
+            | Self::Freeze(..) => None,
         }
     }
 }
@@ -152,6 +183,14 @@
     }
 }
 
+/// The process beside a rank, or what holds one from afar.
+#[derive(Default)]
+pub(crate) struct Process {
+    pub(crate) executor: Executor,
+    pub(crate) queue: VecDeque<Given>,
+    pub(crate) task: Option<(Given, Task)>,
+}
+
 pub(crate) struct World {
     pub(crate) now: u64,
     pub(crate) events: BTreeMap<(u64, u64), Event>,
@@ -166,16 +205,27 @@
     pub(crate) stood: u64,
     /// Whether requests come and go, so that the group makes no passes for a time.
     pub(crate) idles: bool,
+    /// Whether another map is wanted at each look.
+    pub(crate) eager: bool,
     pub(crate) step: u64,
+    /// What a host's link carries, in bytes a ms, and until when it is taken up by what was sent, in us.
+    pub(crate) link: u64,
+    pub(crate) sent: Vec<u64>,
+    /// The map that is brought into force; what matters here is how large it is.
+    pub(crate) map: Arc<ExpertMap>,
+    pub(crate) ranks: usize,
     pub(crate) engines: Vec<Engine>,
-    pub(crate) executors: Vec<Executor>,
-    pub(crate) queues: Vec<std::collections::VecDeque<Given>>,
-    pub(crate) tasks: Vec<Option<(Given, Task)>>,
+    pub(crate) processes: Vec<Process>,
+    /// The lead's process as it holds the second rank.
+    pub(crate) afar: Process,
     /// Until when the host of each rank's process stands still.
     pub(crate) frozen: Vec<u64>,
     /// The last lead whose process was killed.
     pub(crate) ended: u64,
     pub(crate) takeover: Option<Takeover>,
+    pub(crate) stillness: Stillness,
+    /// Since when the lead that is back leaves the group to a takeover.
+    pub(crate) waits: Option<u64>,
     /// The deputy's ballot, and how many orders it gave.
     pub(crate) deputy: (u64, u64),
     /// How many takeovers there were.
@@ -189,10 +239,17 @@
     pub(crate) version: u64,
     pub(crate) mixed: bool,
     pub(crate) switched: u32,
+    /// How many maps came into force.
+    pub(crate) maps: u32,
 }
 
 impl World {
     pub(crate) fn new(seed: u64, mute: u64) -> Self {
+        Self::with_ranks(seed, mute, RANKS)
+    }
+
+    /// A group of so many ranks.
+    pub(crate) fn with_ranks(seed: u64, mute: u64, ranks: usize) -> Self {
         let mut world = Self {
             now: 0,
             events: BTreeMap::new(),
@@ -203,27 +260,35 @@
             reach: 5,
             stood: 0,
             idles: false,
+            eager: false,
             step: 0,
-            engines: vec![Engine::default(); RANKS],
-            executors: vec![Executor::new(); RANKS + 1],
-            queues: vec![Default::default(); RANKS + 1],
-            tasks: (0..=RANKS).map(|_| None).collect(),
-            frozen: vec![0; RANKS],
+            link: u64::MAX,
+            sent: vec![0; ranks],
+            map: Arc::default(),
+            ranks,
+            engines: vec![Engine::default(); ranks],
+            processes: (0..ranks).map(|_| Process::default()).collect(),
+            afar: Process::default(),
+            frozen: vec![0; ranks],
             ended: 0,
             takeover: None,
+            stillness: Stillness::new(Moment::from_millis(0)),
+            waits: None,
             deputy: (0, 0),
             takeovers: 0,
             began: 0,
             longest: 0,
-            switch: Switch::new(RANKS, Ballot(1)),
+            switch: Switch::new(ranks, Ballot(1)),
             lead: 1,
             number: 0,
             version: 0,
             mixed: false,
             switched: 0,
+            maps: 0,
         };
-        for executor in &mut world.executors[..RANKS] {
-            executor.saw(Incarnation(1), &Engine::default().state(0));
+        for process in &mut world.processes {
+            let state = Engine::default().state(0);
+            process.executor.saw(Incarnation(1), &state);
         }
         world.after(PASS, Event::Pass);
         world.after(LOOK, Event::Look);
@@ -269,8 +334,14 @@
             Event::Seen(states) => self.look(&states),
             // A lead's orders to the process that it is itself end with it.
             Event::Arrive(LEAD | AFAR, given) if given.seq.lead <= Ballot(self.ended) => {}
+            Event::Relay(through, to, given) => {
+                for rank in to {
+                    let delay = self.leave(through, bytes(&given.order));
+                    self.give_to(rank, given.clone(), delay, self.reach);
+                }
+            }
             Event::Arrive(rank, given) => {
-                self.queues[rank].push_back(given);
+                self.process(rank).queue.push_back(given);
                 self.after(0, Event::Work(rank));
             }
             Event::Work(rank) => self.work(rank),
@@ -278,8 +349,9 @@
                 self.engines[engine(rank)].order(self.now, &order, self.step);
             }
             Event::Answered(rank, order, before, answer) => {
-                if let Some((_, task)) = &mut self.tasks[rank] {
-                    self.executors[rank].after_send(task, &order, before, answer);
+                let process = self.process(rank);
+                if let Some((_, task)) = &mut process.task {
+                    process.executor.after_send(task, &order, before, answer);
                 }
                 self.after(10, Event::Work(rank));
             }
@@ -291,81 +363,168 @@
             }
             Event::Told(rank, From::Deputy(phase), outcome) => {
                 let takeover = self.takeover.as_mut();
-                let orders = takeover.map(|t| t.take(rank, phase, outcome));
-                self.order(orders.unwrap_or_default());
+                let sends = takeover.map(|t| t.take(rank, phase, outcome));
+                self.order(sends.unwrap_or_default());
+                if self.takeover.as_ref().is_some_and(Takeover::is_over) {
+                    self.stillness.tried(self.moment());
+                    self.takeover = None;
+                }
             }
             Event::Restart => {
                 self.frozen[LEAD] = 0;
-                self.ended = self.lead;
-                for process in [LEAD, AFAR] {
-                    self.executors[process] = Executor::new();
-                    self.queues[process].clear();
-                    self.tasks[process] = None;
-                }
+                self.kill_lead();
                 self.adopt();
             }
+            Event::Kill(away) => {
+                self.frozen[LEAD] = self.now + away;
+                self.kill_lead();
+                // The new process knows of no group.
+                self.switch = Switch::new(self.ranks, Ballot(0));
+                self.after(away, Event::Adopt);
+            }
+            Event::Adopt if self.leaves() => self.after(LOOK, Event::Adopt),
+            Event::Adopt => self.adopt(),
             Event::Freeze(rank, until) => self.frozen[rank] = until,
             Event::Watch => self.watch(),
         }
     }
 
-    /// The lead takes the group up with a ballot above all that ranks tell of; a lead's is odd.
+    /// The process beside a rank, or what holds the second one for the lead.
+    fn process(&mut self, rank: usize) -> &mut Process {
+        match rank {
+            AFAR => &mut self.afar,
+            rank => &mut self.processes[rank],
+        }
+    }
+
+    /// What the lead's process knew is gone, and what it sent to itself.
+    fn kill_lead(&mut self) {
+        self.ended = self.lead;
+        (self.processes[LEAD], self.afar) = (Process::default(), Process::default());
+        self.sent[LEAD] = 0;
+    }
+
+    /// The highest ballot that ranks tell of.
+    fn highest(&self) -> Ballot {
+        let leads = self.processes.iter().map(|p| p.executor.lead());
+        leads.max().unwrap_or_default()
+    }
+
+    /// Whether the lead leaves the group to a takeover.
+    fn leaves(&mut self) -> bool {
+        let (highest, held, now) = (self.highest(), self.is_held(), self.now);
+        let since = *self.waits.get_or_insert(now);
+        let leaves = leaves_to_takeover(highest, held, Span::from_millis(now - since));
+        if !leaves {
+            self.waits = None;
+        }
+        leaves
+    }
+
+    /// The lead takes the group up with a ballot above all that ranks tell of.
     pub(crate) fn adopt(&mut self) {
-        let leads = self.executors[..RANKS].iter().map(|e| e.lead().get());
-        let highest = leads.max().unwrap_or(0).max(self.lead);
-        self.lead = highest + 1 + highest % 2;
-        self.switch = Switch::new(RANKS, Ballot(self.lead));
+        let highest = self.highest().max(Ballot(self.lead));
+        self.lead = lead_above(highest).get();
+        self.switch = Switch::new(self.ranks, Ballot(self.lead));
         self.number = 0;
         self.version += 1_000_000;
         let states = self.states();
-        for (executor, state) in self.executors[..RANKS].iter_mut().zip(&states) {
-            executor.saw(Incarnation(1), state);
+        for (process, state) in self.processes.iter_mut().zip(&states) {
+            process.executor.saw(Incarnation(1), state);
         }
-        let sends = self.switch.recover(&states, Arc::default());
+        let sends = self.switch.recover(&states);
         self.send(sends);
     }
 
-    /// The deputy takes over where its group stands still and the lead is silent; its ballots are even.
+    /// The deputy takes over where its group stands still and the lead is silent.
     pub(crate) fn watch(&mut self) {
         self.after(LOOK, Event::Watch);
-        let states = self.states();
-        if self.takeover.as_ref().is_some_and(|t| !t.is_over()) {
+        let state = self.states()[DEPUTY];
+        if self.takeover.is_some() {
             return;
         }
-        let silent = self.frozen[LEAD] > self.now && self.now >= self.began + SILENT.as_millis();
-        let Some(step) = states[DEPUTY].held.filter(|_| silent) else {
+        let still = self.stillness.saw(self.moment(), &state, true);
+        let silent = self.frozen[LEAD] > self.now || self.backlog(LEAD) > ANSWER;
+        let Some(step) = state.held.filter(|_| still && silent) else {
             return;
         };
-        let leads = self.executors[1..RANKS].iter().map(|e| e.lead().get());
-        let highest = leads.max().unwrap_or(0).max(self.deputy.0);
-        let ballot = highest + 2 - highest % 2;
-        if !self.executors[DEPUTY].overtake(Ballot(ballot), &states[DEPUTY]) {
+        let own = self.processes[DEPUTY].executor.lead();
+        let ballot = takeover_above(own.max(Ballot(self.deputy.0)));
+        let executor = &mut self.processes[DEPUTY].executor;
+        if !executor.overtake(ballot, &state) {
             return;
         }
-        self.deputy = (ballot, 0);
+        self.deputy = (ballot.get(), 0);
         self.takeovers += 1;
-        let (takeover, orders) = Takeover::begin(RANKS, &states[1..], step, Arc::default());
+        let (takeover, sends) = Takeover::begin(self.ranks, ballot, &state, step);
         self.takeover = Some(takeover);
-        self.order(orders);
+        self.order(sends);
     }
 
     /// Sends the deputy's orders on their way.
-    pub(crate) fn order(&mut self, orders: Vec<TakeoverOrder>) {
-        for TakeoverOrder { rank, phase, order } in orders {
+    pub(crate) fn order(&mut self, sends: Vec<Send>) {
+        for delivery in deliveries(sends, self.deputy.1) {
             self.deputy.1 += 1;
-            let given = Given {
-                seq: OrderSeq {
-                    lead: Ballot(self.deputy.0),
-                    number: self.deputy.1,
-                },
-                from: From::Deputy(phase),
-                order,
+            let seq = OrderSeq {
+                lead: Ballot(self.deputy.0),
+                number: self.deputy.1,
             };
-            let longest = if rank == DEPUTY { NEAR } else { self.reach };
-            self.give_to(rank, given, longest);
+            self.deliver(DEPUTY, delivery, seq, From::Deputy, self.reach);
+        }
+    }
+
+    /// One delivery leaves a host.
+    fn deliver(
+        &mut self,
+        host: usize,
+        delivery: Delivery,
+        seq: OrderSeq,
+        from: impl Fn(Phase) -> From,
+        longest: u64,
+    ) {
+        match delivery {
+            Delivery::Direct(send) => {
+                let given = Given {
+                    seq,
+                    from: from(send.phase),
+                    order: send.order,
+                };
+                let holds = matches!(given.order, Order::Hold { .. });
+                let to = if holds { AFAR } else { send.rank };
+                let near = engine(to) == host || to == AFAR;
+                let longest = if near { NEAR } else { longest };
+                let delay = self.leave(host, bytes(&given.order));
+                self.give_to(to, given, delay, longest);
+            }
+            Delivery::Relayed { through, sends } => {
+                let to: Vec<usize> = sends.iter().map(|s| s.rank).collect();
+                let given = Given {
+                    seq,
+                    from: from(sends[0].phase),
+                    order: sends[0].order.clone(),
+                };
+                let size = bytes(&given.order) + ADDRESS_BYTES * to.len() as u64;
+                let delay = self.leave(host, size) + 1 + self.chance.below(self.reach);
+                for rank in &to {
+                    self.after(CALL, Event::Told(*rank, given.from, Outcome::Unsure));
+                }
+                self.after(delay, Event::Relay(through, to, given));
+            }
         }
     }
 
+    /// For how long a host's link is taken up by what was sent, in ms.
+    fn backlog(&self, host: usize) -> u64 {
+        (self.sent[host] / 1_000).saturating_sub(self.now)
+    }
+
+    /// A call leaves a host; how long it takes until it has, in ms.
+    fn leave(&mut self, host: usize, bytes: u64) -> u64 {
+        let begins = self.sent[host].max(self.now * 1_000);
+        self.sent[host] = begins + bytes.saturating_mul(1_000) / self.link;
+        self.backlog(host)
+    }
+
     /// A pass begins, unless a rank holds the group there.
     pub(crate) fn pass(&mut self) {
         self.after(PASS, Event::Pass);
@@ -385,11 +544,13 @@
         self.step = next;
         self.longest = self.longest.max(self.now - self.began);
         self.began = self.now;
+        let before = self.engines[LEAD].map;
         for engine in &mut self.engines {
             if let Some((version, _)) = engine.armed.filter(|(_, at)| *at <= next) {
                 (engine.map, engine.armed, engine.prepared) = (version, None, None);
             }
         }
+        self.maps += u32::from(self.engines[LEAD].map != before);
         self.mixed |= self.engines.iter().any(|e| e.map != self.engines[0].map);
     }
 
@@ -409,14 +570,13 @@
         self.settle();
         let clean = states.iter().all(|s| s.armed.is_none() && s.held.is_none());
         if self.switch.is_idle() && !clean {
-            let sends = self.switch.recover(states, Arc::default());
+            let sends = self.switch.recover(states);
             self.send(sends);
-        } else if self.switch.is_idle() && self.chance.below(4) == 0 {
+        } else if self.switch.is_idle() && (self.eager || self.chance.below(4) == 0) {
             let had = self.engines.iter().map(|e| e.had).max().unwrap_or(0);
             self.version = had.max(self.version) + 1_000;
-            let (old, map) = (Arc::default(), Arc::default());
-            let version = MapVersion(self.version);
-            let sends = self.switch.begin(now, EPOCH, version, old, map);
+            let (version, map) = (MapVersion(self.version), Arc::clone(&self.map));
+            let sends = self.switch.begin(now, EPOCH, version, map);
             self.send(sends);
         }
     }
@@ -424,7 +584,7 @@
     pub(crate) fn settle(&mut self) {
         match self.switch.take_ended() {
             Some(Ended::Switched(_)) => self.switched += 1,
-            Some(Ended::Kept("another process took over")) => self.adopt(),
+            Some(Ended::Kept("another process took over")) => self.after(0, Event::Adopt),
             _ => {}
         }
     }
@@ -433,33 +593,25 @@
     pub(crate) fn send(&mut self, sends: Vec<Send>) {
         /// The longest way of one order alone, in ms: what makes them slow is how many there are.
         const ALONE: u64 = 20;
-        let alone = sends.len() == 1;
-        for send in sends {
+        let longest = match sends.len() {
+            1 => self.reach.min(ALONE),
+            _ => self.reach,
+        };
+        for delivery in deliveries(sends, self.number) {
             self.number += 1;
-            let given = Given {
-                seq: OrderSeq {
-                    lead: Ballot(self.lead),
-                    number: self.number,
-                },
-                from: From::Lead(send.phase),
-                order: send.order,
-            };
-            let holds = matches!(given.order, Order::Hold { .. });
-            let to = if holds { AFAR } else { send.rank };
-            let longest = match to {
-                LEAD | AFAR => NEAR,
-                _ if alone => self.reach.min(ALONE),
-                _ => self.reach,
+            let seq = OrderSeq {
+                lead: Ballot(self.lead),
+                number: self.number,
             };
-            self.give_to(to, given, longest);
+            self.deliver(LEAD, delivery, seq, From::Lead, longest);
         }
     }
 
     /// An order leaves for a process; whoever gave it waits for it for a bounded time.
-    pub(crate) fn give_to(&mut self, rank: usize, given: Given, longest: u64) {
+    pub(crate) fn give_to(&mut self, rank: usize, given: Given, leaves: u64, longest: u64) {
         let slow = self.mute < u64::MAX && self.chance.below(30) == 0;
         let longest = if slow { 4_000 } else { longest };
-        let delay = 1 + self.chance.below(longest);
+        let delay = leaves + 1 + self.chance.below(longest);
         let from = given.from;
         self.after(delay, Event::Arrive(rank, given));
         self.after(CALL, Event::Told(rank, from, Outcome::Unsure));
@@ -471,37 +623,39 @@
         self.engines[engine].copy(self.now);
         let state = self.engines[engine].state(self.step);
         if rank == AFAR {
-            let floor = self.executors[DEPUTY].floor();
-            self.executors[AFAR].told(Incarnation(1), &state, floor);
+            let floor = self.processes[DEPUTY].executor.floor();
+            self.afar.executor.told(Incarnation(1), &state, floor);
         }
-        if self.tasks[rank].is_none() {
-            let Some(given) = self.queues[rank].pop_front() else {
+        let process = self.process(rank);
+        if process.task.is_none() {
+            let Some(given) = process.queue.pop_front() else {
                 return;
             };
-            let taken = self.executors[rank].take(given.seq, given.order.clone(), EPOCH);
+            let taken = process.executor.take(given.seq, given.order.clone(), EPOCH);
             match taken {
-                Some(task) => self.tasks[rank] = Some((given, task)),
+                Some(task) => process.task = Some((given, task)),
                 None => {
-                    let refusal = self.executors[rank].refusal(given.seq);
+                    let refusal = process.executor.refusal(given.seq);
                     return self.report(rank, given.from, refusal);
                 }
             }
         }
-        let Some((given, task)) = self.tasks[rank].as_mut() else {
+        let Some((given, task)) = process.task.as_mut() else {
             return;
         };
         let from = given.from;
-        match self.executors[rank].next(task, &state) {
+        match process.executor.next(task, &state) {
             Next::Settled(outcome) => {
-                self.tasks[rank] = None;
+                process.task = None;
                 self.report(rank, from, outcome);
             }
             Next::Give(order) => self.give(rank, &order),
+            Next::Keep(version) => self.give(rank, &EngineOrder::Prepare(version, Arc::default())),
         }
     }
 
     pub(crate) fn give(&mut self, rank: usize, order: &EngineOrder) {
-        let before = self.executors[rank].before_send(order);
+        let before = self.process(rank).executor.before_send(order);
         if self.chance.below(self.mute) == 0 {
             // The platform speaks of 2 to 12 s; sooner ones find the group still held.
             let longest = if self.chance.below(2) == 0 {
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -160,7 +160,7 @@
     let mut task = taken.expect("it is the latest");
     match executor.next(&mut task, &Engine::default().state(0)) {
         Next::Give(order) => order,
-        Next::Settled(outcome) => panic!("{outcome:?}"),
+        other => panic!("{other:?}"),
     }
 }
 
@@ -171,7 +171,7 @@
     let begin = |lead| {
         let mut switch = Switch::new(1, Ballot(lead));
         let now = Moment::from_millis(0);
-        let sends = switch.begin(now, EPOCH, MapVersion(1), Arc::default(), Arc::default());
+        let sends = switch.begin(now, EPOCH, MapVersion(1), Arc::default());
         (switch, sends[0].phase)
     };
     let ((mut switch, own), (_, earlier)) = (begin(2), begin(1));
--- a/crates/groups/tests/takeover.rs
+++ b/crates/groups/tests/takeover.rs
@@ -4,8 +4,11 @@
 
 use quickcheck::{quickcheck, TestResult};
 
+use std::sync::Arc;
+
 use ordered::{Event, World, LOOK};
 use snipemast_control::Chance;
+use snipemast_groups::map::ExpertMap;
 use snipemast_groups::takeover::{DEPUTY, LEAD};
 
 quickcheck! {
@@ -16,6 +19,11 @@
     }
 }
 
+/// Within how long a group goes on after the loss of a process, and follows its demand again after the lead's
+/// return, in ms.
+const GOES_ON: u64 = 500;
+const FOLLOWS: u64 = 2_000;
+
 /// Lead and deputy freeze and wake up at any moment, and the lead is killed now and then.
 fn frozen_lead(seed: u64, mute: u64) -> TestResult {
     let mut world = World::new(seed, mute);
@@ -40,7 +48,7 @@
     world.run(100_000);
     if world.step == step || world.mixed {
         let states = world.states();
-        let (switch, takeover) = (&world.switch, &world.takeover);
+        let (switch, takeover) = (&world.switch, world.takeover.as_ref());
         return TestResult::error(format!(
             "seed {seed}: step {step}, {switch:?}, {takeover:?}, {states:?}"
         ));
@@ -102,3 +110,58 @@
     // Only a lead that freezes in the milliseconds after the pledge is waited for.
     assert!(long * 3 <= taken, "{long} long, {taken} taken over");
 }
+
+/// A group of 192 ranks behind links of 6 Mbit/s, whose map takes 17 kB.
+fn large(seed: u64) -> World {
+    let mut world = World::with_ranks(seed, u64::MAX, 192);
+    world.map = Arc::new(ExpertMap::dealt(10, 192, 3, 384));
+    (world.link, world.lag, world.reach) = (750, 150, 30);
+    world.after(LOOK / 2, Event::Watch);
+    world
+}
+
+/// A user sees every stream stand still for 26 s. The lead's process is killed while it holds a large group;
+/// orders to disarm with a whole map in each take 4.4 s to leave the deputy's host; the lead is back meanwhile
+/// and overtakes it, with orders that take as long; while they leave, the lead's host does not answer the deputy.
+#[test]
+fn killed_lead_of_many() {
+    for seed in 0..24 {
+        let mut world = large(seed);
+        world.eager = true;
+        for kill in 1..5 {
+            let back = kill * 5_000 + seed * 31;
+            world.run(back - 500);
+            world.after(0, Event::Kill(500));
+            world.run(back);
+            let maps = world.maps;
+            world.run(back + FOLLOWS);
+            assert!(world.maps > maps, "seed {seed}, kill {kill}");
+        }
+        assert!(!world.mixed, "seed {seed}");
+        assert!(world.longest <= GOES_ON, "seed {seed}: {}", world.longest);
+    }
+}
+
+/// The same while 20 other processes are away for as long as the lead's.
+#[test]
+fn many_killed_with_lead() {
+    for seed in 0..12 {
+        let mut world = large(seed);
+        world.eager = true;
+        for kill in 1..5 {
+            let at = kill * 5_000 + seed * 31;
+            world.after(at, Event::Kill(500));
+            for number in 1..=20 {
+                let rank = 1 + (number * 9 + seed as usize) % 191;
+                world.after(at, Event::Freeze(rank, at + 500));
+            }
+        }
+        world.run(30_000);
+        assert!(!world.mixed, "seed {seed}");
+        assert!(
+            world.longest <= 500 + GOES_ON,
+            "seed {seed}: {}",
+            world.longest
+        );
+    }
+}
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -8,7 +8,9 @@
 use smol::Task;
 
 use snipemast_core::prelude::*;
+use snipemast_groups::delivery::{deliveries, Delivery};
 use snipemast_groups::switch::{Order, Outcome, Phase, Send};
+use snipemast_groups::takeover::lead_above;
 use snipemast_net::exec::{pause, spawn};
 
 use crate::engine::Engine;
@@ -22,13 +24,12 @@
 /// How long an order may take that is passed on: the way to the relay besides.
 const RELAYED: Span = Span::from_millis(2_300);
 
-/// With more ranks than this an order that all get alike is passed on by some of them. A map of 72 ranks
-/// and 12 sets takes 3 kB: from one host with 8 Mbit/s it was 0.3 s until all had it.
-const DIRECT: usize = 18;
-
 /// The pause after an order that reached nobody: a rank's process may be back soon.
 const AGAIN: Span = Span::from_millis(100);
 
+/// How often ranks are asked that don't answer: a process that was killed is back within half a second.
+const ROUNDS: usize = 4;
+
 /// Calls to the ranks of a group.
 pub(crate) struct Calls {
     clients: Arc<Clients>,
@@ -78,17 +79,17 @@
         self.holder = Some(Arc::new(rank));
     }
 
-    /// Gives orders as a lead above another one from now on; a lead's ballots are odd.
+    /// Gives orders as a lead above another one from now on.
     pub(crate) fn lead_above(&mut self, other: Ballot) -> Ballot {
-        let above = other.max(self.lead).next();
-        self.lead = if above.get() % 2 == 1 {
-            above
-        } else {
-            above.next()
-        };
+        self.lead = lead_above(other.max(self.lead));
         self.lead
     }
 
+    /// Gives orders under this ballot from now on.
+    pub(crate) fn give_as(&mut self, lead: Ballot) {
+        self.lead = lead;
+    }
+
     /// Asks ranks how they are, all at once; nothing from those that do not answer.
     pub(crate) async fn look(
         &mut self,
@@ -113,22 +114,40 @@
         all
     }
 
+    /// Asks ranks how they are, and those that did not answer again, some times.
+    ///
+    /// Load answered: of 192 processes one is nearly always away, and a group can be taken up only once each
+    /// of them has answered. Asking all of them anew for one that was missing takes a look of 0.3 s each time.
+    pub(crate) async fn look_again(
+        &mut self,
+        mut asked: Vec<SocketAddr>,
+        query: &StateQuery,
+    ) -> Vec<(SocketAddr, RankReport)> {
+        let mut seen = Vec::with_capacity(asked.len());
+        for round in 0..ROUNDS {
+            if round > 0 {
+                pause(AGAIN).await;
+            }
+            let queries = asked.iter().map(|address| (*address, query.clone()));
+            seen.extend(self.look(queries.collect()).await);
+            asked.retain(|address| seen.iter().all(|(told, _)| told != address));
+            if asked.is_empty() {
+                break;
+            }
+        }
+        seen
+    }
+
     /// Sends orders; what becomes of each is told by [`outcome`](Self::outcome).
     pub(crate) fn execute(&mut self, sends: Vec<Send>, addresses: &[SocketAddr]) {
         self.orders.retain(|t| !t.is_finished());
-        let alike = |s: &Send| matches!(s.order, Order::Prepare { .. });
-        if sends.len() <= DIRECT || !sends.iter().all(alike) {
-            for send in sends {
-                self.number += 1;
-                self.send(send, addresses);
+        for delivery in deliveries(sends, self.number) {
+            // One number will do for orders alike: each rank compares only with those that it got itself.
+            self.number += 1;
+            match delivery {
+                Delivery::Direct(send) => self.send(send, addresses),
+                Delivery::Relayed { through, sends } => self.relay(through, sends, addresses),
             }
-            return;
-        }
-        // One number will do: each rank compares only with those that it got itself.
-        self.number += 1;
-        let size = sends.len().isqrt();
-        for part in sends.chunks(size) {
-            self.relay(part, addresses);
         }
     }
 
@@ -155,17 +174,18 @@
         }));
     }
 
-    /// Lets one of some ranks pass an order on to them; another one each time, so that one that does
-    /// not answer is in the way once.
-    fn relay(&mut self, part: &[Send], addresses: &[SocketAddr]) {
-        let through = &part[self.number as usize % part.len()];
-        let client = self.clients.get(addresses[through.rank]);
+    /// Lets a rank pass an order on to some.
+    fn relay(&mut self, through: usize, sends: Vec<Send>, addresses: &[SocketAddr]) {
+        let Some(first) = sends.first().cloned() else {
+            return;
+        };
+        let client = self.clients.get(addresses[through]);
+        let ranks: Vec<usize> = sends.iter().map(|s| s.rank).collect();
+        let (phase, sender) = (first.phase, self.outcomes.0.clone());
         let relay = Relay {
-            order: self.order(through.clone()),
-            to: part.iter().map(|s| addresses[s.rank]).collect(),
+            order: self.order(first),
+            to: ranks.iter().map(|rank| addresses[*rank]).collect(),
         };
-        let ranks: Vec<usize> = part.iter().map(|s| s.rank).collect();
-        let (phase, sender) = (through.phase, self.outcomes.0.clone());
         self.orders.push(spawn(async move {
             let relayed = client
                 .call::<_, Relayed>(path::RELAY, &relay, RELAYED)
@@ -199,17 +219,6 @@
     }
 }
 
-/// The ballot of a process that takes over from a lead: even, so that a lead that comes back at the same time
-/// has another one.
-pub(crate) fn deputy_above(other: Ballot) -> Ballot {
-    let above = other.next();
-    if above.get().is_multiple_of(2) {
-        above
-    } else {
-        above.next()
-    }
-}
-
 async fn tell(sender: &Sender<OrderOutcome>, rank: usize, phase: Phase, outcome: Outcome) {
     let told = OrderOutcome {
         rank,
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -3,29 +3,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_channel::{unbounded, Receiver, Sender};
-use smol::Task;
-
 use snipemast_core::prelude::*;
-use snipemast_groups::map::ExpertMap;
-use snipemast_groups::switch::{Outcome, RankState};
-use snipemast_groups::takeover::{Takeover, TakeoverOrder, LEAD, SILENT};
-use snipemast_net::exec::{pause, spawn};
+use snipemast_groups::switch::RankState;
+use snipemast_groups::takeover::{takeover_above, Stillness, Takeover, LEAD};
+use snipemast_net::exec::pause;
 use snipemast_net::BootClock;
 
-use crate::calls::{deputy_above, Calls};
-use crate::group::map_in_force;
+use crate::calls::Calls;
 use crate::news::Reader;
-use crate::peers::{path, Execute, RankReport, StateQuery};
+use crate::peers::{path, RankReport, StateQuery};
 use crate::rank::Rank;
-use crate::relay::{give, Clients};
+use crate::relay::Clients;
 
 /// How often the own rank is looked at.
 const WATCH: Span = Span::from_millis(100);
 
-/// The pause after an order that was not carried out.
-const AGAIN: Span = Span::from_millis(40);
-
 /// How long the process beside rank 0 may take to answer before it is taken for silent: some times what answers to
 /// orders of a switch took in a trace of a heavy day, 5 to 60 ms.
 const ANSWER: Span = Span::from_millis(150);
@@ -38,43 +30,21 @@
     rank: Arc<Rank>,
     clients: Arc<Clients>,
     calls: Calls,
-    /// The step that the group is in, and since when.
-    step: (Step, Moment),
-    /// The group as it was when its map last changed.
+    stillness: Stillness,
     group: Option<Known>,
 }
 
-/// What is known of a group between two changes of its map.
+/// What is known of a group for as long as it does not form again.
 struct Known {
     epoch: GroupIncarnation,
-    version: MapVersion,
-    map: Arc<ExpertMap>,
     /// The processes beside the ranks.
     addresses: Vec<SocketAddr>,
 }
 
-/// What one takeover needs besides its decisions.
-struct Work {
-    takeover: Takeover,
-    lead: Ballot,
-    number: u64,
-    epoch: GroupIncarnation,
-    addresses: Vec<SocketAddr>,
-    told: (Sender<Told>, Receiver<Told>),
-    orders: Vec<Task<()>>,
-}
-
-/// What became of an order.
-struct Told {
-    rank: usize,
-    phase: u32,
-    outcome: Outcome,
-}
-
 impl Deputy {
     pub(crate) fn new(reader: Arc<Reader>, rank: Arc<Rank>, journal: Journal) -> Self {
         let clock = BootClock::new();
-        let step = (Step(0), clock.now());
+        let stillness = Stillness::new(clock.now());
         Self {
             reader,
             journal,
@@ -82,7 +52,7 @@
             rank,
             clients: Arc::default(),
             calls: Calls::new(),
-            step,
+            stillness,
             group: None,
         }
     }
@@ -94,57 +64,30 @@
             let Some((state, working)) = self.rank.at_work().await else {
                 continue;
             };
-            let still = self.stands_still(&state, working);
+            let still = self.stillness.saw(self.clock.now(), &state, working);
             self.learn(&state).await;
-            if !still || self.lead_answers().await {
-                continue;
-            }
-            if let Some(work) = self.prepare(&state) {
-                self.take_over(work).await;
+            if still && !self.lead_answers().await {
+                self.take_over(&state).await;
             }
         }
     }
 
-    /// Whether the group has been held by the own rank for long, although that has work.
-    fn stands_still(&mut self, state: &RankState, working: bool) -> bool {
-        let now = self.clock.now();
-        let held = state.held == Some(state.step.next());
-        if state.step != self.step.0 || !working || !held || !state.open {
-            self.step = (state.step, now);
-        }
-        now >= self.step.1 + SILENT
-    }
-
-    /// Learns where the ranks are and what they hold, whenever the group has another map in force.
+    /// Learns where the ranks are, whenever the group has formed.
     async fn learn(&mut self, state: &RankState) {
-        let group = self.group.as_ref();
-        let same = |g: &Known| (g.epoch, g.version) == (state.epoch, state.map);
-        if !state.open || state.held.is_some() || group.is_some_and(same) {
+        let known = self.group.as_ref();
+        if !state.open || known.is_some_and(|g| g.epoch == state.epoch) {
             return;
         }
-        let Some(experts) = self.reader.engine().and_then(|e| e.experts) else {
-            return;
-        };
-        let query = StateQuery {
-            experts: true,
-            counted: None,
-        };
-        let asked = self.reader.ranks().into_iter();
-        let asked = asked.map(|address| (address, query.clone()));
-        let mut all = self.calls.look(asked.collect()).await;
+        let asked = self.reader.ranks();
+        let mut all = self.calls.look_again(asked, &StateQuery::default()).await;
         all.sort_by_key(|(_, seen)| seen.rank);
         let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
-        let alike = |s: &RankReport| (s.state.epoch, s.state.map) == (state.epoch, state.map);
+        let same = seen.iter().all(|s| s.state.epoch == state.epoch);
         let whole = seen.first().is_some_and(|first| first.size == seen.len());
-        if !whole || !seen.iter().all(alike) {
-            return;
+        if whole && same {
+            let epoch = state.epoch;
+            self.group = Some(Known { epoch, addresses });
         }
-        self.group = map_in_force(&experts, &seen).map(|map| Known {
-            epoch: state.epoch,
-            version: state.map,
-            map: Arc::new(map),
-            addresses,
-        });
     }
 
     /// Whether the process beside rank 0 answers; it settles its holds itself then.
@@ -158,76 +101,33 @@
         asked.await.is_ok()
     }
 
-    /// Takes over, unless the lead is about to end what it is doing.
-    fn prepare(&self, own: &RankState) -> Option<Work> {
-        let known = self.group.as_ref()?;
-        let same = (known.epoch, known.version) == (own.epoch, own.map);
-        let step = own.held.filter(|_| same)?;
-        let lead = deputy_above(self.rank.lead());
+    /// Takes over, unless the lead is about to end what it is doing, and lets the group go on.
+    async fn take_over(&mut self, own: &RankState) {
+        let Some(known) = &self.group else {
+            return;
+        };
+        let Some(step) = own.held.filter(|_| known.epoch == own.epoch) else {
+            return;
+        };
+        let lead = takeover_above(self.rank.lead());
         if !self.rank.overtake(lead, own) {
-            return None;
+            return;
         }
-        let ranks = known.addresses.len();
-        let (takeover, orders) = Takeover::begin(ranks, &[*own], step, Arc::clone(&known.map));
-        let mut work = Work {
-            takeover,
-            lead,
-            number: 0,
-            epoch: own.epoch,
-            addresses: known.addresses.clone(),
-            told: unbounded(),
-            orders: Vec::new(),
-        };
-        let silent = known.addresses[LEAD];
-        let detail = format!("held at step {step}, {silent} is silent");
+        let addresses = known.addresses.clone();
+        let detail = format!("held at step {step}, {} is silent", addresses[LEAD]);
         self.journal.record(Event::LeadOvertaken, "group", detail);
-        work.execute(orders, &self.clients);
-        Some(work)
-    }
-
-    async fn take_over(&mut self, mut work: Work) {
-        while !work.takeover.is_over() {
-            // The sender is kept here.
-            let Ok(told) = work.told.1.recv().await else {
-                break;
+        self.calls.give_as(lead);
+        let (mut takeover, sends) = Takeover::begin(addresses.len(), lead, own, step);
+        self.calls.execute(sends, &addresses);
+        while !takeover.is_over() {
+            let Some(told) = self.calls.outcome(WATCH).await else {
+                continue;
             };
-            let orders = work.takeover.take(told.rank, told.phase, told.outcome);
-            work.execute(orders, &self.clients);
+            let sends = takeover.take(told.rank, told.phase, told.outcome);
+            self.calls.execute(sends, &addresses);
         }
-        self.step.1 = self.clock.now();
+        self.stillness.tried(self.clock.now());
         self.journal
             .record(Event::MapAborted, "group", "let go for a silent lead");
     }
 }
-
-impl Work {
-    fn execute(&mut self, orders: Vec<TakeoverOrder>, clients: &Clients) {
-        self.orders.retain(|t| !t.is_finished());
-        for TakeoverOrder { rank, phase, order } in orders {
-            self.number += 1;
-            let order = Execute {
-                lead: self.lead,
-                number: self.number,
-                epoch: self.epoch,
-                order,
-            };
-            let client = clients.get(self.addresses[rank]);
-            let sender = self.told.0.clone();
-            self.orders.push(spawn(async move {
-                let outcome = give(&client, &order).await;
-                if !matches!(outcome, Some(Outcome::Done)) {
-                    pause(AGAIN).await;
-                }
-                let outcome = outcome.unwrap_or(Outcome::Unsure);
-                // The takeover is over where nobody receives.
-                let _ = sender
-                    .send(Told {
-                        rank,
-                        phase,
-                        outcome,
-                    })
-                    .await;
-            }));
-        }
-    }
-}
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -7,7 +7,7 @@
 use snipemast_groups::demand::Demand;
 use snipemast_groups::even::{even, Evened, Thresholds};
 use snipemast_groups::switch::{Ended, RankState, Send};
-use snipemast_groups::takeover::DEPUTY;
+use snipemast_groups::takeover::{leaves_to_takeover, DEPUTY};
 use snipemast_net::BootClock;
 use snipemast_routes::engine::Experts;
 
@@ -51,6 +51,8 @@
     whole: bool,
     /// The highest map number that was given out, in whatever epoch.
     highest: MapVersion,
+    /// Since when a group is left to a takeover.
+    waits: Option<Moment>,
     /// The demand of the group before it was lost.
     remembered: Option<Demand>,
 }
@@ -65,6 +67,7 @@
             group: None,
             whole: false,
             highest: MapVersion(0),
+            waits: None,
             remembered: None,
         }
     }
@@ -155,13 +158,12 @@
 
     /// Looks for a group, and takes it up once all of its ranks answer alike.
     async fn find(&mut self) {
-        let addresses = self.reader.ranks().into_iter();
         let query = StateQuery {
             experts: true,
             counted: None,
         };
-        let asked = addresses.map(|address| (address, query.clone()));
-        let mut all = self.calls.look(asked.collect()).await;
+        let asked = self.reader.ranks();
+        let mut all = self.calls.look_again(asked, &query).await;
         all.sort_by_key(|(_, seen)| seen.rank);
         let Some(first) = all.first().map(|(_, seen)| seen.clone()) else {
             return;
@@ -173,7 +175,22 @@
             return;
         }
         let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
-        self.adopt(addresses, &seen);
+        if !self.leaves(&seen) {
+            self.adopt(addresses, &seen);
+        }
+    }
+
+    /// Whether a takeover is at work on the group, and is left to end.
+    fn leaves(&mut self, seen: &[RankReport]) -> bool {
+        let now = self.clock.now();
+        let highest = seen.iter().map(|s| s.lead).max().unwrap_or_default();
+        let held = seen.iter().any(|s| s.state.held.is_some());
+        let since = *self.waits.get_or_insert(now);
+        let leaves = leaves_to_takeover(highest, held, since.until(now));
+        if !leaves {
+            self.waits = None;
+        }
+        leaves
     }
 
     /// Takes a group up: one that has formed again, or one that an earlier lead left.
@@ -200,7 +217,7 @@
         let jumped = MapVersion(group.highest().get() + JUMP);
         self.highest = self.highest.max(jumped);
         let detail = format!("epoch {}, map {}", group.epoch, group.version);
-        let sends = recover(&mut group);
+        let sends = group.switch.recover(&group.states);
         self.group = Some(group);
         self.journal
             .record(Event::GroupRestarted, &seen[0].group, detail);
@@ -220,7 +237,7 @@
             return;
         }
         if !group.is_steady() {
-            let sends = recover(group);
+            let sends = group.switch.recover(&group.states);
             self.execute(sends);
             return;
         }
@@ -267,8 +284,7 @@
         );
         let map = Arc::new(evened.map);
         group.next = Some(Arc::clone(&map));
-        let old = Arc::clone(&group.map);
-        let sends = group.switch.begin(now, group.epoch, version, old, map);
+        let sends = group.switch.begin(now, group.epoch, version, map);
         self.journal.record(Event::MovePlanned, "group", detail);
         self.execute(sends);
     }
@@ -313,9 +329,3 @@
         }
     }
 }
-
-/// Takes up what another lead left under way.
-fn recover(group: &mut Group) -> Vec<Send> {
-    let (states, map) = (group.states.clone(), Arc::clone(&group.map));
-    group.switch.recover(&states, map)
-}
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -9,6 +9,7 @@
 use snipemast_core::prelude::*;
 use snipemast_groups::demand::Tally;
 use snipemast_groups::executor::{Answer, EngineOrder, Executor, Next, OrderSeq, Task};
+use snipemast_groups::map::ExpertMap;
 use snipemast_groups::switch::{Order, Outcome, RankState};
 use snipemast_net::exec::pause;
 use snipemast_net::RpcClient;
@@ -174,6 +175,13 @@
             let given = match next {
                 Next::Settled(outcome) => return outcome,
                 Next::Give(given) => given,
+                Next::Keep(version) => match self.kept().await {
+                    Some(map) => EngineOrder::Prepare(version, Arc::new(map)),
+                    None => {
+                        pause(PAUSE).await;
+                        continue;
+                    }
+                },
             };
             let before = self.executor.lock().before_send(&given);
             let answer = self.give(&given, accepted, epoch).await;
@@ -198,6 +206,17 @@
         }
     }
 
+    /// A map in which the rank holds what it holds already, and the others hold anything; nothing where it does
+    /// not answer.
+    async fn kept(&self) -> Option<ExpertMap> {
+        let rank = self.report().await?.rank?;
+        let held = self.engine.experts().await.ok()?;
+        let counted = self.engine.counts().await.ok()?;
+        let experts = counted.len() / held.len().max(1);
+        let (own, ranks) = (rank.rank as u16, rank.size as u16);
+        Some(ExpertMap::around(own, &held, ranks, experts as u16))
+    }
+
     /// How many orders the rank has accepted, its state, and the highest lead that gave it orders.
     async fn told(&self) -> Option<(u64, RankState, Ballot)> {
         let Some(teller) = &self.teller else {
