--- a/crates/groups/tests/takeover.rs
+++ b/crates/groups/tests/takeover.rs
@@ -45,7 +45,7 @@
 /// pledge, and its rank is ordered from the deputy's host, whose reports of it are old; both freeze besides.
 fn killed_lead(seed: u64, mute: u64) -> TestResult {
     let mut world = World::new(seed, mute);
-    (world.reach, world.eager) = (30, seed % 2 == 0);
+    (world.reach, world.eager) = (30, seed.is_multiple_of(2));
     world.after(LOOK / 2, Event::Watch);
     let mut chance = Chance::new(seed ^ 0xdead);
     for second in 0..30 {
