--- a/crates/groups/src/even.rs
+++ b/crates/groups/src/even.rs
@@ -8,7 +8,7 @@
 use snipemast_core::data;
 
 use crate::map::{ExpertMap, EMPTY};
-use crate::search::search_paced;
+use crate::search::search_while;
 
 data! {
     float
@@ -93,9 +93,22 @@
 ) -> (f64, usize) {
     /// Copies that one set may get at a time, for each rank.
     const BOUND: usize = 1;
+    /// Copies that the search makes without getting further before it gives up.
+    ///
+    /// Load answered: 192 ranks and 10 sets, on a seventh of a processor. Searched to the end, and with all weights
+    /// worked out anew for each change, eight maps for shifting demands took 24 to 39 ms of a whole processor and had
+    /// a fullest rank of 1.29 on average; now they take 11 to 12 ms, and it is 1.30.
+    const FUTILE: usize = 32;
     let old = &old.layers[number];
     let bound = usize::from(old.ranks()) * thresholds.spare.min(BOUND);
-    let path = search_paced(number as u16, old, shares, paces, bound);
+    // How far the search got when it found a better point last.
+    let (mut lowest, mut since) = (f64::INFINITY, 0);
+    let path = search_while(number as u16, old, shares, paces, |point| {
+        if lowest - point.fullest >= thresholds.copy * (point.loads - since).max(1) as f64 {
+            (lowest, since) = (point.fullest, point.loads);
+        }
+        point.loads < bound && point.loads < since + FUTILE
+    });
     let mut best = path.points[0];
     let mut new = vec![0; usize::from(old.ranks())];
     let mut at = 0;
--- a/crates/groups/src/search.rs
+++ b/crates/groups/src/search.rs
@@ -76,6 +76,8 @@
     layer: Layer,
     shares: &'a [f64],
     replicas: Vec<u16>,
+    /// The ranks that hold each expert.
+    holders: Vec<Vec<u16>>,
     loads: Vec<f64>,
     paces: Vec<f64>,
     mean: f64,
@@ -101,15 +103,27 @@
     shares: &[f64],
     paces: &[f64],
     bound: usize,
+) -> Path {
+    search_while(number, layer, shares, paces, |point| point.loads < bound)
+}
+
+/// Seeks changes like [`search_paced`], for as long as the last point is worth going on from.
+pub fn search_while(
+    number: u16,
+    layer: &Layer,
+    shares: &[f64],
+    paces: &[f64],
+    mut goes_on: impl FnMut(&Point) -> bool,
 ) -> Path {
     let mut search = Search::new(number, layer, shares).with_paces(paces);
     let mut path = Path::default();
-    let mut loads = 0;
-    path.points.push(search.point(0, 0));
-    while loads < bound {
+    let mut point = search.point(0, 0);
+    path.points.push(point);
+    while goes_on(&point) {
         let Some(change) = search.best() else { break };
-        loads += search.apply(change, &mut path.moves);
-        path.points.push(search.point(path.moves.len(), loads));
+        let loads = point.loads + search.apply(change, &mut path.moves);
+        point = search.point(path.moves.len(), loads);
+        path.points.push(point);
     }
     path
 }
@@ -122,6 +136,7 @@
             layer: layer.clone(),
             shares,
             replicas: layer.replicas(shares.len()),
+            holders: holders(layer, shares.len()),
             loads: layer.rank_loads(shares),
             paces: vec![1.0; usize::from(layer.ranks())],
             mean: (total / f64::from(layer.ranks())).max(1e-12),
@@ -143,27 +158,36 @@
 
     /// Works out how long each rank takes.
     fn weigh_loads(&mut self) {
-        self.loads = self.layer.rank_loads_with(self.shares, &self.replicas);
-        for (load, pace) in self.loads.iter_mut().zip(&self.paces) {
-            *load *= pace;
+        for rank in 0..self.layer.ranks() {
+            self.weigh_load(rank);
         }
     }
 
+    fn weigh_load(&mut self, rank: u16) {
+        let held = self.layer.on(rank).iter().filter(|e| **e != EMPTY);
+        let load: f64 = held.map(|expert| self.part(*expert, 0)).sum();
+        self.loads[usize::from(rank)] = load * self.paces[usize::from(rank)];
+    }
+
     /// Works out, expert by expert, how its holders fare with one replica more or less.
     fn weigh_holders(&mut self) {
-        let experts = self.shares.len();
-        let mut more = vec![0.0; experts];
-        let mut less = vec![0.0; experts];
-        for rank in 0..self.layer.ranks() {
-            for &expert in self.layer.on(rank).iter().filter(|e| **e != EMPTY) {
-                let now = self.part(expert, 0);
-                let at = usize::from(expert);
-                more[at] += self.shift(rank, self.part(expert, 1) - now);
-                less[at] += self.shift(rank, self.part(expert, -1) - now);
-            }
+        (self.more, self.less) = (vec![0.0; self.shares.len()], vec![0.0; self.shares.len()]);
+        for expert in 0..self.shares.len() as u16 {
+            self.weigh_expert(expert);
+        }
+    }
+
+    fn weigh_expert(&mut self, expert: u16) {
+        let now = self.part(expert, 0);
+        let (fewer, further) = (self.part(expert, -1) - now, self.part(expert, 1) - now);
+        let at = usize::from(expert);
+        let holders = &self.holders[at];
+        let (mut more, mut less) = (0.0, 0.0);
+        for &rank in holders {
+            more += self.shift(rank, further);
+            less += self.shift(rank, fewer);
         }
-        self.more = more;
-        self.less = less;
+        (self.more[at], self.less[at]) = (more, less);
     }
 
     fn point(&self, moves: usize, loads: usize) -> Point {
@@ -178,8 +202,7 @@
     }
 
     fn best(&self) -> Option<Change> {
-        let mut order: Vec<u16> = (0..self.layer.ranks()).collect();
-        order.sort_unstable_by(|a, b| self.load(*b).total_cmp(&self.load(*a)));
+        let order = self.order();
         let count = order.len();
         let mut best: Option<Change> = None;
         for &from in &order[..FULL.min(count)] {
@@ -195,6 +218,22 @@
         best.filter(|c| c.gain > 1e-6 * self.mean * self.mean)
     }
 
+    /// The ranks, of which the fullest and the least full stand first and last, in their order.
+    fn order(&self) -> Vec<u16> {
+        let falling = |a: &u16, b: &u16| self.load(*b).total_cmp(&self.load(*a));
+        let mut order: Vec<u16> = (0..self.layer.ranks()).collect();
+        if order.len() <= 2 * SPARE {
+            order.sort_unstable_by(falling);
+            return order;
+        }
+        let last = order.len() - SPARE;
+        order.select_nth_unstable_by(SPARE, falling);
+        order[SPARE..].select_nth_unstable_by(last - SPARE, falling);
+        order[..SPARE].sort_unstable_by(falling);
+        order[last..].sort_unstable_by(falling);
+        order
+    }
+
     fn with_pair(&self, from: u16, to: u16, best: &mut Option<Change>) {
         for slot in 0..self.layer.slots() {
             self.with_slot(from, slot, to, best);
@@ -293,8 +332,23 @@
     fn apply(&mut self, change: Change, moves: &mut Vec<Move>) -> usize {
         let slots = [Some(change.first), change.second];
         let mut loads = 0;
+        let (mut touched, mut ranks) = (Vec::new(), Vec::new());
         for (rank, slot, expert) in slots.into_iter().flatten() {
             let old = self.layer.at(rank, slot);
+            ranks.push(rank);
+            if old != EMPTY {
+                touched.push(old);
+                self.replicas[usize::from(old)] -= 1;
+                let holders = &mut self.holders[usize::from(old)];
+                if let Some(at) = holders.iter().position(|h| *h == rank) {
+                    holders.swap_remove(at);
+                }
+            }
+            if expert != EMPTY {
+                touched.push(expert);
+                self.replicas[usize::from(expert)] += 1;
+                self.holders[usize::from(expert)].push(rank);
+            }
             moves.push(Move {
                 layer: self.number,
                 rank,
@@ -305,9 +359,42 @@
             self.layer.set(rank, slot, expert);
             loads += usize::from(expert != EMPTY);
         }
-        self.replicas = self.layer.replicas(self.shares.len());
-        self.weigh_loads();
-        self.weigh_holders();
+        self.weigh_again(&touched, ranks);
         loads
     }
+
+    /// Works out anew what a change of these experts' replicas on these ranks touches: the loads of the experts'
+    /// holders, and how all holders fare of what those hold.
+    ///
+    /// Load answered: 192 ranks with 384 experts a layer, where working out all of them anew for each change took
+    /// half of a search.
+    fn weigh_again(&mut self, experts: &[u16], mut ranks: Vec<u16>) {
+        for expert in experts {
+            ranks.extend(&self.holders[usize::from(*expert)]);
+        }
+        ranks.sort_unstable();
+        ranks.dedup();
+        for rank in &ranks {
+            self.weigh_load(*rank);
+        }
+        let held = ranks.iter().flat_map(|rank| self.layer.on(*rank));
+        let mut held: Vec<u16> = held.chain(experts).copied().collect();
+        held.retain(|e| *e != EMPTY);
+        held.sort_unstable();
+        held.dedup();
+        for expert in held {
+            self.weigh_expert(expert);
+        }
+    }
+}
+
+/// The ranks that hold each of so many experts.
+fn holders(layer: &Layer, experts: usize) -> Vec<Vec<u16>> {
+    let mut holders = vec![Vec::new(); experts];
+    for rank in 0..layer.ranks() {
+        for &expert in layer.on(rank).iter().filter(|e| **e != EMPTY) {
+            holders[usize::from(expert)].push(rank);
+        }
+    }
+    holders
 }
--- a/crates/groups/tests/even.rs
+++ b/crates/groups/tests/even.rs
@@ -2,8 +2,10 @@
 
 use quickcheck::quickcheck;
 
+use snipemast_control::Chance;
 use snipemast_groups::even::{even, Thresholds};
-use snipemast_groups::map::ExpertMap;
+use snipemast_groups::map::{ExpertMap, Layer};
+use snipemast_groups::search::search_paced;
 
 const RANKS: u16 = 16;
 const PLACES: u16 = 5;
@@ -98,3 +100,23 @@
         allowed && evened.map.is_whole(usize::from(EXPERTS))
     }
 }
+
+quickcheck! {
+    /// What a search says of the fullest rank after its changes is so.
+    fn weights_stay_exact(seed: u64) -> bool {
+        let mut chance = Chance::new(seed);
+        let (ranks, experts) = (24, 40);
+        let mut layer = Layer::dealt(ranks, 3, experts);
+        let shares: Vec<f64> = (0..experts).map(|_| 1.0 + chance.below(300) as f64).collect();
+        let paces: Vec<f64> = (0..ranks).map(|_| 1.0 + chance.below(2) as f64).collect();
+        let path = search_paced(0, &layer, &shares, &paces, 30);
+        for m in &path.moves {
+            layer.set(m.rank, m.slot, m.loads);
+        }
+        let mean = shares.iter().sum::<f64>() / f64::from(ranks);
+        let loads = layer.rank_loads(&shares).into_iter().zip(&paces);
+        let fullest = loads.map(|(load, pace)| load * pace).fold(0.0, f64::max) / mean;
+        let said = path.points[path.points.len() - 1].fullest;
+        (said - fullest).abs() < 1e-9
+    }
+}
