--- a/crates/groups/src/demand.rs
+++ b/crates/groups/src/demand.rs
@@ -2,19 +2,13 @@
 //!
 //! Load answered: 72 ranks with 12 layers of 144 experts, on links of 8 Mbit/s. All counts of all ranks
 //! would be half a megabyte a look; the differences of 18 ranks are some 30 kB, and tell the demand
-//! to a few hundredths. Of 192 ranks with 10 layers of 384 experts 18 told a million choices a look in 56 kB, which
-//! took 75 ms of a link of 6 Mbit/s; as few ranks are asked as tell enough.
+//! to a few hundredths.
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
-/// The most and the fewest ranks of a group that are asked for their counts at a look.
-const MOST: usize = 18;
-const FEWEST: usize = 6;
-
-/// How many choices of a look tell the demand to a few hundredths, with some hundred experts a layer: twice what
-/// eighteen of 72 ranks told, of which chance moved 0.01 to 0.045.
-const WANTED: u64 = 200_000;
+/// How many ranks are asked for their counts at a look.
+const SAMPLE: usize = 18;
 
 /// How long the demand of earlier looks counts: 0.6 of it are left after 0.2 s. Demand shifts within
 /// seconds, and a fifth of one holds enough choices to tell.
@@ -92,9 +86,6 @@
     fresh: Vec<Vec<u64>>,
     /// By rank: the place up to which its counts are known.
     places: Vec<u64>,
-    /// How many ranks are asked, and how many have told at the look that is under way.
-    sample: usize,
-    told: usize,
     last: Option<Moment>,
     /// The part of the choices that goes elsewhere from look to look, as a rule.
     usual: f64,
@@ -107,8 +98,6 @@
             sums: vec![Vec::new(); layers],
             fresh: vec![Vec::new(); layers],
             places: vec![0; ranks],
-            sample: MOST,
-            told: 0,
             last: None,
             usual: USUAL,
         }
@@ -130,7 +119,7 @@
     /// One rank out of each block is sampled, not always the same one of its block: ranks that follow
     /// one another may lie in availability zones by turns.
     pub fn place(&self, rank: usize) -> Option<u64> {
-        let block = self.places.len().div_ceil(self.sample).max(1);
+        let block = self.places.len().div_ceil(SAMPLE).max(1);
         let sampled = rank % block == (rank / block) % block;
         sampled.then(|| self.places.get(rank).copied()).flatten()
     }
@@ -148,7 +137,6 @@
         if chosen.is_empty() || !chosen.len().is_multiple_of(layers) {
             return;
         }
-        self.told += 1;
         let experts = chosen.len() / layers;
         for (fresh, chosen) in self.fresh.iter_mut().zip(chosen.chunks(experts)) {
             fresh.resize(experts, 0);
@@ -166,7 +154,6 @@
     pub fn settle(&mut self, now: Moment) -> bool {
         let since = self.last.replace(now).map(|last| last.until(now));
         let total: u64 = self.fresh.iter().flatten().sum();
-        self.choose_sample(total);
         let moved = self.moved();
         let shifted = total >= FEW && moved > SHIFTED + TIMES * self.usual;
         if total >= FEW && !shifted {
@@ -186,20 +173,6 @@
         !shifted
     }
 
-    /// Asks as many ranks from now on as tell enough. Ranks that were not asked before tell nothing at first, so the
-    /// sample changes only where it is far off.
-    fn choose_sample(&mut self, total: u64) {
-        let told = std::mem::take(&mut self.told) as u64;
-        if told == 0 || total == 0 || self.places.len() <= MOST {
-            return;
-        }
-        let each = (total / told).max(1);
-        let wanted = (WANTED.div_ceil(each) as usize).clamp(FEWEST, MOST);
-        if 2 * wanted <= self.sample || wanted >= 2 * self.sample {
-            self.sample = wanted;
-        }
-    }
-
     /// The part of this look's choices that went to other experts than those before.
     fn moved(&self) -> f64 {
         let layers = self.sums.iter().zip(&self.fresh);
