--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -10,7 +10,7 @@
 use snipemast_core::prelude::*;
 use snipemast_groups::draft::Draft;
 use snipemast_groups::executor::{EngineOrder, Executor, Next, OrderSeq};
-use snipemast_groups::switch::{Order, Outcome, Switch};
+use snipemast_groups::switch::{Order, Outcome, Send, Switch};
 
 /// A user sees wrong words in an answer: one pass ran on two maps. An engine answers nothing to some
 /// orders and carries them out seconds later; the lead gives a switch up and lets the group go on
@@ -204,3 +204,25 @@
     let next = switch.take(now, 1, phase, Outcome::Prepared);
     assert!(matches!(next[0].order, Order::Hold { .. }));
 }
+
+/// A user sees every stream stand still for 2.3 s: a third of all orders get no answer, one of 192 ranks answers none
+/// of its eight, and all others are disarmed while the group is held. That rank is armed again, for a bounded time.
+#[test]
+fn unsure_rank_armed_again() {
+    let mut switch = Switch::new(3, Ballot(1));
+    let at = Moment::from_millis;
+    let sends = switch.begin(at(0), EPOCH, MapVersion(1), whole(), Arc::default());
+    let mut holds = Vec::new();
+    for send in sends {
+        holds = switch.take(at(10), send.rank, send.phase, Outcome::Prepared);
+    }
+    let held = Outcome::Held(Step(9));
+    let arms = switch.take(at(20), 1, holds[0].phase, held);
+    assert_eq!(arms.len(), 2);
+    let again = switch.take(at(300), 2, arms[0].phase, Outcome::Unsure);
+    assert_eq!(again, [arms[1].clone()]);
+    assert!(switch.tick(at(600)).is_empty());
+    let aborts = switch.tick(at(800));
+    let disarms = |s: &Send| matches!(s.order, Order::Disarm { .. });
+    assert!(aborts.len() == 3 && aborts.iter().all(disarms));
+}
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -15,7 +15,7 @@
 use snipemast_core::prelude::*;
 
 use crate::exec::spawn;
-use crate::socket;
+use crate::socket::{self, UNACKED};
 
 /// The result of connecting.
 pub type Result<T> = std::result::Result<T, Report<ConnectError>>;
@@ -66,8 +66,17 @@
 
 /// Opens a connection within a limit.
 pub async fn connect(address: SocketAddr, limit: Span) -> Result<Connection> {
+    connect_unacked(address, limit, UNACKED).await
+}
+
+/// Opens a connection on which written bytes may stay unacknowledged for so long.
+pub async fn connect_unacked(
+    address: SocketAddr,
+    limit: Span,
+    unacked: Span,
+) -> Result<Connection> {
     let failed = || ConnectError(address);
-    let stream = socket::open(address, limit)
+    let stream = socket::open(address, limit, unacked)
         .await
         .change_context_lazy(failed)?;
     let (sender, connection) = handshake(FuturesIo::new(stream))
--- a/crates/net/src/kept.rs
+++ b/crates/net/src/kept.rs
@@ -11,7 +11,8 @@
 
 use snipemast_core::prelude::*;
 
-use crate::connect::{connect, Connection};
+use crate::connect::{connect_unacked, Connection};
+use crate::socket::UNACKED;
 
 /// The result of an exchange.
 pub type Result<T> = std::result::Result<T, Report<Unanswered>>;
@@ -36,6 +37,7 @@
 pub struct KeptConnection {
     address: SocketAddr,
     limit: Span,
+    unacked: Span,
     kept: Mutex<Option<Connection>>,
 }
 
@@ -45,10 +47,17 @@
         Self {
             address,
             limit,
+            unacked: UNACKED,
             kept: Mutex::new(None),
         }
     }
 
+    /// Takes the peer for gone once written bytes have stayed unacknowledged for so long.
+    #[must_use]
+    pub fn with_unacked(self, unacked: Span) -> Self {
+        Self { unacked, ..self }
+    }
+
     /// The peer's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -64,7 +73,7 @@
         let usable = kept.take().filter(Connection::is_ready);
         let mut connection = match usable {
             Some(connection) => connection,
-            None => connect(self.address, self.limit)
+            None => connect_unacked(self.address, self.limit, self.unacked)
                 .await
                 .change_context(unanswered)?,
         };
--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -58,6 +58,13 @@
         }
     }
 
+    /// Takes the peer for gone once written bytes have stayed unacknowledged for so long.
+    #[must_use]
+    pub fn with_unacked(self, unacked: Span) -> Self {
+        let connection = self.connection.with_unacked(unacked);
+        Self { connection }
+    }
+
     /// Calls the peer and waits for its answer, at most for the limit.
     pub async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -9,9 +9,9 @@
 
 use snipemast_core::prelude::*;
 
-/// How long written bytes may stay unacknowledged, in ms: several retransmissions on a link that
+/// How long written bytes may stay unacknowledged: several retransmissions on a link that
 /// loses packets, and below the shortest bound after which callers give a silent stream up (2 s).
-const USER_TIMEOUT: u32 = 1_500;
+pub const UNACKED: Span = Span::from_millis(1_500);
 
 /// How long a connection may be silent before it is probed.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -27,7 +27,7 @@
 /// Probes and the bound on unacknowledged bytes turn the silence into an error within some 3 s.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    sockopt::set_tcp_user_timeout(stream, USER_TIMEOUT)?;
+    set_unacked(stream, UNACKED)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_PAUSE)?;
@@ -35,6 +35,12 @@
     Ok(())
 }
 
+/// Sets how long written bytes may stay unacknowledged.
+fn set_unacked(stream: &TcpStream, span: Span) -> io::Result<()> {
+    sockopt::set_tcp_user_timeout(stream, span.as_millis() as u32)?;
+    Ok(())
+}
+
 /// Listens at an address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = StdListener::bind(address)?;
@@ -43,12 +49,13 @@
     Ok(listener.into())
 }
 
-/// Opens a connection with its options set.
-pub async fn open(address: SocketAddr, limit: Span) -> io::Result<TcpStream> {
+/// Opens a connection with its options set, on which written bytes may stay unacknowledged for so long.
+pub async fn open(address: SocketAddr, limit: Span, unacked: Span) -> io::Result<TcpStream> {
     let stream = crate::within(limit, TcpStream::connect(address))
         .await
         .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
     tune(&stream)?;
+    set_unacked(&stream, unacked)?;
     // Failure guarded against: a request is given up that its peer's host, which stands still, has not read; on
     // a plain close its bytes stay there and are worked on when the host wakes up. A reset takes them back.
     sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
--- a/crates/sidecar/src/relay.rs
+++ b/crates/sidecar/src/relay.rs
@@ -16,6 +16,11 @@
 /// How long a rank may take to carry out an order: its tries, with their limits.
 pub(crate) const CARRY: Span = Span::from_millis(1_800);
 
+/// How long a process beside a rank may leave bytes unacknowledged before it is taken for gone: two
+/// retransmissions. One whose host loses power while the group is held keeps it held until its connection is
+/// given up and another one is opened.
+const UNACKED: Span = Span::from_millis(500);
+
 /// Connections to the processes beside other ranks.
 #[derive(Debug, Default)]
 pub(crate) struct Clients(Mutex<HashMap<SocketAddr, Arc<RpcClient>>>);
@@ -25,7 +30,8 @@
     pub(crate) fn get(&self, address: SocketAddr) -> Arc<RpcClient> {
         let mut clients = self.0.lock();
         let client = clients.entry(address);
-        Arc::clone(client.or_insert_with(|| Arc::new(RpcClient::new(address))))
+        let new = || Arc::new(RpcClient::new(address).with_unacked(UNACKED));
+        Arc::clone(client.or_insert_with(new))
     }
 }
 
