--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -139,7 +139,7 @@
         let entry = known.controllers.entry(controller).or_default();
         let wanted = entry.near || entry.wanted || version == Version(0);
         let servers = self.state.servers.lock();
-        let flying = servers.flying(self.state.clock.now());
+        let flying = servers.flying();
         let flying = flying.map(|(server, count)| (server.clone(), count));
         Poll {
             host: self.state.settings.host.clone(),
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -206,9 +206,8 @@
             Stage::Holding => self.held(now, outcome),
             Stage::Arming { step, since, open } => match outcome {
                 Outcome::Done => self.armed(step, since, open, rank),
-                // Load answered: a third of all orders get no answer, and of 192 ranks one in 25 switches leaves
-                // eight of them unanswered. To disarm all others holds the group for 1.5 s and more; to arm that
-                // rank again does no harm, and takes some tens of ms. `tick` bounds it.
+                // Load answered: of 192 ranks one leaves its orders unanswered for a while, all of its tries. To
+                // disarm all others holds the group the longer; to arm that rank again does no harm. `tick` bounds it.
                 Outcome::Unsure => {
                     let version = self.version;
                     vec![self.to(rank, Order::Arm { version, step })]
--- a/crates/groups/tests/switch.rs
+++ b/crates/groups/tests/switch.rs
@@ -205,8 +205,8 @@
     assert!(matches!(next[0].order, Order::Hold { .. }));
 }
 
-/// A user sees every stream stand still for 2.3 s: a third of all orders get no answer, one of 192 ranks answers none
-/// of its eight, and all others are disarmed while the group is held. That rank is armed again, for a bounded time.
+/// A user sees every stream stand still for 2.3 s: one of 192 ranks leaves its orders unanswered for a while, and all
+/// others are disarmed while the group is held. That rank is armed again, for a bounded time.
 #[test]
 fn unsure_rank_armed_again() {
     let mut switch = Switch::new(3, Ballot(1));
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -30,15 +30,6 @@
 /// before this and before the group went on without that host (7 and 4 plays).
 pub const STILL: Span = Span::from_millis(900);
 
-/// How long a refusal counts as so many requests as the server has slots: about what it takes until one of six
-/// streams has ended.
-///
-/// Load answered: a server works on requests whose callers are gone, or is slow to begin, and refuses. Gateways
-/// have little in flight there, so to all of them it is the best one. With 149 gateways 24 of 192 servers made all
-/// refusals that eleven of those met in 26 s (a quarter of all arrivals were refused), each with 0 to 2
-/// requests in flight that gateways knew of.
-const REFUSED: Span = Span::from_millis(400);
-
 /// How long what a server told of itself holds: it is asked again about as often as the group's longest queue
 /// empties.
 const ASKED: Span = Span::from_millis(1_000);
@@ -130,8 +121,6 @@
     strikes: u32,
     out: Moment,
     full: Moment,
-    /// When it refused a request as full last.
-    refused: Moment,
     /// When a piece of a stream came last.
     piece: Moment,
     /// Whether it is left out until a piece comes from it: a host that stands still takes connections too.
@@ -209,13 +198,10 @@
         2 * bad <= all
     }
 
-    /// What this gateway has in flight, and what it knows of by a refusal: other gateways are told both.
-    pub fn flying(&self, now: Moment) -> impl Iterator<Item = (&ServerId, u32)> {
-        let counts = self
-            .known
-            .iter()
-            .map(move |(id, s)| (id, s.own + s.hidden(now)));
-        counts.filter(|(_, count)| *count > 0)
+    /// What this gateway has in flight.
+    pub fn flying(&self) -> impl Iterator<Item = (&ServerId, u32)> {
+        let busy = self.known.iter().filter(|(_, s)| s.own > 0);
+        busy.map(|(id, s)| (id, s.own))
     }
 
     /// Chooses a server of a service, but none of the given ones, and counts the request there.
@@ -369,7 +355,6 @@
         let server = self.get(id, start)?;
         if trouble == Trouble::Full {
             server.full = now + FULL_PAUSE;
-            server.refused = now;
             return None;
         }
         if trouble == Trouble::Still {
@@ -414,7 +399,6 @@
             strikes: 0,
             out: Moment::ZERO,
             full: Moment::ZERO,
-            refused: Moment::ZERO,
             piece: Moment::ZERO,
             still: false,
             asked: Moment::ZERO,
@@ -428,15 +412,7 @@
 
     fn load(&self, now: Moment) -> u32 {
         let fresh = now < self.told + OTHERS_AGE;
-        self.own + self.hidden(now) + if fresh { self.others } else { 0 }
-    }
-
-    /// What a server must have that refused a request as full, although gateways have less in flight there.
-    fn hidden(&self, now: Moment) -> u32 {
-        match now < self.refused + REFUSED {
-            true => self.offered.slots,
-            false => 0,
-        }
+        self.own + if fresh { self.others } else { 0 }
     }
 }
 
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -42,7 +42,7 @@
     let mut servers = servers(&["a", "a", "a"]);
     servers.set_others(NOW, [(id(1), 3), (id(2), 1), (id(3), 2)].into_iter());
     assert_eq!(place(&mut servers, 1), Ok(id(2)));
-    assert_eq!(servers.flying(NOW).count(), 1);
+    assert_eq!(servers.flying().count(), 1);
 }
 
 /// Requests stay in their zone until its servers have some more in flight than others.
@@ -175,30 +175,3 @@
     assert!(!servers.asks(later, &id(1)));
     assert!(servers.asks(later + Span::from_secs(1), &id(1)));
 }
-
-/// Users' requests go to a server that refuses them, one after another: gateways have little in flight there, so it
-/// looks best. A refusal counts as a full server for a moment, at this gateway and at those that it tells.
-#[test]
-fn refusing_server_left() {
-    let mut servers = servers(&["a", "a"]);
-    let start = Incarnation(0);
-    servers.set_others(NOW, [(id(2), 2)].into_iter());
-    assert_eq!(place(&mut servers, 1), Ok(id(1)));
-    servers.end(&id(1), start);
-    servers.note_trouble(NOW, &id(1), start, Trouble::Full);
-    let soon = NOW + Span::from_millis(200);
-    let choice = |servers: &mut Servers, now| {
-        let choice = servers.choose(now, &service(), &[], 1);
-        choice.map(|c| c.server)
-    };
-    assert_eq!(choice(&mut servers, soon), Ok(id(2)));
-    let told: Vec<(ServerId, u32)> = servers
-        .flying(soon)
-        .map(|(id, count)| (id.clone(), count))
-        .collect();
-    assert!(told.contains(&(id(1), 4)), "{told:?}");
-    assert_eq!(
-        choice(&mut servers, NOW + Span::from_millis(450)),
-        Ok(id(1))
-    );
-}
