--- a/crates/groups/src/takeover.rs
+++ b/crates/groups/src/takeover.rs
@@ -8,9 +8,9 @@
 //! 2. every rank but the first is made surely not armed, under a ballot above the lead's;
 //! 3. the own rank is let go: the group goes on with its old map.
 //!
-//! Where it has pledged to leave the switch to the lead, that may have armed its own rank. Then it takes over only if
-//! the first rank can be ordered from its host, the lead's process being gone and not the host, and that rank is
-//! made surely not armed like the others.
+//! Where it has pledged to leave the switch to the lead, the lead may have armed its own rank. Then it takes over only
+//! if the first rank takes orders from the second one's host, the lead's process being gone and its host not, and the
+//! first rank is made surely not armed like the others.
 //!
 //! A lead that wakes up is told that it was overtaken, and takes the group up anew with a higher ballot.
 //!
