--- a/crates/groups/src/ahead.rs
+++ b/crates/groups/src/ahead.rs
@@ -31,8 +31,7 @@
 ///
 /// Load answered: arming 16 ranks takes less than a step, arming 72 takes several. Held too near, the group
 /// waits until the last rank is armed; held too far, it goes on with the old map, which takes each
-/// step two to four times as long after a shift. So the step is the one that is due nearest to when the ranks
-/// are usually armed.
+/// step two to four times as long after a shift. So the step is the one at which the two together cost least.
 #[derive(Debug, Clone)]
 pub struct Ahead {
     seen: Option<(Moment, Step)>,
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -42,7 +42,7 @@
                 continue;
             }
         };
-        if socket::tune(&stream).is_err() {
+        if socket::tune(&stream, socket::UNACKED).is_err() {
             continue;
         }
         let handler = Arc::clone(&handler);
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -20,14 +20,14 @@
 const KEEPALIVE_PAUSE: Duration = Duration::from_secs(1);
 const KEEPALIVE_COUNT: u32 = 2;
 
-/// Sets a connection's options.
+/// Sets a connection's options; written bytes may stay unacknowledged for so long.
 ///
 /// Failure guarded against: the peer's host loses power or is cut off, or something on the way
 /// forgets the connection. Nothing comes any more, not even a reset, and a read waits for good.
 /// Probes and the bound on unacknowledged bytes turn the silence into an error within some 3 s.
-pub fn tune(stream: &TcpStream) -> io::Result<()> {
+pub fn tune(stream: &TcpStream, unacked: Span) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    set_unacked(stream, UNACKED)?;
+    sockopt::set_tcp_user_timeout(stream, unacked.as_millis() as u32)?;
     sockopt::set_socket_keepalive(stream, true)?;
     sockopt::set_tcp_keepidle(stream, KEEPALIVE_IDLE)?;
     sockopt::set_tcp_keepintvl(stream, KEEPALIVE_PAUSE)?;
@@ -35,12 +35,6 @@
     Ok(())
 }
 
-/// Sets how long written bytes may stay unacknowledged.
-fn set_unacked(stream: &TcpStream, span: Span) -> io::Result<()> {
-    sockopt::set_tcp_user_timeout(stream, span.as_millis() as u32)?;
-    Ok(())
-}
-
 /// Listens at an address.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let listener = StdListener::bind(address)?;
@@ -54,8 +48,7 @@
     let stream = crate::within(limit, TcpStream::connect(address))
         .await
         .unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))?;
-    tune(&stream)?;
-    set_unacked(&stream, unacked)?;
+    tune(&stream, unacked)?;
     // Failure guarded against: a request is given up that its peer's host, which stands still, has not read; on
     // a plain close its bytes stay there and are worked on when the host wakes up. A reset takes them back.
     sockopt::set_socket_linger(&stream, Some(Duration::ZERO))?;
