Place requests by sampling, so that gateways with the same counts do not herd

Cause: every gateway took the least loaded server of its zone on counts that were 0.1 to 0.25 s old, so all took the same one.

Change: the choice is code of its own (placement::pick) with three ways: the least loaded, the less loaded of two drawn at random (own zone first while it has a free slot), and a draw by what evens out the load that is expected from the age of the counts. Gateways hear how old the others' counts are, and ask for them as often as the leader can answer: 600 polls a second shared by all gateways, 50 ms apart at the least (40 gateways: 67 ms instead of 250). Sends of one attempt are counted in one place (placement::Sends): a stream of two attempts that fell silent in the middle was counted twice and did not move.

--- a/crates/benches/src/lib.rs
+++ b/crates/benches/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`config_costs`]: what the configuration costs: patches, catching up, and traffic.
 //! - [`faults`]: orders and streams while wires misbehave, ours and a plain proxy's.
 //! - [`queue`]: a small fake of servers that batch continuously, under a virtual clock.
+//! - [`placing`]: gateways that place requests on a group's ranks, under a virtual clock.
 //! - [`plots`]: lines over an axis, drawn as SVG.
 //! - [`policies`]: the routing policies that are compared.
 //! - [`voters`]: voters with real HTTP and disks over loopback.
@@ -18,6 +19,7 @@
 pub mod faults;
 pub mod load;
 pub mod members;
+pub mod placing;
 pub mod plots;
 pub mod policies;
 pub mod queue;
--- /dev/null
+++ b/crates/benches/tests/placing.rs
@@ -0,0 +1,70 @@
+//! Many gateways that place requests on one group's ranks.
+
+use snipemast_benches::placing::{play, Outcome, Setup};
+use snipemast_core::prelude::*;
+use snipemast_placement::pick::{Least, Pick, Placing, Sampled};
+
+/// 40 gateways before 63 ranks of 10 slots, which run half of what they can.
+fn shifted(seed: u64) -> Setup {
+    Setup {
+        gateways: 40,
+        zones: 3,
+        ranks: 63,
+        slots: 10,
+        queue: 5,
+        rate: 220.0,
+        wait: Span::from_millis(66),
+        base: 36.0,
+        each: 2.2,
+        prompt: 14.0,
+        pieces: 23,
+        objective: Span::from_millis(400),
+        length: Span::from_secs(10),
+        seed,
+    }
+}
+
+fn mean(outcomes: &[Outcome], figure: impl Fn(&Outcome) -> f64) -> f64 {
+    outcomes.iter().map(figure).sum::<f64>() / outcomes.len() as f64
+}
+
+fn played<P: Pick>() -> Vec<Outcome> {
+    (1..=5).map(|seed| play::<P>(&shifted(seed))).collect()
+}
+
+/// A user waits a second and more for the first token although half of all slots are free: 40 gateways see the same
+/// server idle in counts of some tens of milliseconds ago, and all send it their requests, beyond its slots.
+///
+/// Held to: one request in 100 waits for a slot while another rank has two free, one arrival in 100 is
+/// refused, and the fullest rank has less than twice the mean over half a second.
+#[test]
+fn gateways_spread() {
+    let seen = played::<Placing>();
+    assert!(mean(&seen, |s| s.waited) < 0.01, "{seen:?}");
+    assert!(mean(&seen, |s| s.refused) < 0.01, "{seen:?}");
+    assert!(mean(&seen, |s| s.fullest) < 2.0, "{seen:?}");
+    let herd = played::<Least>();
+    assert!(mean(&herd, |s| s.waited) > 0.1, "{herd:?}");
+}
+
+/// The herd of the least loaded server is there with any counts: the older they are the larger, and two sampled
+/// servers keep it small where the counts are as old as with hundreds of gateways.
+#[test]
+fn old_counts_herd() {
+    let old = Setup {
+        gateways: 149,
+        zones: 5,
+        ranks: 192,
+        slots: 6,
+        queue: 3,
+        rate: 469.0,
+        wait: Span::from_millis(250),
+        pieces: 17,
+        objective: Span::from_millis(500),
+        length: Span::from_secs(6),
+        ..shifted(3)
+    };
+    let (herd, spread) = (play::<Least>(&old), play::<Sampled>(&old));
+    assert!(herd.refused > 0.2, "{herd:?}");
+    assert!(spread.refused < 0.05, "{spread:?}");
+}
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -24,7 +24,7 @@
     #[options(help = "run an entry host")]
     Serve(ServeArgs),
     #[options(help = "run an entry host's role on the users' platform")]
-    Gateway(RoleArgs),
+    Gateway(GatewayArgs),
     #[options(help = "run a control host's role on the users' platform")]
     Controller(RoleArgs),
     #[options(help = "run beside a rank on the users' platform")]
@@ -60,7 +60,20 @@
     pub(crate) settings: PathBuf,
 }
 
-/// Arguments of `gateway`, `controller` and `sidecar`, whose settings file an environment variable names.
+/// Arguments of `gateway`, whose settings file an environment variable names.
+#[derive(Debug, Options)]
+pub(crate) struct GatewayArgs {
+    #[options(help = "print this help")]
+    pub(crate) help: bool,
+    #[options(
+        no_short,
+        help = "a file that says which way decisions are taken",
+        meta = "FILE"
+    )]
+    pub(crate) decisions: Option<PathBuf>,
+}
+
+/// Arguments of `controller` and `sidecar`, whose settings file an environment variable names.
 #[derive(Debug, Options)]
 pub(crate) struct RoleArgs {
     #[options(help = "print this help")]
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -38,7 +38,7 @@
     }
     match args.command {
         Some(Command::Serve(args)) => serve::serve(&args),
-        Some(Command::Gateway(_)) => platform::gateway(),
+        Some(Command::Gateway(args)) => platform::gateway(&args),
         Some(Command::Controller(_)) => platform::controller(),
         Some(Command::Sidecar(_)) => platform::sidecar(),
         Some(Command::Check(args)) => serve::check_file(&args),
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -12,6 +12,9 @@
 use snipemast_net::exec;
 use snipemast_platform::settings::{self, Settings};
 
+use snipemast_settings::Decisions;
+
+use crate::args::GatewayArgs;
 use crate::exit;
 use crate::serve::start_incarnation;
 
@@ -19,9 +22,20 @@
 const EVENTS: usize = 2_000;
 
 /// Runs an entry host's role until it is told to end.
-pub(crate) fn gateway() -> ExitCode {
+pub(crate) fn gateway(args: &GatewayArgs) -> ExitCode {
+    let decisions = match &args.decisions {
+        Some(path) => snipemast_settings::read(path),
+        None => Ok(Decisions::default()),
+    };
+    let decisions = match decisions {
+        Ok(decisions) => decisions,
+        Err(report) => {
+            eprintln!("snipemast: {report}");
+            return ExitCode::from(exit::USAGE);
+        }
+    };
     run(|settings, journal, end| async {
-        snipemast_gateway::run(settings, journal, end)
+        snipemast_gateway::run(settings, decisions, journal, end)
             .await
             .map_err(|report| format!("{report:?}"))
     })
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -33,6 +33,10 @@
         .then(|| state.voter.document())
         .flatten();
     let pollers = state.pollers.lock();
+    let (flying, age) = match poll.kind {
+        PollerKind::Gateway => pollers.flying(now, &poll.host),
+        PollerKind::Controller | PollerKind::Sidecar => Default::default(),
+    };
     News {
         cursor,
         entries: state.table.lock().since(after, now),
@@ -43,10 +47,8 @@
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateways(now),
         slow: pollers.slow(now),
-        flying: match poll.kind {
-            PollerKind::Gateway => pollers.flying(now, &poll.host),
-            PollerKind::Controller | PollerKind::Sidecar => Flying::new(),
-        },
+        flying,
+        age,
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`ids`]: who and what a message speaks of.
 //! - [`units`]: sizes, durations and rates with their text forms.
 //! - [`time`]: monotonic moments, passed into the decision packages.
+//! - [`hash`]: seeded mixing, for random picks.
 //! - [`hlc`]: hybrid logical clocks, which order events over processes.
 //! - [`events`]: the numbered events and the bounded ring that keeps them.
 //! - [`outcome`]: what a caller may conclude about a request.
@@ -14,6 +15,7 @@
 mod macros;
 
 pub mod events;
+pub mod hash;
 pub mod hlc;
 pub mod ids;
 pub mod log_budget;
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,6 +13,7 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::outage::{waiting, Blocked, Gate, Waiting, PROBE};
 use snipemast_placement::servers::Unplaced;
+use snipemast_placement::Sends;
 use snipemast_platform::request::Ask;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route};
@@ -24,9 +25,6 @@
 use crate::story::Unsaid;
 use crate::stream;
 
-/// The most servers that one attempt is sent to, with those that refused it as not run.
-const SENDS: u32 = 3;
-
 /// The largest answer that is read in whole before it is passed on, so that one that breaks off can
 /// be asked again.
 const WHOLE: usize = 256 << 10;
@@ -132,10 +130,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
     excluded: Vec<ServerId>,
-    /// Sends that may have run.
-    runs: u32,
-    /// All sends.
-    sends: u32,
+    sends: Sends,
     /// Whether the next send is granted already.
     granted: bool,
 }
@@ -159,7 +154,7 @@
     /// Whether a request moves away from a server, which may have run it, to a free place at another one; that send
     /// is granted then.
     pub(crate) fn moves(&mut self, job: &Job, from: &ServerId) -> bool {
-        if self.runs + 1 >= job.route.attempts || self.sends + 1 >= SENDS {
+        if !self.sends.may_begin(job.route.attempts) {
             return false;
         }
         let now = job.state.clock.now();
@@ -206,23 +201,19 @@
                 Err(unplaced) => return give_up(unplaced),
             };
             let server = choice.server.clone();
-            job.note_routed(&choice, self.sends > 0);
-            let sent = job.send(choice, self, last).await;
-            self.sends += 1;
-            match sent {
-                Ok(run) => {
-                    self.runs += 1;
-                    return Placed::Run(Box::new(run));
+            job.note_routed(&choice, !self.sends.is_empty());
+            self.sends.begin();
+            match job.send(choice, self, last).await {
+                Ok(run) => return Placed::Run(Box::new(run)),
+                Err(Failure::NotRun) => {
+                    self.sends.take_back();
+                    self.exclude(&server);
                 }
-                Err(Failure::NotRun) => self.exclude(&server),
                 Err(Failure::Out) => {
-                    return match failure {
-                        Some(failure) => Placed::Failed(failure),
-                        None => Placed::Unplaced(Unplaced::Out),
-                    }
+                    self.sends.take_back();
+                    return give_up(Unplaced::Out);
                 }
                 Err(lost) => {
-                    self.runs += 1;
                     self.exclude(&server);
                     failure = Some(lost);
                     let repeatable = job.route.repeat.is_repeatable();
@@ -236,15 +227,15 @@
 
     /// Whether one more send is within the route's attempts, the time and the budget.
     fn may_send(&mut self, job: &Job) -> bool {
-        if job.left() < WORTHWHILE || self.runs >= job.route.attempts || self.sends >= SENDS {
+        if job.left() < WORTHWHILE || !self.sends.may_begin(job.route.attempts) {
             return false;
         }
-        if self.sends == 0 || std::mem::take(&mut self.granted) {
+        if self.sends.is_empty() || std::mem::take(&mut self.granted) {
             return true;
         }
         let now = job.state.clock.now();
         let granted = job.state.budget.lock().spend(now, &job.service);
-        let detail = format_args!("send {}, granted: {granted}", self.sends + 1);
+        let detail = format_args!("send {}, granted: {granted}", self.sends.count() + 1);
         job.note_trouble(Event::RequestRetried, detail);
         granted
     }
@@ -289,7 +280,7 @@
 
 /// Waits while the passes of the request's service are long for a moment.
 async fn await_short_passes(job: &Job) {
-    if job.route.gap.is_none() {
+    if job.route.gap.is_none() || !job.state.decisions.holding {
         return;
     }
     loop {
@@ -388,7 +379,7 @@
     *answer.status_mut() = run.response.status();
     *answer.headers_mut() = response::forward(run.response.headers());
     job.note_delivered(&run.choice.server, &pace);
-    run.finish(&job.state);
+    run.finish(job);
     Some(answer)
 }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -18,9 +18,6 @@
 
 use crate::state::State;
 
-/// How long a poll of the leader waits: the age of the others' requests in flight.
-const LEADER_WAIT: Span = Span::from_millis(250);
-
 /// How long a poll of another controller waits: it tells that this gateway is connected.
 const OTHER_WAIT: Span = Span::from_millis(1_000);
 
@@ -70,6 +67,18 @@
         })
     }
 
+    /// How long a poll of the leader waits: the age of the others' requests in flight.
+    ///
+    /// Load answered: the more gateways there are, the more of them choose on the same counts, and the more polls
+    /// the leader's share of a processor has to answer.
+    fn counts_wait(&self) -> Span {
+        const SHORTEST: Span = Span::from_millis(50);
+        const LONGEST: Span = Span::from_millis(500);
+        let gateways = u64::from(self.state.budget.lock().gateways());
+        let wait = 1_000_000 * gateways / u64::from(self.state.decisions.polls);
+        Span::from_micros(wait).max(SHORTEST).min(LONGEST)
+    }
+
     /// Puts a document into force that an operator's controller has checked.
     fn apply(&self, text: &[u8]) {
         let version = match document::read(text) {
@@ -148,7 +157,11 @@
             told: entry.told,
             wanted,
             cursor: entry.cursor,
-            wait: if leads { LEADER_WAIT } else { OTHER_WAIT },
+            wait: if leads {
+                self.counts_wait()
+            } else {
+                OTHER_WAIT
+            },
             flying: if leads {
                 flying.collect()
             } else {
@@ -171,7 +184,7 @@
             let counts = news.flying.into_iter();
             let slow = news.slow.into_iter().map(|s| (s.server, s.pace));
             let mut servers = self.state.servers.lock();
-            servers.set_others(now, counts);
+            servers.set_others(now, news.age, counts);
             servers.set_slow(slow.collect());
         } else if known.leader == Some(controller) {
             known.leader = news.leader;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,6 +14,7 @@
 use snipemast_net::{serve, socket};
 use snipemast_platform::calls::{METRICS, READY};
 use snipemast_platform::settings::Settings;
+use snipemast_settings::Decisions;
 
 use crate::answer::{own, Answer};
 use crate::handle::handle;
@@ -52,6 +53,7 @@
 /// Runs a gateway until the future that ends it is ready and its answers are delivered.
 pub async fn run(
     settings: Settings,
+    decisions: Decisions,
     journal: Journal,
     end: impl std::future::Future<Output = ()>,
 ) -> Result<()> {
@@ -61,7 +63,7 @@
     let callers = socket::listen(front).change_context_lazy(taken(front))?;
     let balancer = socket::listen(ready).change_context_lazy(taken(ready))?;
     let grace = settings.bounds.grace;
-    let state = State::new(settings.clone(), journal.clone());
+    let state = State::new(settings.clone(), decisions, journal.clone());
     let reader = Reader::new(Arc::clone(&state));
     let feed = Feed::new(reader, journal.clone(), None);
     let (for_callers, for_balancer) = (Arc::clone(&state), Arc::clone(&state));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -67,7 +67,7 @@
     pub(crate) reply: Reply,
     pub(crate) response: Response<Incoming>,
     connection: Connection,
-    _flight: Flight,
+    flight: Flight,
 }
 
 /// Counts a request out of a server's flight when dropped.
@@ -76,6 +76,7 @@
     state: Arc<State>,
     server: ServerId,
     start: Incarnation,
+    since: Moment,
 }
 
 impl Drop for Flight {
@@ -114,6 +115,7 @@
             state: Arc::clone(&self.state),
             server: choice.server.clone(),
             start: choice.start,
+            since: self.state.clock.now(),
         };
         let mut fresh = !self.may_share();
         loop {
@@ -292,7 +294,7 @@
             reply,
             response,
             connection,
-            _flight: flight,
+            flight,
         })
     }
 
@@ -381,14 +383,15 @@
     }
 
     /// Ends a run whose answer was read in whole: its connection may carry the next request.
-    pub(crate) fn finish(self, state: &State) {
-        let well = !self.is_failure();
-        if well {
+    pub(crate) fn finish(self, job: &Job) {
+        let state = &job.state;
+        let now = state.clock.now();
+        if !self.is_failure() {
             let mut servers = state.servers.lock();
             servers.note_success(&self.choice.server, self.choice.start);
+            servers.note_whole(&job.service, now.since(self.flight.since));
         }
         if !self.reply.closing {
-            let now = state.clock.now();
             let (address, idle) = (self.choice.address, self.reply.idle);
             state.pool.put(now, address, self.connection, idle);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,6 +12,7 @@
 use snipemast_platform::settings::Settings;
 use snipemast_registry::Table as Registry;
 use snipemast_routes::Table as Routes;
+use snipemast_settings::Decisions;
 
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -20,6 +21,7 @@
 #[derive(Debug)]
 pub struct State {
     pub(crate) settings: Settings,
+    pub(crate) decisions: Decisions,
     pub(crate) clock: BootClock,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
@@ -54,7 +56,10 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: Settings, journal: Journal) -> Arc<Self> {
+    pub(crate) fn new(settings: Settings, decisions: Decisions, journal: Journal) -> Arc<Self> {
+        let servers = Servers::new(settings.zone.clone())
+            .with_pick(decisions.placing)
+            .with_bound(decisions.full);
         let bounds = snipemast_placement::budget::Bounds {
             ratio: settings.bounds.retry_ratio,
             slack: settings.bounds.retry_slack,
@@ -67,7 +72,7 @@
             routes: RwLock::new(None),
             applied: Signal::new(),
             registry: Mutex::new(Registry::new()),
-            servers: Mutex::new(Servers::new(settings.zone.clone())),
+            servers: Mutex::new(servers),
             budget: Mutex::new(Budget::new(bounds)),
             outages: Mutex::new(Outages::new()),
             reopened: Signal::new(),
@@ -78,6 +83,7 @@
             active: AtomicU32::new(0),
             counter: AtomicU64::new(0),
             settings,
+            decisions,
         })
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -47,7 +47,7 @@
         let server = run.choice.server.clone();
         let reason = match part(&job, &mut tries, &mut run, &mut events, &mut pace, &sender).await {
             End::Whole => {
-                run.finish(&job.state);
+                run.finish(&job);
                 let pace = pace.unwrap_or_else(|| job.note_begun());
                 job.note_delivered(&server, &pace);
                 return;
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -53,6 +53,11 @@
         self.gateways = self.gateways.max(count);
     }
 
+    /// How many gateways there are.
+    pub fn gateways(&self) -> u32 {
+        self.gateways
+    }
+
     /// Takes note of a caller's request for a service.
     pub fn note_request(&mut self, now: Moment, service: &ServiceId) {
         let window = self.bounds.window;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,9 +1,11 @@
 //! Decisions about requests that gateways send to announced servers directly.
 //!
-//! - [`servers`]: what a gateway believes of each server's load and health, and its choice.
+//! - [`servers`]: what a gateway believes of each server's load and health.
+//! - [`pick`]: which of those that may take a request gets it.
 //! - [`budget`]: one gateway's share of the repeats that all may send.
 //! - [`outage`]: what becomes of requests while none of a service's servers can run any.
 //! - [`passes`]: whether new prompts stay out of an engine's passes for a moment.
+//! - [`sends`]: how often one attempt is sent to servers.
 //! - [`shutdown`]: how a process that was told to end takes leave.
 //! - [`events`]: cuts a stream into whole events, so that it can go on elsewhere.
 
@@ -11,6 +13,8 @@
 pub mod events;
 pub mod outage;
 pub mod passes;
+pub mod pick;
+pub mod sends;
 pub mod servers;
 pub mod shutdown;
 
@@ -18,5 +22,6 @@
 pub use events::{Events, IdReader};
 pub use outage::Outages;
 pub use passes::Passes;
+pub use sends::Sends;
 pub use servers::{Choice, Servers, Trouble};
 pub use shutdown::Shutdown;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -1,16 +1,21 @@
-//! What a gateway believes of each server's load and health, and its choice.
+//! What a gateway believes of each server's load and health, and the servers that it may choose.
 //!
 //! The load of a server is what this gateway has in flight there, known exactly, and what the other
 //! gateways had when they last told. Health comes from this gateway's own requests.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use snipemast_core::prelude::*;
 
+use crate::pick::{Candidate, Freshness, Pick, Placing};
+
 /// How long the others' counts are believed: four of their usual exchanges.
 const OTHERS_AGE: Span = Span::from_millis(1_000);
 
+/// How long a request is taken to be in flight before the first one was answered.
+const USUAL: Span = Span::from_secs(1);
+
 /// How long a server is left out after its first failure in a row, and at most. The first is about
 /// two heartbeats of the engine's group, the last a restart of a server.
 const OUT_FIRST: Span = Span::from_millis(400);
@@ -20,9 +25,9 @@
 /// hundred healthy answers is an error, and three in a row then come once in 27 million.
 const FAILURES: u32 = 3;
 
-/// A server may have this many times its slots in flight before it counts as full: what waits in
-/// its own queue begins without a round trip, and it refuses what is beyond that.
-const FULL: f64 = 1.5;
+/// How many requests a server may have in flight before it counts as full, in hundredths of its slots, unless
+/// told otherwise: what waits in its own queue begins without a round trip, and it refuses what is beyond that.
+const FULL: u32 = 150;
 
 /// How long a server may show nothing of a stream before it is asked whether it alone stands still: some times
 /// the longest pass, so that the rest of the 2 s that callers wait is enough for another server. Where the
@@ -69,8 +74,6 @@
     pub load: u32,
     /// How old the other gateways' part of that is.
     pub age: Span,
-    /// The next best server, if there was one, and what was believed to be in flight there.
-    pub next: Option<(ServerId, u32)>,
 }
 
 /// Why no server is chosen.
@@ -105,10 +108,17 @@
 
 /// What is believed of each server.
 #[derive(Debug)]
-pub struct Servers {
+pub struct Servers<P = Placing> {
+    pick: P,
+    /// When a server counts as full, in hundredths of its slots.
+    bound: u32,
     zone: ZoneId,
-    known: HashMap<ServerId, Server>,
+    known: BTreeMap<ServerId, Server>,
     slow: HashMap<ServerId, u32>,
+    /// When the other gateways' counts were taken, in the mean.
+    counted: Moment,
+    /// How long a request is in flight, as a rule.
+    usual: HashMap<ServiceId, Span>,
 }
 
 #[derive(Debug)]
@@ -116,7 +126,6 @@
     offered: Offered,
     own: u32,
     others: u32,
-    told: Moment,
     failures: u32,
     strikes: u32,
     out: Moment,
@@ -129,16 +138,32 @@
     asked: Moment,
 }
 
-impl Servers {
+impl<P: Pick> Servers<P> {
     /// No server yet; those of this zone are preferred among equals.
     pub fn new(zone: ZoneId) -> Self {
         Self {
+            pick: P::default(),
+            bound: FULL,
             zone,
-            known: HashMap::new(),
+            known: BTreeMap::new(),
             slow: HashMap::new(),
+            counted: Moment::ZERO,
+            usual: HashMap::new(),
         }
     }
 
+    /// Picks servers in this way.
+    pub fn with_pick(mut self, pick: P) -> Self {
+        self.pick = pick;
+        self
+    }
+
+    /// Takes a server for full once it has this many requests in flight, in hundredths of its slots.
+    pub fn with_bound(mut self, bound: u32) -> Self {
+        self.bound = bound;
+        self
+    }
+
     /// Sets the servers that may be sent to; what is known of those that stay is kept. Tells where
     /// servers took requests that are gone or have started again.
     ///
@@ -163,10 +188,16 @@
         left
     }
 
-    /// Sets what the other gateways have in flight.
-    pub fn set_others(&mut self, now: Moment, counts: impl Iterator<Item = (ServerId, u32)>) {
+    /// Sets what the other gateways had in flight when they told, and how long ago that was in the mean.
+    pub fn set_others(
+        &mut self,
+        now: Moment,
+        age: Span,
+        counts: impl Iterator<Item = (ServerId, u32)>,
+    ) {
+        self.counted = now - age;
         for server in self.known.values_mut() {
-            (server.others, server.told) = (0, now);
+            server.others = 0;
         }
         for (id, count) in counts {
             if let Some(server) = self.known.get_mut(&id) {
@@ -206,7 +237,7 @@
 
     /// Chooses a server of a service, but none of the given ones, and counts the request there.
     ///
-    /// `chance` breaks ties between gateways that believe the same.
+    /// `chance` differs from request to request, and between gateways that believe the same.
     pub fn choose(
         &mut self,
         now: Moment,
@@ -214,62 +245,90 @@
         but: &[ServerId],
         chance: u64,
     ) -> Result<Choice, Unplaced> {
+        let (mut open, candidates) = self.candidates(now, service, but)?;
+        let fresh = self.freshness(now, service);
+        let picked = self.pick.pick(&candidates, fresh, chance);
+        let place = picked.ok_or(Unplaced::Nobody)?;
+        let id = open.swap_remove(place).clone();
+        let server = self.known.get_mut(&id).ok_or(Unplaced::Nobody)?;
+        server.own += 1;
+        let Candidate { own, others, .. } = candidates[place];
+        Ok(Choice {
+            server: id,
+            start: server.offered.start,
+            address: server.offered.address,
+            load: own + others,
+            age: fresh.age,
+        })
+    }
+
+    /// The servers that may take a request, and what is believed of their load.
+    fn candidates(
+        &self,
+        now: Moment,
+        service: &ServiceId,
+        but: &[ServerId],
+    ) -> Result<(Vec<&ServerId>, Vec<Candidate>), Unplaced> {
         let mut unplaced = Unplaced::Nobody;
-        let mut best: Option<(f64, u64, &mut Server)> = None;
-        let mut next = None;
-        let shunned: Vec<ServerId> = self
-            .slow
-            .keys()
-            .filter(|id| {
-                self.known
-                    .get(*id)
-                    .is_some_and(|s| self.is_shunned(&s.offered))
-            })
-            .cloned()
-            .collect();
-        let zone = &self.zone;
-        for server in self.known.values_mut() {
+        let (mut open, mut candidates) = (Vec::new(), Vec::new());
+        for (id, server) in &self.known {
             let offered = &server.offered;
-            if offered.service != *service
-                || but.contains(&offered.server)
-                || shunned.contains(&offered.server)
-            {
+            let wanted = offered.service == *service && !but.contains(id);
+            if !wanted || self.is_shunned(offered) {
                 continue;
             }
             if now < server.out {
                 unplaced = unplaced.max(Unplaced::AllOut);
                 continue;
             }
-            let load = server.load(now);
-            let bound = f64::from(offered.slots.max(1)) * FULL;
-            if f64::from(load) >= bound || now < server.full {
+            let candidate = self.candidate(now, server);
+            let load = 100 * (candidate.own + candidate.others);
+            if load >= candidate.slots * self.bound || now < server.full {
                 unplaced = Unplaced::AllFull;
                 continue;
             }
-            /// What a server of another zone counts more, in requests. Requests that stay in their
-            /// zone don't meet lossy or cut links, and gateways of other zones count them late. Measured on
-            /// quiet days, with 0.5: 0.979 and 0.989 of the credit; with 2: 0.993 and 0.995.
-            const AWAY: f64 = 2.0;
-            let away = if offered.zone == *zone { 0.0 } else { AWAY };
-            let cost = (f64::from(load) + away) / f64::from(offered.slots.max(1));
-            let tie = mix(chance, &offered.server);
-            if best.as_ref().is_none_or(|(c, t, _)| (cost, tie) < (*c, *t)) {
-                next = best.replace((cost, tie, server));
-            } else if next.as_ref().is_none_or(|(c, t, _)| (cost, tie) < (*c, *t)) {
-                next = Some((cost, tie, server));
-            }
+            open.push(id);
+            candidates.push(candidate);
         }
-        let (_, _, server) = best.ok_or(unplaced)?;
-        let load = server.load(now);
-        server.own += 1;
-        Ok(Choice {
-            server: server.offered.server.clone(),
-            start: server.offered.start,
-            address: server.offered.address,
-            load,
-            age: server.told.until(now),
-            next: next.map(|(_, _, s)| (s.offered.server.clone(), s.load(now))),
-        })
+        if open.is_empty() {
+            return Err(unplaced);
+        }
+        Ok((open, candidates))
+    }
+
+    fn candidate(&self, now: Moment, server: &Server) -> Candidate {
+        Candidate {
+            own: server.own,
+            others: self.others(now, server),
+            slots: server.offered.slots.max(1),
+            near: server.offered.zone == self.zone,
+        }
+    }
+
+    /// What the other gateways have in flight at a server, as far as that is believed.
+    fn others(&self, now: Moment, server: &Server) -> u32 {
+        let fresh = now < self.counted + OTHERS_AGE;
+        if fresh {
+            server.others
+        } else {
+            0
+        }
+    }
+
+    fn freshness(&self, now: Moment, service: &ServiceId) -> Freshness {
+        Freshness {
+            age: self.counted.until(now),
+            usual: self.usual.get(service).copied().unwrap_or(USUAL),
+        }
+    }
+
+    /// A request was answered in whole, after it was in flight for a span.
+    pub fn note_whole(&mut self, service: &ServiceId, took: Span) {
+        /// The part of the usual time that each answer replaces.
+        const REPLACED: u64 = 16;
+        let usual = self.usual.entry(service.clone()).or_insert(took);
+        let kept = usual.as_micros() * (REPLACED - 1);
+        *usual = Span::from_micros((kept + took.as_micros()) / REPLACED);
     }
 
     /// A request at a start of a server has ended, however.
@@ -324,7 +383,7 @@
                 && !but.contains(&offered.server)
                 && now >= server.out
                 && now >= server.full
-                && server.load(now) < offered.slots.max(1)
+                && server.own + self.others(now, server) < offered.slots.max(1)
                 && !self.is_shunned(offered)
         })
     }
@@ -394,7 +453,6 @@
             offered,
             own: 0,
             others: 0,
-            told: Moment::ZERO,
             failures: 0,
             strikes: 0,
             out: Moment::ZERO,
@@ -409,11 +467,6 @@
     fn is(&self, offered: &Offered) -> bool {
         self.offered.start == offered.start && self.offered.address == offered.address
     }
-
-    fn load(&self, now: Moment) -> u32 {
-        let fresh = now < self.told + OTHERS_AGE;
-        self.own + if fresh { self.others } else { 0 }
-    }
 }
 
 impl Unplaced {
@@ -425,11 +478,3 @@
         }
     }
 }
-
-/// A number that differs from request to request and from server to server.
-fn mix(chance: u64, server: &ServerId) -> u64 {
-    let start = chance ^ 0xcbf2_9ce4_8422_2325;
-    server.as_str().bytes().fold(start, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -91,6 +91,8 @@
         pub gateways: u32,
         /// The requests in flight of all other gateways.
         pub flying: Flying,
+        /// How long ago those gateways told of them, in the mean.
+        pub age: Span,
         /// The slow servers of all groups.
         pub slow: Vec<Slow>,
     }
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -65,14 +65,17 @@
         self.connected(now).all(|p| has(p.cursor))
     }
 
-    /// The requests in flight of all gateways but one.
-    pub fn flying(&self, now: Moment, but: &HostId) -> Flying {
+    /// The requests in flight of all gateways but one, and how long ago those told of them, in the mean.
+    pub fn flying(&self, now: Moment, but: &HostId) -> (Flying, Span) {
         let mut sums = Flying::new();
-        let fresh = |p: &Poller| now < p.last + FLYING;
+        let (mut ages, mut told) = (0, 0);
+        let fresh = |p: &Poller| p.kind == PollerKind::Gateway && now < p.last + FLYING;
         for (host, poller) in &self.known {
             if host == but || !fresh(poller) {
                 continue;
             }
+            ages += poller.last.until(now).as_micros();
+            told += 1;
             for (server, count) in &poller.flying {
                 match sums.get_mut(server) {
                     Some(sum) => *sum += count,
@@ -82,7 +85,7 @@
                 }
             }
         }
-        sums
+        (sums, Span::from_micros(ages / told.max(1)))
     }
 
     /// The slow servers that leads of groups told of.
--- /dev/null
+++ b/crates/settings/src/decisions.rs
@@ -0,0 +1,51 @@
+//! Which way a gateway takes each decision that has several.
+
+use snipemast_core::data;
+use snipemast_placement::pick::Placing;
+
+use crate::check::Settings;
+use crate::fault::{Fault, FaultKind};
+
+data! {
+    /// The ways of a gateway's decisions; each default is the way that is best over many kinds of deployments.
+    #[serde(deny_unknown_fields, default)]
+    pub struct Decisions {
+        /// How a server is picked.
+        pub placing: Placing,
+        /// How many polls for what others have in flight the leading controller answers in a second; shared by
+        /// the gateways.
+        pub polls: u32,
+        /// Whether prompts wait while an engine's passes are long for a moment.
+        pub holding: bool,
+        /// How many requests a server may have in flight before it counts as full, in hundredths of its slots.
+        pub full: u32,
+    }
+}
+
+impl Default for Decisions {
+    fn default() -> Self {
+        Self {
+            placing: Placing::default(),
+            polls: 600,
+            holding: true,
+            full: 150,
+        }
+    }
+}
+
+impl Settings for Decisions {
+    const SAMPLE: &'static str = "";
+
+    fn conflicts(&self) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        if self.polls == 0 {
+            let kind = FaultKind::TooSmall("1".into(), "gateways would know nothing of each other");
+            faults.push(Fault::new("polls", kind));
+        }
+        if self.full < 100 {
+            let kind = FaultKind::TooSmall("100".into(), "servers would stand idle");
+            faults.push(Fault::new("full", kind));
+        }
+        faults
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! - [`entry`]: the settings of `snipemast serve`.
 //! - [`agent`]: the settings of `snipemast-agent`.
+//! - [`decisions`]: which way a gateway takes each decision that has several.
 //! - [`check`]: finds every fault of a settings text.
 //! - [`fault`]: the faults, each with its key and line.
 
 mod address;
 pub mod agent;
 pub mod check;
+pub mod decisions;
 pub mod entry;
 pub mod fault;
 mod node;
@@ -15,6 +17,7 @@
 
 pub use agent::AgentSettings;
 pub use check::Settings;
+pub use decisions::Decisions;
 pub use entry::{ControlSettings, EntrySettings};
 pub use fault::{Fault, FaultKind};
 
