--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -11,6 +11,7 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::pick::Pick;
 use snipemast_placement::servers::{Offered, Servers, Trouble};
+use snipemast_placement::{Pool, Turn};
 
 /// The way between two hosts.
 const WAY: Span = Span::from_millis(1);
@@ -114,7 +115,7 @@
     gateways: Vec<Servers<P>>,
     told: Vec<(Moment, Counts)>,
     ids: Vec<ServerId>,
-    service: ServiceId,
+    pool: Pool,
     ranks: Vec<Rank>,
     window: (Moment, usize),
     fullest: Vec<f64>,
@@ -135,14 +136,17 @@
 
 impl<'a, P: Pick> World<'a, P> {
     fn new(setup: &'a Setup) -> Self {
-        let service = ServiceId::new("lector").expect("a service's name");
+        let pool = Pool {
+            service: ServiceId::new("lector").expect("a service's name"),
+            group: None,
+        };
         let names = (0..setup.ranks).map(|n| ServerId::new(format!("i-{n}")));
         let ids: Vec<ServerId> = names.map(|id| id.expect("a server's name")).collect();
         let zone = |n: usize| ZoneId::new(format!("z{}", n % setup.zones)).expect("a zone's name");
         let offered = |n: usize| Offered {
             server: ids[n].clone(),
             start: Incarnation(0),
-            service: service.clone(),
+            pool: pool.clone(),
             address: std::net::SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 80)),
             zone: zone(n),
             slots: setup.slots as u32,
@@ -160,7 +164,7 @@
             gateways: (0..setup.gateways).map(gateway).collect(),
             told: vec![(Moment::ZERO, Counts::new()); setup.gateways],
             ids,
-            service,
+            pool,
             ranks: (0..setup.ranks).map(|_| Rank::default()).collect(),
             window: (Moment::ZERO, 0),
             fullest: Vec::new(),
@@ -211,7 +215,13 @@
         let mut excluded = Vec::new();
         for _ in 0..SENDS {
             let chance = self.chance();
-            let chosen = self.gateways[gateway].choose(self.now, &self.service, &excluded, chance);
+            let chosen = self.gateways[gateway].choose(
+                self.now,
+                std::slice::from_ref(&self.pool),
+                &excluded,
+                Turn::InTime,
+                chance,
+            );
             let Ok(choice) = chosen else {
                 break;
             };
@@ -286,7 +296,7 @@
             if request.pieces == setup.pieces {
                 let servers = &mut self.gateways[request.gateway];
                 servers.end(server, Incarnation(0));
-                servers.note_whole(&self.service, now.since(request.arrived));
+                servers.note_whole(&self.pool.service, now.since(request.arrived));
             }
         }
         let running = &mut self.ranks[rank].running;
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -17,7 +17,8 @@
 use snipemast_net::{rpc, RpcClient};
 use snipemast_platform::calls::{Call, METRICS};
 use snipemast_platform::{document, heartbeat};
-use snipemast_registry::{news, Poll, Standing};
+use snipemast_registry::rank::Taken;
+use snipemast_registry::{news, rank, Poll, RankWord, Standing};
 use snipemast_routes::{check, Fault};
 
 use crate::join::Own;
@@ -80,6 +81,7 @@
             path::SUBMIT => self.submit(&body).await,
             path::READ => Some(rpc::answer(&self.read_here())),
             news::PATH => self.news(&body).await,
+            rank::PATH => self.rank(&body),
             _ => return plain(StatusCode::NOT_FOUND, "no such call"),
         };
         answered.unwrap_or_else(|| plain(StatusCode::BAD_REQUEST, "the message can't be read"))
@@ -285,6 +287,12 @@
         Some(rpc::answer(&news))
     }
 
+    fn rank(&self, body: &[u8]) -> Option<Answer> {
+        let word: RankWord = read(body)?;
+        self.state.take_word(word);
+        Some(rpc::answer(&Taken {}))
+    }
+
     fn metrics(&self) -> Answer {
         let state = &self.state;
         let mut text = state.journal.ring().exposition();
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -79,6 +79,7 @@
         journal: journal.clone(),
         epoch: rand::random(),
         table: Mutex::new(Table::new()),
+        words: Mutex::default(),
         strangers: Strangers::default(),
         pollers: Mutex::new(Pollers::default()),
         changed: Signal::new(),
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -7,10 +7,10 @@
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
-use snipemast_net::exec::pause;
+use snipemast_net::exec::{pause, spawn};
 use snipemast_net::BootClock;
 use snipemast_platform::settings::Settings;
-use snipemast_registry::{Cursor, Pollers, Table};
+use snipemast_registry::{Cursor, Pollers, RankWord, Table};
 
 use crate::strangers::Strangers;
 use crate::voter::Voter;
@@ -28,6 +28,8 @@
     pub(crate) epoch: u64,
     /// The servers that are known.
     pub(crate) table: Mutex<Table>,
+    /// What processes beside ranks told, until it is entered into the table.
+    pub(crate) words: Mutex<Vec<RankWord>>,
     /// Who sent announcements that are ignored.
     pub(crate) strangers: Strangers,
     /// Who polls.
@@ -52,6 +54,39 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Takes what the process beside a rank tells, and enters it into the table with what others tell then.
+    ///
+    /// Load answered: all ranks of a group tell at once that it has stalled or formed. Entered one by one, each
+    /// of them would be an answer of its own to every gateway.
+    pub(crate) fn take_word(self: &Arc<Self>, word: RankWord) {
+        const GATHERED: Span = Span::from_millis(20);
+        let mut words = self.words.lock();
+        words.push(word);
+        if words.len() > 1 {
+            return;
+        }
+        let state = Arc::clone(self);
+        spawn(async move {
+            pause(GATHERED).await;
+            state.enter_words();
+        })
+        .detach();
+    }
+
+    fn enter_words(&self) {
+        let words = std::mem::take(&mut *self.words.lock());
+        let now = self.clock.now();
+        let mut table = self.table.lock();
+        let mut changed = false;
+        for word in words {
+            changed |= table.note_rank(now, word);
+        }
+        drop(table);
+        if changed {
+            self.announce();
+        }
+    }
+
     /// Where all controllers take calls of our own processes.
     pub(crate) fn controllers(&self) -> Vec<SocketAddr> {
         let mut all = self.voter.addresses();
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -161,6 +161,8 @@
     MoveDeclined = 607;
     /// A group was held by a lead that fell silent, and another process lets it go on.
     LeadOvertaken = 608;
+    /// A rank's place in its group, or whether its group goes on, was told to controllers.
+    RankTold = 609;
     /// A workspace went over a limit.
     LimitReached = 700;
     /// A backend server was ejected as an outlier.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/connections.rs
@@ -20,7 +20,7 @@
 
 /// Idle connections, by server.
 #[derive(Debug, Default)]
-pub(crate) struct Pool {
+pub(crate) struct Connections {
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
@@ -30,7 +30,7 @@
     until: Moment,
 }
 
-impl Pool {
+impl Connections {
     /// A connection that can take a request now, the one that was used last first.
     pub(crate) fn take(&self, now: Moment, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock();
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -82,6 +82,10 @@
     };
     let number = state.next_number();
     let name = ask.attempt.clone().unwrap_or_else(|| number.to_string());
+    let spent = {
+        let mut known = state.patience.lock();
+        known.spent(started, &route.name, patience)
+    };
     let job = Job {
         state: Arc::clone(state),
         method: parts.method,
@@ -91,6 +95,7 @@
         service: choose_service(&route, rand::random()),
         workspace: workspace.map(|w| w.name.clone()),
         started,
+        spent,
         deadline: started + patience,
         ask,
         route,
@@ -158,10 +163,12 @@
             return false;
         }
         let now = job.state.clock.now();
-        let shut = job.state.outages.lock().is_out(&job.service);
         let but = [self.excluded.as_slice(), std::slice::from_ref(from)].concat();
-        let free = job.state.servers.lock().has_free(now, &job.service, &but);
-        self.granted = !shut && free && job.state.budget.lock().spend(now, &job.service);
+        let Gate::Open(pools) = job.gate(now) else {
+            return false;
+        };
+        let free = job.state.servers.lock().has_free(now, &pools, &but);
+        self.granted = free && job.state.budget.lock().spend(now, &job.service);
         if self.granted {
             let detail = format_args!("{from} shows nothing, another server has a free place");
             job.note_trouble(Event::RequestRetried, detail);
@@ -185,21 +192,30 @@
                 Some(failure) => Placed::Failed(failure),
                 None => Placed::Unplaced(unplaced),
             };
-            if !self.may_send(job) {
-                return give_up(Unplaced::AllFull);
+            if job.left() < WORTHWHILE || !self.sends.may_begin(job.route.attempts) {
+                return give_up(Unplaced::Spent);
             }
             let now = job.state.clock.now();
-            if job.state.outages.lock().gate(now, &job.service) == Gate::Shut {
-                return give_up(Unplaced::Out);
-            }
+            let pools = match job.gate(now) {
+                Gate::Open(pools) => pools,
+                Gate::Probe(pool) => vec![pool],
+                Gate::Shut => return give_up(Unplaced::Out),
+            };
             let chosen = {
                 let mut servers = job.state.servers.lock();
-                servers.choose(now, &job.service, &self.excluded, rand::random())
+                let turn = job.turn(last);
+                servers.choose(now, &pools, &self.excluded, turn, rand::random())
             };
             let choice = match chosen {
                 Ok(choice) => choice,
                 Err(unplaced) => return give_up(unplaced),
             };
+            // Asked last: a repeat that has nowhere to go is not spent.
+            if !self.is_granted(job) {
+                let mut servers = job.state.servers.lock();
+                servers.end(&choice.server, choice.start);
+                return give_up(Unplaced::Spent);
+            }
             let server = choice.server.clone();
             job.note_routed(&choice, !self.sends.is_empty());
             self.sends.begin();
@@ -225,11 +241,8 @@
         }
     }
 
-    /// Whether one more send is within the route's attempts, the time and the budget.
-    fn may_send(&mut self, job: &Job) -> bool {
-        if job.left() < WORTHWHILE || !self.sends.may_begin(job.route.attempts) {
-            return false;
-        }
+    /// Whether one more send is within the budget.
+    fn is_granted(&mut self, job: &Job) -> bool {
         if self.sends.is_empty() || std::mem::take(&mut self.granted) {
             return true;
         }
@@ -287,8 +300,8 @@
         let shortened = job.state.shortened.listen();
         let now = job.state.clock.now();
         let (waited, objective) = (now.since(job.started), job.route.objective);
-        let passes = &job.state.passes;
-        let wait = passes.lock().wait(now, &job.service, waited, objective);
+        let pools = job.state.servers.lock().pools(&job.service);
+        let wait = job.state.passes.lock().wait(now, &pools, waited, objective);
         let Some(span) = wait else {
             return;
         };
@@ -302,7 +315,7 @@
     /// How often a request that waits looks for a place.
     const LOOK: Span = Span::from_millis(60);
     let out = unplaced == Unplaced::Out;
-    let queues = out || unplaced == Unplaced::AllFull;
+    let queues = out || [Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
     if !queues || !job.route.repeat.is_stream() {
         return Some(refuse(job, unplaced, back(unplaced)));
     }
@@ -331,7 +344,7 @@
 /// When a caller may come back.
 fn back(unplaced: Unplaced) -> Span {
     match unplaced {
-        Unplaced::AllFull => BACK_FULL,
+        Unplaced::AllFull | Unplaced::Spent => BACK_FULL,
         _ => BACK_OUT,
     }
 }
@@ -342,6 +355,7 @@
     job.state.metrics.end(Ended::Refused);
     let reason = match unplaced {
         Unplaced::AllFull => "every server is full",
+        Unplaced::Spent => "no repeat is left",
         Unplaced::AllOut => "no server can be reached",
         Unplaced::Nobody => "the service has no server",
         Unplaced::Out => "the service is out",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,17 +8,17 @@
 //! - `stream`: passes events on, and goes on at another server where a stream breaks.
 //! - `story`: what is logged and measured of one request.
 //! - `metrics`: what a gateway counts and measures.
-//! - `pool`: open connections to servers.
+//! - `connections`: open connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
 
 pub mod process;
 pub mod state;
 
 mod answer;
+mod connections;
 mod handle;
 mod metrics;
 mod news;
-mod pool;
 mod send;
 mod story;
 mod stream;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -9,11 +9,13 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Sink;
 use snipemast_net::exec::pause;
+use snipemast_placement::outage::Word;
+use snipemast_placement::pools::{Pools, Rank, Told};
 use snipemast_placement::servers::Offered;
 use snipemast_platform::document;
 use snipemast_registry::news::Flying;
 use snipemast_registry::source::{Source, HANDED_OUT};
-use snipemast_registry::{Cursor, News, Poll, PollerKind, Standing};
+use snipemast_registry::{Cursor, Known, News, Poll, PollerKind, Standing, Table as Registry};
 use snipemast_routes::Table as Routes;
 
 use crate::state::State;
@@ -25,11 +27,11 @@
 #[derive(Debug)]
 pub(crate) struct Reader {
     state: Arc<State>,
-    known: Mutex<Known>,
+    known: Mutex<Learnt>,
 }
 
 #[derive(Debug, Default)]
-struct Known {
+struct Learnt {
     controllers: HashMap<SocketAddr, Controller>,
     leader: Option<SocketAddr>,
     source: Source,
@@ -44,7 +46,7 @@
     wanted: bool,
 }
 
-impl Known {
+impl Learnt {
     /// The version that a controller told of last.
     fn told(&self, controller: SocketAddr) -> Version {
         let known = self.controllers.get(&controller);
@@ -63,7 +65,7 @@
     pub(crate) fn new(state: Arc<State>) -> Arc<Self> {
         Arc::new(Self {
             state,
-            known: Mutex::new(Known::default()),
+            known: Mutex::default(),
         })
     }
 
@@ -101,6 +103,21 @@
             .record(Event::VersionApplied, subject, "in force");
     }
 
+    /// Takes note of the groups that have stalled, and of those that go on.
+    fn note_groups(&self, pools: &Pools) {
+        let now = self.state.clock.now();
+        for (pool, forming) in pools.groups() {
+            let word = self.state.outages.lock().note_told(now, pool, forming);
+            let event = match word {
+                Some(Word::Stalled) => Event::ServiceOut,
+                Some(Word::GoesOn) => Event::ServiceReopened,
+                None => continue,
+            };
+            let detail = format!("epoch {}, told by its ranks", forming.epoch);
+            self.state.note_outage(pool, event, &detail);
+        }
+    }
+
     /// Takes changes of servers, and rearranges those that may be sent to.
     fn merge(&self, controller: SocketAddr, news: &mut News) {
         if news.entries.is_empty() {
@@ -122,24 +139,45 @@
             self.state.journal.record(event, id, detail);
         }
         registry.forget(now);
-        let ready = registry.iter().filter(|k| k.standing == Standing::Ready);
-        let offered = ready.map(|k| Offered {
-            server: k.announcement.id.clone(),
-            start: k.announcement.start,
-            service: k.announcement.service.clone(),
-            address: k.announcement.address,
-            zone: k.announcement.zone.clone(),
-            slots: k.announcement.slots,
+        let ready = || registry.iter().filter(|k| k.standing == Standing::Ready);
+        let told: Vec<Told> = ready().map(|k| told(&registry, k)).collect();
+        let pools = Pools::new(&told);
+        let offered = ready().filter_map(|k| {
+            Some(Offered {
+                server: k.announcement.id.clone(),
+                start: k.announcement.start,
+                pool: pools.pool(&k.announcement.id)?.clone(),
+                address: k.announcement.address,
+                zone: k.announcement.zone.clone(),
+                slots: k.announcement.slots,
+            })
         });
         let offered = offered.collect();
         drop(registry);
+        self.note_groups(&pools);
         let left = self.state.servers.lock().set_offered(offered);
         for address in left {
-            self.state.pool.retire(address);
+            self.state.connections.retire(address);
         }
     }
 }
 
+/// What is told of a server's place in a group.
+fn told(registry: &Registry, known: &Known) -> Told {
+    let rank = registry.rank(known).map(|rank| Rank {
+        group: rank.group.clone(),
+        epoch: rank.epoch,
+        place: rank.place,
+        size: rank.size,
+        goes_on: rank.open,
+    });
+    Told {
+        server: known.announcement.id.clone(),
+        service: known.announcement.service.clone(),
+        rank,
+    }
+}
+
 impl Sink for Reader {
     fn poll(&self, controller: SocketAddr) -> Poll {
         let version = self.state.version();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -129,7 +129,7 @@
 async fn keep_up(state: Arc<State>) {
     loop {
         pause(UPKEEP).await;
-        state.pool.expire(state.clock.now());
+        state.connections.expire(state.clock.now());
     }
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -14,8 +14,10 @@
 use snipemast_net::connect::SendError;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_net::{connect, Connection};
+use snipemast_placement::outage::Gate;
 use snipemast_placement::servers::STILL;
-use snipemast_placement::{Choice, Trouble};
+use snipemast_placement::turn::Ordering;
+use snipemast_placement::{Choice, Pool, Trouble, Turn};
 use snipemast_platform::request::{forward, Ask, Forward};
 use snipemast_platform::response::Reply;
 use snipemast_platform::server;
@@ -53,6 +55,8 @@
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<String>,
     pub(crate) started: Moment,
+    /// How much of its time the caller had spent before it asked here.
+    pub(crate) spent: Span,
     pub(crate) deadline: Moment,
     /// For the log.
     pub(crate) name: String,
@@ -104,6 +108,25 @@
         self.state.clock.now().until(self.deadline)
     }
 
+    /// When the request begins, against others.
+    pub(crate) fn turn(&self, last: Option<u64>) -> Turn {
+        self.named_turn(last).unwrap_or(Turn::InTime)
+    }
+
+    /// The same, where requests are ordered: those to engines, whose queues are long.
+    fn named_turn(&self, last: Option<u64>) -> Option<Turn> {
+        let ordered = self.state.decisions.order == Ordering::Lateness;
+        if !ordered || self.route.gap.is_none() {
+            return None;
+        }
+        if last.is_some() && last != self.ask.last {
+            return Some(Turn::Resumed);
+        }
+        let waited = self.age().as_micros();
+        let spent = Span::from_micros(self.spent.as_micros() + waited);
+        Some(Turn::new(spent, self.route.objective))
+    }
+
     /// Sends the request to a server and waits for the head of its answer.
     pub(crate) async fn send(
         &self,
@@ -122,7 +145,9 @@
             let pooled = if fresh {
                 None
             } else {
-                self.state.pool.take(self.state.clock.now(), choice.address)
+                self.state
+                    .connections
+                    .take(self.state.clock.now(), choice.address)
             };
             let mut connection = match pooled {
                 Some(connection) => connection,
@@ -142,7 +167,7 @@
                     return Err(Failure::NotRun);
                 }
                 Err(SendError::Unknown(e)) => {
-                    self.state.pool.retire(choice.address);
+                    self.state.connections.retire(choice.address);
                     self.trouble(&choice, Trouble::Broken, &e.to_string());
                     return Err(Failure::Unknown);
                 }
@@ -188,7 +213,7 @@
                 return Ok(done);
             }
             if tries.moves(self, &choice.server) {
-                self.state.pool.retire(choice.address);
+                self.state.connections.retire(choice.address);
                 return Err(Failure::Unknown);
             }
         }
@@ -255,7 +280,7 @@
             workspace: self.workspace.as_deref(),
             left: self.left(),
             last,
-            urgency: None,
+            turn: self.named_turn(last),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -278,14 +303,14 @@
         // Failure guarded against: an extra or late answer to an earlier request stands where
         // this one's is expected, and its caller gets another's answer. The attempt's id tells.
         if self.ask.attempt.is_some() && reply.attempt != self.ask.attempt && !reply.unrun {
-            self.state.pool.retire(choice.address);
+            self.state.connections.retire(choice.address);
             self.trouble(&choice, Trouble::Broken, "an answer to another request");
             return Err(Failure::Unknown);
         }
         if reply.unrun {
             return Err(self.not_run(&choice, status, &reply));
         }
-        self.note_open();
+        self.note_open(&choice.pool);
         if status.is_server_error() {
             self.trouble(&choice, Trouble::Failed, status.as_str());
         }
@@ -302,7 +327,7 @@
         let culprit = reply.culprit.as_deref().unwrap_or("");
         let detail = format!("{status}, not run, by {culprit}");
         if reply.culprit.is_some() && status == StatusCode::SERVICE_UNAVAILABLE {
-            self.note_out(&detail);
+            self.note_out(&choice.pool, &detail);
             return Failure::Out;
         }
         let trouble = match status {
@@ -313,19 +338,23 @@
         Failure::NotRun
     }
 
-    fn note_out(&self, detail: &str) {
+    /// Where the request may be sent now.
+    pub(crate) fn gate(&self, now: Moment) -> Gate {
+        let pools = self.state.servers.lock().pools(&self.service);
+        self.state.outages.lock().gate(now, &pools)
+    }
+
+    fn note_out(&self, pool: &Pool, detail: &str) {
         let now = self.state.clock.now();
-        if self.state.outages.lock().note_out(now, &self.service) {
-            let journal = &self.state.journal;
-            journal.record(Event::ServiceOut, &self.service, detail);
+        if self.state.outages.lock().note_out(now, pool) {
+            self.state.note_outage(pool, Event::ServiceOut, detail);
         }
     }
 
-    fn note_open(&self) {
-        if self.state.outages.lock().note_open(&self.service) {
-            self.state.reopened.notify(usize::MAX);
-            let journal = &self.state.journal;
-            journal.record(Event::ServiceReopened, &self.service, &self.name);
+    fn note_open(&self, pool: &Pool) {
+        if self.state.outages.lock().note_open(pool) {
+            self.state
+                .note_outage(pool, Event::ServiceReopened, &self.name);
         }
     }
 
@@ -393,7 +422,7 @@
         }
         if !self.reply.closing {
             let (address, idle) = (self.choice.address, self.reply.idle);
-            state.pool.put(now, address, self.connection, idle);
+            state.connections.put(now, address, self.connection, idle);
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,14 +8,14 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
-use snipemast_placement::{Budget, Outages, Passes, Servers, Shutdown};
+use snipemast_placement::{Budget, Outages, Passes, Patience, Pool, Servers, Shutdown};
 use snipemast_platform::settings::Settings;
 use snipemast_registry::Table as Registry;
 use snipemast_routes::Table as Routes;
 use snipemast_settings::Decisions;
 
+use crate::connections::Connections;
 use crate::metrics::Metrics;
-use crate::pool::Pool;
 
 /// What the parts of a gateway share; each part of the state has a lock of its own.
 #[derive(Debug)]
@@ -33,12 +33,13 @@
     pub(crate) servers: Mutex<Servers>,
     pub(crate) budget: Mutex<Budget>,
     pub(crate) outages: Mutex<Outages>,
+    pub(crate) patience: Mutex<Patience>,
     /// Wakes requests that wait for a service.
     pub(crate) reopened: Signal,
     pub(crate) passes: Mutex<Passes>,
     /// Wakes requests that wait for short passes.
     pub(crate) shortened: Signal,
-    pub(crate) pool: Pool,
+    pub(crate) connections: Connections,
     pub(crate) shutdown: Mutex<Shutdown>,
     /// Requests in hand.
     active: AtomicU32,
@@ -75,10 +76,11 @@
             servers: Mutex::new(servers),
             budget: Mutex::new(Budget::new(bounds)),
             outages: Mutex::new(Outages::new()),
+            patience: Mutex::default(),
             reopened: Signal::new(),
             passes: Mutex::new(Passes::new()),
             shortened: Signal::new(),
-            pool: Pool::default(),
+            connections: Connections::default(),
             shutdown: Mutex::new(Shutdown::new()),
             active: AtomicU32::new(0),
             counter: AtomicU64::new(0),
@@ -118,6 +120,16 @@
         true
     }
 
+    /// A pool is out or open again: whoever waits for a place looks again.
+    pub(crate) fn note_outage(&self, pool: &Pool, event: Event, detail: &str) {
+        if event == Event::ServiceReopened {
+            self.reopened.notify(usize::MAX);
+        }
+        let group = pool.group.as_ref().map_or("", GroupId::as_str);
+        let detail = format_args!("{group}: {detail}");
+        self.journal.record(event, &pool.service, detail);
+    }
+
     /// Counts a request in.
     pub(crate) fn begin_request(self: &Arc<Self>) -> ActiveRequest {
         self.active.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -80,13 +80,13 @@
     }
 
     /// A piece of a stream came after a pause.
-    pub(crate) fn note_pause(&self, pause: Span) {
+    pub(crate) fn note_pause(&self, choice: &Choice, pause: Span) {
         let Some(promised) = self.route.gap else {
             return;
         };
         let now = self.state.clock.now();
         let mut passes = self.state.passes.lock();
-        if passes.note(now, &self.service, pause, promised) {
+        if passes.note(now, &choice.pool, pause, promised) {
             self.state.shortened.notify(usize::MAX);
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -116,7 +116,7 @@
             let now = job.state.clock.now();
             job.note_piece(&run.choice, now);
             match pace {
-                Some(pace) => job.note_pause(pace.piece(now)),
+                Some(pace) => job.note_pause(&run.choice, pace.piece(now)),
                 None => *pace = Some(job.note_begun()),
             }
         }
--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`switch`]: how the lead of a group of ordered engines brings a map into force.
 //! - [`draft`]: a new map, told as its difference from one that ranks know.
 //! - [`delivery`]: how orders reach many ranks over narrow links.
+//! - [`stall`]: whether a rank goes on with its group's passes.
 //! - [`takeover`]: how another process lets a group go on whose lead has fallen silent.
 //! - [`ahead`]: how many steps ahead a group is held for that.
 //! - [`executor`]: carries a lead's orders out on one rank, each surely or not at all.
@@ -34,6 +35,7 @@
 pub mod planner;
 pub mod policy;
 pub mod search;
+pub mod stall;
 pub mod steer;
 pub mod switch;
 pub mod takeover;
--- /dev/null
+++ b/crates/groups/tests/stall.rs
@@ -0,0 +1,36 @@
+//! Whether a rank's group goes on.
+
+use snipemast_core::prelude::*;
+use snipemast_groups::stall::Stall;
+use snipemast_groups::switch::RankState;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn state(step: u64, open: bool, held: Option<u64>) -> RankState {
+    RankState {
+        epoch: GroupIncarnation(1),
+        open,
+        step: Step(step),
+        map: MapVersion(0),
+        prepared: None,
+        armed: None,
+        held: held.map(Step),
+    }
+}
+
+/// A user's request is sent into a group whose passes have stopped, and refused 1.5 s later with little time left: a
+/// rank's host is cut off, and the engine waits for it. The process beside a rank with requests tells it sooner; an idle
+/// group makes no passes, and one that is held is let go by others.
+#[test]
+fn stalled_group_told() {
+    let mut stall = Stall::new(at(0));
+    assert!(stall.goes_on(at(100), &state(7, true, None), true));
+    assert!(stall.goes_on(at(400), &state(7, true, None), true));
+    assert!(!stall.goes_on(at(600), &state(7, true, None), true));
+    assert!(stall.goes_on(at(700), &state(8, true, None), true));
+    assert!(stall.goes_on(at(1_500), &state(8, true, None), false));
+    assert!(stall.goes_on(at(2_500), &state(8, true, Some(9)), true));
+    assert!(!stall.goes_on(at(2_600), &state(9, false, None), false));
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,8 +5,10 @@
 //! - [`budget`]: one gateway's share of the repeats that all may send.
 //! - [`outage`]: what becomes of requests while none of a service's servers can run any.
 //! - [`passes`]: whether new prompts stay out of an engine's passes for a moment.
+//! - [`pools`]: which servers run and stall together.
 //! - [`sends`]: how often one attempt is sent to servers.
 //! - [`shutdown`]: how a process that was told to end takes leave.
+//! - [`turn`]: which requests begin first at servers that have more than they run.
 //! - [`events`]: cuts a stream into whole events, so that it can go on elsewhere.
 
 pub mod budget;
@@ -14,14 +16,18 @@
 pub mod outage;
 pub mod passes;
 pub mod pick;
+pub mod pools;
 pub mod sends;
 pub mod servers;
 pub mod shutdown;
+pub mod turn;
 
 pub use budget::Budget;
 pub use events::{Events, IdReader};
 pub use outage::Outages;
 pub use passes::Passes;
+pub use pools::{Pool, Pools};
 pub use sends::Sends;
 pub use servers::{Choice, Servers, Trouble};
 pub use shutdown::Shutdown;
+pub use turn::{Patience, Turn};
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -1,18 +1,24 @@
-//! What becomes of requests while none of a service's servers can run any.
+//! What becomes of requests while servers that run together can run none.
 //!
 //! Answers the load of an outage: an engine's group that lost a rank refuses everything on every
 //! rank until it has formed again, some seconds later. Sending each request to one rank after
-//! another only spends the budget of repeats. So one request at a time is sent to find out, and
-//! the others wait or come back, as long as they can still be answered in time.
+//! another only spends the budget of repeats. So requests go to other groups, and where there is none,
+//! one request at a time is sent to find out, and the others wait or come back, as long as they can still be
+//! answered in time.
 
 use std::collections::HashMap;
 
 use snipemast_core::prelude::*;
 
+use crate::pools::{Forming, Pool};
+
 /// How often a gateway finds out whether the service answers again. With nine gateways that is
 /// some 100 sends in an outage of six seconds, within their budget of repeats.
 pub const PROBE: Span = Span::from_millis(500);
 
+/// How much longer it takes until then while requests have somewhere else to go.
+const SELDOM: Span = Span::from_secs(5);
+
 /// How long a stream takes from its first token to its end, and some tenths of a second of waiting
 /// for a place: measured 1.6 to 2.4 s. A request with less time left can't be answered whole.
 pub const SERVED: Span = Span::from_millis(2_300);
@@ -24,14 +30,14 @@
 /// A caller comes back after at most this part of the time that it has left.
 pub const BACK_PART: u64 = 3;
 
-/// Whether requests of a service are sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Where a request of a service may be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Gate {
-    /// They are.
-    Open,
-    /// The service is out; this one is sent to find out.
-    Probe,
-    /// The service is out.
+    /// To these pools.
+    Open(Vec<Pool>),
+    /// To this pool, to find out whether it runs anything again.
+    Probe(Pool),
+    /// Nowhere: all pools are out.
     Shut,
 }
 
@@ -46,47 +52,111 @@
     Refuse,
 }
 
-/// The services that are out.
+/// The pools that are out.
 #[derive(Debug, Clone, Default)]
 pub struct Outages {
-    services: HashMap<ServiceId, Moment>,
+    out: HashMap<Pool, Out>,
+    /// What processes beside ranks told of groups last.
+    told: HashMap<Pool, Forming>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Out {
+    /// When it is found out next whether it runs anything.
+    probe: Moment,
+    /// The forming of the group that refused; nothing where its ranks told that they have stalled.
+    refused: Option<GroupIncarnation>,
 }
 
 impl Outages {
-    /// No service is out.
+    /// No pool is out.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// A server said that no server of its group can run anything; true where that is news.
-    pub fn note_out(&mut self, now: Moment, service: &ServiceId) -> bool {
-        let next = now + PROBE;
-        self.services.insert(service.clone(), next).is_none()
+    /// A server said that no server of its pool can run anything; true where that is news.
+    pub fn note_out(&mut self, now: Moment, pool: &Pool) -> bool {
+        let epoch = self.told.get(pool).map(|told| told.epoch);
+        let out = Out {
+            probe: now + PROBE,
+            refused: Some(epoch.unwrap_or_default()),
+        };
+        self.out.insert(pool.clone(), out).is_none()
     }
 
-    /// A server answered; true where its service was out.
-    pub fn note_open(&mut self, service: &ServiceId) -> bool {
-        self.services.remove(service).is_some()
+    /// A server answered; true where its pool was out.
+    pub fn note_open(&mut self, pool: &Pool) -> bool {
+        self.out.remove(pool).is_some()
     }
 
-    /// Whether a service is out.
-    pub fn is_out(&self, service: &ServiceId) -> bool {
-        self.services.contains_key(service)
+    /// Takes what processes beside a group's ranks tell; whether that is why its pool is out or open from now on.
+    ///
+    /// A group that refused is open again once it has formed anew: what is told of the forming that refused may be
+    /// older than the refusal.
+    pub fn note_told(&mut self, now: Moment, pool: &Pool, forming: Forming) -> Option<Word> {
+        self.told.insert(pool.clone(), forming);
+        match (self.out.get(pool), forming.goes_on) {
+            (None, false) => {
+                let probe = now + PROBE;
+                let out = Out {
+                    probe,
+                    refused: None,
+                };
+                self.out.insert(pool.clone(), out);
+                Some(Word::Stalled)
+            }
+            (Some(out), true) if out.refused.is_none_or(|epoch| epoch < forming.epoch) => {
+                self.out.remove(pool);
+                Some(Word::GoesOn)
+            }
+            _ => None,
+        }
     }
 
-    /// Whether a request is sent now.
-    pub fn gate(&mut self, now: Moment, service: &ServiceId) -> Gate {
-        match self.services.get_mut(service) {
-            None => Gate::Open,
-            Some(next) if now >= *next => {
-                *next = now + PROBE;
-                Gate::Probe
-            }
-            Some(_) => Gate::Shut,
+    /// Whether all of these pools are out.
+    pub fn are_out(&self, pools: &[Pool]) -> bool {
+        !pools.is_empty() && pools.iter().all(|pool| self.out.contains_key(pool))
+    }
+
+    /// Where a request is sent now that may go to these pools.
+    ///
+    /// A pool that is out is found out about by one request at a time, and more seldom while another one is open:
+    /// then a request loses nothing by not being sent there.
+    pub fn gate(&mut self, now: Moment, pools: &[Pool]) -> Gate {
+        let open: Vec<Pool> = pools
+            .iter()
+            .filter(|pool| !self.out.contains_key(*pool))
+            .cloned()
+            .collect();
+        let patience = if open.is_empty() {
+            Span::default()
+        } else {
+            SELDOM
+        };
+        let due = pools.iter().find(|pool| {
+            let out = self.out.get(*pool);
+            out.is_some_and(|out| now >= out.probe + patience)
+        });
+        if let Some((pool, out)) = due.and_then(|pool| Some((pool, self.out.get_mut(pool)?))) {
+            out.probe = now + PROBE;
+            return Gate::Probe(pool.clone());
+        }
+        if open.is_empty() && !pools.is_empty() {
+            return Gate::Shut;
         }
+        Gate::Open(open)
     }
 }
 
+/// What became of a pool by what was told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// It is out: its ranks have stalled.
+    Stalled,
+    /// It is open again.
+    GoesOn,
+}
+
 /// A request that can't be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Blocked {
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -16,6 +16,8 @@
 
 use snipemast_core::prelude::*;
 
+use crate::pools::Pool;
+
 /// The part of the promised pause from which a pass counts as long, in hundredths: the next ones grow by a tenth
 /// for each request that comes in.
 const LONG: u64 = 80;
@@ -30,10 +32,10 @@
 /// its first token, which take 0.17 s of the usual 0.4 to 0.5 s.
 const WAIT: u64 = 50;
 
-/// What is seen of each service's passes.
+/// What is seen of each pool's passes.
 #[derive(Debug, Clone, Default)]
 pub struct Passes {
-    services: HashMap<ServiceId, Seen>,
+    pools: HashMap<Pool, Seen>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -52,12 +54,11 @@
 
     /// A stream paused between two pieces, which took a pass; `promised` is the longest pause on time. True
     /// where passes have become short again.
-    pub fn note(&mut self, now: Moment, service: &ServiceId, pause: Span, promised: Span) -> bool {
+    pub fn note(&mut self, now: Moment, pool: &Pool, pause: Span, promised: Span) -> bool {
         let long = pause.times(100) >= promised.times(LONG);
-        let Some(seen) = self.services.get_mut(service) else {
+        let Some(seen) = self.pools.get_mut(pool) else {
             let long = long.then_some(now);
-            self.services
-                .insert(service.clone(), Seen { last: now, long });
+            self.pools.insert(pool.clone(), Seen { last: now, long });
             return false;
         };
         seen.last = now;
@@ -68,22 +69,23 @@
         seen.long.take().is_some()
     }
 
-    /// How long a new request waits at most before it is sent, after it has waited for a span already;
-    /// nothing where it is sent now.
-    pub fn wait(
-        &self,
-        now: Moment,
-        service: &ServiceId,
-        waited: Span,
-        objective: Span,
-    ) -> Option<Span> {
-        let seen = self.services.get(service)?;
-        let since = seen.long?;
-        if now >= since + EPISODE || now >= seen.last + FRESH {
+    /// How long a new request waits at most before it is sent to one of these pools, after it has waited for a span
+    /// already; nothing where it is sent now.
+    pub fn wait(&self, now: Moment, pools: &[Pool], waited: Span, objective: Span) -> Option<Span> {
+        if pools.is_empty() || !pools.iter().all(|pool| self.are_long(now, pool)) {
             return None;
         }
         let whole = Span::from_micros(objective.as_micros() * WAIT / 100);
         let left = whole.as_micros().saturating_sub(waited.as_micros());
         (left > 0).then_some(Span::from_micros(left))
     }
+
+    /// Whether a pool's passes are long for a moment.
+    fn are_long(&self, now: Moment, pool: &Pool) -> bool {
+        let seen = self.pools.get(pool);
+        let Some((since, last)) = seen.and_then(|seen| Some((seen.long?, seen.last))) else {
+            return false;
+        };
+        now < since + EPISODE && now < last + FRESH
+    }
 }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -3,12 +3,14 @@
 //! The load of a server is what this gateway has in flight there, known exactly, and what the other
 //! gateways had when they last told. Health comes from this gateway's own requests.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use snipemast_core::prelude::*;
 
 use crate::pick::{Candidate, Freshness, Pick, Placing};
+use crate::pools::Pool;
+use crate::turn::Turn;
 
 /// How long the others' counts are believed: four of their usual exchanges.
 const OTHERS_AGE: Span = Span::from_millis(1_000);
@@ -66,6 +68,8 @@
 pub struct Choice {
     /// The server.
     pub server: ServerId,
+    /// The servers that it runs and stalls together with.
+    pub pool: Pool,
     /// Which start of it.
     pub start: Incarnation,
     /// Where it takes requests.
@@ -85,6 +89,8 @@
     AllOut,
     /// All have as much as they should.
     AllFull,
+    /// It was sent already, and no repeat is left.
+    Spent,
     /// The service is out.
     Out,
 }
@@ -96,8 +102,8 @@
     pub server: ServerId,
     /// Which start of it.
     pub start: Incarnation,
-    /// Its service.
-    pub service: ServiceId,
+    /// The servers that it runs and stalls together with.
+    pub pool: Pool,
     /// Where it takes requests.
     pub address: SocketAddr,
     /// Its availability zone.
@@ -215,14 +221,14 @@
     ///
     /// Answers the load of a group with one slow rank: all ranks wait for it in each pass, and it
     /// takes its factor longer for each request that it runs itself. So it gets none, as long as
-    /// most of its service is as fast as usual.
+    /// most of its group is as fast as usual.
     fn is_shunned(&self, offered: &Offered) -> bool {
         let slow = |id: &ServerId| self.slow.get(id).is_some_and(|pace| *pace >= SLOW);
         if !slow(&offered.server) {
             return false;
         }
         let same = self.known.values().map(|s| &s.offered);
-        let same = same.filter(|o| o.service == offered.service);
+        let same = same.filter(|o| o.pool == offered.pool);
         let (all, bad) = same.fold((0, 0), |(all, bad), o| {
             (all + 1, bad + usize::from(slow(&o.server)))
         });
@@ -235,17 +241,26 @@
         busy.map(|(id, s)| (id, s.own))
     }
 
-    /// Chooses a server of a service, but none of the given ones, and counts the request there.
+    /// The pools of a service's servers.
+    pub fn pools(&self, service: &ServiceId) -> Vec<Pool> {
+        let offered = self.known.values().map(|s| &s.offered.pool);
+        let own: BTreeSet<&Pool> = offered.filter(|p| p.service == *service).collect();
+        own.into_iter().cloned().collect()
+    }
+
+    /// Chooses a server of some pools, but none of the given ones, and counts the request there.
     ///
     /// `chance` differs from request to request, and between gateways that believe the same.
     pub fn choose(
         &mut self,
         now: Moment,
-        service: &ServiceId,
+        pools: &[Pool],
         but: &[ServerId],
+        turn: Turn,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
-        let (mut open, candidates) = self.candidates(now, service, but)?;
+        let (mut open, candidates) = self.candidates(now, pools, but, turn)?;
+        let service = pools.first().map(|pool| &pool.service);
         let fresh = self.freshness(now, service);
         let picked = self.pick.pick(&candidates, fresh, chance);
         let place = picked.ok_or(Unplaced::Nobody)?;
@@ -255,6 +270,7 @@
         let Candidate { own, others, .. } = candidates[place];
         Ok(Choice {
             server: id,
+            pool: server.offered.pool.clone(),
             start: server.offered.start,
             address: server.offered.address,
             load: own + others,
@@ -266,14 +282,16 @@
     fn candidates(
         &self,
         now: Moment,
-        service: &ServiceId,
+        pools: &[Pool],
         but: &[ServerId],
+        turn: Turn,
     ) -> Result<(Vec<&ServerId>, Vec<Candidate>), Unplaced> {
+        let bound = turn.bound(self.bound);
         let mut unplaced = Unplaced::Nobody;
         let (mut open, mut candidates) = (Vec::new(), Vec::new());
         for (id, server) in &self.known {
             let offered = &server.offered;
-            let wanted = offered.service == *service && !but.contains(id);
+            let wanted = pools.contains(&offered.pool) && !but.contains(id);
             if !wanted || self.is_shunned(offered) {
                 continue;
             }
@@ -283,7 +301,7 @@
             }
             let candidate = self.candidate(now, server);
             let load = 100 * (candidate.own + candidate.others);
-            if load >= candidate.slots * self.bound || now < server.full {
+            if load >= candidate.slots * bound || now < server.full {
                 unplaced = Unplaced::AllFull;
                 continue;
             }
@@ -315,10 +333,11 @@
         }
     }
 
-    fn freshness(&self, now: Moment, service: &ServiceId) -> Freshness {
+    fn freshness(&self, now: Moment, service: Option<&ServiceId>) -> Freshness {
+        let usual = service.and_then(|service| self.usual.get(service));
         Freshness {
             age: self.counted.until(now),
-            usual: self.usual.get(service).copied().unwrap_or(USUAL),
+            usual: usual.copied().unwrap_or(USUAL),
         }
     }
 
@@ -348,7 +367,7 @@
         }
     }
 
-    /// Whether a server has shown nothing since a moment while others of its service go on.
+    /// Whether a server has shown nothing since a moment while others of its pool go on.
     ///
     /// Failure guarded against: a server's host stands still. What was sent to it waits there until its
     /// caller has given up after 2 s, and is worked on for nobody when the host wakes up. A stream that may
@@ -358,7 +377,7 @@
             return false;
         };
         let same = self.known.values();
-        let mut same = same.filter(|s| s.offered.service == silent.offered.service);
+        let mut same = same.filter(|s| s.offered.pool == silent.offered.pool);
         same.any(|s| now < s.piece + GOING && s.piece > since)
     }
 
@@ -374,12 +393,12 @@
         due
     }
 
-    /// Whether a server of a service, but none of the given ones, has a free place: a request that moves there
+    /// Whether a server of some pools, but none of the given ones, has a free place: a request that moves there
     /// begins at once.
-    pub fn has_free(&self, now: Moment, service: &ServiceId, but: &[ServerId]) -> bool {
+    pub fn has_free(&self, now: Moment, pools: &[Pool], but: &[ServerId]) -> bool {
         self.known.values().any(|server| {
             let offered = &server.offered;
-            offered.service == *service
+            pools.contains(&offered.pool)
                 && !but.contains(&offered.server)
                 && now >= server.out
                 && now >= server.full
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -2,13 +2,24 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::{
-    waiting, Blocked, Gate, Outages, Waiting, LONGEST, PROBE, SERVED,
+    waiting, Blocked, Gate, Outages, Waiting, Word, LONGEST, PROBE, SERVED,
 };
+use snipemast_placement::pools::{Forming, Pool};
 
 const WHOLE: Span = Span::from_secs(8);
 
-fn service() -> ServiceId {
-    ServiceId::new("lector").unwrap()
+fn pool(group: Option<&str>) -> Pool {
+    Pool {
+        service: ServiceId::new("lector").unwrap(),
+        group: group.map(|group| GroupId::new(group).unwrap()),
+    }
+}
+
+fn forming(epoch: u64, goes_on: bool) -> Forming {
+    Forming {
+        epoch: GroupIncarnation(epoch),
+        goes_on,
+    }
 }
 
 fn blocked(left: Span, waited: Span) -> Blocked {
@@ -95,15 +106,56 @@
 #[test]
 fn one_probe() {
     let mut outages = Outages::new();
-    let (service, now) = (service(), Moment::from_millis(10_000));
-    assert_eq!(outages.gate(now, &service), Gate::Open);
-    assert!(outages.note_out(now, &service));
-    assert_eq!(outages.gate(now, &service), Gate::Shut);
+    let (pools, now) = ([pool(None)], Moment::from_millis(10_000));
+    let open = || Gate::Open(pools.to_vec());
+    assert_eq!(outages.gate(now, &pools), open());
+    assert!(outages.note_out(now, &pools[0]));
+    assert_eq!(outages.gate(now, &pools), Gate::Shut);
     let later = now + PROBE;
-    assert_eq!(outages.gate(later, &service), Gate::Probe);
-    assert_eq!(outages.gate(later, &service), Gate::Shut);
-    assert!(outages.note_open(&service));
-    assert_eq!(outages.gate(later, &service), Gate::Open);
+    assert_eq!(outages.gate(later, &pools), Gate::Probe(pool(None)));
+    assert_eq!(outages.gate(later, &pools), Gate::Shut);
+    assert!(outages.note_open(&pools[0]));
+    assert_eq!(outages.gate(later, &pools), open());
+}
+
+/// A user's reading waits for a group that has lost a rank although another one of its service is open: requests go to
+/// the open one, an answer from there opens only that, and the other is looked at now and then.
+#[test]
+fn other_group_stays_open() {
+    let mut outages = Outages::new();
+    let (pools, now) = (
+        [pool(Some("g0")), pool(Some("g1"))],
+        Moment::from_millis(10_000),
+    );
+    outages.note_out(now, &pools[0]);
+    let others = Gate::Open(vec![pool(Some("g1"))]);
+    assert_eq!(outages.gate(now + PROBE, &pools), others);
+    assert!(!outages.note_open(&pools[1]));
+    assert_eq!(outages.gate(now + PROBE, &pools), others);
+    let later = now + Span::from_secs(6);
+    assert_eq!(outages.gate(later, &pools), Gate::Probe(pool(Some("g0"))));
+    outages.note_out(now, &pools[1]);
+    assert!(outages.are_out(&pools));
+}
+
+/// A user's reading waits half a second longer than its group is out, or is sent into it again at once: the ranks tell
+/// that they go on in the forming that refused, a moment before they know. Only a later forming opens it.
+#[test]
+fn told_by_ranks() {
+    let mut outages = Outages::new();
+    let (pools, now) = ([pool(Some("g0"))], Moment::from_millis(10_000));
+    let told = |outages: &mut Outages, epoch, goes_on| {
+        outages.note_told(now, &pools[0], forming(epoch, goes_on))
+    };
+    assert_eq!(told(&mut outages, 1, true), None);
+    assert_eq!(told(&mut outages, 1, false), Some(Word::Stalled));
+    assert_eq!(outages.gate(now, &pools), Gate::Shut);
+    assert_eq!(told(&mut outages, 1, true), Some(Word::GoesOn));
+    assert!(outages.note_out(now, &pools[0]));
+    assert_eq!(told(&mut outages, 1, true), None);
+    assert_eq!(outages.gate(now, &pools), Gate::Shut);
+    assert_eq!(told(&mut outages, 2, true), Some(Word::GoesOn));
+    assert_eq!(outages.gate(now, &pools), Gate::Open(pools.to_vec()));
 }
 
 /// A request that has no time left to be answered is refused at once.
--- a/crates/placement/tests/passes.rs
+++ b/crates/placement/tests/passes.rs
@@ -1,7 +1,7 @@
 //! Whether new prompts stay out of an engine's passes for a moment.
 
 use snipemast_core::prelude::*;
-use snipemast_placement::Passes;
+use snipemast_placement::{Passes, Pool};
 
 const PROMISED: Span = Span::from_millis(120);
 const OBJECTIVE: Span = Span::from_millis(500);
@@ -10,13 +10,16 @@
     Moment::from_millis(10_000 + millis)
 }
 
-fn service() -> ServiceId {
-    ServiceId::new("lector").unwrap()
+fn pool() -> Pool {
+    Pool {
+        service: ServiceId::new("lector").unwrap(),
+        group: None,
+    }
 }
 
 fn wait(passes: &Passes, now: u64, waited: u64) -> Option<Span> {
     let waited = Span::from_millis(waited);
-    passes.wait(at(now), &service(), waited, OBJECTIVE)
+    passes.wait(at(now), &[pool()], waited, OBJECTIVE)
 }
 
 /// A user's answers stutter, each by little: after a shift of the demand for experts passes take longer, and
@@ -26,7 +29,7 @@
 fn new_prompts_wait() {
     let mut passes = Passes::new();
     let note = |passes: &mut Passes, now, pause| {
-        passes.note(at(now), &service(), Span::from_millis(pause), PROMISED)
+        passes.note(at(now), &pool(), Span::from_millis(pause), PROMISED)
     };
     assert_eq!(wait(&passes, 0, 0), None);
     assert!(!note(&mut passes, 0, 60));
@@ -44,11 +47,11 @@
 fn lasting_load_let_in() {
     let mut passes = Passes::new();
     for now in (0..2_000).step_by(140) {
-        passes.note(at(now), &service(), Span::from_millis(140), PROMISED);
+        passes.note(at(now), &pool(), Span::from_millis(140), PROMISED);
     }
     assert_eq!(wait(&passes, 2_000, 0), None);
     let mut passes = Passes::new();
-    passes.note(at(0), &service(), Span::from_millis(140), PROMISED);
+    passes.note(at(0), &pool(), Span::from_millis(140), PROMISED);
     assert!(wait(&passes, 300, 0).is_some());
     assert_eq!(wait(&passes, 500, 0), None);
 }
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -3,6 +3,7 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::pick::Placing;
 use snipemast_placement::servers::{Offered, Servers, Trouble, Unplaced};
+use snipemast_placement::{Pool, Turn};
 
 const NOW: Moment = Moment::from_millis(50_000);
 
@@ -10,15 +11,18 @@
     ServerId::new(format!("i-{number}")).unwrap()
 }
 
-fn service() -> ServiceId {
-    ServiceId::new("lector").unwrap()
+fn pool() -> Pool {
+    Pool {
+        service: ServiceId::new("lector").unwrap(),
+        group: None,
+    }
 }
 
 fn offered(number: usize, zone: &str) -> Offered {
     Offered {
         server: id(number),
         start: Incarnation(0),
-        service: service(),
+        pool: pool(),
         address: format!("10.0.0.{number}:80").parse().unwrap(),
         zone: ZoneId::new(zone).unwrap(),
         slots: 4,
@@ -33,7 +37,7 @@
 }
 
 fn place(servers: &mut Servers, chance: u64) -> Result<ServerId, Unplaced> {
-    let choice = servers.choose(NOW, &service(), &[], chance);
+    let choice = servers.choose(NOW, &[pool()], &[], Turn::InTime, chance);
     choice.map(|c| c.server)
 }
 
@@ -70,7 +74,9 @@
     servers.set_others(NOW, Span::default(), [(id(1), 6)].into_iter());
     assert_eq!(place(&mut servers, 1), Err(Unplaced::AllFull));
     let later = NOW + Span::from_secs(2);
-    assert!(servers.choose(later, &service(), &[], 1).is_ok());
+    assert!(servers
+        .choose(later, &[pool()], &[], Turn::InTime, 1)
+        .is_ok());
 }
 
 /// A user waits for a server that is gone: it is left out after one connection that failed, and for
@@ -165,7 +171,7 @@
 #[test]
 fn moves_to_free_places() {
     let mut servers = servers(&["a", "a"]);
-    let free = |servers: &Servers| servers.has_free(NOW, &service(), &[id(1)]);
+    let free = |servers: &Servers| servers.has_free(NOW, &[pool()], &[id(1)]);
     assert!(free(&servers));
     let start = Incarnation(0);
     let others = [(id(2), 4)];
@@ -175,8 +181,8 @@
     servers.note_trouble(NOW, &id(2), start, Trouble::Full);
     assert!(!free(&servers));
     let later = NOW + Span::from_secs(5);
-    assert!(servers.has_free(later, &service(), &[id(1)]));
-    assert!(!servers.has_free(later, &service(), &[id(1), id(2)]));
+    assert!(servers.has_free(later, &[pool()], &[id(1)]));
+    assert!(!servers.has_free(later, &[pool()], &[id(1), id(2)]));
     assert!(servers.asks(later, &id(1)));
     assert!(!servers.asks(later, &id(1)));
     assert!(servers.asks(later + Span::from_secs(1), &id(1)));
--- /dev/null
+++ b/crates/placement/tests/turn.rs
@@ -0,0 +1,41 @@
+//! Which requests begin first.
+
+use snipemast_core::prelude::*;
+use snipemast_placement::turn::{Patience, Turn};
+
+const OBJECTIVE: Span = Span::from_millis(400);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+/// A user's request arrives a second after an outage and waits behind all that came back after it: those are late
+/// whenever they begin. It begins first, and the others are told by the time that their callers have left.
+#[test]
+fn late_ones_wait() {
+    let mut patience = Patience::default();
+    let mut spent = |now, left| patience.spent(at(now), "read", Span::from_millis(left));
+    assert_eq!(spent(0, 8_000), Span::default());
+    let back = spent(5_000, 5_300);
+    assert_eq!(back, Span::from_millis(2_700));
+    assert_eq!(Turn::new(back, OBJECTIVE), Turn::Late);
+    assert_eq!(Turn::new(spent(5_000, 7_990), OBJECTIVE), Turn::InTime);
+    assert_eq!(Turn::new(Span::from_millis(300), OBJECTIVE), Turn::Late);
+    assert!(Turn::Late.bound(150) < Turn::InTime.bound(150));
+    assert_eq!(Turn::Resumed.bound(150), 150);
+}
+
+/// A route's callers wait for less time than they used to: none of them is taken for one that came back for good.
+#[test]
+fn shorter_patience_learned() {
+    let mut patience = Patience::default();
+    patience.spent(at(0), "read", Span::from_secs(8));
+    let spent = patience.spent(at(1_000), "read", Span::from_secs(4));
+    assert_eq!(spent, Span::from_secs(4));
+    let spent = patience.spent(at(31_000), "read", Span::from_secs(4));
+    assert_eq!(spent, Span::default());
+    assert_eq!(
+        patience.spent(at(31_000), "write", Span::from_secs(1)),
+        Span::default()
+    );
+}
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,16 +3,19 @@
 //! - [`announcement`]: what a server says of itself.
 //! - [`table`]: the servers that are known, with their last word.
 //! - [`news`]: what gateways and controllers ask a controller, and its answers.
+//! - [`rank`]: a server's place in a group of ranks.
 //! - [`source`]: of whom a gateway asks a configuration.
 //! - [`pollers`]: who polls a controller, and what each one has.
 
 pub mod announcement;
 pub mod news;
 pub mod pollers;
+pub mod rank;
 pub mod source;
 pub mod table;
 
 pub use announcement::{Announcement, Standing};
 pub use news::{Cursor, News, Poll, PollerKind};
 pub use pollers::Pollers;
+pub use rank::{GroupRank, RankWord};
 pub use table::{Entry, Known, Table};
--- /dev/null
+++ b/crates/registry/src/rank.rs
@@ -0,0 +1,59 @@
+//! A server's place in a group of ranks, as the process beside it tells.
+
+use std::net::SocketAddr;
+
+use snipemast_core::data;
+use snipemast_core::prelude::*;
+
+/// The path of a call that tells of ranks.
+pub const PATH: &str = "/ranks";
+
+/// How often the process beside a rank tells of it although nothing has changed: a controller that has lost all
+/// it knew learns of every group within this.
+pub const REFRESH: Span = Span::from_secs(2);
+
+data! {
+    /// A server's place in a group.
+    pub struct GroupRank {
+        /// The group.
+        pub group: GroupId,
+        /// Which forming of it this is.
+        pub epoch: GroupIncarnation,
+        /// The place in it.
+        pub place: u32,
+        /// How many ranks the group has.
+        pub size: u32,
+        /// Whether the rank goes on with its group's passes.
+        pub open: bool,
+    }
+
+    /// What the process beside a rank tells of it.
+    pub struct RankWord {
+        /// Where the server takes requests.
+        pub address: SocketAddr,
+        /// Which start of it.
+        pub start: Incarnation,
+        /// Its place; nothing where it is a rank of no group.
+        pub rank: Option<GroupRank>,
+    }
+
+    /// A word was taken.
+    pub struct Taken {}
+
+    /// What a table holds of a rank, and how old it is.
+    pub struct RankEntry {
+        /// What was told.
+        pub word: RankWord,
+        /// How long ago the process beside the rank told it.
+        pub age: Span,
+    }
+}
+
+/// What was told of a rank last.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct KnownRank {
+    /// What was told.
+    pub(crate) word: RankWord,
+    /// When it was told, at any controller.
+    pub(crate) told: Moment,
+}
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -11,6 +11,7 @@
 use snipemast_core::prelude::*;
 
 use crate::announcement::{Announcement, Standing};
+use crate::rank::{GroupRank, KnownRank, RankEntry, RankWord};
 
 /// How long a server that is not heard any more is kept: past any cut between it and control
 /// that gateways don't share, so that only their own failures take it out of use. No heartbeat is as late
@@ -29,6 +30,8 @@
         pub standing: Standing,
         /// How long ago it was heard.
         pub age: Span,
+        /// Its place in a group, where that is known.
+        pub rank: Option<RankEntry>,
     }
 }
 
@@ -50,6 +53,7 @@
 pub struct Table {
     servers: HashMap<ServerId, Known>,
     holders: HashMap<SocketAddr, ServerId>,
+    ranks: HashMap<SocketAddr, KnownRank>,
     /// When servers said good-bye here last: it may be for a start that is not known here yet.
     departed: HashMap<ServerId, Moment>,
     place: u64,
@@ -85,7 +89,46 @@
     /// Takes what another table says; true where it changed more than the time.
     pub fn merge(&mut self, now: Moment, entry: Entry) -> bool {
         let heard = now - entry.age;
-        self.take(heard, entry.announcement, entry.standing)
+        let told = entry.rank.map(|r| (now - r.age, r.word));
+        let changed = self.take(heard, entry.announcement, entry.standing);
+        let ranked = told.is_some_and(|(at, word)| self.note_rank(at, word));
+        changed || ranked
+    }
+
+    /// Takes what the process beside a rank told at a moment; true where it is news.
+    ///
+    /// The word that was told last holds, whatever group it names: a rank may move to a group whose epochs are
+    /// lower. It is kept by address, because it may come before the first heartbeat of the server's start.
+    pub fn note_rank(&mut self, told: Moment, word: RankWord) -> bool {
+        let address = word.address;
+        let before = self.ranks.get(&address);
+        if before.is_some_and(|known| told < known.told) {
+            return false;
+        }
+        let changed = before.is_none_or(|known| known.word != word);
+        self.ranks.insert(address, KnownRank { word, told });
+        let holder = self.holders.get(&address);
+        let Some(known) = holder.and_then(|id| self.servers.get_mut(id)) else {
+            return false;
+        };
+        if changed {
+            self.place += 1;
+            known.changed = self.place;
+        }
+        changed
+    }
+
+    /// The place of a server in its group, where that is known.
+    pub fn rank(&self, known: &Known) -> Option<&GroupRank> {
+        self.known_rank(known)?.word.rank.as_ref()
+    }
+
+    /// What was told of the start of a server that holds its address.
+    fn known_rank(&self, known: &Known) -> Option<&KnownRank> {
+        let said = &known.announcement;
+        let holds = self.holders.get(&said.address) == Some(&said.id);
+        let told = self.ranks.get(&said.address).filter(|_| holds)?;
+        (told.word.start == said.start).then_some(told)
     }
 
     /// What changed after a place, as another table takes it.
@@ -94,7 +137,7 @@
         let mut known: Vec<&Known> = known.collect();
         // Later holders of an address come last, so that they win where they are merged.
         known.sort_unstable_by_key(|k| k.heard);
-        known.into_iter().map(|k| k.to_entry(now)).collect()
+        known.into_iter().map(|k| self.to_entry(k, now)).collect()
     }
 
     /// The place of the last change.
@@ -136,6 +179,20 @@
         let servers = &self.servers;
         self.holders.retain(|_, id| servers.contains_key(id));
         self.departed.retain(|_, at| !past(*at));
+        self.ranks.retain(|_, rank| !past(rank.told));
+    }
+
+    fn to_entry(&self, known: &Known, now: Moment) -> Entry {
+        let rank = self.known_rank(known);
+        Entry {
+            announcement: known.announcement.clone(),
+            standing: known.standing,
+            age: now.since(known.heard),
+            rank: rank.map(|rank| RankEntry {
+                word: rank.word.clone(),
+                age: now.since(rank.told),
+            }),
+        }
     }
 
     /// Failure guarded against: a heartbeat that was held up arrives after a later one, or after
@@ -292,12 +349,4 @@
             heard: self.heard,
         }
     }
-
-    fn to_entry(&self, now: Moment) -> Entry {
-        Entry {
-            announcement: self.announcement.clone(),
-            standing: self.standing,
-            age: now.since(self.heard),
-        }
-    }
 }
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -2,6 +2,7 @@
 
 use snipemast_core::data;
 use snipemast_placement::pick::Placing;
+use snipemast_placement::turn::Ordering;
 
 use crate::check::Settings;
 use crate::fault::{Fault, FaultKind};
@@ -15,6 +16,8 @@
         /// How many polls for what others have in flight the leading controller answers in a second; shared by
         /// the gateways.
         pub polls: u32,
+        /// Which requests begin first at a server that has more than it runs.
+        pub order: Ordering,
         /// Whether prompts wait while an engine's passes are long for a moment.
         pub holding: bool,
         /// How many requests a server may have in flight before it counts as full, in hundredths of its slots.
@@ -27,6 +30,7 @@
         Self {
             placing: Placing::default(),
             polls: 600,
+            order: Ordering::default(),
             holding: true,
             full: 150,
         }
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -86,6 +86,7 @@
         }
         let asked = self.reader.ranks();
         let mut all = self.calls.look_again(asked, &StateQuery::default()).await;
+        all.retain(|(_, seen)| seen.group == *self.reader.group());
         all.sort_by_key(|(_, seen)| seen.rank);
         let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
         let same = seen.iter().all(|s| s.state.epoch == state.epoch);
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -166,6 +166,7 @@
         };
         let asked = self.reader.ranks();
         let mut all = self.calls.look_again(asked, &query).await;
+        all.retain(|(_, seen)| seen.group == *self.reader.group());
         all.sort_by_key(|(_, seen)| seen.rank);
         let Some(first) = all.first().map(|(_, seen)| seen.clone()) else {
             return;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -8,6 +8,8 @@
 //! - `relay`: passes an order on to several ranks.
 //! - `group`: what a lead knows of its group.
 //! - `lead`: on rank 0, evens out the group's experts.
+//! - `deputy`: on rank 1, lets the group go on that this rank holds for a lead that has fallen silent.
+//! - `teller`: tells controllers where the rank belongs, and whether its group goes on.
 //! - `news`: learns from controllers where the other ranks are.
 
 pub mod process;
@@ -21,5 +23,6 @@
 mod peers;
 mod rank;
 mod relay;
+mod teller;
 
 pub use process::run;
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -13,7 +13,7 @@
 use snipemast_platform::document;
 use snipemast_platform::settings::Settings;
 use snipemast_registry::news::{Flying, Slow};
-use snipemast_registry::{Cursor, News, Poll, PollerKind, Standing, Table};
+use snipemast_registry::{Cursor, Known, News, Poll, PollerKind, Standing, Table};
 use snipemast_routes::Engine;
 
 /// How long a poll waits for news: gateways are to learn of a slow rank within a second.
@@ -26,13 +26,15 @@
 #[derive(Debug)]
 pub(crate) struct Reader {
     settings: Settings,
+    /// The own group.
+    group: GroupId,
     clock: BootClock,
     journal: Journal,
-    known: Mutex<Known>,
+    known: Mutex<Learnt>,
 }
 
 #[derive(Debug, Default)]
-struct Known {
+struct Learnt {
     table: Table,
     cursors: HashMap<SocketAddr, Cursor>,
     engines: HashMap<ServiceId, Engine>,
@@ -41,24 +43,33 @@
 }
 
 impl Reader {
-    pub(crate) fn new(settings: Settings, journal: Journal) -> Arc<Self> {
+    pub(crate) fn new(settings: Settings, group: GroupId, journal: Journal) -> Arc<Self> {
         Arc::new(Self {
             settings,
+            group,
             clock: BootClock::new(),
             journal,
-            known: Mutex::new(Known::default()),
+            known: Mutex::new(Learnt::default()),
         })
     }
 
-    /// The processes beside the servers of the own service, the own one among them.
+    /// The group that this process serves.
+    pub(crate) fn group(&self) -> &GroupId {
+        &self.group
+    }
+
+    /// The processes beside the ranks of the own group, the own one among them, as far as they are known.
+    ///
+    /// Load answered: a service of many groups. Each lead asks the processes of its own group only.
     pub(crate) fn ranks(&self) -> Vec<SocketAddr> {
         let known = self.known.lock();
-        let Some(own) = self.service(&known) else {
-            return Vec::new();
-        };
         let alive = known.table.iter().filter(|k| k.standing < Standing::Lost);
-        let same = alive.filter(|k| k.announcement.service == own);
-        same.map(|k| SocketAddr::new(k.announcement.address.ip(), self.settings.internal))
+        let own = |k: &&Known| {
+            let rank = known.table.rank(k);
+            rank.is_some_and(|rank| rank.group == self.group)
+        };
+        let own = alive.filter(own);
+        own.map(|k| SocketAddr::new(k.announcement.address.ip(), self.settings.internal))
             .collect()
     }
 
@@ -87,7 +98,7 @@
     }
 
     /// The service of the server beside this process.
-    fn service(&self, known: &Known) -> Option<ServiceId> {
+    fn service(&self, known: &Learnt) -> Option<ServiceId> {
         let own = self.settings.server?;
         let mut servers = known.table.iter();
         let server =
@@ -96,7 +107,7 @@
     }
 }
 
-impl Known {
+impl Learnt {
     /// The slow servers, by the hosts that they run on.
     fn slow_servers(&self) -> Vec<Slow> {
         let servers = self.table.iter().filter(|k| k.standing < Standing::Lost);
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -25,6 +25,7 @@
 use crate::peers::path;
 use crate::rank::Rank;
 use crate::relay::{pass_on, Clients};
+use crate::teller::Teller;
 
 /// The result of starting.
 pub type Result<T> = std::result::Result<T, Report<SidecarError>>;
@@ -68,7 +69,9 @@
     let rank = Arc::new(Rank::new(Engine::new(server), journal.clone()));
     let for_peers = Arc::clone(&rank);
     let clients = Arc::new(Clients::default());
+    let teller = Teller::new(settings.clone(), Arc::clone(&rank), journal.clone());
     let tasks = [
+        spawn(teller.run()),
         spawn(serve(listener, move |r, _| {
             answer(Arc::clone(&for_peers), Arc::clone(&clients), r)
         })),
@@ -83,6 +86,7 @@
 
 /// What this process does for its group, with its feed of news.
 struct Duty {
+    group: GroupId,
     place: usize,
     feed: Arc<Feed<Reader>>,
     _task: Task<()>,
@@ -93,8 +97,8 @@
     let mut duty: Option<Duty> = None;
     loop {
         let place = rank.place().await;
-        let wanted = place.filter(|p| [LEAD, DEPUTY].contains(p));
-        if duty.as_ref().map(|d| d.place) != wanted {
+        let wanted = place.filter(|(_, place)| [LEAD, DEPUTY].contains(place));
+        if duty.as_ref().map(|d| (&d.group, d.place)) != wanted.as_ref().map(|(g, p)| (g, *p)) {
             duty = wanted.map(|place| begin(place, &settings, &rank, &journal));
         }
         if let Some(Duty { feed, .. }) = &duty {
@@ -105,8 +109,13 @@
     }
 }
 
-fn begin(place: usize, settings: &Settings, rank: &Arc<Rank>, journal: &Journal) -> Duty {
-    let reader = Reader::new(settings.clone(), journal.clone());
+fn begin(
+    (group, place): (GroupId, usize),
+    settings: &Settings,
+    rank: &Arc<Rank>,
+    journal: &Journal,
+) -> Duty {
+    let reader = Reader::new(settings.clone(), group.clone(), journal.clone());
     let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
     let task = if place == LEAD {
         spawn(Lead::new(reader, journal.clone()).run())
@@ -114,6 +123,7 @@
         spawn(Deputy::new(reader, Arc::clone(rank), journal.clone()).run())
     };
     Duty {
+        group,
         place,
         feed,
         _task: task,
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -135,7 +135,7 @@
     }
 
     /// The rank's report; what was believed of an earlier start of it is forgotten.
-    async fn report(&self) -> Option<ServerReport> {
+    pub(crate) async fn report(&self) -> Option<ServerReport> {
         let report = self.engine.report().await.ok()?;
         if let Some(rank) = &report.rank {
             let mut executor = self.executor.lock();
@@ -148,9 +148,10 @@
         Some(report)
     }
 
-    /// Its place in its group.
-    pub(crate) async fn place(&self) -> Option<usize> {
-        Some(self.report().await?.rank?.rank)
+    /// Its group, and its place there.
+    pub(crate) async fn place(&self) -> Option<(GroupId, usize)> {
+        let rank = self.report().await?.rank?;
+        Some((rank.group, rank.rank))
     }
 
     /// Carries out a lead's order.
--- /dev/null
+++ b/crates/sidecar/src/teller.rs
@@ -0,0 +1,126 @@
+//! Tells controllers where the rank beside this process belongs, and whether its group goes on.
+//!
+//! One table of all ranks comes out of it, which controllers pass on with their news: gateways learn which servers
+//! run and stall together, and the lead of a group who its members are. Each process tells of one rank only,
+//! so nobody's work grows with the service.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use snipemast_core::prelude::*;
+use snipemast_groups::stall::Stall;
+use snipemast_net::exec::pause;
+use snipemast_net::{BootClock, RpcClient};
+use snipemast_platform::settings::Settings;
+use snipemast_registry::rank::{Taken, PATH, REFRESH};
+use snipemast_registry::{GroupRank, RankWord};
+
+use crate::rank::Rank;
+
+/// How often the rank is looked at: what gateways learn late of a group is that late.
+const LOOK: Span = Span::from_millis(100);
+
+/// How long a controller may take to answer before another one is told.
+const ANSWER: Span = Span::from_millis(300);
+
+/// Tells of the rank beside this process.
+pub(crate) struct Teller {
+    settings: Settings,
+    journal: Journal,
+    clock: BootClock,
+    rank: Arc<Rank>,
+    stall: Stall,
+    /// The controller that is told.
+    client: Option<RpcClient>,
+    /// How many controllers were tried.
+    tried: usize,
+    told: Option<RankWord>,
+    /// When the last word was told.
+    at: Moment,
+}
+
+impl Teller {
+    pub(crate) fn new(settings: Settings, rank: Arc<Rank>, journal: Journal) -> Self {
+        let clock = BootClock::new();
+        Self {
+            settings,
+            journal,
+            clock,
+            rank,
+            stall: Stall::new(clock.now()),
+            client: None,
+            tried: rand::random_range(0..64),
+            told: None,
+            at: Moment::ZERO,
+        }
+    }
+
+    /// Tells for as long as it is polled.
+    pub(crate) async fn run(mut self) {
+        loop {
+            if let Some(word) = self.word().await {
+                let now = self.clock.now();
+                let due = self.told.as_ref() != Some(&word) || now >= self.at + REFRESH;
+                if due && self.tell(&word).await {
+                    self.note(&word);
+                    (self.told, self.at) = (Some(word), now);
+                }
+            }
+            pause(LOOK).await;
+        }
+    }
+
+    /// What there is to tell; nothing where the rank does not answer.
+    async fn word(&mut self) -> Option<RankWord> {
+        let report = self.rank.report().await?;
+        let (now, working) = (self.clock.now(), report.requests > 0);
+        let rank = report.rank.map(|rank| GroupRank {
+            open: self.stall.goes_on(now, &rank.state, working),
+            group: rank.group,
+            epoch: rank.state.epoch,
+            place: rank.rank as u32,
+            size: rank.size as u32,
+        });
+        Some(RankWord {
+            address: self.rank.address(),
+            start: report.start,
+            rank,
+        })
+    }
+
+    /// Whether a controller took a word; another one is tried next where this one did not.
+    async fn tell(&mut self, word: &RankWord) -> bool {
+        if self.client.is_none() {
+            self.settings.refresh(&self.journal);
+            let seeds: Vec<SocketAddr> = self.settings.internal_seeds().into_iter().collect();
+            let seed = seeds.get(self.tried % seeds.len().max(1));
+            self.client = seed.map(|seed| RpcClient::new(*seed));
+        }
+        let Some(client) = &self.client else {
+            return false;
+        };
+        let taken = client.call::<_, Taken>(PATH, word, ANSWER).await.is_ok();
+        if !taken {
+            self.client = None;
+            self.tried += 1;
+        }
+        taken
+    }
+
+    /// Logs a word that says something new.
+    fn note(&self, word: &RankWord) {
+        if self.told.as_ref() == Some(word) {
+            return;
+        }
+        let Some(rank) = &word.rank else {
+            let journal = &self.journal;
+            journal.record(Event::RankTold, word.address, "a rank of no group");
+            return;
+        };
+        let detail = format_args!(
+            "rank {} of {}, epoch {}, goes on: {}",
+            rank.place, rank.size, rank.epoch, rank.open
+        );
+        self.journal.record(Event::RankTold, &rank.group, detail);
+    }
+}
