--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -11,12 +11,12 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn, within};
-use snipemast_placement::outage::{waiting, Blocked, Gate, Waiting, PROBE};
+use snipemast_placement::outage::{waiting, Blocked, Gate, Waiting, PROBE, SERVED};
 use snipemast_placement::servers::Unplaced;
-use snipemast_placement::Sends;
+use snipemast_placement::{Sends, Turn};
 use snipemast_platform::request::Ask;
 use snipemast_platform::response;
-use snipemast_routes::{Denied, Match, Route};
+use snipemast_routes::{Denied, Match, Route, Table as Routes};
 
 use crate::answer::{own, refusal, Answer, Outgoing, Pieces};
 use crate::metrics::Ended;
@@ -86,17 +86,20 @@
         let mut known = state.patience.lock();
         known.spent(started, &route.name, patience)
     };
+    let service = choose_service(&route, rand::random());
+    let pieces = pieces(&routes, &service, &ask);
     let job = Job {
         state: Arc::clone(state),
         method: parts.method,
         uri: parts.uri,
         headers: parts.headers,
         body,
-        service: choose_service(&route, rand::random()),
+        service,
         workspace: workspace.map(|w| w.name.clone()),
         started,
         spent,
         deadline: started + patience,
+        pieces,
         ask,
         route,
         name,
@@ -116,6 +119,13 @@
     }
 }
 
+/// How many pieces of an answer are still to come, as its caller estimates.
+fn pieces(routes: &Routes, service: &ServiceId, ask: &Ask) -> Option<u64> {
+    let engine = routes.service(service)?.engine.as_ref()?;
+    let whole = ask.length? / u64::from(engine.stride.max(1));
+    Some(whole.saturating_sub(ask.last.unwrap_or(0)))
+}
+
 /// A service of a route, by weight.
 fn choose_service(route: &Route, chance: u64) -> ServiceId {
     let total: u64 = route.split.iter().map(|s| u64::from(s.weight)).sum();
@@ -196,6 +206,9 @@
                 return give_up(Unplaced::Spent);
             }
             let now = job.state.clock.now();
+            if self.sends.is_empty() && self.is_too_long(job) {
+                return give_up(Unplaced::TooLong);
+            }
             let pools = match job.gate(now) {
                 Gate::Open(pools) => pools,
                 Gate::Probe(pool) => vec![pool],
@@ -241,6 +254,12 @@
         }
     }
 
+    /// Whether an answer that is late could not end any more before its caller leaves.
+    fn is_too_long(&self, job: &Job) -> bool {
+        let length = job.length().filter(|_| job.turn(None) == Turn::Late);
+        length.is_some_and(|length| job.left() < length.least())
+    }
+
     /// Whether one more send is within the budget.
     fn is_granted(&mut self, job: &Job) -> bool {
         if self.sends.is_empty() || std::mem::take(&mut self.granted) {
@@ -324,6 +343,7 @@
         left: job.left(),
         waited: now.since(job.started),
         whole: job.route.timeout,
+        needed: job.length().map_or(SERVED, |length| length.usual()),
     };
     let span = match waiting(&blocked) {
         Waiting::Queue(span) => span,
@@ -359,6 +379,7 @@
         Unplaced::AllOut => "no server can be reached",
         Unplaced::Nobody => "the service has no server",
         Unplaced::Out => "the service is out",
+        Unplaced::TooLong => "the answer could not end in time",
     };
     refusal(reason, after)
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -14,6 +14,7 @@
 use snipemast_net::connect::SendError;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_net::{connect, Connection};
+use snipemast_placement::length::Length;
 use snipemast_placement::outage::Gate;
 use snipemast_placement::servers::STILL;
 use snipemast_placement::turn::Ordering;
@@ -58,6 +59,8 @@
     /// How much of its time the caller had spent before it asked here.
     pub(crate) spent: Span,
     pub(crate) deadline: Moment,
+    /// How many pieces its caller estimates are still to come, where it is a stream and says so.
+    pub(crate) pieces: Option<u64>,
     /// For the log.
     pub(crate) name: String,
     /// What the log has no line of yet.
@@ -108,6 +111,17 @@
         self.state.clock.now().until(self.deadline)
     }
 
+    /// How long the answer takes once it is sent; nothing where it is no stream.
+    pub(crate) fn length(&self) -> Option<Length> {
+        let promised = self.route.gap?;
+        let pools = self.state.servers.lock().pools(&self.service);
+        Some(Length {
+            pieces: self.pieces,
+            pause: self.state.passes.lock().pause(&pools),
+            promised,
+        })
+    }
+
     /// When the request begins, against others.
     pub(crate) fn turn(&self, last: Option<u64>) -> Turn {
         self.named_turn(last).unwrap_or(Turn::InTime)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
+use snipemast_placement::turn::Room;
 use snipemast_placement::{Budget, Outages, Passes, Patience, Pool, Servers, Shutdown};
 use snipemast_platform::settings::Settings;
 use snipemast_registry::Table as Registry;
@@ -60,7 +61,10 @@
     pub(crate) fn new(settings: Settings, decisions: Decisions, journal: Journal) -> Arc<Self> {
         let servers = Servers::new(settings.zone.clone())
             .with_pick(decisions.placing)
-            .with_bound(decisions.full);
+            .with_room(Room {
+                full: decisions.full,
+                late: decisions.late,
+            });
         let bounds = snipemast_placement::budget::Bounds {
             ratio: settings.bounds.retry_ratio,
             slack: settings.bounds.retry_slack,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`pick`]: which of those that may take a request gets it.
 //! - [`budget`]: one gateway's share of the repeats that all may send.
 //! - [`outage`]: what becomes of requests while none of a service's servers can run any.
+//! - [`length`]: how long a stream takes from when it is sent to its end.
 //! - [`passes`]: whether new prompts stay out of an engine's passes for a moment.
 //! - [`pools`]: which servers run and stall together.
 //! - [`sends`]: how often one attempt is sent to servers.
@@ -13,6 +14,7 @@
 
 pub mod budget;
 pub mod events;
+pub mod length;
 pub mod outage;
 pub mod passes;
 pub mod pick;
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -19,8 +19,8 @@
 /// How much longer it takes until then while requests have somewhere else to go.
 const SELDOM: Span = Span::from_secs(5);
 
-/// How long a stream takes from its first token to its end, and some tenths of a second of waiting
-/// for a place: measured 1.6 to 2.4 s. A request with less time left can't be answered whole.
+/// How long a stream takes from its first token to its end, and some tenths of a second of waiting for a place, where
+/// its caller does not say how long it is.
 pub const SERVED: Span = Span::from_millis(2_300);
 
 /// How long a request waits at most: callers give a stream up that shows nothing for two seconds, and
@@ -166,6 +166,8 @@
     pub waited: Span,
     /// How long a caller waits at first.
     pub whole: Span,
+    /// How long its answer takes once it is sent.
+    pub needed: Span,
 }
 
 /// What a request does that can't be sent now.
@@ -179,7 +181,7 @@
     const FIRST: u64 = 80;
     let had = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
     let first = had.times(100) >= blocked.whole.times(FIRST);
-    let spare = less(blocked.left, SERVED).min(less(LONGEST, blocked.waited));
+    let spare = less(blocked.left, blocked.needed).min(less(LONGEST, blocked.waited));
     if spare > Span::default() {
         return Waiting::Queue(spare);
     }
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -44,6 +44,8 @@
     last: Moment,
     /// Since when passes are long, if they are.
     long: Option<Moment>,
+    /// The usual pause between two pieces.
+    usual: Span,
 }
 
 impl Passes {
@@ -58,10 +60,18 @@
         let long = pause.times(100) >= promised.times(LONG);
         let Some(seen) = self.pools.get_mut(pool) else {
             let long = long.then_some(now);
-            self.pools.insert(pool.clone(), Seen { last: now, long });
+            self.pools.insert(
+                pool.clone(),
+                Seen {
+                    last: now,
+                    long,
+                    usual: pause,
+                },
+            );
             return false;
         };
         seen.last = now;
+        seen.usual = blended(seen.usual, pause);
         if long {
             seen.long.get_or_insert(now);
             return false;
@@ -80,6 +90,12 @@
         (left > 0).then_some(Span::from_micros(left))
     }
 
+    /// The usual pause between two pieces of streams of these pools, where one was seen: that of the quickest.
+    pub fn pause(&self, pools: &[Pool]) -> Option<Span> {
+        let seen = pools.iter().filter_map(|pool| self.pools.get(pool));
+        seen.map(|seen| seen.usual).min()
+    }
+
     /// Whether a pool's passes are long for a moment.
     fn are_long(&self, now: Moment, pool: &Pool) -> bool {
         let seen = self.pools.get(pool);
@@ -89,3 +105,11 @@
         now < since + EPISODE && now < last + FRESH
     }
 }
+
+/// A mean that follows what was seen last.
+fn blended(usual: Span, seen: Span) -> Span {
+    /// The part of the mean that each pause replaces: some hundred pieces of streams come in a second.
+    const REPLACED: u64 = 32;
+    let kept = usual.as_micros() * (REPLACED - 1);
+    Span::from_micros((kept + seen.as_micros()) / REPLACED)
+}
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -10,7 +10,7 @@
 
 use crate::pick::{Candidate, Freshness, Pick, Placing};
 use crate::pools::Pool;
-use crate::turn::Turn;
+use crate::turn::{Room, Turn};
 
 /// How long the others' counts are believed: four of their usual exchanges.
 const OTHERS_AGE: Span = Span::from_millis(1_000);
@@ -27,10 +27,6 @@
 /// hundred healthy answers is an error, and three in a row then come once in 27 million.
 const FAILURES: u32 = 3;
 
-/// How many requests a server may have in flight before it counts as full, in hundredths of its slots, unless
-/// told otherwise: what waits in its own queue begins without a round trip, and it refuses what is beyond that.
-const FULL: u32 = 150;
-
 /// How long a server may show nothing of a stream before it is asked whether it alone stands still: some times
 /// the longest pass, so that the rest of the 2 s that callers wait is enough for another server. Where the
 /// host of a rank froze three times a day, that day earned 0.31 to 0.38 of its worth, and 0.23 to 0.28
@@ -93,6 +89,8 @@
     Spent,
     /// The service is out.
     Out,
+    /// Its answer could not end in time any more.
+    TooLong,
 }
 
 /// A server that may be sent to, as it announced itself.
@@ -116,8 +114,8 @@
 #[derive(Debug)]
 pub struct Servers<P = Placing> {
     pick: P,
-    /// When a server counts as full, in hundredths of its slots.
-    bound: u32,
+    /// When a server counts as full.
+    room: Room,
     zone: ZoneId,
     known: BTreeMap<ServerId, Server>,
     slow: HashMap<ServerId, u32>,
@@ -149,7 +147,7 @@
     pub fn new(zone: ZoneId) -> Self {
         Self {
             pick: P::default(),
-            bound: FULL,
+            room: Room::default(),
             zone,
             known: BTreeMap::new(),
             slow: HashMap::new(),
@@ -164,9 +162,9 @@
         self
     }
 
-    /// Takes a server for full once it has this many requests in flight, in hundredths of its slots.
-    pub fn with_bound(mut self, bound: u32) -> Self {
-        self.bound = bound;
+    /// Takes a server for full once it has so many requests in flight.
+    pub fn with_room(mut self, room: Room) -> Self {
+        self.room = room;
         self
     }
 
@@ -286,7 +284,7 @@
         but: &[ServerId],
         turn: Turn,
     ) -> Result<(Vec<&ServerId>, Vec<Candidate>), Unplaced> {
-        let bound = turn.bound(self.bound);
+        let bound = self.room.bound(turn);
         let mut unplaced = Unplaced::Nobody;
         let (mut open, mut candidates) = (Vec::new(), Vec::new());
         for (id, server) in &self.known {
--- a/crates/placement/src/turn.rs
+++ b/crates/placement/src/turn.rs
@@ -13,10 +13,6 @@
 /// first token take the rest.
 const SPENT: u64 = 60;
 
-/// How much a server may have in flight for late requests to be sent there, in hundredths of its slots: its own queue is
-/// left to those that can be on time.
-const LATE_BOUND: u32 = 100;
-
 /// How long the longest patience of a route's callers is remembered: it falls when the configuration changes it.
 const REMEMBERED: Span = Span::from_secs(30);
 
@@ -53,12 +49,34 @@
             Self::Late
         }
     }
+}
+
+/// How much a server may have in flight for a request to be sent there, in hundredths of its slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Room {
+    /// For one that can be on time.
+    pub full: u32,
+    /// For one that is late: what lies above is left to those that can be on time.
+    pub late: u32,
+}
+
+impl Room {
+    /// How much there may be for a request of a turn.
+    pub fn bound(self, turn: Turn) -> u32 {
+        match turn {
+            Turn::Resumed | Turn::InTime => self.full,
+            Turn::Late => self.full.min(self.late),
+        }
+    }
+}
 
-    /// How much a server may have in flight for such a request to be sent there, in hundredths of its slots.
-    pub fn bound(self, full: u32) -> u32 {
-        match self {
-            Self::Resumed | Self::InTime => full,
-            Self::Late => full.min(LATE_BOUND),
+impl Default for Room {
+    /// What waits in a server's own queue begins without a round trip, and it refuses what is beyond that. Late
+    /// requests get no place in the queue.
+    fn default() -> Self {
+        Self {
+            full: 150,
+            late: 100,
         }
     }
 }
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -27,6 +27,7 @@
         left,
         waited,
         whole: WHOLE,
+        needed: SERVED,
     }
 }
 
--- a/crates/placement/tests/turn.rs
+++ b/crates/placement/tests/turn.rs
@@ -1,7 +1,7 @@
 //! Which requests begin first.
 
 use snipemast_core::prelude::*;
-use snipemast_placement::turn::{Patience, Turn};
+use snipemast_placement::turn::{Patience, Room, Turn};
 
 const OBJECTIVE: Span = Span::from_millis(400);
 
@@ -21,8 +21,9 @@
     assert_eq!(Turn::new(back, OBJECTIVE), Turn::Late);
     assert_eq!(Turn::new(spent(5_000, 7_990), OBJECTIVE), Turn::InTime);
     assert_eq!(Turn::new(Span::from_millis(300), OBJECTIVE), Turn::Late);
-    assert!(Turn::Late.bound(150) < Turn::InTime.bound(150));
-    assert_eq!(Turn::Resumed.bound(150), 150);
+    let room = Room::default();
+    assert!(room.bound(Turn::Late) < room.bound(Turn::InTime));
+    assert_eq!(room.bound(Turn::Resumed), room.full);
 }
 
 /// A route's callers wait for less time than they used to: none of them is taken for one that came back for good.
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -2,7 +2,7 @@
 
 use snipemast_core::data;
 use snipemast_placement::pick::Placing;
-use snipemast_placement::turn::Ordering;
+use snipemast_placement::turn::{Ordering, Room};
 
 use crate::check::Settings;
 use crate::fault::{Fault, FaultKind};
@@ -22,6 +22,8 @@
         pub holding: bool,
         /// How many requests a server may have in flight before it counts as full, in hundredths of its slots.
         pub full: u32,
+        /// The same for requests that are late already, where those that can be on time go first.
+        pub late: u32,
     }
 }
 
@@ -32,7 +34,8 @@
             polls: 600,
             order: Ordering::default(),
             holding: true,
-            full: 150,
+            full: Room::default().full,
+            late: Room::default().late,
         }
     }
 }
