--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -192,9 +192,7 @@
     /// Waits for something of a server: within a limit, and no longer than until the server alone shows nothing
     /// and the request has a place at another one.
     ///
-    /// A request that has none goes on waiting: it may be answered yet, and given up it would fail. Of 28,550
-    /// sends of a day of heavy load on 192 ranks 4,820 were given up for standing still, and 1,172 of the 1,413
-    /// requests that failed did so because of it.
+    /// A request that has none goes on waiting: it may be answered yet, and given up it would fail.
     pub(crate) async fn unless_still<T>(
         &self,
         choice: &Choice,
--- a/crates/groups/src/demand.rs
+++ b/crates/groups/src/demand.rs
@@ -15,8 +15,8 @@
 const MEMORY: Span = Span::from_millis(390);
 
 /// The part of the choices that must go to other experts than before for the demand to have shifted, and
-/// how many times what is usual from look to look it must be besides. Measured looks: 0.01 to 0.045 by
-/// chance with 18 of 72 ranks, 0.04 to 0.12 with 16 ranks and a look every 0.1 s; shifts 0.2 and more.
+/// how many times what is usual from look to look it must be besides: two looks at one demand differ by chance, and the
+/// more so the fewer ranks count.
 const SHIFTED: f64 = 0.05;
 const TIMES: f64 = 1.5;
 
@@ -105,9 +105,8 @@
 
     /// Takes over what another one knew of the same layers, before the group formed anew.
     ///
-    /// Load answered: a group that forms after an outage begins with map 0, whose fullest rank has four
-    /// times the mean, and all that waited comes at once. Counting a demand first, and no map before,
-    /// left it there for 0.3 s more of the 1.1 s that it took until the first map was in force.
+    /// Load answered: a group that forms after an outage begins with map 0, whose fullest rank has some times
+    /// the mean, and all that waited comes at once. Counting a demand first leaves it there for longer.
     pub fn recall(&mut self, before: &Self) {
         if before.sums.len() == self.sums.len() {
             self.sums.clone_from(&before.sums);
--- a/crates/groups/src/takeover.rs
+++ b/crates/groups/src/takeover.rs
@@ -16,10 +16,8 @@
 //!
 //! Lead and deputy may both be at it: the lead's process starts anew while the takeover is under way, and each
 //! overtakes the other before it has ended. So a lead leaves a takeover [`FINISH`] to end, and a deputy that was
-//! overtaken lets the group stand for twice as long before it tries again. 192 ranks behind links of 6 Mbit/s
-//! stood for 26 s that way, each round of orders taking 4.4 s; they stand for half a second.
-//!
-//! A group whose lead's host froze for 4.0 s just after the hold stood for all of them; it stands for 0.4 s.
+//! overtaken lets the group stand for twice as long before it tries again. Without that a group of many ranks behind slow links
+//! stands for as long as both go on, because each round of orders takes seconds.
 
 use std::collections::BTreeSet;
 
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -7,8 +7,6 @@
 //! second that a switch takes, and are let in together once passes are short again: an even map
 //! reads three prompts a rank in a pass without harm.
 //!
-//! Five heavy days with four seeds each earned 0.427 of their worth with it, and 0.417 without.
-//!
 //! Where passes stay long, the demand is above what they can carry, and waiting gains nothing: then nobody
 //! waits.
 
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -28,9 +28,7 @@
 const FAILURES: u32 = 3;
 
 /// How long a server may show nothing of a stream before it is asked whether it alone stands still: some times
-/// the longest pass, so that the rest of the 2 s that callers wait is enough for another server. Where the
-/// host of a rank froze three times a day, that day earned 0.31 to 0.38 of its worth, and 0.23 to 0.28
-/// before this and before the group went on without that host (7 and 4 plays).
+/// the longest pass, so that the rest of the 2 s that callers wait is enough for another server.
 pub const STILL: Span = Span::from_millis(900);
 
 /// How long what a server told of itself holds: it is asked again about as often as the group's longest queue
--- a/crates/placement/tests/pools.rs
+++ b/crates/placement/tests/pools.rs
@@ -27,7 +27,7 @@
     ranks.collect()
 }
 
-fn of<'a>(pools: &'a Pools, number: u32) -> Option<&'a Pool> {
+fn of(pools: &Pools, number: u32) -> Option<&Pool> {
     pools.pool(&ServerId::new(format!("i-{number}")).unwrap())
 }
 
@@ -72,8 +72,8 @@
     all[0].rank = rank("g0", 2, 0, true);
     assert_eq!(goes_on(&Pools::new(&all), "g0"), None);
     assert_eq!(of(&Pools::new(&all), 0), None);
-    for place in 1..3 {
-        all[place].rank = rank("g0", 2, place as u32, true);
+    for (place, told) in (1..3).zip(&mut all[1..]) {
+        told.rank = rank("g0", 2, place, true);
     }
     assert_eq!(goes_on(&Pools::new(&all), "g0"), Some(true));
 }
--- a/crates/registry/src/rank.rs
+++ b/crates/registry/src/rank.rs
@@ -35,6 +35,10 @@
         pub start: Incarnation,
         /// Its place; nothing where it is a rank of no group.
         pub rank: Option<GroupRank>,
+        /// Drawn by the process that tells when it starts.
+        pub teller: u64,
+        /// Rises with each word of that process, so that a late one is known as such.
+        pub number: u64,
     }
 
     /// A word was taken.
@@ -49,6 +53,13 @@
     }
 }
 
+impl RankWord {
+    /// Whether it says the same as another one.
+    pub fn agrees(&self, other: &Self) -> bool {
+        (self.start, &self.rank) == (other.start, &other.rank)
+    }
+}
+
 /// What was told of a rank last.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct KnownRank {
@@ -57,3 +68,14 @@
     /// When it was told, at any controller.
     pub(crate) told: Moment,
 }
+
+impl KnownRank {
+    /// Whether a word that was told at a moment takes its place.
+    pub(crate) fn yields_to(&self, word: &RankWord, told: Moment) -> bool {
+        if word.teller == self.word.teller {
+            word.number >= self.word.number
+        } else {
+            told >= self.told
+        }
+    }
+}
--- a/crates/registry/src/source.rs
+++ b/crates/registry/src/source.rs
@@ -1,9 +1,8 @@
 //! Of whom a gateway asks a configuration that it was told of.
 //!
 //! Load answered: a document of 350 routes and more takes some 165 kB, and a controller of five hands it out to 30
-//! gateways of its availability zone, which takes 0.2 s of its link. Gateways that asked each other controller
-//! for it after 0.15 s as well got it up to five times: of 1.2 GB between availability zones in a minute 0.86 GB
-//! came in the 15 s in which the configuration grew.
+//! gateways of its availability zone, which takes 0.2 s of its link. Gateways that ask every other controller
+//! for it meanwhile get it up to five times, most of it over the links between availability zones.
 
 use snipemast_core::prelude::*;
 
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -98,14 +98,14 @@
     /// Takes what the process beside a rank told at a moment; true where it is news.
     ///
     /// The word that was told last holds, whatever group it names: a rank may move to a group whose epochs are
-    /// lower. It is kept by address, because it may come before the first heartbeat of the server's start.
+    /// lower. Of one process the words are numbered, and one that was long on its way is outdated. It is kept by address, because it may come before the first heartbeat of the server's start.
     pub fn note_rank(&mut self, told: Moment, word: RankWord) -> bool {
         let address = word.address;
         let before = self.ranks.get(&address);
-        if before.is_some_and(|known| told < known.told) {
+        if before.is_some_and(|known| !known.yields_to(&word, told)) {
             return false;
         }
-        let changed = before.is_none_or(|known| known.word != word);
+        let changed = before.is_none_or(|known| !known.word.agrees(&word));
         self.ranks.insert(address, KnownRank { word, told });
         let holder = self.holders.get(&address);
         let Some(known) = holder.and_then(|id| self.servers.get_mut(id)) else {
--- /dev/null
+++ b/crates/registry/tests/ranks.rs
@@ -0,0 +1,111 @@
+//! A server's place in a group, as the process beside it tells.
+
+use std::net::SocketAddr;
+
+use snipemast_core::prelude::*;
+use snipemast_registry::rank::{GroupRank, RankWord};
+use snipemast_registry::{Announcement, Table};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(100_000 + millis)
+}
+
+fn address() -> SocketAddr {
+    "10.0.0.1:80".parse().unwrap()
+}
+
+fn heartbeat(id: &str, start: u64, sequence: u64) -> Announcement {
+    Announcement {
+        id: ServerId::new(id).unwrap(),
+        start: Incarnation(start),
+        service: ServiceId::new("lector").unwrap(),
+        address: address(),
+        zone: ZoneId::new("a").unwrap(),
+        slots: 4,
+        draining: false,
+        sequence,
+    }
+}
+
+fn word(group: &str, start: u64, epoch: u64, number: u64) -> RankWord {
+    RankWord {
+        teller: 9,
+        number,
+        address: address(),
+        start: Incarnation(start),
+        rank: Some(GroupRank {
+            group: GroupId::new(group).unwrap(),
+            epoch: GroupIncarnation(epoch),
+            place: 3,
+            size: 8,
+            open: true,
+        }),
+    }
+}
+
+fn group(table: &Table, id: &str) -> Option<String> {
+    let known = table.get(&ServerId::new(id).unwrap())?;
+    Some(table.rank(known)?.group.to_string())
+}
+
+/// A rank moves to another group, whose epochs are lower: what was told last holds, also where another table tells the
+/// older word later.
+#[test]
+fn last_word_holds() {
+    let mut table = Table::new();
+    table.announce(at(0), heartbeat("i-1", 0, 1));
+    assert!(table.note_rank(at(10), word("g0", 0, 7, 1)));
+    let before = table.since(0, at(20));
+    assert!(!table.note_rank(at(30), word("g0", 0, 7, 2)));
+    assert!(table.note_rank(at(40), word("g1", 0, 2, 3)));
+    let place = table.place();
+    for entry in before {
+        table.merge(at(50), entry);
+    }
+    assert_eq!(
+        (group(&table, "i-1").as_deref(), table.place()),
+        (Some("g1"), place)
+    );
+    let mut other = Table::new();
+    for entry in table.since(0, at(60)) {
+        other.merge(at(60), entry);
+    }
+    assert_eq!(group(&other, "i-1").as_deref(), Some("g1"));
+}
+
+/// A server crashes and starts again under its address: the place of its earlier start is not that of the new one, and
+/// what the process beside it tells before the first heartbeat is not lost.
+#[test]
+fn place_of_one_start() {
+    let mut table = Table::new();
+    assert!(!table.note_rank(at(0), word("g0", 1, 1, 4)));
+    table.announce(at(10), heartbeat("i-1", 1, 1));
+    assert_eq!(group(&table, "i-1").as_deref(), Some("g0"));
+    table.announce(at(20), heartbeat("i-1", 2, 1));
+    assert_eq!(group(&table, "i-1"), None);
+    table.note_rank(at(30), word("g0", 2, 2, 5));
+    assert_eq!(group(&table, "i-1").as_deref(), Some("g0"));
+    table.announce(at(40), heartbeat("i-2", 3, 1));
+    assert_eq!(group(&table, "i-1"), None);
+}
+
+/// Whoever polls is told of a place that changed, and of nothing where it did not.
+#[test]
+fn changes_are_news() {
+    let mut table = Table::new();
+    table.announce(at(0), heartbeat("i-1", 0, 1));
+    let place = table.place();
+    table.note_rank(at(10), word("g0", 0, 1, 6));
+    let news = table.since(place, at(20));
+    assert_eq!(news.len(), 1);
+    assert!(news[0].rank.is_some());
+    let place = table.place();
+    table.note_rank(at(30), word("g0", 0, 1, 7));
+    assert!(table.since(place, at(40)).is_empty());
+    let gone = RankWord {
+        rank: None,
+        ..word("g0", 0, 1, 8)
+    };
+    assert!(table.note_rank(at(50), gone));
+    assert_eq!(group(&table, "i-1"), None);
+}
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -22,8 +22,8 @@
 /// The same while it is held: each moment that is lost here a group may stand.
 const WATCH_HELD: Span = Span::from_millis(20);
 
-/// How long the process beside rank 0 may take to answer before it is taken for silent: some times what answers to
-/// orders of a switch took in a trace of a heavy day, 5 to 60 ms.
+/// How long the process beside rank 0 may take to answer before it is taken for silent: some times what
+/// answers to orders of a switch take.
 const ANSWER: Span = Span::from_millis(150);
 
 /// Watches over a group beside its second rank.
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -17,15 +17,13 @@
 /// The result of a call.
 pub(crate) type Result<T> = std::result::Result<T, Report<EngineError>>;
 
-/// How long a call on the own host may take. Measured: 2 to 6 ms; the rest is for a processor that
+/// How long a call on the own host may take: it takes some ms, and the rest is for a processor that
 /// is shared. The group may stand still while an order that got no answer is waited for.
 const LIMIT: Span = Span::from_millis(100);
 
 /// How long an order on the own host may take before it is given again: some times what it takes. One that
 /// comes late after all is outdated by the one that was answered. The group is on an uneven map or
-/// stands still meanwhile: with the limit of other calls a switch of 16 ranks took 0.5 to 2.0 s where orders got
-/// no answer, and 0.4 s where all did. With this one, and steps ahead by the usual arming, it took 0.4 to
-/// 0.7 s, and five heavy days earned 0.41 of their worth instead of 0.39 (mean of three plays each).
+/// stands still meanwhile.
 const ORDER: Span = Span::from_millis(30);
 
 /// A call that was not answered, or not in words that can be read.
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -35,9 +35,7 @@
 const ENOUGH: f64 = 20_000.0;
 
 /// A copy must take this part off the fullest rank's load (mean 1), shared by the ranks, and a map this
-/// part off a step: what lies below is noise of a few hundred ms of counts. Measured with 16 ranks
-/// from 0.32 and 0.05 up: 1,500 GB copied; at 0.64 and 0.12 some 780 GB, at 1.1 and 0.18 some 500 GB,
-/// with the same 0.99 of the credit.
+/// part off a step: what lies below is noise of a few hundred ms of counts, and its copies slow all passes.
 const COPY_GAIN: f64 = 0.8;
 const STEP_GAIN: f64 = 0.14;
 
--- a/crates/sidecar/src/teller.rs
+++ b/crates/sidecar/src/teller.rs
@@ -35,6 +35,10 @@
     /// How many controllers were tried.
     tried: usize,
     told: Option<RankWord>,
+    /// Told apart from the words of an earlier start of this process.
+    teller: u64,
+    /// Counts the words.
+    number: u64,
     /// When the last word was told.
     at: Moment,
 }
@@ -51,6 +55,8 @@
             client: None,
             tried: rand::random_range(0..64),
             told: None,
+            teller: rand::random(),
+            number: 0,
             at: Moment::ZERO,
         }
     }
@@ -60,7 +66,7 @@
         loop {
             if let Some(word) = self.word().await {
                 let now = self.clock.now();
-                let due = self.told.as_ref() != Some(&word) || now >= self.at + REFRESH;
+                let due = !self.is_told(&word) || now >= self.at + REFRESH;
                 if due && self.tell(&word).await {
                     self.note(&word);
                     (self.told, self.at) = (Some(word), now);
@@ -72,6 +78,7 @@
 
     /// What there is to tell; nothing where the rank does not answer.
     async fn word(&mut self) -> Option<RankWord> {
+        self.number += 1;
         let report = self.rank.report().await?;
         let (now, working) = (self.clock.now(), report.requests > 0);
         let rank = report.rank.map(|rank| GroupRank {
@@ -85,6 +92,8 @@
             address: self.rank.address(),
             start: report.start,
             rank,
+            teller: self.teller,
+            number: self.number,
         })
     }
 
@@ -107,9 +116,14 @@
         taken
     }
 
+    /// Whether controllers were told the same last.
+    fn is_told(&self, word: &RankWord) -> bool {
+        self.told.as_ref().is_some_and(|told| told.agrees(word))
+    }
+
     /// Logs a word that says something new.
     fn note(&self, word: &RankWord) {
-        if self.told.as_ref() == Some(word) {
+        if self.is_told(word) {
             return;
         }
         let Some(rank) = &word.rank else {
