--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -9,6 +9,7 @@
 
 use snipemast_core::hash::{below, fraction, mix};
 use snipemast_core::prelude::*;
+use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Pick;
 use snipemast_placement::servers::{Offered, Servers, Trouble};
 use snipemast_placement::{Pool, Turn};
@@ -215,13 +216,10 @@
         let mut excluded = Vec::new();
         for _ in 0..SENDS {
             let chance = self.chance();
-            let chosen = self.gateways[gateway].choose(
-                self.now,
-                std::slice::from_ref(&self.pool),
-                &excluded,
-                Turn::InTime,
-                chance,
-            );
+            let gate = Gate::AllBut(Vec::new());
+            let place = (&self.pool.service, &gate);
+            let servers = &mut self.gateways[gateway];
+            let chosen = servers.choose(self.now, place, &excluded, Turn::InTime, chance);
             let Ok(choice) = chosen else {
                 break;
             };
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -174,11 +174,12 @@
         }
         let now = job.state.clock.now();
         let but = [self.excluded.as_slice(), std::slice::from_ref(from)].concat();
-        let Gate::Open(pools) = job.gate(now) else {
-            return false;
-        };
-        let free = job.state.servers.lock().has_free(now, &pools, &but);
-        self.granted = free && job.state.budget.lock().spend(now, &job.service);
+        let gate = job.gate(now);
+        let place = (&job.service, &gate);
+        let free = job.state.servers.lock().has_free(now, place, &but);
+        self.granted = free
+            && !matches!(gate, Gate::Probe(_))
+            && job.state.budget.lock().spend(now, &job.service);
         if self.granted {
             let detail = format_args!("{from} shows nothing, another server has a free place");
             job.note_trouble(Event::RequestRetried, detail);
@@ -209,15 +210,15 @@
             if self.sends.is_empty() && self.is_too_long(job) {
                 return give_up(Unplaced::TooLong);
             }
-            let pools = match job.gate(now) {
-                Gate::Open(pools) => pools,
-                Gate::Probe(pool) => vec![pool],
-                Gate::Shut => return give_up(Unplaced::Out),
-            };
+            let gate = job.gate(now);
+            if gate == Gate::Shut {
+                return give_up(Unplaced::Out);
+            }
             let chosen = {
                 let mut servers = job.state.servers.lock();
                 let turn = job.turn(last);
-                servers.choose(now, &pools, &self.excluded, turn, rand::random())
+                let place = (&job.service, &gate);
+                servers.choose(now, place, &self.excluded, turn, rand::random())
             };
             let choice = match chosen {
                 Ok(choice) => choice,
@@ -319,8 +320,11 @@
         let shortened = job.state.shortened.listen();
         let now = job.state.clock.now();
         let (waited, objective) = (now.since(job.started), job.route.objective);
-        let pools = job.state.servers.lock().pools(&job.service);
-        let wait = job.state.passes.lock().wait(now, &pools, waited, objective);
+        let wait = {
+            let servers = job.state.servers.lock();
+            let passes = job.state.passes.lock();
+            passes.wait(now, servers.pools(&job.service), waited, objective)
+        };
         let Some(span) = wait else {
             return;
         };
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -114,10 +114,11 @@
     /// How long the answer takes once it is sent; nothing where it is no stream.
     pub(crate) fn length(&self) -> Option<Length> {
         let promised = self.route.gap?;
-        let pools = self.state.servers.lock().pools(&self.service);
+        let servers = self.state.servers.lock();
+        let passes = self.state.passes.lock();
         Some(Length {
             pieces: self.pieces,
-            pause: self.state.passes.lock().pause(&pools),
+            pause: passes.pause(servers.pools(&self.service)),
             promised,
         })
     }
@@ -352,8 +353,9 @@
 
     /// Where the request may be sent now.
     pub(crate) fn gate(&self, now: Moment) -> Gate {
-        let pools = self.state.servers.lock().pools(&self.service);
-        self.state.outages.lock().gate(now, &pools)
+        let servers = self.state.servers.lock();
+        let mut outages = self.state.outages.lock();
+        outages.gate(now, servers.pools(&self.service))
     }
 
     fn note_out(&self, pool: &Pool, detail: &str) {
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -33,14 +33,25 @@
 /// Where a request of a service may be sent.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Gate {
-    /// To these pools.
-    Open(Vec<Pool>),
+    /// To all pools but these.
+    AllBut(Vec<Pool>),
     /// To this pool, to find out whether it runs anything again.
     Probe(Pool),
     /// Nowhere: all pools are out.
     Shut,
 }
 
+impl Gate {
+    /// Whether a request may be sent to a pool of its service.
+    pub fn holds(&self, pool: &Pool) -> bool {
+        match self {
+            Self::AllBut(out) => !out.contains(pool),
+            Self::Probe(probed) => probed == pool,
+            Self::Shut => false,
+        }
+    }
+}
+
 /// What a request does that can't be sent now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Waiting {
@@ -113,27 +124,19 @@
         }
     }
 
-    /// Whether all of these pools are out.
-    pub fn are_out(&self, pools: &[Pool]) -> bool {
-        !pools.is_empty() && pools.iter().all(|pool| self.out.contains_key(pool))
-    }
-
     /// Where a request is sent now that may go to these pools.
     ///
     /// A pool that is out is found out about by one request at a time, and more seldom while another one is open:
     /// then a request loses nothing by not being sent there.
     pub fn gate(&mut self, now: Moment, pools: &[Pool]) -> Gate {
-        let open: Vec<Pool> = pools
-            .iter()
-            .filter(|pool| !self.out.contains_key(*pool))
-            .cloned()
-            .collect();
-        let patience = if open.is_empty() {
-            Span::default()
-        } else {
-            SELDOM
-        };
-        let due = pools.iter().find(|pool| {
+        if self.out.is_empty() {
+            return Gate::AllBut(Vec::new());
+        }
+        let out = pools.iter().filter(|pool| self.out.contains_key(*pool));
+        let out: Vec<Pool> = out.cloned().collect();
+        let shut = out.len() == pools.len() && !out.is_empty();
+        let patience = if shut { Span::default() } else { SELDOM };
+        let due = out.iter().find(|pool| {
             let out = self.out.get(*pool);
             out.is_some_and(|out| now >= out.probe + patience)
         });
@@ -141,10 +144,11 @@
             out.probe = now + PROBE;
             return Gate::Probe(pool.clone());
         }
-        if open.is_empty() && !pools.is_empty() {
-            return Gate::Shut;
+        if shut {
+            Gate::Shut
+        } else {
+            Gate::AllBut(out)
         }
-        Gate::Open(open)
     }
 }
 
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -8,6 +8,7 @@
 
 use snipemast_core::prelude::*;
 
+use crate::outage::Gate;
 use crate::pick::{Candidate, Freshness, Pick, Placing};
 use crate::pools::Pool;
 use crate::turn::{Room, Turn};
@@ -116,6 +117,8 @@
     room: Room,
     zone: ZoneId,
     known: BTreeMap<ServerId, Server>,
+    /// The pools of each service's servers.
+    pools: HashMap<ServiceId, Vec<Pool>>,
     slow: HashMap<ServerId, u32>,
     /// When the other gateways' counts were taken, in the mean.
     counted: Moment,
@@ -148,6 +151,7 @@
             room: Room::default(),
             zone,
             known: BTreeMap::new(),
+            pools: HashMap::new(),
             slow: HashMap::new(),
             counted: Moment::ZERO,
             usual: HashMap::new(),
@@ -187,6 +191,12 @@
             self.known.insert(server.offered.server.clone(), server);
         }
         left.extend(before.into_values().map(|s| s.offered.address));
+        let pools: BTreeSet<&Pool> = self.known.values().map(|s| &s.offered.pool).collect();
+        self.pools.clear();
+        for pool in pools {
+            let service = self.pools.entry(pool.service.clone()).or_default();
+            service.push(pool.clone());
+        }
         left
     }
 
@@ -238,25 +248,24 @@
     }
 
     /// The pools of a service's servers.
-    pub fn pools(&self, service: &ServiceId) -> Vec<Pool> {
-        let offered = self.known.values().map(|s| &s.offered.pool);
-        let own: BTreeSet<&Pool> = offered.filter(|p| p.service == *service).collect();
-        own.into_iter().cloned().collect()
+    pub fn pools(&self, service: &ServiceId) -> &[Pool] {
+        self.pools.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Chooses a server of some pools, but none of the given ones, and counts the request there.
+    /// Chooses a server of a service where its gate allows one, but none of the given ones, and counts the request
+    /// there.
     ///
     /// `chance` differs from request to request, and between gateways that believe the same.
     pub fn choose(
         &mut self,
         now: Moment,
-        pools: &[Pool],
+        (service, gate): (&ServiceId, &Gate),
         but: &[ServerId],
         turn: Turn,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
-        let (mut open, candidates) = self.candidates(now, pools, but, turn)?;
-        let service = pools.first().map(|pool| &pool.service);
+        let allowed = |pool: &Pool| pool.service == *service && gate.holds(pool);
+        let (mut open, candidates) = self.candidates(now, allowed, but, turn)?;
         let fresh = self.freshness(now, service);
         let picked = self.pick.pick(&candidates, fresh, chance);
         let place = picked.ok_or(Unplaced::Nobody)?;
@@ -278,7 +287,7 @@
     fn candidates(
         &self,
         now: Moment,
-        pools: &[Pool],
+        allowed: impl Fn(&Pool) -> bool,
         but: &[ServerId],
         turn: Turn,
     ) -> Result<(Vec<&ServerId>, Vec<Candidate>), Unplaced> {
@@ -287,7 +296,7 @@
         let (mut open, mut candidates) = (Vec::new(), Vec::new());
         for (id, server) in &self.known {
             let offered = &server.offered;
-            let wanted = pools.contains(&offered.pool) && !but.contains(id);
+            let wanted = allowed(&offered.pool) && !but.contains(id);
             if !wanted || self.is_shunned(offered) {
                 continue;
             }
@@ -329,8 +338,8 @@
         }
     }
 
-    fn freshness(&self, now: Moment, service: Option<&ServiceId>) -> Freshness {
-        let usual = service.and_then(|service| self.usual.get(service));
+    fn freshness(&self, now: Moment, service: &ServiceId) -> Freshness {
+        let usual = self.usual.get(service);
         Freshness {
             age: self.counted.until(now),
             usual: usual.copied().unwrap_or(USUAL),
@@ -389,12 +398,18 @@
         due
     }
 
-    /// Whether a server of some pools, but none of the given ones, has a free place: a request that moves there
-    /// begins at once.
-    pub fn has_free(&self, now: Moment, pools: &[Pool], but: &[ServerId]) -> bool {
+    /// Whether a server of a service where its gate allows one, but none of the given ones, has a free place: a request
+    /// that moves there begins at once.
+    pub fn has_free(
+        &self,
+        now: Moment,
+        (service, gate): (&ServiceId, &Gate),
+        but: &[ServerId],
+    ) -> bool {
         self.known.values().any(|server| {
             let offered = &server.offered;
-            pools.contains(&offered.pool)
+            offered.pool.service == *service
+                && gate.holds(&offered.pool)
                 && !but.contains(&offered.server)
                 && now >= server.out
                 && now >= server.full
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -108,7 +108,7 @@
 fn one_probe() {
     let mut outages = Outages::new();
     let (pools, now) = ([pool(None)], Moment::from_millis(10_000));
-    let open = || Gate::Open(pools.to_vec());
+    let open = || Gate::AllBut(Vec::new());
     assert_eq!(outages.gate(now, &pools), open());
     assert!(outages.note_out(now, &pools[0]));
     assert_eq!(outages.gate(now, &pools), Gate::Shut);
@@ -129,14 +129,15 @@
         Moment::from_millis(10_000),
     );
     outages.note_out(now, &pools[0]);
-    let others = Gate::Open(vec![pool(Some("g1"))]);
+    let others = Gate::AllBut(vec![pool(Some("g0"))]);
+    assert!(others.holds(&pools[1]) && !others.holds(&pools[0]));
     assert_eq!(outages.gate(now + PROBE, &pools), others);
     assert!(!outages.note_open(&pools[1]));
     assert_eq!(outages.gate(now + PROBE, &pools), others);
     let later = now + Span::from_secs(6);
     assert_eq!(outages.gate(later, &pools), Gate::Probe(pool(Some("g0"))));
     outages.note_out(now, &pools[1]);
-    assert!(outages.are_out(&pools));
+    assert_eq!(outages.gate(now, &pools), Gate::Shut);
 }
 
 /// A user's reading waits half a second longer than its group is out, or is sent into it again at once: the ranks tell
@@ -156,7 +157,7 @@
     assert_eq!(told(&mut outages, 1, true), None);
     assert_eq!(outages.gate(now, &pools), Gate::Shut);
     assert_eq!(told(&mut outages, 2, true), Some(Word::GoesOn));
-    assert_eq!(outages.gate(now, &pools), Gate::Open(pools.to_vec()));
+    assert_eq!(outages.gate(now, &pools), Gate::AllBut(Vec::new()));
 }
 
 /// A request that has no time left to be answered is refused at once.
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -1,6 +1,7 @@
 //! Which server a request is placed on.
 
 use snipemast_core::prelude::*;
+use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Placing;
 use snipemast_placement::servers::{Offered, Servers, Trouble, Unplaced};
 use snipemast_placement::{Pool, Turn};
@@ -11,6 +12,10 @@
     ServerId::new(format!("i-{number}")).unwrap()
 }
 
+fn open() -> Gate {
+    Gate::AllBut(Vec::new())
+}
+
 fn pool() -> Pool {
     Pool {
         service: ServiceId::new("lector").unwrap(),
@@ -37,7 +42,7 @@
 }
 
 fn place(servers: &mut Servers, chance: u64) -> Result<ServerId, Unplaced> {
-    let choice = servers.choose(NOW, &[pool()], &[], Turn::InTime, chance);
+    let choice = servers.choose(NOW, (&pool().service, &open()), &[], Turn::InTime, chance);
     choice.map(|c| c.server)
 }
 
@@ -75,7 +80,7 @@
     assert_eq!(place(&mut servers, 1), Err(Unplaced::AllFull));
     let later = NOW + Span::from_secs(2);
     assert!(servers
-        .choose(later, &[pool()], &[], Turn::InTime, 1)
+        .choose(later, (&pool().service, &open()), &[], Turn::InTime, 1)
         .is_ok());
 }
 
@@ -171,7 +176,7 @@
 #[test]
 fn moves_to_free_places() {
     let mut servers = servers(&["a", "a"]);
-    let free = |servers: &Servers| servers.has_free(NOW, &[pool()], &[id(1)]);
+    let free = |servers: &Servers| servers.has_free(NOW, (&pool().service, &open()), &[id(1)]);
     assert!(free(&servers));
     let start = Incarnation(0);
     let others = [(id(2), 4)];
@@ -181,8 +186,8 @@
     servers.note_trouble(NOW, &id(2), start, Trouble::Full);
     assert!(!free(&servers));
     let later = NOW + Span::from_secs(5);
-    assert!(servers.has_free(later, &[pool()], &[id(1)]));
-    assert!(!servers.has_free(later, &[pool()], &[id(1), id(2)]));
+    assert!(servers.has_free(later, (&pool().service, &open()), &[id(1)]));
+    assert!(!servers.has_free(later, (&pool().service, &open()), &[id(1), id(2)]));
     assert!(servers.asks(later, &id(1)));
     assert!(!servers.asks(later, &id(1)));
     assert!(servers.asks(later + Span::from_secs(1), &id(1)));
