Take back asking servers where they belong, and let a told word count once

Ruled out: that one pool shuts another, and that groups are not known.

Change: the controllers' looks go, with their code. Found by reading: what ranks told last was applied anew with every piece of other news, so a group whose ranks could not tell any more would have been shut again and again although it answers; a word counts once now, with a test that fails without.

--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -4,7 +4,6 @@
 //! - [`state`]: what the parts share.
 //! - `voter`: runs the replicated log's node, with `disk` and `links` at its sides.
 //! - `join`: finds the cluster, or forms it on the first start.
-//! - `looker`: asks servers where they belong of which nobody tells.
 //! - `strangers`: who sent announcements that name no server to use.
 //! - `peers`: calls between controllers.
 //! - `api`: what operators and servers call.
@@ -17,7 +16,6 @@
 mod disk;
 mod join;
 mod links;
-mod looker;
 mod peers;
 mod spread;
 mod strangers;
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -18,7 +18,6 @@
 
 use crate::api::Api;
 use crate::join::{keep_joining, keep_running, Own};
-use crate::looker::Looker;
 use crate::spread::Peers;
 use crate::state::State;
 use crate::strangers::Strangers;
@@ -110,7 +109,6 @@
         spawn(keep_joining(settings.clone(), Arc::clone(&voter), own)),
         spawn(pass_on(Arc::clone(&state))),
         spawn(keep_up(Arc::clone(&state))),
-        spawn(Looker::new(Arc::clone(&state)).run()),
         spawn(keep_seeds(settings, feed, state)),
     ];
     journal.record(Event::ProcessStarted, address, "controller");
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -103,9 +103,12 @@
     /// Takes what processes beside a group's ranks tell; whether that is why its pool is out or open from now on.
     ///
     /// A group that refused is open again once it has formed anew: what is told of the forming that refused may be
-    /// older than the refusal.
+    /// older than the refusal. What was told before counts for nothing more: a request may have shown since that the
+    /// group goes on, while its ranks' words no longer come through.
     pub fn note_told(&mut self, now: Moment, pool: &Pool, forming: Forming) -> Option<Word> {
-        self.told.insert(pool.clone(), forming);
+        if self.told.insert(pool.clone(), forming) == Some(forming) {
+            return None;
+        }
         match (self.out.get(pool), forming.goes_on) {
             (None, false) => {
                 let probe = now + PROBE;
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -160,6 +160,19 @@
     assert_eq!(outages.gate(now, &pools), Gate::AllBut(Vec::new()));
 }
 
+/// A user's reading is refused although its group answers others: its ranks told that they had stalled, no later word of
+/// them comes through, and each piece of other news brings the old one again. An answer outweighs it.
+#[test]
+fn old_word_counts_once() {
+    let mut outages = Outages::new();
+    let (pool, now) = (pool(Some("g0")), Moment::from_millis(10_000));
+    let stalled = forming(1, false);
+    assert_eq!(outages.note_told(now, &pool, stalled), Some(Word::Stalled));
+    assert!(outages.note_open(&pool));
+    assert_eq!(outages.note_told(now, &pool, stalled), None);
+    assert_eq!(outages.gate(now, &[pool]), Gate::AllBut(Vec::new()));
+}
+
 /// A request that has no time left to be answered is refused at once.
 #[test]
 fn too_late_given_up() {
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -118,22 +118,6 @@
         changed
     }
 
-    /// The servers that may be sent to and of which nothing was told for so long, with their services.
-    pub fn untold(&self, now: Moment, span: Span) -> Vec<(ServiceId, SocketAddr)> {
-        let told = |known: &Known| {
-            let rank = self.known_rank(known);
-            rank.is_some_and(|rank| now < rank.told + span)
-        };
-        let ready = self
-            .servers
-            .values()
-            .filter(|k| k.standing == Standing::Ready);
-        let untold = ready.filter(|known| !told(known));
-        untold
-            .map(|k| (k.announcement.service.clone(), k.announcement.address))
-            .collect()
-    }
-
     /// The place of a server in its group, where that is known.
     pub fn rank(&self, known: &Known) -> Option<&GroupRank> {
         self.known_rank(known)?.word.rank.as_ref()
--- a/crates/registry/tests/ranks.rs
+++ b/crates/registry/tests/ranks.rs
@@ -109,17 +109,3 @@
     assert!(table.note_rank(at(50), gone));
     assert_eq!(group(&table, "i-1"), None);
 }
-
-/// A user is refused because the groups of some servers are not known: nobody runs beside them. They are named to be
-/// asked, and those of which somebody tells are not.
-#[test]
-fn untold_servers_named() {
-    let mut table = Table::new();
-    table.announce(at(0), heartbeat("i-1", 0, 1));
-    let span = Span::from_secs(6);
-    assert_eq!(table.untold(at(10), span).len(), 1);
-    table.note_rank(at(20), word("g0", 0, 1, 1));
-    assert!(table.untold(at(6_000), span).is_empty());
-    let untold = table.untold(at(6_100), span);
-    assert_eq!(untold[0].1, address());
-}
