Name what a choice of a server is given

Cause: a pair of references and two more arguments said which servers a request may go to, and a reader had to guess which is which. Change: placement::servers::Wanted holds them, for the choice and for the search for a free place.

--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -11,7 +11,7 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Pick;
-use snipemast_placement::servers::{Offered, Servers, Trouble};
+use snipemast_placement::servers::{Offered, Servers, Trouble, Wanted};
 use snipemast_placement::{Pool, Turn};
 
 /// The way between two hosts.
@@ -265,9 +265,13 @@
         for _ in 0..SENDS {
             let chance = self.chance();
             let gate = Gate::AllBut(Vec::new());
-            let place = (&self.pool.service, &gate);
+            let wanted = Wanted {
+                service: &self.pool.service,
+                gate: &gate,
+                but: &excluded,
+            };
             let servers = &mut self.gateways[gateway];
-            let chosen = servers.choose(self.now, place, &excluded, Turn::InTime, chance);
+            let chosen = servers.choose(self.now, wanted, Turn::InTime, chance);
             let Ok(choice) = chosen else {
                 break;
             };
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -12,7 +12,7 @@
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::outage::{waiting, Blocked, Gate, Waiting, PROBE, SERVED};
-use snipemast_placement::servers::Unplaced;
+use snipemast_placement::servers::{Unplaced, Wanted};
 use snipemast_placement::{Sends, Turn};
 use snipemast_platform::request::Ask;
 use snipemast_platform::response;
@@ -175,8 +175,12 @@
         let now = job.state.clock.now();
         let but = [self.excluded.as_slice(), std::slice::from_ref(from)].concat();
         let gate = job.gate(now);
-        let place = (&job.service, &gate);
-        let free = job.state.servers.lock().has_free(now, place, &but);
+        let wanted = Wanted {
+            service: &job.service,
+            gate: &gate,
+            but: &but,
+        };
+        let free = job.state.servers.lock().has_free(now, wanted);
         self.granted = free
             && !matches!(gate, Gate::Probe(_))
             && job.state.budget.lock().spend(now, &job.service);
@@ -217,8 +221,12 @@
             let chosen = {
                 let mut servers = job.state.servers.lock();
                 let turn = job.turn(last);
-                let place = (&job.service, &gate);
-                servers.choose(now, place, &self.excluded, turn, rand::random())
+                let wanted = Wanted {
+                    service: &job.service,
+                    gate: &gate,
+                    but: &self.excluded,
+                };
+                servers.choose(now, wanted, turn, rand::random())
             };
             let choice = match chosen {
                 Ok(choice) => choice,
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -75,6 +75,25 @@
     pub age: Span,
 }
 
+/// Which servers a request may be sent to.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// Which of its pools are open.
+    pub gate: &'a Gate,
+    /// Servers that are left out.
+    pub but: &'a [ServerId],
+}
+
+impl Wanted<'_> {
+    fn holds(&self, offered: &Offered) -> bool {
+        offered.pool.service == *self.service
+            && self.gate.holds(&offered.pool)
+            && !self.but.contains(&offered.server)
+    }
+}
+
 /// Why no server is chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unplaced {
@@ -252,21 +271,18 @@
         self.pools.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Chooses a server of a service where its gate allows one, but none of the given ones, and counts the request
-    /// there.
+    /// Chooses a server for a request, and counts it there.
     ///
     /// `chance` differs from request to request, and between gateways that believe the same.
     pub fn choose(
         &mut self,
         now: Moment,
-        (service, gate): (&ServiceId, &Gate),
-        but: &[ServerId],
+        wanted: Wanted<'_>,
         turn: Turn,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
-        let allowed = |pool: &Pool| pool.service == *service && gate.holds(pool);
-        let (mut open, candidates) = self.candidates(now, allowed, but, turn)?;
-        let fresh = self.freshness(now, service);
+        let (mut open, candidates) = self.candidates(now, wanted, turn)?;
+        let fresh = self.freshness(now, wanted.service);
         let picked = self.pick.pick(&candidates, fresh, chance);
         let place = picked.ok_or(Unplaced::Nobody)?;
         let id = open.swap_remove(place).clone();
@@ -287,8 +303,7 @@
     fn candidates(
         &self,
         now: Moment,
-        allowed: impl Fn(&Pool) -> bool,
-        but: &[ServerId],
+        wanted: Wanted<'_>,
         turn: Turn,
     ) -> Result<(Vec<&ServerId>, Vec<Candidate>), Unplaced> {
         let bound = self.room.bound(turn);
@@ -296,8 +311,7 @@
         let (mut open, mut candidates) = (Vec::new(), Vec::new());
         for (id, server) in &self.known {
             let offered = &server.offered;
-            let wanted = allowed(&offered.pool) && !but.contains(id);
-            if !wanted || self.is_shunned(offered) {
+            if !wanted.holds(offered) || self.is_shunned(offered) {
                 continue;
             }
             if now < server.out {
@@ -398,19 +412,11 @@
         due
     }
 
-    /// Whether a server of a service where its gate allows one, but none of the given ones, has a free place: a request
-    /// that moves there begins at once.
-    pub fn has_free(
-        &self,
-        now: Moment,
-        (service, gate): (&ServiceId, &Gate),
-        but: &[ServerId],
-    ) -> bool {
+    /// Whether one of the wanted servers has a free place: a request that moves there begins at once.
+    pub fn has_free(&self, now: Moment, wanted: Wanted<'_>) -> bool {
         self.known.values().any(|server| {
             let offered = &server.offered;
-            offered.pool.service == *service
-                && gate.holds(&offered.pool)
-                && !but.contains(&offered.server)
+            wanted.holds(offered)
                 && now >= server.out
                 && now >= server.full
                 && server.own + self.others(now, server) < offered.slots.max(1)
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -3,7 +3,7 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Placing;
-use snipemast_placement::servers::{Offered, Servers, Trouble, Unplaced};
+use snipemast_placement::servers::{Offered, Servers, Trouble, Unplaced, Wanted};
 use snipemast_placement::{Pool, Turn};
 
 const NOW: Moment = Moment::from_millis(50_000);
@@ -12,6 +12,10 @@
     ServerId::new(format!("i-{number}")).unwrap()
 }
 
+fn wanted<'a>(service: &'a ServiceId, gate: &'a Gate, but: &'a [ServerId]) -> Wanted<'a> {
+    Wanted { service, gate, but }
+}
+
 fn open() -> Gate {
     Gate::AllBut(Vec::new())
 }
@@ -42,7 +46,12 @@
 }
 
 fn place(servers: &mut Servers, chance: u64) -> Result<ServerId, Unplaced> {
-    let choice = servers.choose(NOW, (&pool().service, &open()), &[], Turn::InTime, chance);
+    let choice = servers.choose(
+        NOW,
+        wanted(&pool().service, &open(), &[]),
+        Turn::InTime,
+        chance,
+    );
     choice.map(|c| c.server)
 }
 
@@ -80,7 +89,12 @@
     assert_eq!(place(&mut servers, 1), Err(Unplaced::AllFull));
     let later = NOW + Span::from_secs(2);
     assert!(servers
-        .choose(later, (&pool().service, &open()), &[], Turn::InTime, 1)
+        .choose(
+            later,
+            wanted(&pool().service, &open(), &[]),
+            Turn::InTime,
+            1
+        )
         .is_ok());
 }
 
@@ -176,7 +190,8 @@
 #[test]
 fn moves_to_free_places() {
     let mut servers = servers(&["a", "a"]);
-    let free = |servers: &Servers| servers.has_free(NOW, (&pool().service, &open()), &[id(1)]);
+    let free =
+        |servers: &Servers| servers.has_free(NOW, wanted(&pool().service, &open(), &[id(1)]));
     assert!(free(&servers));
     let start = Incarnation(0);
     let others = [(id(2), 4)];
@@ -186,8 +201,8 @@
     servers.note_trouble(NOW, &id(2), start, Trouble::Full);
     assert!(!free(&servers));
     let later = NOW + Span::from_secs(5);
-    assert!(servers.has_free(later, (&pool().service, &open()), &[id(1)]));
-    assert!(!servers.has_free(later, (&pool().service, &open()), &[id(1), id(2)]));
+    assert!(servers.has_free(later, wanted(&pool().service, &open(), &[id(1)])));
+    assert!(!servers.has_free(later, wanted(&pool().service, &open(), &[id(1), id(2)])));
     assert!(servers.asks(later, &id(1)));
     assert!(!servers.asks(later, &id(1)));
     assert!(servers.asks(later + Span::from_secs(1), &id(1)));
