--- a/crates/placement/tests/pick.rs
+++ b/crates/placement/tests/pick.rs
@@ -64,6 +64,16 @@
     assert_eq!(shares(Expected, &full, FRESH)[1], 1_000);
 }
 
+/// Two users' streams go to the one server of two that stands still, and neither shows that the other server goes on: two
+/// different servers are drawn, so of two the less loaded one is always picked.
+#[test]
+fn two_servers_shared() {
+    let busy = [candidate(1, 0, true), candidate(0, 0, true)];
+    assert_eq!(shares(Sampled, &busy, FRESH), vec![0, 1_000]);
+    let alone = [candidate(9, 0, true)];
+    assert_eq!(shares(Sampled, &alone, FRESH), vec![1_000]);
+}
+
 quickcheck! {
     /// Whatever the loads and the age of counts, somebody is picked who is there, and nobody out of nobody.
     fn picked_is_there(loads: Vec<(u8, u8, u8, bool)>, age: u16, chance: u64) -> bool {
