--- a/crates/placement/src/pick.rs
+++ b/crates/placement/src/pick.rs
@@ -110,11 +110,12 @@
         if drawn.is_empty() {
             return None;
         }
-        let count = drawn.len();
-        let first = below(mix(chance ^ 1), count);
-        // Another one, wherever there is one: of two servers the busier one is never drawn twice.
-        let second = (first + 1 + below(mix(chance ^ 2), count.max(2) - 1)) % count;
-        let (one, other) = (drawn[first], drawn[second]);
+        let draw = |number: u64| drawn[below(mix(chance ^ number), drawn.len())];
+        // Of two servers the busier one is never drawn twice.
+        let (one, other) = match drawn[..] {
+            [one, other] => (one, other),
+            _ => (draw(1), draw(2)),
+        };
         let cost = |place: usize| candidates[place].cost();
         Some(if cost(other) < cost(one) { other } else { one })
     }
