--- a/crates/placement/src/pick.rs
+++ b/crates/placement/src/pick.rs
@@ -113,7 +113,8 @@
         let draw = |number: u64| drawn[below(mix(chance ^ number), drawn.len())];
         // Of two servers the busier one is never drawn twice.
         let (one, other) = match drawn[..] {
-            [one, other] => (one, other),
+            [one, other] if below(mix(chance), 2) == 0 => (one, other),
+            [one, other] => (other, one),
             _ => (draw(1), draw(2)),
         };
         let cost = |place: usize| candidates[place].cost();
--- a/crates/placement/tests/pick.rs
+++ b/crates/placement/tests/pick.rs
@@ -70,6 +70,8 @@
 fn two_servers_shared() {
     let busy = [candidate(1, 0, true), candidate(0, 0, true)];
     assert_eq!(shares(Sampled, &busy, FRESH), vec![0, 1_000]);
+    let alike = [candidate(0, 0, true), candidate(0, 0, true)];
+    assert!((400..600).contains(&shares(Sampled, &alike, FRESH)[0]));
     let alone = [candidate(9, 0, true)];
     assert_eq!(shares(Sampled, &alone, FRESH), vec![1_000]);
 }
