Give a rank's place, a following mean and a merge that tells of joins one copy each

Cause, found by reading the whole change: a rank's place stood as two types with a translation between them; a mean that follows what is seen stood twice; the comparison of a server's standing around a merge stood at gateways and controllers; a pool that is out was put together twice; a wrapper hid total_cmp. Each request to an engine looked up its usual pause under two locks before it was known to be late.

Change: core::server::GroupRank is the one type (its field names on the wire are as they were), Span::following, Table::merge_standing, Out::new; the length is asked for only where a request is late. No behaviour is meant to change; no test's assertion did.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -100,9 +100,7 @@
         let place = table.place();
         for entry in news.entries {
             let (id, standing) = (entry.announcement.id.clone(), entry.standing);
-            let before = table.standing(&id);
-            table.merge(now, entry);
-            if table.standing(&id) != before {
+            if table.merge_standing(now, entry) {
                 self.state.journal.record(
                     Event::MemberJoined,
                     id,
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -4,7 +4,7 @@
 
 use crate as snipemast_core;
 use crate::data;
-use crate::ids::{AdapterId, GroupId, ModelId, ServerId, ServiceId};
+use crate::ids::{AdapterId, GroupId, GroupIncarnation, ModelId, ServerId, ServiceId};
 use crate::units::Span;
 
 data! {
@@ -23,6 +23,20 @@
         pub slots: u32,
     }
 
+    /// A backend server's place in a forming of its group, as the process beside it tells.
+    pub struct GroupRank {
+        /// The group.
+        pub group: GroupId,
+        /// Which forming of it this is.
+        pub epoch: GroupIncarnation,
+        /// The place in it.
+        pub place: u32,
+        /// How many ranks the group has.
+        pub size: u32,
+        /// Whether the rank goes on with its group's passes.
+        pub open: bool,
+    }
+
     /// Something that a backend server can answer.
     #[derive(PartialOrd, Ord, Hash)]
     #[serde(tag = "kind", rename_all = "lowercase", deny_unknown_fields)]
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -74,6 +74,12 @@
     pub const fn times(self, factor: u64) -> Self {
         Self(self.0.saturating_mul(factor))
     }
+
+    /// A mean that follows what is seen: one of so many parts of it is replaced.
+    #[must_use]
+    pub const fn following(self, seen: Self, parts: u64) -> Self {
+        Self((self.0 * (parts - 1) + seen.0) / parts)
+    }
 }
 
 impl From<Duration> for Span {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -265,8 +265,8 @@
 
     /// Whether an answer that is late could not end any more before its caller leaves.
     fn is_too_long(&self, job: &Job) -> bool {
-        let length = job.length().filter(|_| job.turn(None) == Turn::Late);
-        length.is_some_and(|length| job.left() < length.least())
+        let late = job.turn(None) == Turn::Late;
+        late && job.length().is_some_and(|l| job.left() < l.least())
     }
 
     /// Whether one more send is within the budget.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -10,7 +10,7 @@
 use snipemast_feed::Sink;
 use snipemast_net::exec::pause;
 use snipemast_placement::outage::Word;
-use snipemast_placement::pools::{Pools, Rank, Told};
+use snipemast_placement::pools::{Pools, Told};
 use snipemast_placement::servers::Offered;
 use snipemast_platform::document;
 use snipemast_registry::news::Flying;
@@ -127,9 +127,7 @@
         let mut registry = self.state.registry.lock();
         for entry in news.entries.drain(..) {
             let (id, standing) = (entry.announcement.id.clone(), entry.standing);
-            let before = registry.standing(&id);
-            registry.merge(now, entry);
-            if registry.standing(&id) == before {
+            if !registry.merge_standing(now, entry) {
                 continue;
             }
             let event = match standing {
@@ -166,17 +164,10 @@
 
 /// What is told of a server's place in a group.
 fn told(registry: &Registry, known: &Known) -> Told {
-    let rank = registry.rank(known).map(|rank| Rank {
-        group: rank.group.clone(),
-        epoch: rank.epoch,
-        place: rank.place,
-        size: rank.size,
-        goes_on: rank.open,
-    });
     Told {
         server: known.announcement.id.clone(),
         service: known.announcement.service.clone(),
-        rank,
+        rank: registry.rank(known).cloned(),
     }
 }
 
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -79,6 +79,15 @@
     refused: Option<GroupIncarnation>,
 }
 
+impl Out {
+    fn new(now: Moment, refused: Option<GroupIncarnation>) -> Self {
+        Self {
+            probe: now + PROBE,
+            refused,
+        }
+    }
+}
+
 impl Outages {
     /// No pool is out.
     pub fn new() -> Self {
@@ -88,10 +97,7 @@
     /// A server said that no server of its pool can run anything; true where that is news.
     pub fn note_out(&mut self, now: Moment, pool: &Pool) -> bool {
         let epoch = self.told.get(pool).map(|told| told.epoch);
-        let out = Out {
-            probe: now + PROBE,
-            refused: Some(epoch.unwrap_or_default()),
-        };
+        let out = Out::new(now, Some(epoch.unwrap_or_default()));
         self.out.insert(pool.clone(), out).is_none()
     }
 
@@ -111,12 +117,7 @@
         }
         match (self.out.get(pool), forming.goes_on) {
             (None, false) => {
-                let probe = now + PROBE;
-                let out = Out {
-                    probe,
-                    refused: None,
-                };
-                self.out.insert(pool.clone(), out);
+                self.out.insert(pool.clone(), Out::new(now, None));
                 Some(Word::Stalled)
             }
             (Some(out), true) if out.refused.is_none_or(|epoch| epoch < forming.epoch) => {
--- a/crates/placement/src/passes.rs
+++ b/crates/placement/src/passes.rs
@@ -30,6 +30,9 @@
 /// its first token, which take 0.17 s of the usual 0.4 to 0.5 s.
 const WAIT: u64 = 50;
 
+/// Over how many pauses the usual one is a mean: some hundred pieces of streams come in a second.
+const FOLLOWED: u64 = 32;
+
 /// What is seen of each pool's passes.
 #[derive(Debug, Clone, Default)]
 pub struct Passes {
@@ -69,7 +72,7 @@
             return false;
         };
         seen.last = now;
-        seen.usual = blended(seen.usual, pause);
+        seen.usual = seen.usual.following(pause, FOLLOWED);
         if long {
             seen.long.get_or_insert(now);
             return false;
@@ -103,11 +106,3 @@
         now < since + EPISODE && now < last + FRESH
     }
 }
-
-/// A mean that follows what was seen last.
-fn blended(usual: Span, seen: Span) -> Span {
-    /// The part of the mean that each pause replaces: some hundred pieces of streams come in a second.
-    const REPLACED: u64 = 32;
-    let kept = usual.as_micros() * (REPLACED - 1);
-    Span::from_micros((kept + seen.as_micros()) / REPLACED)
-}
--- a/crates/placement/src/pick.rs
+++ b/crates/placement/src/pick.rs
@@ -9,7 +9,6 @@
 //! - [`Sampled`]: the less loaded of two drawn at random.
 //! - [`Least`]: the least loaded one; the best where nobody else chooses.
 
-use std::cmp::Ordering;
 use std::fmt::Debug;
 
 use snipemast_core::data;
@@ -95,7 +94,7 @@
         let costs = candidates.iter().map(Candidate::cost).enumerate();
         let tied = |place: usize| mix(chance ^ place as u64);
         costs
-            .min_by(|(a, x), (b, y)| order(*x, *y).then_with(|| tied(*a).cmp(&tied(*b))))
+            .min_by(|(a, x), (b, y)| x.total_cmp(y).then_with(|| tied(*a).cmp(&tied(*b))))
             .map(|(place, _)| place)
     }
 }
@@ -186,7 +185,7 @@
 /// The load for each slot that servers reach which are below it, if so many requests are added there.
 fn level(loads: impl Iterator<Item = Load>, added: f64) -> f64 {
     let mut sorted: Vec<Load> = loads.collect();
-    sorted.sort_by(|a, b| order(a.share(), b.share()));
+    sorted.sort_by(|a, b| a.share().total_cmp(&b.share()));
     let (mut there, mut slots) = (added, 0.0);
     for load in sorted {
         if slots > 0.0 && there / slots <= load.share() {
@@ -217,7 +216,3 @@
     // Rounding has left a rest of the last one's share.
     (0..loads.len()).rfind(|place| gets(&loads[*place]) > 0.0)
 }
-
-fn order(a: f64, b: f64) -> Ordering {
-    a.total_cmp(&b)
-}
--- a/crates/placement/src/pools.rs
+++ b/crates/placement/src/pools.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use snipemast_core::prelude::*;
+use snipemast_core::server::GroupRank;
 
 /// How many of a group's ranks must be told of for it to count as whole, in hundredths: a process beside a rank may
 /// just be starting.
@@ -33,22 +34,7 @@
     /// Its service.
     pub service: ServiceId,
     /// Its place in a group, where it is known to have one.
-    pub rank: Option<Rank>,
-}
-
-/// A server's place in a group.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Rank {
-    /// The group.
-    pub group: GroupId,
-    /// Which forming of it.
-    pub epoch: GroupIncarnation,
-    /// The place.
-    pub place: u32,
-    /// How many ranks the group has.
-    pub size: u32,
-    /// Whether it goes on with the group's passes.
-    pub goes_on: bool,
+    pub rank: Option<GroupRank>,
 }
 
 /// What is known of a group as a whole.
@@ -71,7 +57,7 @@
 impl Pools {
     /// Sorts servers into pools, by what is told of each.
     pub fn new(told: &[Told]) -> Self {
-        let mut members: BTreeMap<Pool, Vec<&Rank>> = BTreeMap::new();
+        let mut members: BTreeMap<Pool, Vec<&GroupRank>> = BTreeMap::new();
         for one in told {
             if let Some(rank) = &one.rank {
                 members.entry(one.pool()).or_default().push(rank);
@@ -116,16 +102,16 @@
 }
 
 /// What is known of a group by its ranks; nothing where it is not whole.
-fn forming(ranks: &[&Rank]) -> Option<Forming> {
+fn forming(ranks: &[&GroupRank]) -> Option<Forming> {
     // While a group forms again, some of its ranks tell the epoch before.
     let epoch = ranks.iter().map(|rank| rank.epoch).max()?;
-    let members: Vec<&&Rank> = ranks.iter().filter(|rank| rank.epoch == epoch).collect();
+    let members: Vec<&&GroupRank> = ranks.iter().filter(|rank| rank.epoch == epoch).collect();
     let size = members.iter().map(|rank| rank.size as usize).max()?;
     let places: BTreeSet<u32> = members.iter().map(|rank| rank.place).collect();
     if places.len() * 100 < size * WHOLE {
         return None;
     }
-    let stalled = members.iter().filter(|rank| !rank.goes_on).count();
+    let stalled = members.iter().filter(|rank| !rank.open).count();
     let enough = stalled >= STALLED_LEAST.min(size) && stalled * 100 >= members.len() * STALLED;
     Some(Forming {
         epoch,
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -362,11 +362,10 @@
 
     /// A request was answered in whole, after it was in flight for a span.
     pub fn note_whole(&mut self, service: &ServiceId, took: Span) {
-        /// The part of the usual time that each answer replaces.
-        const REPLACED: u64 = 16;
+        /// Over how many answers the usual time is a mean.
+        const FOLLOWED: u64 = 16;
         let usual = self.usual.entry(service.clone()).or_insert(took);
-        let kept = usual.as_micros() * (REPLACED - 1);
-        *usual = Span::from_micros((kept + took.as_micros()) / REPLACED);
+        *usual = usual.following(took, FOLLOWED);
     }
 
     /// A request at a start of a server has ended, however.
--- a/crates/placement/src/turn.rs
+++ b/crates/placement/src/turn.rs
@@ -109,8 +109,10 @@
         if patience >= longest.patience || now >= longest.seen + REMEMBERED {
             *longest = first;
         }
-        let spent =
-            longest.patience.as_micros() - patience.as_micros().min(longest.patience.as_micros());
+        let spent = longest
+            .patience
+            .as_micros()
+            .saturating_sub(patience.as_micros());
         Span::from_micros(spent)
     }
 }
--- a/crates/placement/tests/pools.rs
+++ b/crates/placement/tests/pools.rs
@@ -1,9 +1,10 @@
 //! Which servers run and stall together.
 
 use snipemast_core::prelude::*;
-use snipemast_placement::pools::{Pool, Pools, Rank, Told};
+use snipemast_core::server::GroupRank;
+use snipemast_placement::pools::{Pool, Pools, Told};
 
-fn told(number: u32, rank: Option<Rank>) -> Told {
+fn told(number: u32, rank: Option<GroupRank>) -> Told {
     Told {
         server: ServerId::new(format!("i-{number}")).unwrap(),
         service: ServiceId::new("lector").unwrap(),
@@ -11,13 +12,13 @@
     }
 }
 
-fn rank(group: &str, epoch: u64, place: u32, goes_on: bool) -> Option<Rank> {
-    Some(Rank {
+fn rank(group: &str, epoch: u64, place: u32, goes_on: bool) -> Option<GroupRank> {
+    Some(GroupRank {
         group: GroupId::new(group).unwrap(),
         epoch: GroupIncarnation(epoch),
         place,
         size: 4,
-        goes_on,
+        open: goes_on,
     })
 }
 
--- a/crates/registry/src/rank.rs
+++ b/crates/registry/src/rank.rs
@@ -4,6 +4,7 @@
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
+pub use snipemast_core::server::GroupRank;
 
 /// The path of a call that tells of ranks.
 pub const PATH: &str = "/ranks";
@@ -13,20 +14,6 @@
 pub const REFRESH: Span = Span::from_secs(2);
 
 data! {
-    /// A server's place in a group.
-    pub struct GroupRank {
-        /// The group.
-        pub group: GroupId,
-        /// Which forming of it this is.
-        pub epoch: GroupIncarnation,
-        /// The place in it.
-        pub place: u32,
-        /// How many ranks the group has.
-        pub size: u32,
-        /// Whether the rank goes on with its group's passes.
-        pub open: bool,
-    }
-
     /// What the process beside a rank tells of it.
     pub struct RankWord {
         /// Where the server takes requests.
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -155,8 +155,16 @@
         self.servers.get(id)
     }
 
+    /// Takes what another table says; true where a server's start or standing changed by it.
+    pub fn merge_standing(&mut self, now: Moment, entry: Entry) -> bool {
+        let id = entry.announcement.id.clone();
+        let before = self.standing(&id);
+        self.merge(now, entry);
+        self.standing(&id) != before
+    }
+
     /// Which start of a server is known, and its standing.
-    pub fn standing(&self, id: &ServerId) -> Option<(Incarnation, Standing)> {
+    fn standing(&self, id: &ServerId) -> Option<(Incarnation, Standing)> {
         let known = self.servers.get(id)?;
         Some((known.announcement.start, known.standing))
     }
