Read the limits that servers name, log them and count the sends to such servers

Logs could not tell whether an answer named its limit, which gateway passed that on and when, nor all sends of a server.

The adapter decodes the header into a limit that is unnamed, named or unreadable; the table of servers keeps what answers told last; a gateway logs LimitNamed and LimitEnded with the number before, the answer and its age, and counts its sends to limited servers at /metrics. Nothing decides by it yet.

An answer that was begun before the one that named the limit ends nothing; a lower limit holds at once; a start anew forgets (crates/registry/tests/limits.rs).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -177,6 +177,10 @@
     ServiceReopened = 705;
     /// A request waits for a service that is out or full.
     RequestQueued = 706;
+    /// A backend server names a limit on the requests that all hosts send it, or another one than before.
+    LimitNamed = 707;
+    /// A backend server names no limit any more.
+    LimitEnded = 708;
 }
 
 impl Event {
--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -171,6 +171,13 @@
         Self(count * 1_000)
     }
 
+    /// A rate of events a second, rounded to thousandths; nothing where that is no rate.
+    pub fn from_per_second(rate: f64) -> Option<Self> {
+        let scaled = (rate * 1e3).round();
+        let fits = scaled >= 0.0 && scaled <= u32::MAX.into();
+        fits.then_some(Self(scaled as u64))
+    }
+
     /// The rate in events a second.
     pub fn as_per_second(self) -> f64 {
         self.0 as f64 / 1e3
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `send`: one send of a request to one server.
 //! - `stream`: passes events on, and goes on at another server where a stream breaks.
 //! - `story`: what is logged and measured of one request.
+//! - `limits`: what answers say of the requests that their servers take.
 //! - `metrics`: what a gateway counts and measures.
 //! - `connections`: open connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
@@ -17,6 +18,7 @@
 mod answer;
 mod connections;
 mod handle;
+mod limits;
 mod metrics;
 mod news;
 mod send;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -55,6 +55,11 @@
     ended: Ended,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServerLabel {
+    server: String,
+}
+
 fn buckets() -> Histogram {
     Histogram::new(BUCKETS)
 }
@@ -67,6 +72,7 @@
     ended: Family<EndedLabel, Counter>,
     sends: Counter,
     repeats: Counter,
+    limited: Family<ServerLabel, Counter>,
 }
 
 impl Metrics {
@@ -87,15 +93,28 @@
         );
         registry.register("sends", "Requests sent to servers", sends.clone());
         registry.register("repeats", "Sends after the first", repeats.clone());
+        let limited = Family::default();
+        registry.register(
+            "limited_sends",
+            "Requests sent to servers that name a limit",
+            Family::clone(&limited),
+        );
         Self {
             registry: Mutex::new(registry),
             phases,
             ended,
             sends,
             repeats,
+            limited,
         }
     }
 
+    /// A request was sent to a server that names a limit.
+    pub(crate) fn send_limited(&self, server: &ServerId) {
+        let server = server.to_string();
+        self.limited.get_or_create(&ServerLabel { server }).inc();
+    }
+
     /// A part of a request took so long.
     pub(crate) fn took(&self, phase: Phase, span: Span) {
         let histogram = self.phases.get_or_create(&PhaseLabel { phase });
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -170,10 +170,11 @@
             };
             let request = self.request(&choice, last).ok_or(Failure::NotRun)?;
             let limit = Span::from_micros(self.left().as_micros() + OVERTIME.as_micros());
+            let sent = self.state.clock.now();
             let sending = connection.send(request);
             match self.unless_still(&choice, tries, limit, sending).await? {
                 Ok(response) => {
-                    return self.judge(choice, response, connection, flight);
+                    return self.judge(choice, response, connection, flight, sent);
                 }
                 // The server closed the pooled connection before anything was written to it.
                 Err(SendError::Unsent) if !fresh => fresh = true,
@@ -310,6 +311,7 @@
         response: Response<Incoming>,
         connection: Connection,
         flight: Flight,
+        sent: Moment,
     ) -> Result<Run, Failure> {
         let status = response.status();
         let reply = Reply::read(status, response.headers());
@@ -320,6 +322,10 @@
             self.trouble(&choice, Trouble::Broken, "an answer to another request");
             return Err(Failure::Unknown);
         }
+        // The one that answers this is another server.
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            self.note_limit(&choice, &reply.limit, sent);
+        }
         if reply.unrun {
             return Err(self.not_run(&choice, status, &reply));
         }
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -30,6 +30,9 @@
     pub(crate) fn note_routed(&self, choice: &Choice, repeat: bool) {
         let (state, age) = (&self.state, self.age());
         state.metrics.send(repeat);
+        if state.registry.lock().limit(&choice.server).is_some() {
+            state.metrics.send_limited(&choice.server);
+        }
         if !repeat {
             state.metrics.took(Phase::Placed, age);
         }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,11 +3,13 @@
 //! - [`announcement`]: what a server says of itself.
 //! - [`table`]: the servers that are known, with their last word.
 //! - [`news`]: what gateways and controllers ask a controller, and its answers.
+//! - [`limit`]: a server's limit on the requests that all gateways together send it.
 //! - [`rank`]: a server's place in a group of ranks.
 //! - [`source`]: of whom a gateway asks a configuration.
 //! - [`pollers`]: who polls a controller, and what each one has.
 
 pub mod announcement;
+pub mod limit;
 pub mod news;
 pub mod pollers;
 pub mod rank;
@@ -15,6 +17,7 @@
 pub mod table;
 
 pub use announcement::{Announcement, Standing};
+pub use limit::LimitWord;
 pub use news::{Cursor, News, Poll, PollerKind};
 pub use pollers::Pollers;
 pub use rank::{GroupRank, RankWord};
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -11,6 +11,7 @@
 use snipemast_core::prelude::*;
 
 use crate::announcement::{Announcement, Standing};
+use crate::limit::LimitWord;
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankWord};
 
 /// How long a server that is not heard any more is kept: past any cut between it and control
@@ -54,6 +55,8 @@
     servers: HashMap<ServerId, Known>,
     holders: HashMap<SocketAddr, ServerId>,
     ranks: HashMap<SocketAddr, KnownRank>,
+    /// What answers told last of servers' limits.
+    limits: HashMap<ServerId, LimitWord>,
     /// When servers said good-bye here last: it may be for a start that is not known here yet.
     departed: HashMap<ServerId, Moment>,
     place: u64,
@@ -123,6 +126,32 @@
         self.known_rank(known)?.word.rank.as_ref()
     }
 
+    /// Takes what an answer of a server tells of its limit; true where it is news.
+    pub fn note_limit(&mut self, id: &ServerId, word: LimitWord) -> bool {
+        let start = self.servers.get(id).map(|k| k.announcement.start);
+        if start != Some(word.start) {
+            return false;
+        }
+        let before = self.limits.get_mut(id).filter(|w| w.start == word.start);
+        let Some(before) = before else {
+            self.limits.insert(id.clone(), word);
+            return word.rate.is_some();
+        };
+        let news = word.replaces(before);
+        if news {
+            *before = word;
+        } else if word.rate == before.rate {
+            before.confirm(&word);
+        }
+        news
+    }
+
+    /// The limit that a server's latest start names; nothing where it names none.
+    pub fn limit(&self, id: &ServerId) -> Option<Rate> {
+        let start = self.servers.get(id)?.announcement.start;
+        self.limits.get(id).filter(|w| w.start == start)?.rate
+    }
+
     /// What was told of the start of a server that holds its address.
     fn known_rank(&self, known: &Known) -> Option<&KnownRank> {
         let said = &known.announcement;
@@ -192,6 +221,7 @@
             .retain(|_, k| k.standing < Standing::Lost || !past(k.heard));
         let servers = &self.servers;
         self.holders.retain(|_, id| servers.contains_key(id));
+        self.limits.retain(|id, _| servers.contains_key(id));
         self.departed.retain(|_, at| !past(*at));
         self.ranks.retain(|_, rank| !past(rank.told));
     }
--- /dev/null
+++ b/crates/registry/tests/limits.rs
@@ -0,0 +1,96 @@
+//! What answers tell of a server's limit.
+
+use quickcheck::quickcheck;
+
+use snipemast_core::prelude::*;
+use snipemast_registry::{Announcement, LimitWord, Table};
+
+const START: Moment = Moment::from_millis(50_000);
+
+fn id() -> ServerId {
+    ServerId::new("i-1").unwrap()
+}
+
+fn announced(start: u64) -> Announcement {
+    Announcement {
+        id: id(),
+        start: Incarnation(start),
+        service: ServiceId::new("lector").unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneId::new("a").unwrap(),
+        slots: 12,
+        draining: false,
+        sequence: 1,
+    }
+}
+
+fn table(start: u64) -> Table {
+    let mut table = Table::new();
+    table.announce(START, announced(start));
+    table
+}
+
+fn at(millis: u64) -> Moment {
+    START + Span::from_millis(millis)
+}
+
+/// A word of a request that was sent and answered at these moments.
+fn word(rate: Option<u64>, sent: u64, seen: u64) -> LimitWord {
+    LimitWord {
+        start: Incarnation(1),
+        rate: rate.map(Rate::per_second),
+        sent: at(sent),
+        seen: at(seen),
+    }
+}
+
+/// An answer that was begun before a server named its limit comes after the one that names it, and ends it.
+#[test]
+fn older_answer_ends_nothing() {
+    let mut table = table(1);
+    assert!(!table.note_limit(&id(), word(None, 0, 10)));
+    assert!(table.note_limit(&id(), word(Some(2), 100, 200)));
+    assert!(!table.note_limit(&id(), word(None, 150, 900)));
+    assert!(!table.note_limit(&id(), word(Some(5), 150, 900)));
+    assert_eq!(table.limit(&id()), Some(Rate::per_second(2)));
+    assert!(table.note_limit(&id(), word(None, 201, 300)));
+    assert_eq!(table.limit(&id()), None);
+    assert!(!table.note_limit(&id(), word(Some(2), 50, 150)));
+}
+
+/// A lower limit holds at once, also where its request was sent long before the higher one was seen.
+#[test]
+fn lower_holds_at_once() {
+    let mut table = table(1);
+    assert!(table.note_limit(&id(), word(Some(5), 100, 200)));
+    assert!(table.note_limit(&id(), word(Some(1), 50, 210)));
+    assert_eq!(table.limit(&id()), Some(Rate::per_second(1)));
+}
+
+/// A server starts again under its id, and is kept to the limit of its earlier start.
+#[test]
+fn start_anew_forgets() {
+    let mut table = table(1);
+    assert!(table.note_limit(&id(), word(Some(1), 100, 200)));
+    table.announce(at(1_000), announced(2));
+    assert_eq!(table.limit(&id()), None);
+    assert!(!table.note_limit(&id(), word(Some(1), 900, 1_100)));
+    assert_eq!(table.limit(&id()), None);
+}
+
+quickcheck! {
+    /// Two hosts that hear of two answers in another order believe different limits.
+    fn order_does_not_matter(one: (Option<u8>, u8, u8), other: (Option<u8>, u8, u8)) -> bool {
+        let word = |(rate, sent, took): (Option<u8>, u8, u8)| {
+            let sent = u64::from(sent);
+            word(rate.map(u64::from), sent, sent + u64::from(took) + 1)
+        };
+        let (one, other) = (word(one), word(other));
+        let limit = |words: [LimitWord; 2]| {
+            let mut table = table(1);
+            words.into_iter().for_each(|word| { table.note_limit(&id(), word); });
+            table.limit(&id())
+        };
+        limit([one, other]) == limit([other, one])
+    }
+}
