Soak: servers name limits while everything else happens

A soak could not have found LIMIT: its servers named none. Now some do, at 0.5 to 8 a second for 7 to 14 s, beside all other troubles, whose plan stays the same; a promise is broken where a server gets more than 1.5 times its limit and 5 requests in 4 s from gateways that were neither restarted, stopped nor cut off just before.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -289,8 +289,8 @@
             Trouble::ServerLink(server, ..)
             | Trouble::Behave(server, ..)
             | Trouble::Crash(server) => vec![Whom::Server(server)],
-            // Leaving in order is no reason to lose anything.
-            Trouble::Replace(_) => Vec::new(),
+            // Neither leaving in order nor a limit is a reason to lose anything.
+            Trouble::Replace(_) | Trouble::Limit(..) => Vec::new(),
         }
     }
 
@@ -349,6 +349,10 @@
                 }
             },
             Trouble::Crash(server) => self.servers.crash(server).await,
+            Trouble::Limit(server, rate, span) => {
+                let limited = self.servers.limit(server, rate, span).await;
+                self.record.lock().limited.extend(limited);
+            }
         }
         begun.into_iter().for_each(|at| self.end(at));
     }
--- a/tests/src/soak/plan.rs
+++ b/tests/src/soak/plan.rs
@@ -68,6 +68,8 @@
     Replace(u8),
     /// A server is gone at once, and another one comes.
     Crash(u8),
+    /// A server names a limit on the requests that all hosts send it.
+    Limit(u8, Rate, Span),
 }
 
 /// A trouble at a time.
@@ -122,6 +124,33 @@
         let series = chance.next_number().is_multiple_of(3);
         at += chance.span(if series { SERIES } else { PAUSE }).as_micros();
     }
+    planned.extend(limits(seed, end, sizes));
+    planned
+}
+
+/// Servers that name limits, whatever else befalls them: the plan of all other troubles stays the same by it.
+fn limits(seed: u64, end: u64, sizes: Sizes) -> Vec<Planned> {
+    /// The longest pause between two.
+    const PAUSE: Span = Span::from_secs(8);
+    let mut chance = Chance::new(!seed);
+    let mut planned = Vec::new();
+    // A server names one limit at a time.
+    let mut until = vec![0; usize::from(sizes.servers)];
+    let mut at = chance.span(PAUSE).as_micros();
+    while at < end {
+        let server = chance.below(u64::from(sizes.servers)) as u8;
+        let rate = Rate::from_millis(500 << chance.below(5));
+        let span = Span::from_millis(7_000 + chance.below(7_000));
+        let free = &mut until[usize::from(server)];
+        if at > *free {
+            *free = at + span.as_micros();
+            planned.push(Planned {
+                at: Span::from_micros(at),
+                trouble: Trouble::Limit(server, rate, span),
+            });
+        }
+        at += chance.span(PAUSE).as_micros();
+    }
     planned
 }
 
@@ -173,8 +202,10 @@
         | Trouble::Pause(host, _)
         | Trouble::Link(host, ..) => host < GATEWAY,
         Trouble::KillControllers | Trouble::Wipe(_) | Trouble::Full(..) => true,
-        Trouble::ServerLink(..) | Trouble::Behave(..) | Trouble::Replace(_) | Trouble::Crash(_) => {
-            false
-        }
+        Trouble::ServerLink(..)
+        | Trouble::Behave(..)
+        | Trouble::Replace(_)
+        | Trouble::Crash(_)
+        | Trouble::Limit(..) => false,
     }
 }
--- a/tests/src/soak/servers.rs
+++ b/tests/src/soak/servers.rs
@@ -16,7 +16,7 @@
 use super::fleet::Fleet;
 use super::plan::Disturbance;
 use super::proxy::Proxy;
-use super::verdict::Drained;
+use super::verdict::{Drained, Limited};
 
 /// The pause between two announcements, before an address is tried again, and how long a call may take.
 const BEAT: Span = Span::from_millis(400);
@@ -105,6 +105,21 @@
         server.behave(Behavior::Well);
     }
 
+    /// Lets a server name a limit for a time.
+    pub async fn limit(&self, place: u8, rate: Rate, span: Span) -> Option<Limited> {
+        let server = self.server(place)?;
+        server.name_limit(Some(&rate.as_per_second().to_string()));
+        let from = Instant::now();
+        pause(span).await;
+        server.name_limit(None);
+        Some(Limited {
+            server: server.id.clone(),
+            rate,
+            from,
+            until: Instant::now(),
+        })
+    }
+
     /// Lets a server be gone at once, and another one come at its address.
     pub async fn crash(&self, place: u8) {
         self.end(place);
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::plan::AFTER;
+use snipemast_core::prelude::*;
 use snipemast_site::{Ran, EVENTS};
 
 /// How long a caller may wait: the routes' time, and some for a busy machine.
@@ -15,6 +16,10 @@
 const IN_FORCE: Duration = Duration::from_millis(2_000);
 const DRAINED: Duration = Duration::from_millis(2_000);
 
+/// From when on a limit holds after it was named, and over which time requests are counted.
+const SETTLED: Duration = Duration::from_secs(3);
+const WINDOW: Duration = Duration::from_secs(4);
+
 /// What may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -109,6 +114,19 @@
     pub at: Instant,
 }
 
+/// A server that named a limit for a time.
+#[derive(Debug, Clone)]
+pub struct Limited {
+    /// The server.
+    pub server: String,
+    /// The requests a second that it takes from all hosts together.
+    pub rate: Rate,
+    /// From when it named that.
+    pub from: Instant,
+    /// Until when.
+    pub until: Instant,
+}
+
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Broken(pub String);
@@ -132,6 +150,8 @@
     pub reads: Vec<ReadBack>,
     /// Drains.
     pub drained: Vec<Drained>,
+    /// Limits.
+    pub limited: Vec<Limited>,
     /// Processes that ended by themselves.
     pub ended: Vec<Broken>,
 }
@@ -154,6 +174,7 @@
         }
         broken.extend(self.older_reads());
         broken.extend(self.sent_to_drained(ran));
+        broken.extend(self.limited.iter().filter_map(|l| self.sent_beyond(l, ran)));
         broken.extend(passed_keys(ran));
         broken
     }
@@ -265,6 +286,40 @@
     }
 }
 
+impl Record {
+    /// What a server with a limit was sent beyond that.
+    fn sent_beyond(&self, limited: &Limited, ran: &HashMap<String, Vec<Ran>>) -> Option<Broken> {
+        let allowed = 1.5 * limited.rate.as_per_second() * WINDOW.as_secs_f64() + 5.0;
+        let runs = ran.get(&limited.server).into_iter().flatten();
+        let settled = limited.from + SETTLED;
+        let runs = runs.filter(|r| r.at >= settled && r.at <= limited.until);
+        let mut at: Vec<Instant> = runs.filter(|r| self.counts(r)).map(|r| r.at).collect();
+        at.sort_unstable();
+        let within = |first: Instant| {
+            let same = at.iter().filter(|a| **a >= first && **a < first + WINDOW);
+            same.count()
+        };
+        let most = at.iter().map(|first| within(*first)).max()?;
+        let said = format!("{limited:?} was sent {most} in 4 s, allowed {allowed}");
+        (most as f64 > allowed).then_some(Broken(said))
+    }
+
+    /// Whether a run counts against a limit: its gateway was neither restarted nor stopped nor cut off just before.
+    fn counts(&self, run: &Ran) -> bool {
+        let asked = self.asked.iter().find(|a| a.attempt == run.attempt);
+        // One that has not ended is judged once it has.
+        let Some(asked) = asked else {
+            return false;
+        };
+        let own = |c: &&Cause| matches!(c.whom, Whom::Host(host) | Whom::Ending(host) if host == asked.gateway);
+        !self
+            .causes
+            .iter()
+            .filter(own)
+            .any(|c| c.overlaps(run.at, run.at))
+    }
+}
+
 impl Cause {
     /// Whether it may still have had an effect in a time.
     fn overlaps(&self, from: Instant, until: Instant) -> bool {
