Send nothing alone while it isn't known how many gateways there are; split what has grown

Found on reading: a gateway that starts anew while nobody leads took itself for the only one, so all hosts restarted at once would each have sent a server in need a tenth of its limit. It now waits until some controller has told how many gateways there are (nothing_alone_among_unknown_many). Its test found one more: measured from the clock's start, a host that had booted less than a period ago sent nothing at all (asked_without_leader, 149 gateways: 0 in a minute).

--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -9,9 +9,10 @@
 
 use snipemast_core::hash::{below, fraction, mix};
 use snipemast_core::prelude::*;
+use snipemast_placement::choice::{Offered, Wanted};
 use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Pick;
-use snipemast_placement::servers::{Offered, Servers, Trouble, Wanted};
+use snipemast_placement::servers::{Servers, Trouble};
 use snipemast_placement::{Pool, Turn};
 
 /// The way between two hosts.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `send`: one send of a request to one server.
 //! - `stream`: passes events on, and goes on at another server where a stream breaks.
 //! - `story`: what is logged and measured of one request.
+//! - `waiting`: requests that no server may take now.
 //! - `limits`: what answers say of the requests that their servers take.
 //! - `metrics`: what a gateway counts and measures.
 //! - `connections`: open connections to servers.
@@ -24,5 +25,6 @@
 mod send;
 mod story;
 mod stream;
+mod waiting;
 
 pub use process::run;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -104,9 +104,7 @@
         for (server, granted) in &granted {
             self.metrics.grant(server, granted.count);
         }
-        let gateways = self.budget.lock().gateways();
-        let mut servers = self.servers.lock();
-        servers.set_grants(now, gateways, granted.into_iter());
+        self.servers.lock().set_grants(now, granted.into_iter());
     }
 
     /// Logs that a server's limit is another one, and where that was learnt.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -9,9 +9,9 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Sink;
 use snipemast_net::exec::pause;
+use snipemast_placement::choice::Offered;
 use snipemast_placement::outage::Word;
 use snipemast_placement::pools::{Pools, Told};
-use snipemast_placement::servers::Offered;
 use snipemast_platform::document;
 use snipemast_registry::news::Flying;
 use snipemast_registry::source::{Source, HANDED_OUT};
@@ -230,6 +230,7 @@
         self.merge(controller, &mut news);
         let now = self.state.clock.now();
         self.state.budget.lock().see_gateways(news.gateways);
+        self.state.servers.lock().see_gateways(news.gateways);
         let mut known = self.known.lock();
         if news.leader == Some(controller) {
             known.leader = news.leader;
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -89,7 +89,8 @@
 impl Gateway {
     fn new(now: Moment, rate: Rate, gateways: u32, chance: &mut Chance) -> Self {
         let mut allowances = Allowances::new(chance.next());
-        allowances.set_grants(now, gateways, std::iter::empty());
+        allowances.see_gateways(gateways);
+        allowances.set_grants(now, std::iter::empty());
         allowances.set_limits(now, vec![(server(), rate)]);
         Self {
             allowances,
@@ -100,7 +101,7 @@
     }
 
     /// Takes an answer that has come.
-    fn take(&mut self, now: Moment, gateways: u32, rate: Rate) {
+    fn take(&mut self, now: Moment, rate: Rate) {
         let Some((asked, at, grants)) = self.answer.take() else {
             return;
         };
@@ -113,7 +114,7 @@
             let Grant { count, due, .. } = grant;
             (grant.server, Granted { count, due, until })
         });
-        self.allowances.set_grants(now, gateways, granted);
+        self.allowances.set_grants(now, granted);
     }
 }
 
@@ -159,7 +160,7 @@
                 if trouble == Trouble::Restarts && chance.is(0.002) {
                     *gateway = Gateway::new(now, rate, gateways, &mut chance);
                 }
-                gateway.take(now, gateways, rate);
+                gateway.take(now, rate);
                 let cut = trouble == Trouble::Cut && 3 * number < 2 * gateways as usize;
                 if now >= gateway.polls && !cut {
                     gateway.polls = now + wait;
--- a/crates/placement/src/allowances.rs
+++ b/crates/placement/src/allowances.rs
@@ -33,7 +33,10 @@
 #[derive(Debug)]
 pub struct Allowances {
     servers: HashMap<ServerId, Allowance>,
+    /// How many gateways there are; 0 while that isn't known.
     gateways: u32,
+    /// When the leader was heard last.
+    heard: Moment,
     /// Differs between gateways, so that those which lose the leader at once don't send at once.
     seed: u64,
 }
@@ -42,8 +45,10 @@
 struct Allowance {
     rate: Rate,
     granted: VecDeque<Granted>,
-    /// From when on one may be sent without a grant.
-    alone: Moment,
+    /// When the server was found to name a limit.
+    known: Moment,
+    /// When a request was sent there without a grant.
+    alone: Option<Moment>,
     /// When requests found this server.
     asked: VecDeque<Moment>,
 }
@@ -53,7 +58,8 @@
     pub fn new(seed: u64) -> Self {
         Self {
             servers: HashMap::new(),
-            gateways: 1,
+            gateways: 0,
+            heard: Moment::ZERO,
             seed,
         }
     }
@@ -62,38 +68,29 @@
     pub fn set_limits(&mut self, now: Moment, limits: Vec<(ServerId, Rate)>) {
         let mut before = std::mem::take(&mut self.servers);
         for (id, rate) in limits {
-            let allowance = match before.remove(&id) {
-                Some(mut known) if rate < known.rate => {
-                    // What was granted was a part of the higher limit.
-                    known.granted.clear();
-                    known.alone = known.alone.max(self.first_alone(now, rate));
-                    Allowance { rate, ..known }
-                }
-                Some(known) => Allowance { rate, ..known },
-                None => Allowance::new(rate, self.first_alone(now, rate)),
-            };
+            let known = before.remove(&id);
+            let mut allowance = known.unwrap_or_else(|| Allowance::new(now, rate));
+            // What was granted was a part of the higher limit.
+            if rate < allowance.rate {
+                allowance.granted.clear();
+            }
+            allowance.rate = rate;
             self.servers.insert(id, allowance);
         }
     }
 
-    /// Takes what the leader grants to this gateway, one of so many.
-    pub fn set_grants(
-        &mut self,
-        now: Moment,
-        gateways: u32,
-        grants: impl Iterator<Item = (ServerId, Granted)>,
-    ) {
-        self.gateways = gateways;
-        let rates = self.servers.iter();
-        let rates: Vec<(ServerId, Rate)> = rates.map(|(id, a)| (id.clone(), a.rate)).collect();
-        for (id, rate) in rates {
-            let alone = self.first_alone(now, rate);
-            if let Some(allowance) = self.servers.get_mut(&id) {
-                allowance.alone = alone;
-            }
-        }
+    /// Takes note of how many gateways there are; it only ever grows, because one that is not seen may be cut off and
+    /// send all the same.
+    pub fn see_gateways(&mut self, count: u32) {
+        self.gateways = self.gateways.max(count);
+    }
+
+    /// Takes what the leader grants to this gateway.
+    pub fn set_grants(&mut self, now: Moment, grants: impl Iterator<Item = (ServerId, Granted)>) {
+        self.heard = now;
         for (id, granted) in grants {
             if let Some(allowance) = self.servers.get_mut(&id) {
+                allowance.granted.retain(|g| g.is_valid(now));
                 allowance.granted.push_back(granted);
             }
         }
@@ -112,7 +109,7 @@
     /// Whether a request may be sent to a server now.
     pub fn admits(&self, now: Moment, server: &ServerId) -> bool {
         let allowance = self.servers.get(server);
-        allowance.is_none_or(|a| a.granted(now) > 0 || now >= a.alone)
+        allowance.is_none_or(|a| a.granted(now) > 0 || self.admits_alone(now, a))
     }
 
     /// Whether a request is to be sent to a server rather than to another one.
@@ -123,13 +120,10 @@
 
     /// A request is sent to a server.
     pub fn spend(&mut self, now: Moment, server: &ServerId) {
-        let period = |rate| self.period(rate);
-        let period = self.servers.get(server).map(|a| period(a.rate));
-        let (Some(allowance), Some(period)) = (self.servers.get_mut(server), period) else {
-            return;
-        };
-        if !allowance.spend(now) {
-            allowance.alone = now + period;
+        if let Some(allowance) = self.servers.get_mut(server) {
+            if !allowance.spend(now) {
+                allowance.alone = Some(now);
+            }
         }
     }
 
@@ -157,35 +151,40 @@
         asked.saturating_sub(allowance.granted(now))
     }
 
-    /// When a gateway that hears no leader from now on sends its first request without a grant.
-    fn first_alone(&self, now: Moment, rate: Rate) -> Moment {
-        let part = fraction(mix(self.seed));
-        let wait = self.period(rate).as_secs_f64() * part;
-        now + SILENT + Span::from_micros((wait * 1e6) as u64)
+    /// Whether one may be sent without a grant: the leader was not heard for long, and it is this gateway's time.
+    fn admits_alone(&self, now: Moment, allowance: &Allowance) -> bool {
+        if self.gateways == 0 {
+            return false;
+        }
+        let all = allowance.rate.as_per_second() * ALONE;
+        let period = f64::from(self.gateways) / all;
+        let first = SILENT.as_secs_f64() + period * fraction(mix(self.seed));
+        let silent = self.heard.max(allowance.known).until(now);
+        let again = |last: Moment| last.until(now).as_secs_f64() >= period;
+        silent.as_secs_f64() >= first && allowance.alone.is_none_or(again)
     }
+}
 
-    /// How long each gateway without a leader waits between two requests.
-    fn period(&self, rate: Rate) -> Span {
-        let all = rate.as_per_second() * ALONE;
-        Span::from_micros((f64::from(self.gateways.max(1)) / all * 1e6) as u64)
+impl Granted {
+    fn is_valid(&self, now: Moment) -> bool {
+        now < self.until && self.count > 0
     }
 }
 
 impl Allowance {
-    fn new(rate: Rate, alone: Moment) -> Self {
+    fn new(known: Moment, rate: Rate) -> Self {
         Self {
             rate,
             granted: VecDeque::new(),
-            alone,
+            known,
+            alone: None,
             asked: VecDeque::new(),
         }
     }
 
     /// What was granted and may be used still.
     fn valid(&self, now: Moment) -> impl Iterator<Item = &Granted> {
-        self.granted
-            .iter()
-            .filter(move |g| now < g.until && g.count > 0)
+        self.granted.iter().filter(move |g| g.is_valid(now))
     }
 
     fn granted(&self, now: Moment) -> u32 {
@@ -194,7 +193,7 @@
 
     /// Uses one of what was granted; false where there is none.
     fn spend(&mut self, now: Moment) -> bool {
-        self.granted.retain(|g| now < g.until && g.count > 0);
+        self.granted.retain(|g| g.is_valid(now));
         let due = self.granted.iter().position(|g| g.due);
         let Some(used) = self.granted.get_mut(due.unwrap_or(0)) else {
             return false;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`servers`]: what a gateway believes of each server's load and health.
 //! - [`allowances`]: what a gateway may send to servers that name limits.
 //! - [`returns`]: when requests come back that such servers leave no room for.
+//! - [`choice`]: what the choice of a server is asked and given, and what it says.
 //! - [`pick`]: which of those that may take a request gets it.
 //! - [`budget`]: one gateway's share of the repeats that all may send.
 //! - [`outage`]: what becomes of requests while none of a service's servers can run any.
@@ -16,6 +17,7 @@
 
 pub mod allowances;
 pub mod budget;
+pub mod choice;
 pub mod events;
 pub mod length;
 pub mod outage;
@@ -30,12 +32,13 @@
 
 pub use allowances::Allowances;
 pub use budget::Budget;
+pub use choice::Choice;
 pub use events::{Events, IdReader};
 pub use outage::Outages;
 pub use passes::Passes;
 pub use pools::{Pool, Pools};
 pub use returns::Returns;
 pub use sends::Sends;
-pub use servers::{Choice, Servers, Trouble};
+pub use servers::{Servers, Trouble};
 pub use shutdown::Shutdown;
 pub use turn::{Patience, Turn};
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -9,7 +9,7 @@
 use snipemast_core::prelude::*;
 
 use crate::allowances::{Allowances, Granted};
-use crate::outage::Gate;
+use crate::choice::{Choice, Offered, Unplaced, Wanted};
 use crate::pick::{Candidate, Freshness, Pick, Placing};
 use crate::pools::Pool;
 use crate::turn::{Room, Turn};
@@ -59,82 +59,6 @@
     Still,
 }
 
-/// One server as a request is placed.
-#[derive(Debug, Clone)]
-pub struct Choice {
-    /// The server.
-    pub server: ServerId,
-    /// The servers that it runs and stalls together with.
-    pub pool: Pool,
-    /// Which start of it.
-    pub start: Incarnation,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// What was believed to be in flight there.
-    pub load: u32,
-    /// How old the other gateways' part of that is.
-    pub age: Span,
-    /// Whether it names a limit.
-    pub limited: bool,
-    /// How many servers were left out because of their limits.
-    pub passed: usize,
-}
-
-/// Which servers a request may be sent to.
-#[derive(Debug, Clone, Copy)]
-pub struct Wanted<'a> {
-    /// The service.
-    pub service: &'a ServiceId,
-    /// Which of its pools are open.
-    pub gate: &'a Gate,
-    /// Servers that are left out.
-    pub but: &'a [ServerId],
-}
-
-impl Wanted<'_> {
-    fn holds(&self, offered: &Offered) -> bool {
-        offered.pool.service == *self.service
-            && self.gate.holds(&offered.pool)
-            && !self.but.contains(&offered.server)
-    }
-}
-
-/// Why no server is chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Unplaced {
-    /// None is known that may be sent to.
-    Nobody,
-    /// All are left out after failures.
-    AllOut,
-    /// All that are not left out name limits, and have been sent what they take.
-    AllLimited,
-    /// All have as much as they should.
-    AllFull,
-    /// It was sent already, and no repeat is left.
-    Spent,
-    /// The service is out.
-    Out,
-    /// Its answer could not end in time any more.
-    TooLong,
-}
-
-/// A server that may be sent to, as it announced itself.
-#[derive(Debug, Clone)]
-pub struct Offered {
-    /// The server.
-    pub server: ServerId,
-    /// Which start of it.
-    pub start: Incarnation,
-    /// The servers that it runs and stalls together with.
-    pub pool: Pool,
-    /// Where it takes requests.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: ZoneId,
-    /// How many requests it runs at once.
-    pub slots: u32,
-}
-
 /// What is believed of each server.
 #[derive(Debug)]
 pub struct Servers<P = Placing> {
@@ -155,18 +79,18 @@
 
 /// The servers that may take a request.
 #[derive(Debug)]
-struct Open {
-    servers: Vec<ServerId>,
+struct Open<'a> {
+    servers: Vec<&'a ServerId>,
     candidates: Vec<Candidate>,
     /// Those that name limits, and that this gateway would send to.
-    limited: Vec<ServerId>,
+    limited: Vec<&'a ServerId>,
     /// How many were left out because of their limits.
     passed: usize,
     /// Why there is none, where there is none.
     unplaced: Unplaced,
 }
 
-impl Default for Open {
+impl Default for Open<'_> {
     fn default() -> Self {
         Self {
             servers: Vec::new(),
@@ -287,14 +211,14 @@
         self.allowances.set_limits(now, limits);
     }
 
-    /// Takes what the leader grants to this gateway, one of so many.
-    pub fn set_grants(
-        &mut self,
-        now: Moment,
-        gateways: u32,
-        grants: impl Iterator<Item = (ServerId, Granted)>,
-    ) {
-        self.allowances.set_grants(now, gateways, grants);
+    /// Takes note of how many gateways there are.
+    pub fn see_gateways(&mut self, count: u32) {
+        self.allowances.see_gateways(count);
+    }
+
+    /// Takes what the leader grants to this gateway.
+    pub fn set_grants(&mut self, now: Moment, grants: impl Iterator<Item = (ServerId, Granted)>) {
+        self.allowances.set_grants(now, grants);
     }
 
     /// How many more requests this gateway would send to a server that names a limit.
@@ -348,37 +272,34 @@
         turn: Turn,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
-        let mut open = self.open(now, wanted, turn);
-        for server in std::mem::take(&mut open.limited) {
-            self.allowances.note_demand(now, &server);
-        }
-        if open.servers.is_empty() {
-            return Err(open.unplaced);
-        }
         let fresh = self.freshness(now, wanted.service);
+        let open = self.open(now, wanted, turn);
         let due = self.due(now, &open);
         let picked = due.or_else(|| self.pick.pick(&open.candidates, fresh, chance));
-        let place = picked.ok_or(Unplaced::Nobody)?;
-        let id = open.servers.swap_remove(place);
+        let picked = picked.map(|place| (open.servers[place].clone(), open.candidates[place]));
+        let (unplaced, passed) = (open.unplaced, open.passed);
+        let limited: Vec<ServerId> = open.limited.into_iter().cloned().collect();
+        for server in &limited {
+            self.allowances.note_demand(now, server);
+        }
+        let (id, Candidate { own, others, .. }) = picked.ok_or(unplaced)?;
         let server = self.known.get_mut(&id).ok_or(Unplaced::Nobody)?;
         server.own += 1;
-        let limited = self.allowances.is_limited(&id);
         self.allowances.spend(now, &id);
-        let Candidate { own, others, .. } = open.candidates[place];
         Ok(Choice {
-            server: id,
             pool: server.offered.pool.clone(),
             start: server.offered.start,
             address: server.offered.address,
             load: own + others,
             age: fresh.age,
-            limited,
-            passed: open.passed,
+            limited: self.allowances.is_limited(&id),
+            passed,
+            server: id,
         })
     }
 
     /// The servers that may take a request, and what is believed of their load.
-    fn open(&self, now: Moment, wanted: Wanted<'_>, turn: Turn) -> Open {
+    fn open(&self, now: Moment, wanted: Wanted<'_>, turn: Turn) -> Open<'_> {
         let bound = self.room.bound(turn);
         let mut open = Open::default();
         let mut limited = Vec::new();
@@ -405,18 +326,18 @@
                 open.passed += 1;
                 continue;
             }
-            open.servers.push(id.clone());
+            open.servers.push(id);
             open.candidates.push(candidate);
         }
         // Gateways of the server's zone use it first.
         let free = open.candidates.iter().any(Candidate::is_near_and_free);
         let asked = limited.into_iter().filter(|(_, near)| *near || !free);
-        open.limited = asked.map(|(id, _)| id.clone()).collect();
+        open.limited = asked.map(|(id, _)| id).collect();
         open
     }
 
     /// The place of a server that has a free slot and is to be sent a request first.
-    fn due(&self, now: Moment, open: &Open) -> Option<usize> {
+    fn due(&self, now: Moment, open: &Open<'_>) -> Option<usize> {
         let places = open.servers.iter().zip(&open.candidates);
         let mut places = places.enumerate();
         let due = places
--- a/crates/placement/tests/allowances.rs
+++ b/crates/placement/tests/allowances.rs
@@ -14,7 +14,8 @@
 
 fn limited(rate: u64) -> Allowances {
     let mut allowances = Allowances::new(1);
-    allowances.set_grants(at(0), 9, std::iter::empty());
+    allowances.see_gateways(9);
+    allowances.set_grants(at(0), std::iter::empty());
     allowances.set_limits(at(0), vec![(id(), Rate::per_second(rate))]);
     allowances
 }
@@ -22,7 +23,7 @@
 fn grant(allowances: &mut Allowances, now: Moment, count: u32, due: bool) {
     let until = now + Span::from_secs(1);
     let granted = Granted { count, due, until };
-    allowances.set_grants(now, 9, [(id(), granted)].into_iter());
+    allowances.set_grants(now, [(id(), granted)].into_iter());
 }
 
 /// A gateway sends to a server in need what it was granted long ago, after it stood still.
@@ -81,3 +82,16 @@
     assert_eq!(allowances.demand(at(100), &id()), 1);
     assert_eq!(allowances.demand(at(500), &id()), 0);
 }
+
+/// All hosts start anew while nobody leads, and each sends a server in need a share as if it were alone.
+#[test]
+fn nothing_alone_among_unknown_many() {
+    let mut allowances = Allowances::new(1);
+    allowances.set_limits(at(0), vec![(id(), Rate::per_second(1))]);
+    assert!(!allowances.admits(at(3_600_000), &id()));
+    allowances.see_gateways(3);
+    assert!(allowances.admits(at(3_600_000), &id()));
+    allowances.spend(at(3_600_000), &id());
+    assert!(!allowances.admits(at(3_629_999), &id()));
+    assert!(allowances.admits(at(3_630_000), &id()));
+}
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -2,9 +2,10 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::allowances::Granted;
+use snipemast_placement::choice::{Offered, Unplaced, Wanted};
 use snipemast_placement::outage::Gate;
 use snipemast_placement::pick::Placing;
-use snipemast_placement::servers::{Offered, Servers, Trouble, Unplaced, Wanted};
+use snipemast_placement::servers::{Servers, Trouble};
 use snipemast_placement::{Pool, Turn};
 
 const NOW: Moment = Moment::from_millis(50_000);
@@ -215,7 +216,7 @@
         due,
         until: NOW + Span::from_secs(1),
     };
-    servers.set_grants(NOW, 3, [(id(number), granted)].into_iter());
+    servers.set_grants(NOW, [(id(number), granted)].into_iter());
 }
 
 /// A server in need is sent more than it takes, or a user is refused although another server is free.
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -161,8 +161,8 @@
 
     /// What was told of the limits of all servers that have named one since they started.
     pub fn limits(&self) -> impl Iterator<Item = (&ServerId, &LimitWord)> {
-        let known = self.limits.keys().filter_map(|id| self.servers.get(id));
-        known.filter_map(|k| Some((&k.announcement.id, self.limit_word(k)?)))
+        let named = self.limits.iter().filter(|(_, limit)| limit.named);
+        named.filter_map(|(id, _)| Some((id, self.limit_word(self.servers.get(id)?)?)))
     }
 
     /// What was told of the limit of a server that has named one since it started.
