Write rates so that they come back as they were

Found on reading: a limit of 1.234 a second went to the leader as 4442/h and came back as 1.233, lower; the gateway took that, its next answer said 1.234, and so on: a line in the log for each answer, and what was granted lost with each turn. No caller and no server sees more than a limit that is used less than it could be. A rate is now rounded up where it is written and down where it is read (passed_on_unchanged fails before: 1233, 1234).

--- a/crates/core/src/units.rs
+++ b/crates/core/src/units.rs
@@ -205,8 +205,8 @@
         if self.0.is_multiple_of(1_000) {
             write!(f, "{}/s", self.0 / 1_000)
         } else {
-            // Rates below one a second are written by the minute; thousandths are kept by the hour.
-            write!(f, "{}/h", (self.0 * 3_600 + 500) / 1_000)
+            // Rounded up: a rate that is read rounds down, and must come back as it was.
+            write!(f, "{}/h", (self.0 * 3_600).div_ceil(1_000))
         }
     }
 }
--- a/crates/placement/src/allowances.rs
+++ b/crates/placement/src/allowances.rs
@@ -8,7 +8,7 @@
 use snipemast_core::hash::{fraction, mix};
 use snipemast_core::prelude::*;
 
-/// How long after the leader's last word a gateway counts as without one; what it granted has ended by then.
+/// How long after the leader's last word a gateway counts as without one: two of the longest pauses between polls.
 const SILENT: Span = Span::from_secs(1);
 
 /// The part of a limit that gateways without a leader may send, all together.
--- a/crates/registry/tests/limits.rs
+++ b/crates/registry/tests/limits.rs
@@ -3,7 +3,7 @@
 use quickcheck::quickcheck;
 
 use snipemast_core::prelude::*;
-use snipemast_registry::{Announcement, LimitWord, Table};
+use snipemast_registry::{Announcement, LimitEntry, LimitWord, Table};
 
 const START: Moment = Moment::from_millis(50_000);
 
@@ -94,3 +94,19 @@
         limit([one, other]) == limit([other, one])
     }
 }
+
+/// A limit comes back a little lower from the leader than a gateway told it, and each of its answers is taken for another
+/// limit: what was granted is lost each time.
+#[test]
+fn passed_on_unchanged() {
+    for thousandths in [1, 333, 1_234, 2_137, 999_999] {
+        let word = LimitWord {
+            rate: Some(Rate::from_millis(thousandths)),
+            ..word(None, 100, 200)
+        };
+        let entry = LimitEntry::new(&word, at(300));
+        let bytes = rmp_serde::to_vec_named(&entry).unwrap();
+        let read: LimitEntry = rmp_serde::from_slice(&bytes).unwrap();
+        assert_eq!(read.word(at(300)), word);
+    }
+}
