Read the rest and the leaving that servers' answers tell of, log them and count the sends to such servers

No decision changes. Now the adapter decodes both headers, RestAsked and LeavingTold say when a gateway learnt of them and from which answer, and counters by server tell how many requests were sent there against it.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -181,6 +181,12 @@
     LimitNamed = 707;
     /// A backend server names no limit any more.
     LimitEnded = 708;
+    /// A backend server turned a request away and wants nothing from this host for a time.
+    RestAsked = 709;
+    /// A backend server takes requests again after its rest.
+    RestEnded = 710;
+    /// A backend server's answer says that it leaves.
+    LeavingTold = 711;
 }
 
 impl Event {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `story`: what is logged and measured of one request.
 //! - `waiting`: requests that no server may take now.
 //! - `limits`: what answers say of the requests that their servers take.
+//! - `rests`: the rest that servers ask for, and their leaving.
 //! - `metrics`: what a gateway counts and measures.
 //! - `connections`: open connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
@@ -22,6 +23,7 @@
 mod limits;
 mod metrics;
 mod news;
+mod rests;
 mod send;
 mod story;
 mod stream;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,12 @@
     server: String,
 }
 
+fn add(family: &Family<ServerLabel, Counter>, server: &ServerId, count: u32) {
+    let server = server.to_string();
+    let counter = family.get_or_create(&ServerLabel { server });
+    counter.inc_by(count.into());
+}
+
 fn buckets() -> Histogram {
     Histogram::new(BUCKETS)
 }
@@ -74,6 +80,9 @@
     repeats: Counter,
     limited: Family<ServerLabel, Counter>,
     granted: Family<ServerLabel, Counter>,
+    rests: Family<ServerLabel, Counter>,
+    resting: Family<ServerLabel, Counter>,
+    leaving: Family<ServerLabel, Counter>,
 }
 
 impl Metrics {
@@ -94,17 +103,27 @@
         );
         registry.register("sends", "Requests sent to servers", sends.clone());
         registry.register("repeats", "Sends after the first", repeats.clone());
-        let limited = Family::default();
-        registry.register(
+        let mut by_server = |name: &str, help: &str| {
+            let family = Family::<ServerLabel, Counter>::default();
+            registry.register(name, help, Family::clone(&family));
+            family
+        };
+        let limited = by_server(
             "limited_sends",
             "Requests sent to servers that name a limit",
-            Family::clone(&limited),
         );
-        let granted = Family::default();
-        registry.register(
+        let granted = by_server(
             "granted_sends",
             "Requests that the leader granted to servers that name a limit",
-            Family::clone(&granted),
+        );
+        let rests = by_server("rests", "Times that servers asked this host for rest");
+        let resting = by_server(
+            "resting_sends",
+            "Requests sent to servers that asked this host for rest",
+        );
+        let leaving = by_server(
+            "leaving_sends",
+            "Requests sent to servers that said that they leave",
         );
         Self {
             registry: Mutex::new(registry),
@@ -114,20 +133,35 @@
             repeats,
             limited,
             granted,
+            rests,
+            resting,
+            leaving,
         }
     }
 
     /// The leader granted requests to a server that names a limit.
     pub(crate) fn grant(&self, server: &ServerId, count: u32) {
-        let server = server.to_string();
-        let counter = self.granted.get_or_create(&ServerLabel { server });
-        counter.inc_by(count.into());
+        add(&self.granted, server, count);
     }
 
     /// A request was sent to a server that names a limit.
     pub(crate) fn send_limited(&self, server: &ServerId) {
-        let server = server.to_string();
-        self.limited.get_or_create(&ServerLabel { server }).inc();
+        add(&self.limited, server, 1);
+    }
+
+    /// A server asked this host for rest.
+    pub(crate) fn rest(&self, server: &ServerId) {
+        add(&self.rests, server, 1);
+    }
+
+    /// A request was sent to a server that asked this host for rest.
+    pub(crate) fn send_resting(&self, server: &ServerId) {
+        add(&self.resting, server, 1);
+    }
+
+    /// A request was sent to a server that said that it leaves.
+    pub(crate) fn send_leaving(&self, server: &ServerId) {
+        add(&self.leaving, server, 1);
     }
 
     /// A part of a request took so long.
--- /dev/null
+++ b/crates/gateway/src/rests.rs
@@ -0,0 +1,41 @@
+//! The rest that servers ask for, and their leaving, as answers tell of them.
+
+use snipemast_core::prelude::*;
+use snipemast_placement::Choice;
+use snipemast_platform::response::{Reply, Rest};
+
+use crate::send::Job;
+
+impl Job {
+    /// Takes note of the rest that a server asks this host for.
+    pub(crate) fn note_rest(&self, choice: &Choice, rest: &Rest) {
+        let Some(span) = rest.span() else {
+            return;
+        };
+        if let Rest::Unreadable(_, text) = rest {
+            let detail = format_args!("{}: rest {text:?} can't be read", choice.server);
+            self.note_trouble(Event::AnswerFailed, detail);
+        }
+        let (state, server) = (&self.state, &choice.server);
+        let now = state.clock.now();
+        let mut servers = state.servers.lock();
+        servers.note_rest(now, server, choice.start, span);
+        drop(servers);
+        state.metrics.rest(server);
+        let detail = format_args!("for {span}, answer to {}", self.name);
+        state.journal.record(Event::RestAsked, server, detail);
+    }
+
+    /// Takes note of a server that says that it leaves.
+    pub(crate) fn note_leaving(&self, choice: &Choice, reply: &Reply) {
+        if !reply.leaving {
+            return;
+        }
+        let (state, server) = (&self.state, &choice.server);
+        let now = state.clock.now();
+        if state.servers.lock().note_leaving(now, server, choice.start) {
+            let detail = format_args!("answer to {}", self.name);
+            state.journal.record(Event::LeavingTold, server, detail);
+        }
+    }
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -322,9 +322,10 @@
             self.trouble(&choice, Trouble::Broken, "an answer to another request");
             return Err(Failure::Unknown);
         }
-        // The one that answers this is another server.
-        if status != StatusCode::MISDIRECTED_REQUEST {
+        if self.is_own_word(status, &reply) {
             self.note_limit(&choice, &reply.limit, sent);
+            self.note_rest(&choice, &reply.rest);
+            self.note_leaving(&choice, &reply);
         }
         if reply.unrun {
             return Err(self.not_run(&choice, status, &reply));
@@ -342,6 +343,14 @@
         })
     }
 
+    /// Whether an answer is the chosen server's own, and to this request: another server may stand at its address,
+    /// and an answer to an earlier request may be late.
+    fn is_own_word(&self, status: StatusCode, reply: &Reply) -> bool {
+        let (asked, told) = (self.ask.attempt.as_ref(), reply.attempt.as_ref());
+        let stray = asked.zip(told).is_some_and(|(asked, told)| asked != told);
+        status != StatusCode::MISDIRECTED_REQUEST && !stray
+    }
+
     fn not_run(&self, choice: &Choice, status: StatusCode, reply: &Reply) -> Failure {
         let culprit = reply.culprit.as_deref().unwrap_or("");
         let detail = format!("{status}, not run, by {culprit}");
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`servers`]: what a gateway believes of each server's load and health.
 //! - [`allowances`]: what a gateway may send to servers that name limits.
+//! - [`rests`]: until when servers want nothing from this gateway.
 //! - [`returns`]: when requests come back that such servers leave no room for.
 //! - [`choice`]: what the choice of a server is asked and given, and what it says.
 //! - [`pick`]: which of those that may take a request gets it.
@@ -24,6 +25,7 @@
 pub mod passes;
 pub mod pick;
 pub mod pools;
+pub mod rests;
 pub mod returns;
 pub mod sends;
 pub mod servers;
@@ -37,6 +39,7 @@
 pub use outage::Outages;
 pub use passes::Passes;
 pub use pools::{Pool, Pools};
+pub use rests::Rests;
 pub use returns::Returns;
 pub use sends::Sends;
 pub use servers::{Servers, Trouble};
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -12,6 +12,7 @@
 use crate::choice::{Choice, Offered, Unplaced, Wanted};
 use crate::pick::{Candidate, Freshness, Pick, Placing};
 use crate::pools::Pool;
+use crate::rests::Rests;
 use crate::turn::{Room, Turn};
 
 /// How long the others' counts are believed: four of their usual exchanges.
@@ -71,6 +72,9 @@
     pools: HashMap<ServiceId, Vec<Pool>>,
     slow: HashMap<ServerId, u32>,
     allowances: Allowances,
+    rests: Rests,
+    /// Those that said that they leave, and when.
+    leaving: HashMap<(ServerId, Incarnation), Moment>,
     /// When the other gateways' counts were taken, in the mean.
     counted: Moment,
     /// How long a request is in flight, as a rule.
@@ -130,6 +134,8 @@
             pools: HashMap::new(),
             slow: HashMap::new(),
             allowances: Allowances::new(0),
+            rests: Rests::default(),
+            leaving: HashMap::new(),
             counted: Moment::ZERO,
             usual: HashMap::new(),
         }
@@ -221,6 +227,17 @@
         self.allowances.set_grants(now, grants);
     }
 
+    /// A start of a server turned a request away and asks this gateway for rest.
+    pub fn note_rest(&mut self, now: Moment, server: &ServerId, start: Incarnation, span: Span) {
+        self.rests.note(now, server, start, span);
+    }
+
+    /// A start of a server said that it leaves; true where that is news.
+    pub fn note_leaving(&mut self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
+        let before = self.leaving.insert((server.clone(), start), now);
+        before.is_none()
+    }
+
     /// How many more requests this gateway would send to a server that names a limit.
     pub fn demand(&mut self, now: Moment, server: &ServerId) -> u32 {
         self.allowances.demand(now, server)
@@ -293,6 +310,10 @@
             load: own + others,
             age: fresh.age,
             limited: self.allowances.is_limited(&id),
+            resting: self.rests.is_resting(now, &id, server.offered.start),
+            leaving: self
+                .leaving
+                .contains_key(&(id.clone(), server.offered.start)),
             passed,
             server: id,
         })
