Keep to the rest that a server asks a gateway for

Each turn-away took a repeat of the budget that all gateways share, until none was left.

Cause: no process read the time in a server's 503. A server that turned a request away was chosen again after 60 ms, the pause for one that is full.

Why it holds: a rest is kept beside the servers on offer, by server and start, with the longest end that was told; only a new start forgets it. Servers::choose is the one place where a server is chosen, and has_free, the demand for grants and the question how a server is ask the same book; a request that was on its way to a connection when the rest came is taken back. After its end, spread by up to a quarter later, one request goes first, and each that is taken allows two more. Where all servers rest, callers are sent back at once to return by turns from the first end on, or wait where they can be on time. What another server or a late answer says counts for nothing, and callers aren't told a server's own rest.

--- a/crates/gateway/src/rests.rs
+++ b/crates/gateway/src/rests.rs
@@ -26,6 +26,30 @@
         state.journal.record(Event::RestAsked, server, detail);
     }
 
+    /// Whether a server asked for rest after it was chosen, while the request was on its way to a connection.
+    pub(crate) fn rests_since(&self, choice: &Choice, now: Moment) -> bool {
+        let servers = self.state.servers.lock();
+        let rests = servers.is_resting(now, &choice.server, choice.start);
+        drop(servers);
+        if rests {
+            let detail = format_args!("{} asked for rest meanwhile", choice.server);
+            self.note_trouble(Event::RequestRetried, detail);
+        }
+        rests
+    }
+
+    /// Takes note of a server that took a request that was sent at a moment.
+    pub(crate) fn note_taken(&self, choice: &Choice, sent: Moment) {
+        let (state, server) = (&self.state, &choice.server);
+        let mut servers = state.servers.lock();
+        let first = servers.note_taken(sent, server, choice.start);
+        drop(servers);
+        if first {
+            let detail = format_args!("took {}", self.name);
+            state.journal.record(Event::RestEnded, server, detail);
+        }
+    }
+
     /// Takes note of a server that says that it leaves.
     pub(crate) fn note_leaving(&self, choice: &Choice, reply: &Reply) {
         if !reply.leaving {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -171,6 +171,9 @@
             let request = self.request(&choice, last).ok_or(Failure::NotRun)?;
             let limit = Span::from_micros(self.left().as_micros() + OVERTIME.as_micros());
             let sent = self.state.clock.now();
+            if self.rests_since(&choice, sent) {
+                return Err(Failure::NotRun);
+            }
             let sending = connection.send(request);
             match self.unless_still(&choice, tries, limit, sending).await? {
                 Ok(response) => {
@@ -331,6 +334,7 @@
             return Err(self.not_run(&choice, status, &reply));
         }
         self.note_open(&choice.pool);
+        self.note_taken(&choice, sent);
         if status.is_server_error() {
             self.trouble(&choice, Trouble::Failed, status.as_str());
         }
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -43,7 +43,7 @@
             state.metrics.took(Phase::Placed, age);
         }
         let detail = format!(
-            "{} of {} by {}, version {}: {} in flight, told {} ago, {} passed at their limits; {age} after its arrival",
+            "{} of {} by {}, version {}: {} in flight, told {} ago, {} passed at their limits, {} at rest; {age} after its arrival",
             choice.server,
             self.service,
             self.route.name,
@@ -51,6 +51,7 @@
             choice.load,
             choice.age,
             choice.passed,
+            choice.rested,
         );
         let journal = &state.journal;
         if !journal.record_routine(Event::RequestRouted, &self.name, &detail) {
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -19,8 +19,8 @@
 pub(crate) async fn wait(job: &Job, unplaced: Unplaced, queued: &mut bool) -> Option<Answer> {
     /// How often a request that waits looks for a place.
     const LOOK: Span = Span::from_millis(60);
-    if unplaced == Unplaced::AllLimited {
-        return wait_for_turn(job, queued).await;
+    if [Unplaced::AllLimited, Unplaced::AllResting].contains(&unplaced) {
+        return wait_for_turn(job, unplaced, queued).await;
     }
     let out = unplaced == Unplaced::Out;
     let queues = out || [Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
@@ -46,26 +46,37 @@
     None
 }
 
-/// Waits for the turn of a request whose servers all name limits, where it can still be on time after that; else
-/// the refusal.
-async fn wait_for_turn(job: &Job, queued: &mut bool) -> Option<Answer> {
+/// Waits for the turn of a request whose servers all name limits or rest, where it can still be on time after that;
+/// else the refusal.
+async fn wait_for_turn(job: &Job, unplaced: Unplaced, queued: &mut bool) -> Option<Answer> {
     let now = job.state.clock.now();
+    let (opens, limit) = {
+        let servers = job.state.servers.lock();
+        match unplaced {
+            Unplaced::AllResting => (
+                servers.opens(now, &job.service).unwrap_or(now),
+                servers.capacity(&job.service),
+            ),
+            _ => (now, servers.limit(&job.service)),
+        }
+    };
     let held = Held {
         waited: now.since(job.started),
         objective: job.route.objective,
         left: job.left(),
-        limit: job.state.servers.lock().limit(&job.service),
+        opens,
+        limit,
         gateways: job.state.budget.lock().gateways(),
     };
     let turn = job.state.returns.lock().turn(now, &job.service, held);
     match turn {
         Waiting::Queue(span) => {
-            note_queued(job, Unplaced::AllLimited, span, queued);
+            note_queued(job, unplaced, span, queued);
             pause(span).await;
             None
         }
-        Waiting::RetryLater(span) => Some(refuse(job, Unplaced::AllLimited, span)),
-        Waiting::Refuse => Some(refuse(job, Unplaced::AllLimited, BACK_OUT)),
+        Waiting::RetryLater(span) => Some(refuse(job, unplaced, span)),
+        Waiting::Refuse => Some(refuse(job, unplaced, BACK_OUT)),
     }
 }
 
@@ -93,6 +104,7 @@
         Unplaced::AllFull => "every server is full",
         Unplaced::Spent => "no repeat is left",
         Unplaced::AllLimited => "every server has what it takes for now",
+        Unplaced::AllResting => "every server asked for rest",
         Unplaced::AllOut => "no server can be reached",
         Unplaced::Nobody => "the service has no server",
         Unplaced::Out => "the service is out",
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -30,6 +30,8 @@
     pub leaving: bool,
     /// How many servers were left out because of their limits.
     pub passed: usize,
+    /// How many servers were left out because they rest.
+    pub rested: usize,
 }
 
 /// Which servers a request may be sent to.
@@ -58,6 +60,8 @@
     Nobody,
     /// All are left out after failures.
     AllOut,
+    /// All that are not left out after failures asked this gateway for rest.
+    AllResting,
     /// All that are not left out name limits, and have been sent what they take.
     AllLimited,
     /// All have as much as they should.
--- a/crates/placement/src/rests.rs
+++ b/crates/placement/src/rests.rs
@@ -1,15 +1,36 @@
 //! The rest that servers ask this gateway for when they turn a request away.
+//!
+//! Answers the load of a server in overload before many gateways: it turns them away within a moment, so their rests
+//! end within a moment too, and all of them would come back at once, to be turned away again. So each gateway comes
+//! back at a moment of its own, with one request at first, and with more as the server takes them.
 
 use std::collections::HashMap;
 
+use snipemast_core::hash::{fraction, mix};
 use snipemast_core::prelude::*;
 
-/// Until when each server wants nothing from this gateway.
+/// By how much of itself a rest may end later than asked, and the longest such span.
+const SPREAD_PART: f64 = 0.25;
+const SPREAD: Span = Span::from_secs(1);
+
+/// How long a request after a rest keeps others away that the server shows nothing of: a prompt's usual time.
+const LOST: Span = Span::from_millis(500);
+
+/// How long after a rest a server is known to have had one.
+const REMEMBERED: Span = Span::from_secs(60);
+
+/// The most rests that are known at once.
+const MOST: usize = 4_096;
+
+/// Until when each server wants nothing from this gateway, and what it may be sent after that.
 ///
-/// Kept apart from the servers on offer: a server that is off the news for a while, or moves, still rests.
+/// Kept apart from the servers on offer: a server that is off the news for a while, or moves, still rests. Only a
+/// new start of it does not.
 #[derive(Debug, Default)]
 pub struct Rests {
     servers: HashMap<ServerId, Vec<Rest>>,
+    /// Differs between gateways, so that they don't come back at once.
+    seed: u64,
 }
 
 /// The rest of one start of a server.
@@ -17,32 +38,147 @@
 struct Rest {
     start: Incarnation,
     until: Moment,
+    /// How many requests it may be sent after the rest.
+    credits: u32,
+    /// How many it has taken after the rest.
+    taken: u32,
+    /// When it was sent one after the rest.
+    sent: Moment,
 }
 
 impl Rests {
-    /// A server turned a request away and asks for rest.
+    /// No server rests.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            servers: HashMap::new(),
+            seed,
+        }
+    }
+
+    /// A server turned a request away and asks for rest; the longest end that it was told holds.
     pub fn note(&mut self, now: Moment, server: &ServerId, start: Incarnation, span: Span) {
+        if span == Span::default() {
+            return;
+        }
         self.forget(now);
-        let until = now + span;
+        let until = now + span + self.later(now, span);
         let rests = self.servers.entry(server.clone()).or_default();
         match rests.iter_mut().find(|rest| rest.start == start) {
-            Some(rest) => rest.until = rest.until.max(until),
-            None => rests.push(Rest { start, until }),
+            Some(rest) => *rest = Rest::new(start, rest.until.max(until)),
+            None => rests.push(Rest::new(start, until)),
         }
     }
 
+    /// A server turned a request away and asks for no rest: after one it gets no more for a moment.
+    pub fn note_turned(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
+        if let Some(rest) = self.get_mut(server, start) {
+            (rest.credits, rest.sent) = (0, now);
+        }
+    }
+
+    /// A server took a request that was sent at a moment; true where it is the first one after a rest.
+    ///
+    /// What was sent before the end of a rest tells nothing of the time after it.
+    pub fn note_taken(
+        &mut self,
+        sent: Moment,
+        server: &ServerId,
+        start: Incarnation,
+        slots: u32,
+    ) -> bool {
+        /// What a request that was taken allows: another one in its place, and one more.
+        const WORTH: u32 = 2;
+        let Some(rest) = self.get_mut(server, start) else {
+            return false;
+        };
+        if sent < rest.until {
+            return false;
+        }
+        rest.taken += 1;
+        rest.credits = rest.credits.saturating_add(WORTH);
+        let first = rest.taken == 1;
+        if rest.taken >= slots {
+            self.remove(server, start);
+        }
+        first
+    }
+
+    /// When a server may be sent the next request; nothing where it may now.
+    pub fn opens(&self, now: Moment, server: &ServerId, start: Incarnation) -> Option<Moment> {
+        let opens = self.get(server, start)?.opens();
+        (now < opens).then_some(opens)
+    }
+
     /// Whether a server wants nothing now.
     pub fn is_resting(&self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
-        let rests = self.servers.get(server).map_or(&[][..], Vec::as_slice);
-        let rest = rests.iter().find(|rest| rest.start == start);
-        rest.is_some_and(|rest| now < rest.until)
+        self.get(server, start).is_some_and(|rest| now < rest.until)
+    }
+
+    /// A request is sent to a server.
+    pub fn spend(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
+        if let Some(rest) = self.get_mut(server, start) {
+            rest.credits = rest.credits.max(1) - 1;
+            rest.sent = now;
+        }
+    }
+
+    fn get(&self, server: &ServerId, start: Incarnation) -> Option<&Rest> {
+        let mut rests = self.servers.get(server)?.iter();
+        rests.find(|rest| rest.start == start)
+    }
+
+    fn get_mut(&mut self, server: &ServerId, start: Incarnation) -> Option<&mut Rest> {
+        let mut rests = self.servers.get_mut(server)?.iter_mut();
+        rests.find(|rest| rest.start == start)
+    }
+
+    fn remove(&mut self, server: &ServerId, start: Incarnation) {
+        if let Some(rests) = self.servers.get_mut(server) {
+            rests.retain(|rest| rest.start != start);
+        }
+    }
+
+    /// How much later than asked this gateway comes back.
+    fn later(&self, now: Moment, span: Span) -> Span {
+        let most = (span.as_micros() as f64 * SPREAD_PART).min(SPREAD.as_micros() as f64);
+        Span::from_micros((most * fraction(mix(self.seed ^ now.as_micros()))) as u64)
     }
 
-    /// Forgets the rests that are over.
+    /// Forgets the rests that are long over, and those that end first where there are too many.
     fn forget(&mut self, now: Moment) {
+        let mut known = 0;
         self.servers.retain(|_, rests| {
-            rests.retain(|rest| now < rest.until);
+            rests.retain(|rest| now < rest.until + REMEMBERED);
+            known += rests.len();
             !rests.is_empty()
         });
+        if known < MOST {
+            return;
+        }
+        let ends = |rests: &[Rest]| rests.iter().map(|rest| rest.until).min();
+        let first = self.servers.iter().min_by_key(|(_, rests)| ends(rests));
+        if let Some(server) = first.map(|(server, _)| server.clone()) {
+            self.servers.remove(&server);
+        }
+    }
+}
+
+impl Rest {
+    fn new(start: Incarnation, until: Moment) -> Self {
+        Self {
+            start,
+            until,
+            credits: 1,
+            taken: 0,
+            sent: until,
+        }
+    }
+
+    fn opens(&self) -> Moment {
+        if self.credits > 0 {
+            self.until
+        } else {
+            self.until.max(self.sent + LOST)
+        }
     }
 }
--- a/crates/placement/src/returns.rs
+++ b/crates/placement/src/returns.rs
@@ -1,7 +1,7 @@
-//! When requests come back that all servers of their service leave no room for, as they name limits.
+//! When requests come back that all servers of their service leave no room for, as they name limits or rest.
 //!
-//! Answers the load of a service in need: told to come back at once, its callers would meet the next grant
-//! in a herd, and all but one of them in vain. So each gets a turn, as far apart as this gateway's part of what the servers
+//! Answers the load of a service in need: told to come back at once, its callers would meet the next grant, or the end
+//! of the first rest, in a herd, and all but one of them in vain. So each gets a turn, as far apart as this gateway's part of what the servers
 //! take; who can be on time still waits for it here.
 
 use std::collections::HashMap;
@@ -25,7 +25,9 @@
     pub objective: Span,
     /// How long its caller still waits.
     pub left: Span,
-    /// What its service's servers take, all together.
+    /// When its service's servers take the next request.
+    pub opens: Moment,
+    /// What they take from then on, all together.
     pub limit: Rate,
     /// How many gateways share that.
     pub gateways: u32,
@@ -44,7 +46,7 @@
     pub fn turn(&mut self, now: Moment, service: &ServiceId, held: Held) -> Waiting {
         let longest = Span::from_micros(held.left.as_micros() / BACK_PART);
         let before = self.next.get(service).copied().unwrap_or(Moment::ZERO);
-        let turn = before.max(now) + held.pause();
+        let turn = before.max(now).max(held.opens) + held.pause();
         let span = now.until(turn);
         // A caller comes back no later than that: it gets no turn, and the line stays as long as it is.
         if span > longest {
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -90,6 +90,8 @@
     limited: Vec<&'a ServerId>,
     /// How many were left out because of their limits.
     passed: usize,
+    /// How many were left out because they rest.
+    resting: usize,
     /// Why there is none, where there is none.
     unplaced: Unplaced,
 }
@@ -101,6 +103,7 @@
             candidates: Vec::new(),
             limited: Vec::new(),
             passed: 0,
+            resting: 0,
             unplaced: Unplaced::Nobody,
         }
     }
@@ -150,6 +153,7 @@
     /// Tells this gateway apart from others that believe the same.
     pub fn with_seed(mut self, seed: u64) -> Self {
         self.allowances = Allowances::new(seed);
+        self.rests = Rests::new(seed);
         self
     }
 
@@ -232,6 +236,34 @@
         self.rests.note(now, server, start, span);
     }
 
+    /// A start of a server took a request that was sent at a moment; true where it is the first one after a rest.
+    pub fn note_taken(&mut self, sent: Moment, server: &ServerId, start: Incarnation) -> bool {
+        let slots = self.get(server, start).map_or(0, |s| s.offered.slots);
+        self.rests.note_taken(sent, server, start, slots)
+    }
+
+    /// Whether a start of a server wants nothing from this gateway now.
+    pub fn is_resting(&self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
+        self.rests.is_resting(now, server, start)
+    }
+
+    /// When the first of a service's servers that rest may be sent a request.
+    pub fn opens(&self, now: Moment, service: &ServiceId) -> Option<Moment> {
+        let same = self.known.values().map(|s| &s.offered);
+        let same = same.filter(|o| o.pool.service == *service);
+        same.filter_map(|o| self.rests.opens(now, &o.server, o.start))
+            .min()
+    }
+
+    /// How many requests a service's servers take, as a rule.
+    pub fn capacity(&self, service: &ServiceId) -> Rate {
+        let same = self.known.values().map(|s| &s.offered);
+        let same = same.filter(|o| o.pool.service == *service);
+        let slots: u64 = same.map(|o| u64::from(o.slots)).sum();
+        let usual = self.usual.get(service).copied().unwrap_or(USUAL);
+        Rate::from_millis(1_000_000 * slots / usual.as_millis().max(1))
+    }
+
     /// A start of a server said that it leaves; true where that is news.
     pub fn note_leaving(&mut self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
         let before = self.leaving.insert((server.clone(), start), now);
@@ -240,6 +272,10 @@
 
     /// How many more requests this gateway would send to a server that names a limit.
     pub fn demand(&mut self, now: Moment, server: &ServerId) -> u32 {
+        let known = self.known.get(server).map(|s| s.offered.start);
+        if known.is_some_and(|start| self.rests.opens(now, server, start).is_some()) {
+            return 0;
+        }
         self.allowances.demand(now, server)
     }
 
@@ -294,7 +330,7 @@
         let due = self.due(now, &open);
         let picked = due.or_else(|| self.pick.pick(&open.candidates, fresh, chance));
         let picked = picked.map(|place| (open.servers[place].clone(), open.candidates[place]));
-        let (unplaced, passed) = (open.unplaced, open.passed);
+        let (unplaced, passed, rested) = (open.unplaced, open.passed, open.resting);
         let limited: Vec<ServerId> = open.limited.into_iter().cloned().collect();
         for server in &limited {
             self.allowances.note_demand(now, server);
@@ -302,19 +338,20 @@
         let (id, Candidate { own, others, .. }) = picked.ok_or(unplaced)?;
         let server = self.known.get_mut(&id).ok_or(Unplaced::Nobody)?;
         server.own += 1;
+        let start = server.offered.start;
         self.allowances.spend(now, &id);
+        self.rests.spend(now, &id, start);
         Ok(Choice {
             pool: server.offered.pool.clone(),
-            start: server.offered.start,
+            start,
             address: server.offered.address,
             load: own + others,
             age: fresh.age,
             limited: self.allowances.is_limited(&id),
-            resting: self.rests.is_resting(now, &id, server.offered.start),
-            leaving: self
-                .leaving
-                .contains_key(&(id.clone(), server.offered.start)),
+            resting: self.rests.is_resting(now, &id, start),
+            leaving: self.leaving.contains_key(&(id.clone(), start)),
             passed,
+            rested,
             server: id,
         })
     }
@@ -333,6 +370,11 @@
                 open.unplaced = open.unplaced.max(Unplaced::AllOut);
                 continue;
             }
+            if self.rests.opens(now, id, offered.start).is_some() {
+                open.unplaced = open.unplaced.max(Unplaced::AllResting);
+                open.resting += 1;
+                continue;
+            }
             let candidate = self.candidate(now, server);
             let load = 100 * (candidate.own + candidate.others);
             if load >= candidate.slots * bound || now < server.full {
@@ -433,11 +475,12 @@
     }
 
     /// Whether a server that shows nothing is asked how it is; by one request at a time.
-    pub fn asks(&mut self, now: Moment, server: &ServerId) -> bool {
-        let Some(server) = self.known.get_mut(server) else {
+    pub fn asks(&mut self, now: Moment, id: &ServerId) -> bool {
+        let Some(server) = self.known.get_mut(id) else {
             return false;
         };
-        let due = now >= server.asked + ASKED && !server.still;
+        let rests = self.rests.is_resting(now, id, server.offered.start);
+        let due = now >= server.asked + ASKED && !server.still && !rests;
         if due {
             server.asked = now;
         }
@@ -454,6 +497,10 @@
                 && server.own + self.others(now, server) < offered.slots.max(1)
                 && !self.is_shunned(offered)
                 && self.allowances.admits(now, &offered.server)
+                && self
+                    .rests
+                    .opens(now, &offered.server, offered.start)
+                    .is_none()
         })
     }
 
@@ -483,6 +530,7 @@
         let server = self.get(id, start)?;
         if trouble == Trouble::Full {
             server.full = now + FULL_PAUSE;
+            self.rests.note_turned(now, id, start);
             return None;
         }
         if trouble == Trouble::Still {
--- a/crates/placement/tests/returns.rs
+++ b/crates/placement/tests/returns.rs
@@ -1,4 +1,4 @@
-//! When requests come back whose servers all name limits.
+//! When requests come back whose servers all name limits, or rest.
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::Waiting;
@@ -16,6 +16,7 @@
         waited: Span::default(),
         objective: Span::from_millis(400),
         left: Span::from_secs(3),
+        opens: NOW,
         limit: Rate::per_second(limit),
         gateways: 9,
     }
@@ -59,3 +60,16 @@
     let turn = returns.turn(later, &service(), held(0));
     assert_eq!(turn, Waiting::RetryLater(Span::from_secs(1)));
 }
+
+/// All callers of a service whose servers rest are told to come back before the first rest is over.
+#[test]
+fn returns_after_rest() {
+    let mut returns = Returns::default();
+    let mut turn = |opens: u64| {
+        let opens = NOW + Span::from_millis(opens);
+        returns.turn(NOW, &service(), Held { opens, ..held(45) })
+    };
+    assert_eq!(turn(100), Waiting::Queue(Span::from_millis(300)));
+    assert_eq!(turn(100), Waiting::RetryLater(Span::from_millis(500)));
+    assert_eq!(turn(60_000), Waiting::RetryLater(Span::from_secs(1)));
+}
