Send nothing to servers whose answers say that they leave

What callers saw: nothing yet.

Cause: nobody read the header, as with a server's limit and its rest. A server whose heartbeat got no acknowledgement, or that never announces its drain, was known to leave by nobody.

Why it holds: a start that said so once leaves for good, whatever a late heartbeat, an older table or another leader says; it is remembered beside the table, so a start that drops out of the news and comes back leaves still, and only a new start does not. The gateway that heard it spares the server at once, in the one place where servers are chosen and in what asks the same (has_free, the demand for grants). It tells the leader with its next poll, the table takes it to all, and a gateway tells it until some controller shows that it knows. It is no acknowledgement of a drain: the standing stays what heartbeats made it.

--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -200,6 +200,7 @@
             address: std::net::SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 80)),
             zone: zone(n),
             slots: setup.slots as u32,
+            leaving: None,
         };
         let gateway = |n: usize| {
             let mut servers = Servers::new(zone(n));
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -21,6 +21,7 @@
         state.announce();
     }
     state.take_limits(&poll.host, &poll.demands);
+    state.take_leaving(&poll.host, &poll.leaving);
     state.wait(poll.wait, |s| has_news(s, &poll)).await;
     let now = state.clock.now();
     let cursor = state.cursor();
@@ -97,6 +98,7 @@
             flying: Flying::new(),
             slow: Vec::new(),
             demands: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -11,7 +11,7 @@
 use snipemast_net::BootClock;
 use snipemast_platform::settings::Settings;
 use snipemast_registry::limit::note_of_change;
-use snipemast_registry::{Cursor, Demand, Grant, Grants, Pollers, RankWord, Table};
+use snipemast_registry::{Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankWord, Table};
 
 use crate::strangers::Strangers;
 use crate::voter::Voter;
@@ -114,6 +114,26 @@
         }
     }
 
+    /// Takes note of servers that told a gateway that they leave.
+    pub(crate) fn take_leaving(&self, host: &HostId, leaving: &[LeavingServer]) {
+        if leaving.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut table = self.table.lock();
+        let news = |told: &&LeavingServer| table.merge_leaving(now, told);
+        let news: Vec<&LeavingServer> = leaving.iter().filter(news).collect();
+        drop(table);
+        for told in &news {
+            let detail = format_args!("told by {host}");
+            self.journal
+                .record(Event::LeavingTold, &told.server, detail);
+        }
+        if !news.is_empty() {
+            self.announce();
+        }
+    }
+
     /// Grants what a gateway would send; nothing where this controller may not.
     pub(crate) fn grant(&self, demands: &[Demand]) -> Option<Vec<Grant>> {
         let term = self.voter.leading_term()?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`events`]: the numbered events and the bounded ring that keeps them.
 //! - [`outcome`]: what a caller may conclude about a request.
 //! - [`server`]: what a backend server offers and reports.
+//! - [`starts`]: what is known of single starts of servers.
 //! - [`log_budget`]: how many log lines of each kind there may be in a second.
 //! - [`logs`]: structured logs, one numbered event a line.
 
@@ -23,6 +24,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod server;
+pub mod starts;
 pub mod time;
 pub mod units;
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -130,13 +130,17 @@
         let mut registry = self.state.registry.lock();
         for entry in news.entries.drain(..) {
             let (id, standing) = (entry.announcement.id.clone(), entry.standing);
-            let before = registry.limit(&id);
+            let (before, left) = (registry.limit(&id), registry.leaving(&id));
             let changed = registry.merge_standing(now, entry);
             let limit = registry.limit(&id);
             if limit != before {
                 let source = format_args!("told by {controller}");
                 self.state.log_limit(&id, before, limit, source);
             }
+            if left.is_none() && registry.leaving(&id).is_some() {
+                let detail = format_args!("told by {controller}");
+                self.state.journal.record(Event::LeavingTold, &id, detail);
+            }
             if !changed {
                 continue;
             }
@@ -160,6 +164,7 @@
                 address: k.announcement.address,
                 zone: k.announcement.zone.clone(),
                 slots: k.announcement.slots,
+                leaving: registry.leaving(&k.announcement.id),
             })
         });
         let offered = offered.collect();
@@ -190,10 +195,10 @@
         let version = self.state.version();
         let mut known = self.known.lock();
         let leads = known.leader == Some(controller);
-        let demands = if leads {
-            self.state.demands()
+        let (demands, leaving) = if leads {
+            (self.state.demands(), self.state.unspread_leaving())
         } else {
-            Vec::new()
+            Default::default()
         };
         let entry = known.controllers.entry(controller).or_default();
         entry.polled = self.state.clock.now();
@@ -220,6 +225,7 @@
             },
             slow: Vec::new(),
             demands,
+            leaving,
         }
     }
 
--- a/crates/gateway/src/rests.rs
+++ b/crates/gateway/src/rests.rs
@@ -3,8 +3,10 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::Choice;
 use snipemast_platform::response::{Reply, Rest};
+use snipemast_registry::LeavingServer;
 
 use crate::send::Job;
+use crate::state::State;
 
 impl Job {
     /// Takes note of the rest that a server asks this host for.
@@ -57,9 +59,24 @@
         }
         let (state, server) = (&self.state, &choice.server);
         let now = state.clock.now();
-        if state.servers.lock().note_leaving(now, server, choice.start) {
+        let news = state
+            .registry
+            .lock()
+            .note_leaving(now, server, choice.start);
+        if news {
+            let mut servers = state.servers.lock();
+            servers.note_leaving(now, server, choice.start);
+            drop(servers);
             let detail = format_args!("answer to {}", self.name);
             state.journal.record(Event::LeavingTold, server, detail);
         }
     }
 }
+
+impl State {
+    /// What the leader is told of servers that leave.
+    pub(crate) fn unspread_leaving(&self) -> Vec<LeavingServer> {
+        let now = self.clock.now();
+        self.registry.lock().unspread_leaving(now)
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,7 @@
         let servers = Servers::new(settings.zone.clone())
             .with_pick(decisions.placing)
             .with_seed(rand::random())
+            .with_drain(settings.bounds.drain)
             .with_room(Room {
                 full: decisions.full,
                 late: decisions.late,
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -89,4 +89,6 @@
     pub zone: ZoneId,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// When it said first in an answer that it leaves, if it did.
+    pub leaving: Option<Moment>,
 }
--- a/crates/placement/src/rests.rs
+++ b/crates/placement/src/rests.rs
@@ -4,10 +4,9 @@
 //! end within a moment too, and all of them would come back at once, to be turned away again. So each gateway comes
 //! back at a moment of its own, with one request at first, and with more as the server takes them.
 
-use std::collections::HashMap;
-
 use snipemast_core::hash::{fraction, mix};
 use snipemast_core::prelude::*;
+use snipemast_core::starts::Starts;
 
 /// By how much of itself a rest may end later than asked, and the longest such span.
 const SPREAD_PART: f64 = 0.25;
@@ -28,7 +27,7 @@
 /// new start of it does not.
 #[derive(Debug, Default)]
 pub struct Rests {
-    servers: HashMap<ServerId, Vec<Rest>>,
+    servers: Starts<Rest>,
     /// Differs between gateways, so that they don't come back at once.
     seed: u64,
 }
@@ -36,7 +35,6 @@
 /// The rest of one start of a server.
 #[derive(Debug)]
 struct Rest {
-    start: Incarnation,
     until: Moment,
     /// How many requests it may be sent after the rest.
     credits: u32,
@@ -50,7 +48,7 @@
     /// No server rests.
     pub fn new(seed: u64) -> Self {
         Self {
-            servers: HashMap::new(),
+            servers: Starts::new(),
             seed,
         }
     }
@@ -60,18 +58,18 @@
         if span == Span::default() {
             return;
         }
-        self.forget(now);
         let until = now + span + self.later(now, span);
-        let rests = self.servers.entry(server.clone()).or_default();
-        match rests.iter_mut().find(|rest| rest.start == start) {
-            Some(rest) => *rest = Rest::new(start, rest.until.max(until)),
-            None => rests.push(Rest::new(start, until)),
-        }
+        let known = self.servers.get(server, start);
+        let until = known.map_or(until, |rest| rest.until.max(until));
+        self.servers.insert(server, start, Rest::new(until));
+        let fresh = |rest: &Rest| now < rest.until + REMEMBERED;
+        self.servers.retain(|_, _, rest| fresh(rest));
+        self.servers.shrink(MOST, |rest| rest.until);
     }
 
     /// A server turned a request away and asks for no rest: after one it gets no more for a moment.
     pub fn note_turned(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
-        if let Some(rest) = self.get_mut(server, start) {
+        if let Some(rest) = self.servers.get_mut(server, start) {
             (rest.credits, rest.sent) = (0, now);
         }
     }
@@ -88,7 +86,7 @@
     ) -> bool {
         /// What a request that was taken allows: another one in its place, and one more.
         const WORTH: u32 = 2;
-        let Some(rest) = self.get_mut(server, start) else {
+        let Some(rest) = self.servers.get_mut(server, start) else {
             return false;
         };
         if sent < rest.until {
@@ -98,75 +96,42 @@
         rest.credits = rest.credits.saturating_add(WORTH);
         let first = rest.taken == 1;
         if rest.taken >= slots {
-            self.remove(server, start);
+            self.servers.remove(server, start);
         }
         first
     }
 
     /// When a server may be sent the next request; nothing where it may now.
     pub fn opens(&self, now: Moment, server: &ServerId, start: Incarnation) -> Option<Moment> {
-        let opens = self.get(server, start)?.opens();
+        let opens = self.servers.get(server, start)?.opens();
         (now < opens).then_some(opens)
     }
 
     /// Whether a server wants nothing now.
     pub fn is_resting(&self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
-        self.get(server, start).is_some_and(|rest| now < rest.until)
+        self.servers
+            .get(server, start)
+            .is_some_and(|rest| now < rest.until)
     }
 
     /// A request is sent to a server.
     pub fn spend(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
-        if let Some(rest) = self.get_mut(server, start) {
+        if let Some(rest) = self.servers.get_mut(server, start) {
             rest.credits = rest.credits.max(1) - 1;
             rest.sent = now;
         }
     }
 
-    fn get(&self, server: &ServerId, start: Incarnation) -> Option<&Rest> {
-        let mut rests = self.servers.get(server)?.iter();
-        rests.find(|rest| rest.start == start)
-    }
-
-    fn get_mut(&mut self, server: &ServerId, start: Incarnation) -> Option<&mut Rest> {
-        let mut rests = self.servers.get_mut(server)?.iter_mut();
-        rests.find(|rest| rest.start == start)
-    }
-
-    fn remove(&mut self, server: &ServerId, start: Incarnation) {
-        if let Some(rests) = self.servers.get_mut(server) {
-            rests.retain(|rest| rest.start != start);
-        }
-    }
-
     /// How much later than asked this gateway comes back.
     fn later(&self, now: Moment, span: Span) -> Span {
         let most = (span.as_micros() as f64 * SPREAD_PART).min(SPREAD.as_micros() as f64);
         Span::from_micros((most * fraction(mix(self.seed ^ now.as_micros()))) as u64)
     }
-
-    /// Forgets the rests that are long over, and those that end first where there are too many.
-    fn forget(&mut self, now: Moment) {
-        let mut known = 0;
-        self.servers.retain(|_, rests| {
-            rests.retain(|rest| now < rest.until + REMEMBERED);
-            known += rests.len();
-            !rests.is_empty()
-        });
-        if known < MOST {
-            return;
-        }
-        let ends = |rests: &[Rest]| rests.iter().map(|rest| rest.until).min();
-        let first = self.servers.iter().min_by_key(|(_, rests)| ends(rests));
-        if let Some(server) = first.map(|(server, _)| server.clone()) {
-            self.servers.remove(&server);
-        }
-    }
 }
 
 impl Rest {
-    fn new(start: Incarnation, until: Moment) -> Self {
+    fn new(until: Moment) -> Self {
         Self {
-            start,
             until,
             credits: 1,
             taken: 0,
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -15,6 +15,8 @@
 use crate::rests::Rests;
 use crate::turn::{Room, Turn};
 
+mod open;
+
 /// How long the others' counts are believed: four of their usual exchanges.
 const OTHERS_AGE: Span = Span::from_millis(1_000);
 
@@ -73,42 +75,14 @@
     slow: HashMap<ServerId, u32>,
     allowances: Allowances,
     rests: Rests,
-    /// Those that said that they leave, and when.
-    leaving: HashMap<(ServerId, Incarnation), Moment>,
+    /// For how long a server that leaves may be sent what no other takes.
+    drain: Span,
     /// When the other gateways' counts were taken, in the mean.
     counted: Moment,
     /// How long a request is in flight, as a rule.
     usual: HashMap<ServiceId, Span>,
 }
 
-/// The servers that may take a request.
-#[derive(Debug)]
-struct Open<'a> {
-    servers: Vec<&'a ServerId>,
-    candidates: Vec<Candidate>,
-    /// Those that name limits, and that this gateway would send to.
-    limited: Vec<&'a ServerId>,
-    /// How many were left out because of their limits.
-    passed: usize,
-    /// How many were left out because they rest.
-    resting: usize,
-    /// Why there is none, where there is none.
-    unplaced: Unplaced,
-}
-
-impl Default for Open<'_> {
-    fn default() -> Self {
-        Self {
-            servers: Vec::new(),
-            candidates: Vec::new(),
-            limited: Vec::new(),
-            passed: 0,
-            resting: 0,
-            unplaced: Unplaced::Nobody,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Server {
     offered: Offered,
@@ -138,7 +112,7 @@
             slow: HashMap::new(),
             allowances: Allowances::new(0),
             rests: Rests::default(),
-            leaving: HashMap::new(),
+            drain: Span::default(),
             counted: Moment::ZERO,
             usual: HashMap::new(),
         }
@@ -157,6 +131,12 @@
         self
     }
 
+    /// Sends servers that leave, for so long, what no other takes.
+    pub fn with_drain(mut self, drain: Span) -> Self {
+        self.drain = drain;
+        self
+    }
+
     /// Takes a server for full once it has so many requests in flight.
     pub fn with_room(mut self, room: Room) -> Self {
         self.room = room;
@@ -249,31 +229,33 @@
 
     /// When the first of a service's servers that rest may be sent a request.
     pub fn opens(&self, now: Moment, service: &ServiceId) -> Option<Moment> {
-        let same = self.known.values().map(|s| &s.offered);
-        let same = same.filter(|o| o.pool.service == *service);
-        same.filter_map(|o| self.rests.opens(now, &o.server, o.start))
+        let staying = self.staying(service);
+        staying
+            .filter_map(|o| self.rests.opens(now, &o.server, o.start))
             .min()
     }
 
     /// How many requests a service's servers take, as a rule.
     pub fn capacity(&self, service: &ServiceId) -> Rate {
-        let same = self.known.values().map(|s| &s.offered);
-        let same = same.filter(|o| o.pool.service == *service);
-        let slots: u64 = same.map(|o| u64::from(o.slots)).sum();
+        let staying = self.staying(service);
+        let slots: u64 = staying.map(|o| u64::from(o.slots)).sum();
         let usual = self.usual.get(service).copied().unwrap_or(USUAL);
         Rate::from_millis(1_000_000 * slots / usual.as_millis().max(1))
     }
 
-    /// A start of a server said that it leaves; true where that is news.
-    pub fn note_leaving(&mut self, now: Moment, server: &ServerId, start: Incarnation) -> bool {
-        let before = self.leaving.insert((server.clone(), start), now);
-        before.is_none()
+    /// A start of a server said that it leaves.
+    pub fn note_leaving(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
+        if let Some(server) = self.get(server, start) {
+            server.offered.leaving.get_or_insert(now);
+        }
     }
 
     /// How many more requests this gateway would send to a server that names a limit.
     pub fn demand(&mut self, now: Moment, server: &ServerId) -> u32 {
-        let known = self.known.get(server).map(|s| s.offered.start);
-        if known.is_some_and(|start| self.rests.opens(now, server, start).is_some()) {
+        let known = self.known.get(server).map(|s| &s.offered);
+        let spared =
+            |o: &Offered| o.leaving.is_some() || self.rests.opens(now, server, o.start).is_some();
+        if known.is_some_and(spared) {
             return 0;
         }
         self.allowances.demand(now, server)
@@ -281,9 +263,16 @@
 
     /// What a service's servers take from all gateways, where they name limits.
     pub fn limit(&self, service: &ServiceId) -> Rate {
-        let same = self.known.values().map(|s| &s.offered);
-        let same = same.filter(|o| o.pool.service == *service);
-        same.filter_map(|o| self.allowances.rate(&o.server)).sum()
+        let staying = self.staying(service);
+        staying
+            .filter_map(|o| self.allowances.rate(&o.server))
+            .sum()
+    }
+
+    /// The servers of a service but those that leave.
+    fn staying<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Offered> {
+        let all = self.known.values().map(|s| &s.offered);
+        all.filter(move |o| o.pool.service == *service && o.leaving.is_none())
     }
 
     /// Whether a server is left out because it is slow.
@@ -330,7 +319,7 @@
         let due = self.due(now, &open);
         let picked = due.or_else(|| self.pick.pick(&open.candidates, fresh, chance));
         let picked = picked.map(|place| (open.servers[place].clone(), open.candidates[place]));
-        let (unplaced, passed, rested) = (open.unplaced, open.passed, open.resting);
+        let (unplaced, passed, rested) = (open.unplaced, open.passed, open.rested);
         let limited: Vec<ServerId> = open.limited.into_iter().cloned().collect();
         for server in &limited {
             self.allowances.note_demand(now, server);
@@ -349,74 +338,13 @@
             age: fresh.age,
             limited: self.allowances.is_limited(&id),
             resting: self.rests.is_resting(now, &id, start),
-            leaving: self.leaving.contains_key(&(id.clone(), start)),
+            leaving: server.offered.leaving.is_some(),
             passed,
             rested,
             server: id,
         })
     }
 
-    /// The servers that may take a request, and what is believed of their load.
-    fn open(&self, now: Moment, wanted: Wanted<'_>, turn: Turn) -> Open<'_> {
-        let bound = self.room.bound(turn);
-        let mut open = Open::default();
-        let mut limited = Vec::new();
-        for (id, server) in &self.known {
-            let offered = &server.offered;
-            if !wanted.holds(offered) || self.is_shunned(offered) {
-                continue;
-            }
-            if now < server.out {
-                open.unplaced = open.unplaced.max(Unplaced::AllOut);
-                continue;
-            }
-            if self.rests.opens(now, id, offered.start).is_some() {
-                open.unplaced = open.unplaced.max(Unplaced::AllResting);
-                open.resting += 1;
-                continue;
-            }
-            let candidate = self.candidate(now, server);
-            let load = 100 * (candidate.own + candidate.others);
-            if load >= candidate.slots * bound || now < server.full {
-                open.unplaced = open.unplaced.max(Unplaced::AllFull);
-                continue;
-            }
-            if self.allowances.is_limited(id) {
-                limited.push((id, candidate.near));
-            }
-            if !self.allowances.admits(now, id) {
-                open.unplaced = open.unplaced.max(Unplaced::AllLimited);
-                open.passed += 1;
-                continue;
-            }
-            open.servers.push(id);
-            open.candidates.push(candidate);
-        }
-        // Gateways of the server's zone use it first.
-        let free = open.candidates.iter().any(Candidate::is_near_and_free);
-        let asked = limited.into_iter().filter(|(_, near)| *near || !free);
-        open.limited = asked.map(|(id, _)| id).collect();
-        open
-    }
-
-    /// The place of a server that has a free slot and is to be sent a request first.
-    fn due(&self, now: Moment, open: &Open<'_>) -> Option<usize> {
-        let places = open.servers.iter().zip(&open.candidates);
-        let mut places = places.enumerate();
-        let due = places
-            .find(|(_, (id, candidate))| candidate.is_free() && self.allowances.is_due(now, id));
-        due.map(|(place, _)| place)
-    }
-
-    fn candidate(&self, now: Moment, server: &Server) -> Candidate {
-        Candidate {
-            own: server.own,
-            others: self.others(now, server),
-            slots: server.offered.slots.max(1),
-            near: server.offered.zone == self.zone,
-        }
-    }
-
     /// What the other gateways have in flight at a server, as far as that is believed.
     fn others(&self, now: Moment, server: &Server) -> u32 {
         let fresh = now < self.counted + OTHERS_AGE;
@@ -487,23 +415,6 @@
         due
     }
 
-    /// Whether one of the wanted servers has a free place: a request that moves there begins at once.
-    pub fn has_free(&self, now: Moment, wanted: Wanted<'_>) -> bool {
-        self.known.values().any(|server| {
-            let offered = &server.offered;
-            wanted.holds(offered)
-                && now >= server.out
-                && now >= server.full
-                && server.own + self.others(now, server) < offered.slots.max(1)
-                && !self.is_shunned(offered)
-                && self.allowances.admits(now, &offered.server)
-                && self
-                    .rests
-                    .opens(now, &offered.server, offered.start)
-                    .is_none()
-        })
-    }
-
     /// A start of a server answered well.
     pub fn note_success(&mut self, server: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(server, start) {
--- a/crates/placement/tests/rests.rs
+++ b/crates/placement/tests/rests.rs
@@ -35,6 +35,7 @@
         address: format!("10.0.0.{number}:80").parse().unwrap(),
         zone: ZoneId::new("a").unwrap(),
         slots: 4,
+        leaving: None,
     }
 }
 
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -37,6 +37,7 @@
         address: format!("10.0.0.{number}:80").parse().unwrap(),
         zone: ZoneId::new(zone).unwrap(),
         slots: 4,
+        leaving: None,
     }
 }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`news`]: what gateways and controllers ask a controller, and its answers.
 //! - [`grants`]: which gateway may send the next requests to a server that names a limit.
 //! - [`limit`]: a server's limit on the requests that all gateways together send it.
+//! - [`leaving`]: servers that say in their answers that they leave.
 //! - [`rank`]: a server's place in a group of ranks.
 //! - [`source`]: of whom a gateway asks a configuration.
 //! - [`pollers`]: who polls a controller, and what each one has.
 
 pub mod announcement;
 pub mod grants;
+pub mod leaving;
 pub mod limit;
 pub mod news;
 pub mod pollers;
@@ -20,6 +22,7 @@
 
 pub use announcement::{Announcement, Standing};
 pub use grants::{Demand, Grant, Grants};
+pub use leaving::LeavingServer;
 pub use limit::{LimitEntry, LimitWord};
 pub use news::{Cursor, News, Poll, PollerKind};
 pub use pollers::Pollers;
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -10,6 +10,7 @@
 use snipemast_core::prelude::*;
 
 use crate::grants::{Demand, Grant};
+use crate::leaving::LeavingServer;
 use crate::table::Entry;
 
 /// The path of a poll.
@@ -72,6 +73,8 @@
         pub slow: Vec<Slow>,
         /// What it knows of servers' limits and would send there, where this controller grants that.
         pub demands: Vec<Demand>,
+        /// Servers that told it that they leave, where this controller leads and hasn't told of them.
+        pub leaving: Vec<LeavingServer>,
     }
 
     /// What is new.
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -11,6 +11,7 @@
 use snipemast_core::prelude::*;
 
 use crate::announcement::{Announcement, Standing};
+use crate::leaving::{LeavingServer, LeavingServers};
 use crate::limit::{KnownLimit, LimitEntry, LimitWord};
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankWord};
 
@@ -35,6 +36,8 @@
         pub rank: Option<RankEntry>,
         /// What was told of its limit, where it has named one.
         pub limit: Option<LimitEntry>,
+        /// How long ago this start said first in an answer that it leaves, if it did.
+        pub leaving: Option<Span>,
     }
 }
 
@@ -59,6 +62,7 @@
     ranks: HashMap<SocketAddr, KnownRank>,
     /// What answers told last of servers' limits.
     limits: HashMap<ServerId, KnownLimit>,
+    leaving: LeavingServers,
     /// When servers said good-bye here last: it may be for a start that is not known here yet.
     departed: HashMap<ServerId, Moment>,
     place: u64,
@@ -95,12 +99,59 @@
     pub fn merge(&mut self, now: Moment, entry: Entry) -> bool {
         let heard = now - entry.age;
         let told = entry.rank.map(|r| (now - r.age, r.word));
-        let id = entry.announcement.id.clone();
+        let (id, start) = (entry.announcement.id.clone(), entry.announcement.start);
         let changed = self.take(heard, entry.announcement, entry.standing);
         let ranked = told.is_some_and(|(at, word)| self.note_rank(at, word));
         let limit = entry.limit.map(|limit| limit.word(now));
         let limited = limit.is_some_and(|word| self.note_limit(&id, word));
-        changed || ranked || limited
+        let leaving = entry.leaving.map(|age| now - age);
+        let leaves = leaving.is_some_and(|first| self.put_leaving(first, &id, start, true));
+        changed || ranked || limited || leaves
+    }
+
+    /// Takes an answer's word that a start of a server leaves, whatever it announces; true where that is news.
+    pub fn note_leaving(&mut self, now: Moment, id: &ServerId, start: Incarnation) -> bool {
+        self.put_leaving(now, id, start, false)
+    }
+
+    /// Takes what a gateway tells of a server that leaves; true where that is news.
+    pub fn merge_leaving(&mut self, now: Moment, told: &LeavingServer) -> bool {
+        self.put_leaving(now - told.age, &told.server, told.start, true)
+    }
+
+    /// When the latest start of a server said first that it leaves; nothing where it did not.
+    pub fn leaving(&self, id: &ServerId) -> Option<Moment> {
+        let start = self.servers.get(id)?.announcement.start;
+        self.leaving.first(id, start)
+    }
+
+    /// The servers on offer that leave, as far as no controller is known to have heard of it.
+    pub fn unspread_leaving(&self, now: Moment) -> Vec<LeavingServer> {
+        let offered = |leaving: &LeavingServer| {
+            let known = self.servers.get(&leaving.server);
+            known.is_some_and(|k| {
+                k.announcement.start == leaving.start && k.standing == Standing::Ready
+            })
+        };
+        self.leaving.unspread(now).filter(offered).collect()
+    }
+
+    fn put_leaving(
+        &mut self,
+        first: Moment,
+        id: &ServerId,
+        start: Incarnation,
+        spread: bool,
+    ) -> bool {
+        if !self.leaving.note(first, id, start, spread) {
+            return false;
+        }
+        let known = self.servers.get_mut(id);
+        if let Some(known) = known.filter(|k| k.announcement.start == start) {
+            self.place += 1;
+            known.changed = self.place;
+        }
+        true
     }
 
     /// Takes what the process beside a rank told at a moment; true where it is news.
@@ -242,6 +293,10 @@
         let servers = &self.servers;
         self.holders.retain(|_, id| servers.contains_key(id));
         self.limits.retain(|id, _| servers.contains_key(id));
+        self.leaving.forget(now, |id, start| {
+            let known = servers.get(id);
+            known.is_some_and(|k| k.announcement.start == start)
+        });
         self.departed.retain(|_, at| !past(*at));
         self.ranks.retain(|_, rank| !past(rank.told));
     }
@@ -259,6 +314,9 @@
             limit: self
                 .limit_word(known)
                 .map(|word| LimitEntry::new(word, now)),
+            leaving: self
+                .leaving(&known.announcement.id)
+                .map(|first| now.since(first)),
         }
     }
 
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -16,6 +16,7 @@
         flying: Flying::new(),
         slow: Vec::new(),
         demands: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -143,6 +143,7 @@
             flying: Flying::new(),
             slow: known.slow_servers(),
             demands: Vec::new(),
+            leaving: Vec::new(),
         }
     }
 
