--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -187,6 +187,8 @@
     RestEnded = 710;
     /// A backend server's answer says that it leaves.
     LeavingTold = 711;
+    /// A backend server's answer has a header that this process does not know.
+    HeaderUnknown = 712;
 }
 
 impl Event {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `waiting`: requests that no server may take now.
 //! - `limits`: what answers say of the requests that their servers take.
 //! - `rests`: the rest that servers ask for, and their leaving.
+//! - `unknown`: headers of answers that nobody here knows.
 //! - `metrics`: what a gateway counts and measures.
 //! - `connections`: open connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
@@ -27,6 +28,7 @@
 mod send;
 mod story;
 mod stream;
+mod unknown;
 mod waiting;
 
 pub use process::run;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,11 @@
     server: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeaderLabel {
+    header: String,
+}
+
 fn add(family: &Family<ServerLabel, Counter>, server: &ServerId, count: u32) {
     let server = server.to_string();
     let counter = family.get_or_create(&ServerLabel { server });
@@ -83,6 +88,7 @@
     rests: Family<ServerLabel, Counter>,
     resting: Family<ServerLabel, Counter>,
     leaving: Family<ServerLabel, Counter>,
+    unknown: Family<HeaderLabel, Counter>,
 }
 
 impl Metrics {
@@ -125,6 +131,12 @@
             "leaving_sends",
             "Requests sent to servers that said that they leave",
         );
+        let unknown = Family::default();
+        registry.register(
+            "unknown_headers",
+            "Answers of servers with a header that this process does not know",
+            Family::clone(&unknown),
+        );
         Self {
             registry: Mutex::new(registry),
             phases,
@@ -136,6 +148,7 @@
             rests,
             resting,
             leaving,
+            unknown,
         }
     }
 
@@ -164,6 +177,12 @@
         add(&self.leaving, server, 1);
     }
 
+    /// An answer had a header that is not known.
+    pub(crate) fn meet_unknown(&self, header: &str) {
+        let header = header.to_owned();
+        self.unknown.get_or_create(&HeaderLabel { header }).inc();
+    }
+
     /// A part of a request took so long.
     pub(crate) fn took(&self, phase: Phase, span: Span) {
         let histogram = self.phases.get_or_create(&PhaseLabel { phase });
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -325,6 +325,7 @@
             self.trouble(&choice, Trouble::Broken, "an answer to another request");
             return Err(Failure::Unknown);
         }
+        self.note_unknown(&choice, response.headers());
         if self.is_own_word(status, &reply) {
             self.note_limit(&choice, &reply.limit, sent);
             self.note_rest(&choice, &reply.rest);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
 
 use crate::connections::Connections;
 use crate::metrics::Metrics;
+use crate::unknown::Unknown;
 
 /// What the parts of a gateway share; each part of the state has a lock of its own.
 #[derive(Debug)]
@@ -42,6 +43,7 @@
     /// Wakes requests that wait for short passes.
     pub(crate) shortened: Signal,
     pub(crate) connections: Connections,
+    pub(crate) unknown: Unknown,
     pub(crate) shutdown: Mutex<Shutdown>,
     /// Requests in hand.
     active: AtomicU32,
@@ -89,6 +91,7 @@
             passes: Mutex::new(Passes::new()),
             shortened: Signal::new(),
             connections: Connections::default(),
+            unknown: Unknown::default(),
             shutdown: Mutex::new(Shutdown::new()),
             active: AtomicU32::new(0),
             counter: AtomicU64::new(0),
