Soak: servers ask for rest, and leave by their answers alone

Beside all other troubles, whose plans stay the same. The verdict counts what each gateway sent a server in each rest that the server had asked it for, and what it sent later than drainMs after it had passed on an answer that said the server leaves; a restart, a freeze or a cut of the host excuses it, and a cut does not excuse the latter.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -289,8 +289,10 @@
             Trouble::ServerLink(server, ..)
             | Trouble::Behave(server, ..)
             | Trouble::Crash(server) => vec![Whom::Server(server)],
-            // Neither leaving in order nor a limit is a reason to lose anything.
-            Trouble::Replace(_) | Trouble::Limit(..) => Vec::new(),
+            // Neither leaving in order nor a limit nor a rest is a reason to lose anything.
+            Trouble::Replace(_) | Trouble::Limit(..) | Trouble::Rest(..) | Trouble::Leave(..) => {
+                Vec::new()
+            }
         }
     }
 
@@ -353,6 +355,20 @@
                 let limited = self.servers.limit(server, rate, span).await;
                 self.record.lock().limited.extend(limited);
             }
+            Trouble::Rest(server, span, rest) => {
+                let rested = self.servers.rest(server, span, rest).await;
+                self.record.lock().rested.extend(rested);
+            }
+            Trouble::Leave(server, span) => {
+                if let Some((left, stays)) = self.servers.tell_leaving(server, span).await {
+                    self.record.lock().left.push(left);
+                    if stays {
+                        let at = self.begin(Whom::Server(server));
+                        self.servers.crash(server).await;
+                        self.end(at);
+                    }
+                }
+            }
         }
         begun.into_iter().for_each(|at| self.end(at));
     }
--- a/tests/src/soak/plan.rs
+++ b/tests/src/soak/plan.rs
@@ -70,6 +70,10 @@
     Crash(u8),
     /// A server names a limit on the requests that all hosts send it.
     Limit(u8, Rate, Span),
+    /// A server turns requests away for a span, and asks each host for a rest of another.
+    Rest(u8, Span, Span),
+    /// A server says in its answers only that it leaves, and another one comes after a span.
+    Leave(u8, Span),
 }
 
 /// A trouble at a time.
@@ -124,29 +128,50 @@
         let series = chance.next_number().is_multiple_of(3);
         at += chance.span(if series { SERIES } else { PAUSE }).as_micros();
     }
-    planned.extend(limits(seed, end, sizes));
+    let limits = series(Chance::new(!seed), end, sizes, |chance, server| {
+        let rate = Rate::from_millis(500 << chance.below(5));
+        let span = Span::from_millis(7_000 + chance.below(7_000));
+        (Trouble::Limit(server, rate, span), span)
+    });
+    let rests = series(Chance::new(seed ^ RESTS), end, sizes, |chance, server| {
+        let span = Span::from_millis(200 + chance.below(4_800));
+        let rest = Span::from_millis(700 + chance.below(3_300));
+        (Trouble::Rest(server, span, rest), span)
+    });
+    let leaves = series(Chance::new(seed ^ LEAVES), end, sizes, |chance, server| {
+        let span = Span::from_millis(3_000 + chance.below(4_000));
+        (Trouble::Leave(server, span), span)
+    });
+    planned.extend([limits, rests, leaves].concat());
     planned
 }
 
-/// Servers that name limits, whatever else befalls them: the plan of all other troubles stays the same by it.
-fn limits(seed: u64, end: u64, sizes: Sizes) -> Vec<Planned> {
+/// What tells the draws of these troubles apart from those of others.
+const RESTS: u64 = 0x5e57;
+const LEAVES: u64 = 0x1ea7e;
+
+/// Troubles of servers beside all others, one of a kind at a time for each server, with how long each lasts: the plan of
+/// the others stays the same by it.
+fn series(
+    mut chance: Chance,
+    end: u64,
+    sizes: Sizes,
+    draw: impl Fn(&mut Chance, u8) -> (Trouble, Span),
+) -> Vec<Planned> {
     /// The longest pause between two.
     const PAUSE: Span = Span::from_secs(8);
-    let mut chance = Chance::new(!seed);
     let mut planned = Vec::new();
-    // A server names one limit at a time.
     let mut until = vec![0; usize::from(sizes.servers)];
     let mut at = chance.span(PAUSE).as_micros();
     while at < end {
         let server = chance.below(u64::from(sizes.servers)) as u8;
-        let rate = Rate::from_millis(500 << chance.below(5));
-        let span = Span::from_millis(7_000 + chance.below(7_000));
+        let (trouble, span) = draw(&mut chance, server);
         let free = &mut until[usize::from(server)];
         if at > *free {
             *free = at + span.as_micros();
             planned.push(Planned {
                 at: Span::from_micros(at),
-                trouble: Trouble::Limit(server, rate, span),
+                trouble,
             });
         }
         at += chance.span(PAUSE).as_micros();
@@ -206,6 +231,8 @@
         | Trouble::Behave(..)
         | Trouble::Replace(_)
         | Trouble::Crash(_)
-        | Trouble::Limit(..) => false,
+        | Trouble::Limit(..)
+        | Trouble::Rest(..)
+        | Trouble::Leave(..) => false,
     }
 }
--- a/tests/src/soak/servers.rs
+++ b/tests/src/soak/servers.rs
@@ -16,7 +16,7 @@
 use super::fleet::Fleet;
 use super::plan::Disturbance;
 use super::proxy::Proxy;
-use super::verdict::{Drained, Limited};
+use super::verdict::{Drained, Left, Limited, Rested};
 
 /// The pause between two announcements, before an address is tried again, and how long a call may take.
 const BEAT: Span = Span::from_millis(400);
@@ -120,6 +120,33 @@
         })
     }
 
+    /// Lets a server turn requests away for a time, and ask for rest.
+    pub async fn rest(&self, place: u8, span: Span, rest: Span) -> Option<Rested> {
+        let server = self.server(place)?;
+        server.ask_rest(Some(&rest.as_secs_f64().to_string()));
+        let from = Instant::now();
+        pause(span).await;
+        server.ask_rest(None);
+        let mut turned = server.turned();
+        turned.retain(|turned| turned.at >= from);
+        Some(Rested {
+            server: server.id.clone(),
+            rest: rest.as_duration(),
+            turned,
+        })
+    }
+
+    /// Lets a server say in its answers that it leaves; whether it is there still after a time.
+    pub async fn tell_leaving(&self, place: u8, span: Span) -> Option<(Left, bool)> {
+        let server = self.server(place)?;
+        server.tell_leaving();
+        let (id, from) = (server.id.clone(), Instant::now());
+        drop(server);
+        pause(span).await;
+        let stays = self.server(place).is_some_and(|s| s.id == id);
+        Some((Left { server: id, from }, stays))
+    }
+
     /// Lets a server be gone at once, and another one come at its address.
     pub async fn crash(&self, place: u8) {
         self.end(place);
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -6,7 +6,7 @@
 
 use super::plan::AFTER;
 use snipemast_core::prelude::*;
-use snipemast_site::{Ran, EVENTS};
+use snipemast_site::{Ran, Turned, EVENTS};
 
 /// How long a caller may wait: the routes' time, and some for a busy machine.
 const TIME: Duration = Duration::from_millis(3_000 + 750);
@@ -20,6 +20,10 @@
 const SETTLED: Duration = Duration::from_secs(3);
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// How long after it was asked for a rest holds, and how many requests a gateway may send in it.
+const RESTS: Duration = Duration::from_millis(500);
+const IN_REST: usize = 2;
+
 /// What may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -127,6 +131,26 @@
     pub until: Instant,
 }
 
+/// A server that turned requests away and asked for rest.
+#[derive(Debug, Clone)]
+pub struct Rested {
+    /// The server.
+    pub server: String,
+    /// The rest that it asked each host for.
+    pub rest: Duration,
+    /// What it turned away.
+    pub turned: Vec<Turned>,
+}
+
+/// A server that said in its answers that it leaves.
+#[derive(Debug, Clone)]
+pub struct Left {
+    /// The server.
+    pub server: String,
+    /// From when on.
+    pub from: Instant,
+}
+
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Broken(pub String);
@@ -152,6 +176,10 @@
     pub drained: Vec<Drained>,
     /// Limits.
     pub limited: Vec<Limited>,
+    /// Rests.
+    pub rested: Vec<Rested>,
+    /// Servers that said in their answers that they leave.
+    pub left: Vec<Left>,
     /// Processes that ended by themselves.
     pub ended: Vec<Broken>,
 }
@@ -175,6 +203,18 @@
         broken.extend(self.older_reads());
         broken.extend(self.sent_to_drained(ran));
         broken.extend(self.limited.iter().filter_map(|l| self.sent_beyond(l, ran)));
+        let asked = self.asked.iter().map(|a| (a.attempt.as_str(), a));
+        let asked: HashMap<&str, &Asked> = asked.collect();
+        broken.extend(
+            self.rested
+                .iter()
+                .filter_map(|r| self.sent_in_rest(r, ran, &asked)),
+        );
+        broken.extend(
+            self.left
+                .iter()
+                .filter_map(|l| self.sent_to_leaving(l, ran, &asked)),
+        );
         broken.extend(passed_keys(ran));
         broken
     }
@@ -304,6 +344,67 @@
         (most as f64 > allowed).then_some(Broken(said))
     }
 
+    /// What a gateway sent a server in a rest that the server had asked it for.
+    fn sent_in_rest(
+        &self,
+        rested: &Rested,
+        ran: &HashMap<String, Vec<Ran>>,
+        asked: &HashMap<&str, &Asked>,
+    ) -> Option<Broken> {
+        let ran = ran.get(&rested.server).into_iter().flatten();
+        let ran = ran.map(|r| (r.attempt.as_str(), r.at));
+        let turned = rested.turned.iter().map(|t| (t.attempt.as_str(), t.at));
+        let by = |(attempt, at)| Some((asked.get(attempt)?.gateway, at));
+        let arrived: Vec<(u8, Instant)> = ran.chain(turned.clone()).filter_map(by).collect();
+        turned.filter_map(by).find_map(|(gateway, at)| {
+            let (from, until) = (at + RESTS, at + rested.rest);
+            let own = arrived.iter().filter(|(g, _)| *g == gateway);
+            let sent = own.filter(|(_, at)| *at > from && *at < until).count();
+            let excused = self.causes.iter().any(|c| {
+                let near = match c.whom {
+                    Whom::Host(host) | Whom::Ending(host) => host == gateway,
+                    // What the server said may not have come through.
+                    Whom::Server(at) => at == place(&rested.server),
+                };
+                near && c.overlaps(at, until)
+            });
+            let said = format!(
+                "{} was sent {sent} by {gateway} in a rest of {:?}",
+                rested.server, rested.rest
+            );
+            (sent > IN_REST && !excused).then_some(Broken(said))
+        })
+    }
+
+    /// What a gateway sent a server long after it had passed on the server's word that it leaves.
+    fn sent_to_leaving(
+        &self,
+        left: &Left,
+        ran: &HashMap<String, Vec<Ran>>,
+        asked: &HashMap<&str, &Asked>,
+    ) -> Option<Broken> {
+        let runs = ran.get(&left.server)?.iter();
+        let runs: Vec<&Asked> = runs
+            .filter(|r| r.at >= left.from)
+            .filter_map(|r| asked.get(r.attempt.as_str()).copied())
+            .collect();
+        runs.iter().find_map(|late| {
+            let passed = |a: &&&Asked| {
+                a.gateway == late.gateway && matches!(a.end, End::Answer { sealed: true, .. })
+            };
+            let first = runs.iter().filter(passed).map(|a| a.ended).min()?;
+            let restarted = self.causes.iter().any(|c| {
+                let own = matches!(c.whom, Whom::Host(h) | Whom::Ending(h) if h == late.gateway);
+                own && c.overlaps(first, late.ended)
+            });
+            let said = format!(
+                "{} was sent {late:?} after it said that it leaves",
+                left.server
+            );
+            (late.sent > first + DRAINED && !restarted).then_some(Broken(said))
+        })
+    }
+
     /// Whether a run counts against a limit: its gateway was neither restarted nor stopped nor cut off just before.
     fn counts(&self, run: &Ran) -> bool {
         let asked = self.asked.iter().find(|a| a.attempt == run.attempt);
