Leave servers that answer nothing out until they answer, tell all gateways of them, and leave them for a queue

Gateways tell the leader which servers answer them nothing; all others ask the server themselves and believe their own answer, since what one gateway finds may be its path. A stream moves from such a server to a place in a queue too; from a server that goes on only to a free one, as before.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -53,6 +53,7 @@
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateways(now),
         slow: pollers.slow(now),
+        still: pollers.still(now),
         grants,
         flying,
         age,
@@ -99,6 +100,7 @@
             slow: Vec::new(),
             demands: Vec::new(),
             leaving: Vec::new(),
+            still: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -163,9 +163,9 @@
         self.excluded.push(server.clone());
     }
 
-    /// Whether a request moves away from a server, which may have run it, to a free place at another one; that send
-    /// is granted then.
-    pub(crate) fn moves(&mut self, job: &Job, from: &ServerId) -> bool {
+    /// Whether a request moves away from a server, which may have run it, to a place at another one; that send is
+    /// granted then. The caller has got a stream up to the last event.
+    pub(crate) fn moves(&mut self, job: &Job, from: &ServerId, last: Option<u64>) -> bool {
         if !self.sends.may_begin(job.route.attempts) {
             return false;
         }
@@ -177,12 +177,15 @@
             gate: &gate,
             but: &but,
         };
-        let free = job.state.servers.lock().has_free(now, wanted);
-        self.granted = free
+        let turn = job.turn(last);
+        let servers = job.state.servers.lock();
+        let may_move = servers.may_move(now, from, wanted, turn);
+        drop(servers);
+        self.granted = may_move
             && !matches!(gate, Gate::Probe(_))
             && job.state.budget.lock().spend(now, &job.service);
         if self.granted {
-            let detail = format_args!("{from} shows nothing, another server has a free place");
+            let detail = format_args!("{from} shows nothing, another server has a place");
             job.note_trouble(Event::RequestRetried, detail);
         }
         self.granted
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! - `news`: what this gateway polls controllers for, and what it makes of it.
 //! - `handle`: a request's way from its caller to an answer.
 //! - `send`: one send of a request to one server.
+//! - `frozen`: servers that answer nothing, until they do.
 //! - `stream`: passes events on, and goes on at another server where a stream breaks.
 //! - `story`: what is logged and measured of one request.
 //! - `waiting`: requests that no server may take now.
@@ -20,6 +21,7 @@
 
 mod answer;
 mod connections;
+mod frozen;
 mod handle;
 mod limits;
 mod metrics;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -18,6 +18,7 @@
 use snipemast_registry::{Cursor, Known, News, Poll, PollerKind, Standing, Table as Registry};
 use snipemast_routes::Table as Routes;
 
+use crate::frozen;
 use crate::limits::limits;
 use crate::state::State;
 
@@ -206,6 +207,7 @@
         let servers = self.state.servers.lock();
         let flying = servers.flying();
         let flying = flying.map(|(server, count)| (server.clone(), count));
+        let still = servers.still().filter(|_| leads);
         Poll {
             host: self.state.settings.host.clone(),
             kind: PollerKind::Gateway,
@@ -225,6 +227,7 @@
             },
             slow: Vec::new(),
             demands,
+            still: still.cloned().collect(),
             leaving,
         }
     }
@@ -246,6 +249,7 @@
             servers.set_others(now, news.age, counts);
             servers.set_slow(slow.collect());
             drop(servers);
+            frozen::check(&self.state, &news.still);
             if let Some(grants) = news.grants {
                 let entry = known.controllers.entry(controller).or_default();
                 self.state.take_grants(entry.polled, grants);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderValue, HOST};
+use hyper::header::{HeaderMap, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use snipemast_core::prelude::*;
@@ -21,25 +21,21 @@
 use snipemast_placement::{Choice, Pool, Trouble, Turn};
 use snipemast_platform::request::{forward, Ask, Forward};
 use snipemast_platform::response::Reply;
-use snipemast_platform::server;
 use snipemast_routes::{Repeat, Route};
 
+use crate::frozen::Frozen;
 use crate::handle::Tries;
 use crate::state::State;
 use crate::story::Unsaid;
 
 /// How long a connection to a server may take: some round trips between zones, without a lost
 /// packet's wait, because another server is nearer than that.
-const CONNECT: Span = Span::from_millis(250);
+pub(crate) const CONNECT: Span = Span::from_millis(250);
 
 /// How often it is asked after that whether a server stands still: its group may stand as a whole at first, and go
 /// on without it.
 const STILL_AGAIN: Span = Span::from_millis(100);
 
-/// How long a server may take to tell how it is: some times what that takes between distant zones, with a new
-/// connection.
-const TELLS: Span = Span::from_millis(150);
-
 /// How long beyond its time a server may take to say itself that the time is over.
 const OVERTIME: Span = Span::from_millis(60);
 
@@ -175,7 +171,8 @@
                 return Err(Failure::NotRun);
             }
             let sending = connection.send(request);
-            match self.unless_still(&choice, tries, limit, sending).await? {
+            let answered = self.unless_still(&choice, tries, last, limit, sending);
+            match answered.await? {
                 Ok(response) => {
                     return self.judge(choice, response, connection, flight, sent);
                 }
@@ -202,6 +199,7 @@
         &self,
         choice: &Choice,
         tries: &mut Tries,
+        last: Option<u64>,
         limit: Span,
         work: impl Future<Output = T>,
     ) -> Result<T, Failure> {
@@ -229,7 +227,7 @@
             if let Some(done) = futures_lite::future::or(done, asked).await {
                 return Ok(done);
             }
-            if tries.moves(self, &choice.server) {
+            if tries.moves(self, &choice.server, last) {
                 self.state.connections.retire(choice.address);
                 return Err(Failure::Unknown);
             }
@@ -244,34 +242,6 @@
             && servers.stands_still(now, &choice.server, since)
     }
 
-    /// Asks a server that shows nothing how it is, and leaves it out where it does not answer.
-    ///
-    /// Failure guarded against: in a large group a stream waits a second and more in a rank's queue, and sound
-    /// ranks are left out, which fills the queues of the others. A server whose host stands still
-    /// takes connections, but answers nothing; one with a long queue tells how it is without one.
-    async fn leave_out_if_frozen(&self, choice: &Choice) {
-        let now = self.state.clock.now();
-        let asks = self.state.servers.lock().asks(now, &choice.server);
-        if asks && !self.answers(choice).await {
-            self.trouble(choice, Trouble::Still, "stands still");
-        }
-    }
-
-    /// Whether a server tells how it is, on a connection of its own.
-    async fn answers(&self, choice: &Choice) -> bool {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = Uri::from_static(server::REPORT);
-        let Ok(host) = HeaderValue::from_str(&choice.address.to_string()) else {
-            return true;
-        };
-        request.headers_mut().insert(HOST, host);
-        let told = async {
-            let mut connection = connect(choice.address, CONNECT).await.ok()?;
-            connection.send(request).await.ok()
-        };
-        within(TELLS, told).await.flatten().is_some()
-    }
-
     /// Failure guarded against: a pooled connection is closed by the server, is silent, or holds
     /// a late answer to an earlier request, and a request that may run once only is written to it:
     /// its outcome is unknown, and it can't be sent again. Such requests get a connection of
@@ -392,7 +362,7 @@
         }
     }
 
-    fn trouble(&self, choice: &Choice, trouble: Trouble, detail: &str) {
+    pub(crate) fn trouble(&self, choice: &Choice, trouble: Trouble, detail: &str) {
         let now = self.state.clock.now();
         let id = &choice.server;
         let mut servers = self.state.servers.lock();
@@ -409,8 +379,14 @@
             id,
             format_args!("for {out}, {detail}"),
         );
-        if trouble == Trouble::Unreachable {
-            spawn(await_return(Arc::clone(&self.state), choice.clone(), out)).detach();
+        let state = Arc::clone(&self.state);
+        match trouble {
+            Trouble::Unreachable => spawn(await_return(state, choice.clone(), out)).detach(),
+            Trouble::Still => {
+                let frozen = Frozen::new(choice);
+                spawn(frozen.await_answer(state)).detach();
+            }
+            _ => {}
         }
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -96,7 +96,8 @@
     loop {
         let limit = SILENCE.min(job.left());
         let next = run.response.body_mut().frame();
-        let Ok(frame) = job.unless_still(&run.choice, tries, limit, next).await else {
+        let next = job.unless_still(&run.choice, tries, events.last(), limit, next);
+        let Ok(frame) = next.await else {
             return End::Broken("silent");
         };
         let bytes = match frame {
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -94,7 +94,7 @@
     full: Moment,
     /// When a piece of a stream came last.
     piece: Moment,
-    /// Whether it is left out until a piece comes from it: a host that stands still takes connections too.
+    /// Whether it is left out until something comes from it: a host that stands still takes connections too.
     still: bool,
     /// When it was asked last how it is.
     asked: Moment,
@@ -382,9 +382,7 @@
     pub fn note_piece(&mut self, now: Moment, server: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(server, start) {
             server.piece = now;
-            if std::mem::take(&mut server.still) {
-                server.out = now;
-            }
+            server.still = false;
         }
     }
 
@@ -415,6 +413,34 @@
         due
     }
 
+    /// The servers that answer nothing.
+    pub fn still(&self) -> impl Iterator<Item = &ServerId> {
+        let still = self.known.iter().filter(|(_, s)| s.still);
+        still.map(|(id, _)| id)
+    }
+
+    /// Where a server is asked how it is that another gateway found to answer nothing; nothing where this gateway
+    /// knows of it, or has asked just now.
+    ///
+    /// Failure guarded against: a host stands still, and each of many gateways finds that out by requests of its own
+    /// that are lost there. What another gateway finds may be the path between the two, so it is asked for.
+    pub fn asks_told(&mut self, now: Moment, id: &ServerId) -> Option<(Incarnation, SocketAddr)> {
+        if !self.asks(now, id) {
+            return None;
+        }
+        let server = self.known.get(id)?;
+        let shown = now < server.piece + GOING || now < server.out;
+        (!shown).then_some((server.offered.start, server.offered.address))
+    }
+
+    /// A start of a server that answered nothing does again.
+    pub fn note_answering(&mut self, now: Moment, id: &ServerId, start: Incarnation) {
+        if let Some(server) = self.get(id, start) {
+            server.still = false;
+            server.out = server.out.min(now);
+        }
+    }
+
     /// A start of a server answered well.
     pub fn note_success(&mut self, server: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(server, start) {
@@ -428,7 +454,8 @@
         known.filter(|s| s.offered.start == start)
     }
 
-    /// Something went wrong with a start of a server; for how long it is left out, if it is.
+    /// Something went wrong with a start of a server; for how long it is left out at least, if it is. One that stands
+    /// still is left out until it shows something.
     pub fn note_trouble(
         &mut self,
         now: Moment,
@@ -445,9 +472,8 @@
             return None;
         }
         if trouble == Trouble::Still {
-            server.still = true;
-            server.out = now + OUT_LONGEST;
-            return Some(OUT_LONGEST);
+            let news = !std::mem::replace(&mut server.still, true);
+            return news.then_some(OUT_LONGEST);
         }
         server.failures += 1;
         if trouble != Trouble::Unreachable && server.failures < FAILURES {
--- a/crates/placement/src/servers/open.rs
+++ b/crates/placement/src/servers/open.rs
@@ -100,18 +100,32 @@
     pub fn has_free(&self, now: Moment, wanted: Wanted<'_>) -> bool {
         /// As many as it runs at once, in hundredths.
         const SLOTS: u32 = 100;
+        self.has_place(now, wanted, SLOTS)
+    }
+
+    /// Whether a request that was sent to a server may move to one of the wanted servers.
+    ///
+    /// Load answered: all servers have queues, and one stands still. What waits at a server that goes on may be answered
+    /// there yet, so it moves to a free place only; what waits at one that answers nothing is lost there, and a place
+    /// in another one's queue is better.
+    pub fn may_move(&self, now: Moment, from: &ServerId, wanted: Wanted<'_>, turn: Turn) -> bool {
+        let still = self.known.get(from).is_some_and(|server| server.still);
+        self.has_free(now, wanted) || still && self.has_place(now, wanted, self.room.bound(turn))
+    }
+
+    fn has_place(&self, now: Moment, wanted: Wanted<'_>, bound: u32) -> bool {
         self.known.values().any(|server| {
             wanted.holds(&server.offered)
                 && server.offered.leaving.is_none()
                 && !self.is_shunned(&server.offered)
-                && self.admit(now, server, SLOTS).is_ok()
+                && self.admit(now, server, bound).is_ok()
         })
     }
 
     /// What is believed of the load of a server that may be sent a request; the bound is in hundredths of its slots.
     fn admit(&self, now: Moment, server: &Server, bound: u32) -> Result<Candidate, Unplaced> {
         let offered = &server.offered;
-        if now < server.out {
+        if now < server.out || server.still {
             return Err(Unplaced::AllOut);
         }
         let opens = self.rests.opens(now, &offered.server, offered.start);
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -188,6 +188,56 @@
     assert_eq!(place(&mut servers, 2), Ok(id(1)));
 }
 
+/// A host stands still for longer than a server is left out after failures, and is sent requests again.
+#[test]
+fn still_until_it_answers() {
+    let mut servers = servers(&["a", "a"]);
+    let start = Incarnation(0);
+    let later = NOW + Span::from_secs(3_600);
+    let gone = [id(2)];
+    let (service, gate) = (pool().service, open());
+    let wanted = wanted(&service, &gate, &gone);
+    servers.note_trouble(NOW, &id(1), start, Trouble::Still);
+    assert_eq!(servers.still().collect::<Vec<_>>(), [&id(1)]);
+    assert!(!servers.has_free(later, wanted));
+    let chosen = servers.choose(later, wanted, Turn::InTime, 1);
+    assert_eq!(chosen.unwrap_err(), Unplaced::AllOut);
+    servers.note_answering(later, &id(1), start);
+    assert!(servers.choose(later, wanted, Turn::InTime, 1).is_ok());
+    assert_eq!(servers.still().count(), 0);
+}
+
+/// A stream waits at a host that stands still until its caller gives up, because all other servers have queues.
+#[test]
+fn leaves_frozen_for_a_queue() {
+    let mut servers = servers(&["a", "a"]);
+    let (service, gate, gone) = (pool().service, open(), [id(1)]);
+    let wanted = wanted(&service, &gate, &gone);
+    let moves = |servers: &Servers| servers.may_move(NOW, &id(1), wanted, Turn::Resumed);
+    assert!(moves(&servers));
+    let queued = |count| [(id(2), count)].into_iter();
+    servers.set_others(NOW, Span::default(), queued(4));
+    assert!(!moves(&servers), "it may be answered where it is");
+    servers.note_trouble(NOW, &id(1), Incarnation(0), Trouble::Still);
+    assert!(moves(&servers));
+    assert!(!servers.may_move(NOW, &id(1), wanted, Turn::Late));
+    servers.set_others(NOW, Span::default(), queued(6));
+    assert!(!moves(&servers), "it would be refused there");
+}
+
+/// Another gateway's path to a server is cut, and a sound server is left out, or is asked by each of its streams.
+#[test]
+fn told_servers_are_asked() {
+    let mut servers = servers(&["a", "a"]);
+    let start = Incarnation(0);
+    assert!(servers.asks_told(NOW, &id(1)).is_some());
+    assert!(servers.asks_told(NOW, &id(1)).is_none(), "asked just now");
+    servers.note_piece(NOW, &id(2), start);
+    assert!(servers.asks_told(NOW, &id(2)).is_none(), "it goes on");
+    assert!(servers.asks_told(NOW, &id(3)).is_none(), "nobody");
+    assert!(place(&mut servers, 1).is_ok());
+}
+
 /// A user's stream is given up at a sound server with a long queue, and no other one can take it up: it moves only
 /// to a free place, and a server that shows nothing is asked how it is once at a time.
 #[test]
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -73,6 +73,8 @@
         pub slow: Vec<Slow>,
         /// What it knows of servers' limits and would send there, where this controller grants that.
         pub demands: Vec<Demand>,
+        /// Servers that answer it nothing, where this controller leads.
+        pub still: Vec<ServerId>,
         /// Servers that told it that they leave, where this controller leads and hasn't told of them.
         pub leaving: Vec<LeavingServer>,
     }
@@ -101,6 +103,8 @@
         pub age: Span,
         /// The slow servers of all groups.
         pub slow: Vec<Slow>,
+        /// Servers that answer some gateway nothing.
+        pub still: Vec<ServerId>,
         /// What the asker may send to servers that name limits; nothing where this controller can't tell.
         pub grants: Option<Vec<Grant>>,
     }
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -1,6 +1,6 @@
 //! Who polls a controller, and what each one has.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use snipemast_core::prelude::*;
 
@@ -27,6 +27,7 @@
     last: Moment,
     flying: Flying,
     slow: Vec<Slow>,
+    still: Vec<ServerId>,
 }
 
 impl Pollers {
@@ -44,6 +45,7 @@
             last: now,
             flying: poll.flying.clone(),
             slow: poll.slow.clone(),
+            still: poll.still.clone(),
         };
         let before = self.known.insert(poll.host.clone(), poller);
         before.is_none_or(|b| b.version != poll.version || b.cursor != poll.cursor)
@@ -94,6 +96,13 @@
         fresh.flat_map(|p| p.slow.iter().cloned()).collect()
     }
 
+    /// The servers that answer some gateway nothing.
+    pub fn still(&self, now: Moment) -> Vec<ServerId> {
+        let told = self.connected(now).flat_map(|p| &p.still);
+        let told: BTreeSet<&ServerId> = told.collect();
+        told.into_iter().cloned().collect()
+    }
+
     /// Forgets who has not polled for long.
     pub fn expire(&mut self, now: Moment) {
         self.known.retain(|_, p| now < p.last + CONNECTED.times(4));
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -17,6 +17,7 @@
         slow: Vec::new(),
         demands: Vec::new(),
         leaving: Vec::new(),
+        still: Vec::new(),
     }
 }
 
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -144,6 +144,7 @@
             slow: known.slow_servers(),
             demands: Vec::new(),
             leaving: Vec::new(),
+            still: Vec::new(),
         }
     }
 
