Wake all streams that wait at a server once it is found to answer nothing

Change: whoever waits at a server is woken when it is found, by this gateway or by the word of another one, and moves at once.

Evidence: frozen_left_by_all failed before (streams that came over 0.74 s left over 0.70 s) and passes.

--- a/crates/gateway/src/frozen.rs
+++ b/crates/gateway/src/frozen.rs
@@ -111,6 +111,7 @@
         out.is_some()
     };
     if news {
+        state.frozen.notify(usize::MAX);
         let detail = "stands still, another gateway told";
         state
             .journal
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -204,19 +204,28 @@
         work: impl Future<Output = T>,
     ) -> Result<T, Failure> {
         let since = self.state.clock.now();
-        let end = since + limit;
+        let (mut look, end) = (since + STILL, since + limit);
         let mut work = pin!(work);
-        let mut wait = STILL;
         loop {
-            let left = self.state.clock.now().until(end);
-            if left == Span::default() {
+            let found = self.state.frozen.listen();
+            let now = self.state.clock.now();
+            if now >= end {
                 return Err(Failure::Late);
             }
-            if let Some(done) = within(left.min(wait), work.as_mut()).await {
+            let done = within(now.until(look.min(end)), work.as_mut());
+            let found = async {
+                found.await;
+                None
+            };
+            if let Some(done) = futures_lite::future::or(done, found).await {
                 return Ok(done);
             }
-            wait = STILL_AGAIN;
-            if !self.stands_still(choice, since) {
+            let now = self.state.clock.now();
+            let due = now >= look;
+            if due {
+                look = now + STILL_AGAIN;
+            }
+            if !(self.is_frozen(choice) || due && self.stands_still(choice, since)) {
                 continue;
             }
             let done = async { Some(work.as_mut().await) };
@@ -234,6 +243,13 @@
         }
     }
 
+    /// Whether a server is known to answer nothing, and the request may go elsewhere.
+    fn is_frozen(&self, choice: &Choice) -> bool {
+        let servers = self.state.servers.lock();
+        self.route.repeat == Repeat::ResumableStream
+            && servers.is_still(&choice.server, choice.start)
+    }
+
     /// Whether a server has shown nothing since a moment while others go on, and the request may go elsewhere.
     fn stands_still(&self, choice: &Choice, since: Moment) -> bool {
         let now = self.state.clock.now();
@@ -383,6 +399,7 @@
         match trouble {
             Trouble::Unreachable => spawn(await_return(state, choice.clone(), out)).detach(),
             Trouble::Still => {
+                state.frozen.notify(usize::MAX);
                 let frozen = Frozen::new(choice);
                 spawn(frozen.await_answer(state)).detach();
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,8 @@
     pub(crate) budget: Mutex<Budget>,
     pub(crate) outages: Mutex<Outages>,
     pub(crate) patience: Mutex<Patience>,
+    /// Wakes requests whose server may be found to answer nothing.
+    pub(crate) frozen: Signal,
     /// Wakes requests that wait for a service.
     pub(crate) reopened: Signal,
     pub(crate) returns: Mutex<Returns>,
@@ -86,6 +88,7 @@
             budget: Mutex::new(Budget::new(bounds)),
             outages: Mutex::new(Outages::new()),
             patience: Mutex::default(),
+            frozen: Signal::new(),
             reopened: Signal::new(),
             returns: Mutex::default(),
             passes: Mutex::new(Passes::new()),
--- a/crates/placement/src/servers/health.rs
+++ b/crates/placement/src/servers/health.rs
@@ -78,6 +78,12 @@
         due
     }
 
+    /// Whether a start of a server answers nothing.
+    pub fn is_still(&self, id: &ServerId, start: Incarnation) -> bool {
+        let known = self.known.get(id);
+        known.is_some_and(|s| s.still && s.offered.start == start)
+    }
+
     /// The servers that answer nothing.
     pub fn still(&self) -> impl Iterator<Item = &ServerId> {
         let still = self.known.iter().filter(|(_, s)| s.still);
