One way to change the controller's table, one poll to begin from, and a counter that could not count

Found on reading the whole change again; no decision changes.

- Limits, leavings and ranks' words each locked the table, noted whether it changed and told those who wait, as did heartbeats, good-byes, expiry and the news of other controllers: State::change does that once.
- Each new field of a poll had to be set to nothing in four places: Poll::new is the poll that says nothing but who asks, and what only the leader is told stands in one function of the gateway.
- Choice::resting and resting_sends could never be true nor count, since a server that rests is not chosen and a request under way to it is taken back.
- The limits of servers' starts are kept in Starts, as rests and leavings are, in place of a check of the start at each use.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -203,8 +203,7 @@
             return self.ignore(id, &reason);
         }
         let now = self.state.clock.now();
-        if self.state.table.lock().announce(now, announcement) {
-            self.state.announce();
+        if self.state.change(|table| table.announce(now, announcement)) {
             let event = match standing {
                 Standing::Draining => Event::MemberDraining,
                 _ => Event::MemberJoined,
@@ -231,8 +230,8 @@
             Ok(id) => id,
             Err(report) => return plain(StatusCode::BAD_REQUEST, &report.to_string()),
         };
-        if self.state.table.lock().leave(self.state.clock.now(), &id) {
-            self.state.announce();
+        let now = self.state.clock.now();
+        if self.state.change(|table| table.leave(now, &id)) {
             self.state
                 .journal
                 .record(Event::MemberRemoved, &id, "good-bye");
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -134,9 +134,7 @@
         pause(UPKEEP).await;
         let now = state.clock.now();
         state.pollers.lock().expire(now);
-        if state.table.lock().expire(now) {
-            state.announce();
-        }
+        state.change(|table| table.expire(now));
     }
 }
 
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -6,7 +6,7 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Sink;
 use snipemast_net::exec::pause;
-use snipemast_registry::news::{Flying, Raw};
+use snipemast_registry::news::Raw;
 use snipemast_registry::{Cursor, News, Poll, PollerKind};
 
 use crate::state::State;
@@ -89,41 +89,31 @@
     fn poll(&self, controller: SocketAddr) -> Poll {
         let cursor = self.cursors.lock().get(&controller).copied();
         Poll {
-            host: self.state.settings.host.clone(),
-            kind: PollerKind::Controller,
             version: Version(u64::MAX),
             told: Version(u64::MAX),
-            wanted: false,
             cursor: cursor.unwrap_or_default(),
             wait: PEER_WAIT,
-            flying: Flying::new(),
-            slow: Vec::new(),
-            demands: Vec::new(),
-            leaving: Vec::new(),
-            still: Vec::new(),
+            ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
         }
     }
 
     fn take(&self, controller: SocketAddr, news: News) {
         self.cursors.lock().insert(controller, news.cursor);
         let now = self.state.clock.now();
-        let mut table = self.state.table.lock();
-        let place = table.place();
-        for entry in news.entries {
-            let (id, standing) = (entry.announcement.id.clone(), entry.standing);
-            if table.merge_standing(now, entry) {
-                self.state.journal.record(
-                    Event::MemberJoined,
-                    id,
-                    format_args!("{standing:?}, by {controller}"),
-                );
+        self.state.change(|table| {
+            let place = table.place();
+            for entry in news.entries {
+                let (id, standing) = (entry.announcement.id.clone(), entry.standing);
+                if table.merge_standing(now, entry) {
+                    self.state.journal.record(
+                        Event::MemberJoined,
+                        id,
+                        format_args!("{standing:?}, by {controller}"),
+                    );
+                }
             }
-        }
-        let changed = table.place() > place;
-        drop(table);
-        if changed {
-            self.state.announce();
-        }
+            table.place() > place
+        });
     }
 
     async fn settle(&self, _: SocketAddr) {
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -57,6 +57,15 @@
         self.changed.notify(usize::MAX);
     }
 
+    /// Changes the table, and tells everyone who waits where that is news.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut Table) -> bool) -> bool {
+        let news = change(&mut self.table.lock());
+        if news {
+            self.announce();
+        }
+        news
+    }
+
     /// Takes what the process beside a rank tells, and enters it into the table with what others tell then.
     ///
     /// Load answered: all ranks of a group tell at once that it has stalled or formed. Entered one by one, each
@@ -79,15 +88,13 @@
     fn enter_words(&self) {
         let words = std::mem::take(&mut *self.words.lock());
         let now = self.clock.now();
-        let mut table = self.table.lock();
-        let mut changed = false;
-        for word in words {
-            changed |= table.note_rank(now, word);
-        }
-        drop(table);
-        if changed {
-            self.announce();
-        }
+        self.change(|table| {
+            let mut changed = false;
+            for word in words {
+                changed |= table.note_rank(now, word);
+            }
+            changed
+        });
     }
 
     /// Takes note of the limits that a gateway knows.
@@ -96,22 +103,20 @@
             return;
         }
         let now = self.clock.now();
-        let mut table = self.table.lock();
-        let mut changed = false;
-        for Demand { server, limit, .. } in demands {
-            let word = limit.word(now);
-            let before = table.limit(server);
-            if table.note_limit(server, word) {
-                changed = true;
-                let source = format_args!("told by {host}");
-                let (event, detail) = note_of_change(before, word.rate, source);
-                self.journal.record(event, server, detail);
+        self.change(|table| {
+            let mut changed = false;
+            for Demand { server, limit, .. } in demands {
+                let word = limit.word(now);
+                let before = table.limit(server);
+                if table.note_limit(server, word) {
+                    changed = true;
+                    let source = format_args!("told by {host}");
+                    let (event, detail) = note_of_change(before, word.rate, source);
+                    self.journal.record(event, server, detail);
+                }
             }
-        }
-        drop(table);
-        if changed {
-            self.announce();
-        }
+            changed
+        });
     }
 
     /// Takes note of servers that told a gateway that they leave.
@@ -120,18 +125,18 @@
             return;
         }
         let now = self.clock.now();
-        let mut table = self.table.lock();
-        let news = |told: &&LeavingServer| table.merge_leaving(now, told);
-        let news: Vec<&LeavingServer> = leaving.iter().filter(news).collect();
-        drop(table);
-        for told in &news {
-            let detail = format_args!("told by {host}");
-            self.journal
-                .record(Event::LeavingTold, &told.server, detail);
-        }
-        if !news.is_empty() {
-            self.announce();
-        }
+        self.change(|table| {
+            let mut changed = false;
+            for told in leaving {
+                if table.merge_leaving(now, told) {
+                    changed = true;
+                    let detail = format_args!("told by {host}");
+                    self.journal
+                        .record(Event::LeavingTold, &told.server, detail);
+                }
+            }
+            changed
+        });
     }
 
     /// Grants what a gateway would send; nothing where this controller may not.
--- a/crates/core/src/starts.rs
+++ b/crates/core/src/starts.rs
@@ -67,11 +67,6 @@
         });
     }
 
-    /// How many starts are known.
-    pub fn count(&self) -> usize {
-        self.servers.values().map(Vec::len).sum()
-    }
-
     /// All that is known.
     pub fn iter(&self) -> impl Iterator<Item = (&ServerId, Incarnation, &T)> {
         self.servers.iter().flat_map(|(server, starts)| {
@@ -91,4 +86,8 @@
             self.remove(&server, start);
         }
     }
+
+    fn count(&self) -> usize {
+        self.servers.values().map(Vec::len).sum()
+    }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -86,7 +86,6 @@
     limited: Family<ServerLabel, Counter>,
     granted: Family<ServerLabel, Counter>,
     rests: Family<ServerLabel, Counter>,
-    resting: Family<ServerLabel, Counter>,
     leaving: Family<ServerLabel, Counter>,
     unknown: Family<HeaderLabel, Counter>,
 }
@@ -123,10 +122,6 @@
             "Requests that the leader granted to servers that name a limit",
         );
         let rests = by_server("rests", "Times that servers asked this host for rest");
-        let resting = by_server(
-            "resting_sends",
-            "Requests sent to servers that asked this host for rest",
-        );
         let leaving = by_server(
             "leaving_sends",
             "Requests sent to servers that said that they leave",
@@ -146,7 +141,6 @@
             limited,
             granted,
             rests,
-            resting,
             leaving,
             unknown,
         }
@@ -167,11 +161,6 @@
         add(&self.rests, server, 1);
     }
 
-    /// A request was sent to a server that asked this host for rest.
-    pub(crate) fn send_resting(&self, server: &ServerId) {
-        add(&self.resting, server, 1);
-    }
-
     /// A request was sent to a server that said that it leaves.
     pub(crate) fn send_leaving(&self, server: &ServerId) {
         add(&self.leaving, server, 1);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -13,7 +13,6 @@
 use snipemast_placement::outage::Word;
 use snipemast_placement::pools::{Pools, Told};
 use snipemast_platform::document;
-use snipemast_registry::news::Flying;
 use snipemast_registry::source::{Source, HANDED_OUT};
 use snipemast_registry::{Cursor, Known, News, Poll, PollerKind, Standing, Table as Registry};
 use snipemast_routes::Table as Routes;
@@ -85,6 +84,23 @@
         Span::from_micros(wait).max(SHORTEST).min(LONGEST)
     }
 
+    /// Adds to a poll what the leader adds up, grants and passes on.
+    fn tell_leader(&self, poll: Poll) -> Poll {
+        let demands = self.state.demands();
+        let leaving = self.state.unspread_leaving();
+        let servers = self.state.servers.lock();
+        let flying = servers.flying();
+        let flying = flying.map(|(server, count)| (server.clone(), count));
+        Poll {
+            wait: self.counts_wait(),
+            flying: flying.collect(),
+            still: servers.still().cloned().collect(),
+            demands,
+            leaving,
+            ..poll
+        }
+    }
+
     /// Puts a document into force that an operator's controller has checked.
     fn apply(&self, text: &[u8]) {
         let version = match document::read(text) {
@@ -196,39 +212,21 @@
         let version = self.state.version();
         let mut known = self.known.lock();
         let leads = known.leader == Some(controller);
-        let (demands, leaving) = if leads {
-            (self.state.demands(), self.state.unspread_leaving())
-        } else {
-            Default::default()
-        };
         let entry = known.controllers.entry(controller).or_default();
         entry.polled = self.state.clock.now();
         let wanted = entry.near || entry.wanted || version == Version(0);
-        let servers = self.state.servers.lock();
-        let flying = servers.flying();
-        let flying = flying.map(|(server, count)| (server.clone(), count));
-        let still = servers.still().filter(|_| leads);
-        Poll {
-            host: self.state.settings.host.clone(),
-            kind: PollerKind::Gateway,
+        let poll = Poll {
             version,
             told: entry.told,
             wanted,
             cursor: entry.cursor,
-            wait: if leads {
-                self.counts_wait()
-            } else {
-                OTHER_WAIT
-            },
-            flying: if leads {
-                flying.collect()
-            } else {
-                Flying::new()
-            },
-            slow: Vec::new(),
-            demands,
-            still: still.cloned().collect(),
-            leaving,
+            wait: OTHER_WAIT,
+            ..Poll::new(self.state.settings.host.clone(), PollerKind::Gateway)
+        };
+        if leads {
+            self.tell_leader(poll)
+        } else {
+            poll
         }
     }
 
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -33,9 +33,6 @@
         if choice.limited {
             state.metrics.send_limited(&choice.server);
         }
-        if choice.resting {
-            state.metrics.send_resting(&choice.server);
-        }
         if choice.leaving {
             state.metrics.send_leaving(&choice.server);
         }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -24,8 +24,6 @@
     pub age: Span,
     /// Whether it names a limit.
     pub limited: bool,
-    /// Whether it asked this gateway for rest, and that isn't over.
-    pub resting: bool,
     /// Whether it said that it leaves.
     pub leaving: bool,
     /// How many servers were left out because of their limits.
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -231,7 +231,6 @@
             load: own + others,
             age: fresh.age,
             limited: self.allowances.is_limited(&id),
-            resting: self.rests.is_resting(now, &id, start),
             leaving: server.offered.leaving.is_some(),
             passed,
             rested,
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -112,3 +112,23 @@
     /// A document's text.
     pub struct Raw(#[serde(with = "serde_bytes")] pub Vec<u8>);
 }
+
+impl Poll {
+    /// A poll of somebody who has nothing yet, tells nothing, and waits for nothing.
+    pub fn new(host: HostId, kind: PollerKind) -> Self {
+        Self {
+            host,
+            kind,
+            version: Version(0),
+            told: Version(0),
+            wanted: false,
+            cursor: Cursor::default(),
+            wait: Span::default(),
+            flying: Flying::new(),
+            slow: Vec::new(),
+            demands: Vec::new(),
+            still: Vec::new(),
+            leaving: Vec::new(),
+        }
+    }
+}
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -9,6 +9,7 @@
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
+use snipemast_core::starts::Starts;
 
 use crate::announcement::{Announcement, Standing};
 use crate::leaving::{LeavingServer, LeavingServers};
@@ -61,7 +62,7 @@
     holders: HashMap<SocketAddr, ServerId>,
     ranks: HashMap<SocketAddr, KnownRank>,
     /// What answers told last of servers' limits.
-    limits: HashMap<ServerId, KnownLimit>,
+    limits: Starts<KnownLimit>,
     leaving: LeavingServers,
     /// When servers said good-bye here last: it may be for a start that is not known here yet.
     departed: HashMap<ServerId, Moment>,
@@ -190,11 +191,10 @@
         if known.announcement.start != word.start {
             return false;
         }
-        let before = self.limits.get_mut(id);
-        let changed = match before.filter(|limit| limit.word.start == word.start) {
+        let changed = match self.limits.get_mut(id, word.start) {
             Some(before) => before.take(word),
             None => {
-                self.limits.insert(id.clone(), KnownLimit::new(word));
+                self.limits.insert(id, word.start, KnownLimit::new(word));
                 word.rate.is_some()
             }
         };
@@ -212,15 +212,17 @@
 
     /// What was told of the limits of all servers that have named one since they started.
     pub fn limits(&self) -> impl Iterator<Item = (&ServerId, &LimitWord)> {
-        let named = self.limits.iter().filter(|(_, limit)| limit.named);
-        named.filter_map(|(id, _)| Some((id, self.limit_word(self.servers.get(id)?)?)))
+        let latest = |id: &ServerId| self.servers.get(id).map(|k| k.announcement.start);
+        let limits = self.limits.iter();
+        let named = limits.filter(move |(id, start, l)| l.named && latest(id) == Some(*start));
+        named.map(|(id, _, limit)| (id, &limit.word))
     }
 
     /// What was told of the limit of a server that has named one since it started.
     fn limit_word(&self, known: &Known) -> Option<&LimitWord> {
         let Announcement { id, start, .. } = &known.announcement;
-        let limit = self.limits.get(id).filter(|l| l.word.start == *start)?;
-        limit.named.then_some(&limit.word)
+        let limit = self.limits.get(id, *start).filter(|limit| limit.named);
+        limit.map(|limit| &limit.word)
     }
 
     /// What was told of the start of a server that holds its address.
@@ -292,11 +294,12 @@
             .retain(|_, k| k.standing < Standing::Lost || !past(k.heard));
         let servers = &self.servers;
         self.holders.retain(|_, id| servers.contains_key(id));
-        self.limits.retain(|id, _| servers.contains_key(id));
-        self.leaving.forget(now, |id, start| {
+        let is_latest = |id: &ServerId, start: Incarnation| {
             let known = servers.get(id);
             known.is_some_and(|k| k.announcement.start == start)
-        });
+        };
+        self.limits.retain(|id, start, _| is_latest(id, start));
+        self.leaving.forget(now, is_latest);
         self.departed.retain(|_, at| !past(*at));
         self.ranks.retain(|_, rank| !past(rank.told));
     }
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -5,19 +5,14 @@
 use snipemast_registry::{Cursor, Poll, PollerKind, Pollers};
 
 fn poll(version: u64, place: u64) -> Poll {
+    let host = HostId::new("host-11").expect("a host's name");
     Poll {
-        host: HostId::new("host-11").expect("a host's name"),
-        kind: PollerKind::Gateway,
         version: Version(version),
         told: Version(version),
         wanted: true,
         cursor: Cursor { epoch: 1, place },
         wait: Span::from_millis(250),
-        flying: Flying::new(),
-        slow: Vec::new(),
-        demands: Vec::new(),
-        leaving: Vec::new(),
-        still: Vec::new(),
+        ..Poll::new(host, PollerKind::Gateway)
     }
 }
 
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/news.rs
@@ -12,7 +12,7 @@
 use snipemast_net::BootClock;
 use snipemast_platform::document;
 use snipemast_platform::settings::Settings;
-use snipemast_registry::news::{Flying, Slow};
+use snipemast_registry::news::Slow;
 use snipemast_registry::{Cursor, Known, News, Poll, PollerKind, Standing, Table};
 use snipemast_routes::Engine;
 
@@ -133,18 +133,13 @@
             Version(u64::MAX)
         };
         Poll {
-            host: self.settings.host.clone(),
-            kind: PollerKind::Sidecar,
             version,
             told: version,
             wanted,
             cursor: known.cursors.get(&controller).copied().unwrap_or_default(),
             wait: WAIT,
-            flying: Flying::new(),
             slow: known.slow_servers(),
-            demands: Vec::new(),
-            leaving: Vec::new(),
-            still: Vec::new(),
+            ..Poll::new(self.settings.host.clone(), PollerKind::Sidecar)
         }
     }
 
