Tests: one copy of what a server is and of who asked

The tests of leavings and limits announced a server alike, those of rests and leavings offered and chose one alike; each has a common module now. Whose request reached a stand-in, and since when, was worked out in four test files. The soak looked a request up by walking through all of them beside an index of the same, and said in four places whom a cause concerns.

--- a/crates/placement/tests/leaving.rs
+++ b/crates/placement/tests/leaving.rs
@@ -1,52 +1,33 @@
 //! Servers that said in their answers that they leave.
 
+mod common;
+
 use snipemast_core::prelude::*;
-use snipemast_placement::choice::{Offered, Unplaced, Wanted};
-use snipemast_placement::outage::Gate;
-use snipemast_placement::{Pool, Servers, Trouble, Turn};
+use snipemast_placement::choice::{Offered, Unplaced};
+use snipemast_placement::{Servers, Trouble};
 
-const DRAIN: Span = Span::from_secs(2);
+use common::{at, has_free, id, offered};
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-fn id(number: usize) -> ServerId {
-    ServerId::new(format!("i-{number}")).unwrap()
-}
+const DRAIN: Span = Span::from_secs(2);
 
-fn offered(number: usize, leaving: Option<Moment>) -> Offered {
+/// A server with one slot.
+fn small(number: usize) -> Offered {
     Offered {
-        server: id(number),
-        start: Incarnation(1),
-        pool: Pool {
-            service: ServiceId::new("lector").unwrap(),
-            group: None,
-        },
-        address: format!("10.0.0.{number}:80").parse().unwrap(),
-        zone: ZoneId::new("a").unwrap(),
         slots: 1,
-        leaving,
+        ..offered(number)
     }
 }
 
 /// So many servers, the first of which said at the moment 0 that it leaves.
 fn servers(count: usize) -> Servers {
     let mut servers = Servers::new(ZoneId::new("a").unwrap()).with_drain(DRAIN);
-    servers.set_offered((1..=count).map(|n| offered(n, None)).collect());
+    servers.set_offered((1..=count).map(small).collect());
     servers.note_leaving(at(0), &id(1), Incarnation(1));
     servers
 }
 
 fn choose(servers: &mut Servers, now: Moment) -> Result<ServerId, Unplaced> {
-    let (pool, gate) = (offered(1, None).pool, Gate::AllBut(Vec::new()));
-    let wanted = Wanted {
-        service: &pool.service,
-        gate: &gate,
-        but: &[],
-    };
-    let choice = servers.choose(now, wanted, Turn::InTime, 7);
-    choice.map(|c| c.server)
+    common::choose(servers, now).map(|choice| choice.server)
 }
 
 /// A server that leaves is sent requests that another one takes.
@@ -79,8 +60,11 @@
 #[test]
 fn news_change_nothing() {
     let mut servers = servers(1);
-    let news = vec![offered(1, Some(at(0))), offered(2, None)];
-    servers.set_offered(news);
+    let leaving = Offered {
+        leaving: Some(at(0)),
+        ..small(1)
+    };
+    servers.set_offered(vec![leaving, small(2)]);
     for _ in 0..2 {
         assert_eq!(choose(&mut servers, at(10)), Ok(id(2)));
         servers.end(&id(2), Incarnation(1));
@@ -91,13 +75,7 @@
 #[test]
 fn leaving_is_no_place() {
     let mut servers = servers(1);
-    let (pool, gate) = (offered(1, None).pool, Gate::AllBut(Vec::new()));
-    let wanted = Wanted {
-        service: &pool.service,
-        gate: &gate,
-        but: &[],
-    };
-    assert!(!servers.has_free(at(10), wanted));
+    assert!(!has_free(&servers, at(10)));
     servers.set_limits(at(10), vec![(id(1), Rate::per_second(1))]);
     assert!(choose(&mut servers, at(20)).is_err());
     assert_eq!(servers.demand(at(30), &id(1)), 0);
--- a/crates/placement/tests/rests.rs
+++ b/crates/placement/tests/rests.rs
@@ -1,12 +1,15 @@
 //! What a gateway sends to servers that asked it for rest.
 
+mod common;
+
 use quickcheck::quickcheck;
 
 use snipemast_core::prelude::*;
 use snipemast_placement::allowances::Granted;
-use snipemast_placement::choice::{Choice, Offered, Unplaced, Wanted};
-use snipemast_placement::outage::Gate;
-use snipemast_placement::{Pool, Rests, Servers, Trouble, Turn};
+use snipemast_placement::choice::{Offered, Unplaced};
+use snipemast_placement::{Rests, Servers, Trouble};
+
+use common::{at, choose, has_free, id, offered};
 
 const REST: Span = Span::from_secs(3);
 
@@ -16,46 +19,13 @@
 /// How long a request that nothing is seen of keeps others away.
 const LOST: u64 = 500;
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(50_000 + millis)
-}
-
-fn id(number: usize) -> ServerId {
-    ServerId::new(format!("i-{number}")).unwrap()
-}
-
-fn offered(number: usize, start: u64) -> Offered {
-    Offered {
-        server: id(number),
-        start: Incarnation(start),
-        pool: Pool {
-            service: ServiceId::new("lector").unwrap(),
-            group: None,
-        },
-        address: format!("10.0.0.{number}:80").parse().unwrap(),
-        zone: ZoneId::new("a").unwrap(),
-        slots: 4,
-        leaving: None,
-    }
-}
-
 /// A gateway that knows so many servers, each of the first start.
 fn servers(count: usize) -> Servers {
     let mut servers = Servers::new(ZoneId::new("a").unwrap());
-    servers.set_offered((1..=count).map(|n| offered(n, 1)).collect());
+    servers.set_offered((1..=count).map(offered).collect());
     servers
 }
 
-fn choose(servers: &mut Servers, now: Moment) -> Result<Choice, Unplaced> {
-    let (pool, gate) = (offered(1, 1).pool, Gate::AllBut(Vec::new()));
-    let wanted = Wanted {
-        service: &pool.service,
-        gate: &gate,
-        but: &[],
-    };
-    servers.choose(now, wanted, Turn::InTime, 7)
-}
-
 fn is_chosen(servers: &mut Servers, now: Moment) -> bool {
     choose(servers, now).is_ok()
 }
@@ -83,7 +53,7 @@
     rest(&mut servers, at(0), REST);
     let unplaced = choose(&mut servers, at(100)).unwrap_err();
     assert_eq!(unplaced, Unplaced::AllResting);
-    let service = offered(1, 1).pool.service;
+    let service = offered(1).pool.service;
     let opens = servers.opens(at(100), &service).unwrap();
     assert!(opens >= at(3_000) && opens <= at(LATEST), "{opens}");
     assert!(is_chosen(&mut servers, opens));
@@ -110,12 +80,12 @@
     let mut servers = servers(1);
     rest(&mut servers, at(0), REST);
     servers.set_offered(Vec::new());
-    servers.set_offered(vec![offered(1, 1)]);
+    servers.set_offered(vec![offered(1)]);
     assert!(!is_chosen(&mut servers, at(2_999)));
     let address = "10.0.0.9:80".parse().unwrap();
     let moved = Offered {
         address,
-        ..offered(1, 1)
+        ..offered(1)
     };
     servers.set_offered(vec![moved]);
     assert!(!is_chosen(&mut servers, at(2_999)));
@@ -126,7 +96,10 @@
 fn new_start_is_fresh() {
     let mut servers = servers(1);
     rest(&mut servers, at(0), REST);
-    servers.set_offered(vec![offered(1, 2)]);
+    servers.set_offered(vec![Offered {
+        start: Incarnation(2),
+        ..offered(1)
+    }]);
     assert!(is_chosen(&mut servers, at(10)));
     rest(&mut servers, at(20), REST);
     assert!(is_chosen(&mut servers, at(30)), "its earlier start's word");
@@ -211,13 +184,7 @@
 fn resting_is_no_place() {
     let mut servers = servers(1);
     rest(&mut servers, at(0), REST);
-    let (pool, gate) = (offered(1, 1).pool, Gate::AllBut(Vec::new()));
-    let wanted = Wanted {
-        service: &pool.service,
-        gate: &gate,
-        but: &[],
-    };
-    assert!(!servers.has_free(at(10), wanted));
+    assert!(!has_free(&servers, at(10)));
     assert!(!servers.asks(at(10), &id(1)));
 }
 
@@ -274,7 +241,7 @@
                 2 => drop(servers.note_taken(now, &id(1), Incarnation(1))),
                 3 => drop(servers.note_trouble(now, &id(1), Incarnation(1), Trouble::Full)),
                 4 => drop(servers.set_offered(Vec::new())),
-                _ => drop(servers.set_offered(vec![offered(1, 1)])),
+                _ => drop(servers.set_offered(vec![offered(1)])),
             }
             let chosen = is_chosen(&mut servers, now);
             !chosen || now >= until
--- a/crates/registry/tests/leaving.rs
+++ b/crates/registry/tests/leaving.rs
@@ -1,36 +1,24 @@
 //! Servers that say in their answers that they leave.
 
+mod common;
+
 use quickcheck::quickcheck;
 
 use snipemast_core::prelude::*;
 use snipemast_registry::{Announcement, Entry, LeavingServer, Standing, Table};
 
-const START: Moment = Moment::from_millis(50_000);
-
-fn at(millis: u64) -> Moment {
-    START + Span::from_millis(millis)
-}
-
-fn id() -> ServerId {
-    ServerId::new("i-1").unwrap()
-}
+use common::{announced, at, id, START};
 
-fn announced(start: u64, sequence: u64) -> Announcement {
+fn heartbeat(start: u64, sequence: u64) -> Announcement {
     Announcement {
-        id: id(),
-        start: Incarnation(start),
-        service: ServiceId::new("lector").unwrap(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: ZoneId::new("a").unwrap(),
-        slots: 12,
-        draining: false,
         sequence,
+        ..announced(start)
     }
 }
 
 fn entry(start: u64, sequence: u64, standing: Standing) -> Entry {
     Entry {
-        announcement: announced(start, sequence),
+        announcement: heartbeat(start, sequence),
         standing,
         age: Span::default(),
         rank: None,
@@ -42,7 +30,7 @@
 /// A table that knows the first start of a server.
 fn table() -> Table {
     let mut table = Table::new();
-    table.announce(at(0), announced(1, 1));
+    table.announce(START, announced(1));
     table
 }
 
@@ -56,7 +44,7 @@
     let mut table = table();
     assert!(leave(&mut table, at(10)));
     assert!(!leave(&mut table, at(20)));
-    table.announce(at(30), announced(1, 2));
+    table.announce(at(30), heartbeat(1, 2));
     table.merge(at(40), entry(1, 3, Standing::Ready));
     assert_eq!(table.leaving(&id()), Some(at(10)));
 }
@@ -66,7 +54,7 @@
 fn new_start_stays() {
     let mut table = table();
     leave(&mut table, at(10));
-    table.announce(at(2_000), announced(2, 1));
+    table.announce(at(2_000), announced(2));
     assert_eq!(table.leaving(&id()), None);
     assert!(!table.note_leaving(at(2_010), &id(), Incarnation(1)));
     assert_eq!(table.leaving(&id()), None);
@@ -80,7 +68,7 @@
     table.merge(at(100), entry(1, 2, Standing::Lost));
     table.forget(at(400_000));
     assert_eq!(table.get(&id()).map(|k| k.standing), None);
-    table.announce(at(400_000), announced(1, 9));
+    table.announce(at(400_000), heartbeat(1, 9));
     assert_eq!(table.leaving(&id()), Some(at(10)));
 }
 
@@ -119,13 +107,13 @@
         table.note_leaving(at(number as u64), &server, Incarnation(1));
     }
     let hour = Span::from_secs(3_600);
-    table.announce(at(0), announced(1, 1));
+    table.announce(at(0), announced(1));
     assert_eq!(table.leaving(&id()), None, "the first ones are forgotten");
     let last = ServerId::new(format!("i-{}", MOST + 499)).unwrap();
     let announcement = Announcement {
         id: last.clone(),
         address: "10.0.0.2:80".parse().unwrap(),
-        ..announced(1, 1)
+        ..announced(1)
     };
     table.announce(at(0), announcement.clone());
     assert!(table.leaving(&last).is_some());
@@ -143,7 +131,7 @@
         words.into_iter().enumerate().all(|(step, (word, sequence))| {
             let (now, sequence) = (at(step as u64 * 3_000), u64::from(sequence));
             match word % 6 {
-                0 => drop(table.announce(now, announced(1, sequence))),
+                0 => drop(table.announce(now, heartbeat(1, sequence))),
                 1 => drop(table.merge(now, entry(1, sequence, Standing::Ready))),
                 2 => drop(table.merge(now, entry(1, sequence, Standing::Lost))),
                 3 => drop(table.leave(now, &id())),
--- a/crates/registry/tests/limits.rs
+++ b/crates/registry/tests/limits.rs
@@ -1,28 +1,13 @@
 //! What answers tell of a server's limit.
 
+mod common;
+
 use quickcheck::quickcheck;
 
 use snipemast_core::prelude::*;
-use snipemast_registry::{Announcement, LimitEntry, LimitWord, Table};
-
-const START: Moment = Moment::from_millis(50_000);
-
-fn id() -> ServerId {
-    ServerId::new("i-1").unwrap()
-}
+use snipemast_registry::{LimitEntry, LimitWord, Table};
 
-fn announced(start: u64) -> Announcement {
-    Announcement {
-        id: id(),
-        start: Incarnation(start),
-        service: ServiceId::new("lector").unwrap(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: ZoneId::new("a").unwrap(),
-        slots: 12,
-        draining: false,
-        sequence: 1,
-    }
-}
+use common::{announced, at, id, START};
 
 fn table(start: u64) -> Table {
     let mut table = Table::new();
@@ -30,10 +15,6 @@
     table
 }
 
-fn at(millis: u64) -> Moment {
-    START + Span::from_millis(millis)
-}
-
 /// A word of a request that was sent and answered at these moments.
 fn word(rate: Option<u64>, sent: u64, seen: u64) -> LimitWord {
     LimitWord {
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -151,6 +151,9 @@
     pub from: Instant,
 }
 
+/// Requests by the ids of their attempts.
+type Requests<'a> = HashMap<&'a str, &'a Asked>;
+
 /// A promise that was broken.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Broken(pub String);
@@ -187,6 +190,7 @@
 impl Record {
     /// Which promises are broken, given what each server ran.
     pub fn broken(&self, ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
+        let asked: Requests = self.asked.iter().map(|a| (a.attempt.as_str(), a)).collect();
         let mut places: HashMap<&str, Vec<u8>> = HashMap::new();
         for (server, runs) in ran {
             for run in runs {
@@ -201,10 +205,12 @@
             broken.extend(said.map(|said| Broken(format!("{said}: {asked:?}, ran at {at:?}"))));
         }
         broken.extend(self.older_reads());
-        broken.extend(self.sent_to_drained(ran));
-        broken.extend(self.limited.iter().filter_map(|l| self.sent_beyond(l, ran)));
-        let asked = self.asked.iter().map(|a| (a.attempt.as_str(), a));
-        let asked: HashMap<&str, &Asked> = asked.collect();
+        broken.extend(self.sent_to_drained(ran, &asked));
+        broken.extend(
+            self.limited
+                .iter()
+                .filter_map(|l| self.sent_beyond(l, ran, &asked)),
+        );
         broken.extend(
             self.rested
                 .iter()
@@ -222,8 +228,7 @@
     /// A host's process is found not to run.
     pub fn note_end(&mut self, host: u8) {
         let now = Instant::now();
-        let told = |c: &Cause| matches!(c.whom, Whom::Host(h) | Whom::Ending(h) if h == host);
-        if !self.causes.iter().any(|c| told(c) && c.overlaps(now, now)) {
+        if !self.is_disturbed(host, now, now) {
             let said = format!("the process of host {host} ended by itself");
             self.ended.push(Broken(said));
         }
@@ -303,13 +308,17 @@
         older.collect()
     }
 
-    fn sent_to_drained(&self, ran: &HashMap<String, Vec<Ran>>) -> Vec<Broken> {
+    fn sent_to_drained(
+        &self,
+        ran: &HashMap<String, Vec<Ran>>,
+        asked: &Requests<'_>,
+    ) -> Vec<Broken> {
         let mut broken = Vec::new();
         for drained in &self.drained {
             let due = drained.at + DRAINED;
             let runs = ran.get(&drained.server).into_iter().flatten();
             for run in runs.filter(|r| r.at > due) {
-                let asked = self.asked.iter().find(|a| a.attempt == run.attempt);
+                let asked = asked.get(run.attempt.as_str());
                 let excused = asked.is_none_or(|a| {
                     // A gateway that is out of touch may not know yet.
                     let trouble = |c: &&Cause| matches!(c.whom, Whom::Host(_) | Whom::Ending(_));
@@ -328,12 +337,20 @@
 
 impl Record {
     /// What a server with a limit was sent beyond that.
-    fn sent_beyond(&self, limited: &Limited, ran: &HashMap<String, Vec<Ran>>) -> Option<Broken> {
+    fn sent_beyond(
+        &self,
+        limited: &Limited,
+        ran: &HashMap<String, Vec<Ran>>,
+        asked: &Requests<'_>,
+    ) -> Option<Broken> {
         let allowed = 1.5 * limited.rate.as_per_second() * WINDOW.as_secs_f64() + 5.0;
         let runs = ran.get(&limited.server).into_iter().flatten();
         let settled = limited.from + SETTLED;
         let runs = runs.filter(|r| r.at >= settled && r.at <= limited.until);
-        let mut at: Vec<Instant> = runs.filter(|r| self.counts(r)).map(|r| r.at).collect();
+        let mut at: Vec<Instant> = runs
+            .filter(|r| self.counts(r, asked))
+            .map(|r| r.at)
+            .collect();
         at.sort_unstable();
         let within = |first: Instant| {
             let same = at.iter().filter(|a| **a >= first && **a < first + WINDOW);
@@ -349,7 +366,7 @@
         &self,
         rested: &Rested,
         ran: &HashMap<String, Vec<Ran>>,
-        asked: &HashMap<&str, &Asked>,
+        asked: &Requests<'_>,
     ) -> Option<Broken> {
         let ran = ran.get(&rested.server).into_iter().flatten();
         let ran = ran.map(|r| (r.attempt.as_str(), r.at));
@@ -360,14 +377,11 @@
             let (from, until) = (at + RESTS, at + rested.rest);
             let own = arrived.iter().filter(|(g, _)| *g == gateway);
             let sent = own.filter(|(_, at)| *at > from && *at < until).count();
-            let excused = self.causes.iter().any(|c| {
-                let near = match c.whom {
-                    Whom::Host(host) | Whom::Ending(host) => host == gateway,
-                    // What the server said may not have come through.
-                    Whom::Server(at) => at == place(&rested.server),
-                };
-                near && c.overlaps(at, until)
-            });
+            // What the server said may not have come through.
+            let server = Whom::Server(place(&rested.server));
+            let mut causes = self.causes.iter();
+            let unheard = causes.any(|c| c.whom == server && c.overlaps(at, until));
+            let excused = unheard || self.is_disturbed(gateway, at, until);
             let said = format!(
                 "{} was sent {sent} by {gateway} in a rest of {:?}",
                 rested.server, rested.rest
@@ -381,7 +395,7 @@
         &self,
         left: &Left,
         ran: &HashMap<String, Vec<Ran>>,
-        asked: &HashMap<&str, &Asked>,
+        asked: &Requests<'_>,
     ) -> Option<Broken> {
         let runs = ran.get(&left.server)?.iter();
         let runs: Vec<&Asked> = runs
@@ -393,10 +407,7 @@
                 a.gateway == late.gateway && matches!(a.end, End::Answer { sealed: true, .. })
             };
             let first = runs.iter().filter(passed).map(|a| a.ended).min()?;
-            let restarted = self.causes.iter().any(|c| {
-                let own = matches!(c.whom, Whom::Host(h) | Whom::Ending(h) if h == late.gateway);
-                own && c.overlaps(first, late.ended)
-            });
+            let restarted = self.is_disturbed(late.gateway, first, late.ended);
             let said = format!(
                 "{} was sent {late:?} after it said that it leaves",
                 left.server
@@ -406,18 +417,17 @@
     }
 
     /// Whether a run counts against a limit: its gateway was neither restarted nor stopped nor cut off just before.
-    fn counts(&self, run: &Ran) -> bool {
-        let asked = self.asked.iter().find(|a| a.attempt == run.attempt);
+    fn counts(&self, run: &Ran, asked: &Requests<'_>) -> bool {
         // One that has not ended is judged once it has.
-        let Some(asked) = asked else {
-            return false;
-        };
-        let own = |c: &&Cause| matches!(c.whom, Whom::Host(host) | Whom::Ending(host) if host == asked.gateway);
-        !self
-            .causes
-            .iter()
-            .filter(own)
-            .any(|c| c.overlaps(run.at, run.at))
+        let asked = asked.get(run.attempt.as_str());
+        asked.is_some_and(|a| !self.is_disturbed(a.gateway, run.at, run.at))
+    }
+
+    /// Whether a trouble of a host's process may have had an effect in a time.
+    fn is_disturbed(&self, host: u8, from: Instant, until: Instant) -> bool {
+        let own = |c: &&Cause| matches!(c.whom, Whom::Host(h) | Whom::Ending(h) if h == host);
+        let mut causes = self.causes.iter().filter(own);
+        causes.any(|c| c.overlaps(from, until))
     }
 }
 
