--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -203,10 +203,11 @@
             zone: zone(n),
             slots: setup.slots as u32,
             leaving_since: None,
+            cold_until: Moment::ZERO,
         };
         let gateway = |n: usize| {
             let mut servers = Servers::new(zone(n));
-            servers.set_announced((0..setup.ranks).map(announced).collect());
+            servers.set_announced(Moment::ZERO, (0..setup.ranks).map(announced).collect());
             servers
         };
         let mut world = Self {
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -1,4 +1,7 @@
-//! The state machine of whole configurations: the document with the highest version is in force.
+//! The state machine of whole configurations and evacuations: the document with the highest version
+//! is in force, and the evacuated availability zones are those of the last orders.
+
+use serde::{Deserialize, Serialize};
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
@@ -6,6 +9,26 @@
 use crate::apply::{RestoreError, Result, StateMachine};
 use crate::files::encode;
 
+/// The number of evacuation revisions that are skipped when a lost majority is replaced: more than
+/// can have been accepted and lost unnoticed.
+const SKIPPED_REVISIONS: u64 = 1_000;
+
+/// The most availability zones that can be evacuated at once, which bounds the state.
+pub const MAX_EVACUATED_ZONES: usize = 256;
+
+/// A command of an operator, as the log holds it.
+///
+/// The variants are told apart by their fields, so that a log in which an earlier release wrote bare
+/// submissions is readable.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Command {
+    /// Puts a whole configuration into force.
+    Configure(Submission),
+    /// Evacuates an availability zone or takes it back.
+    Evacuate(EvacuationOrder),
+}
+
 data! {
     /// A whole configuration, as an operator sent it.
     pub struct Submission {
@@ -25,14 +48,27 @@
         Held,
         /// Other content is in force under the same version; nothing changed.
         Conflict,
+        /// As many availability zones as possible are evacuated already; nothing changed.
+        Full,
+    }
+
+    /// The whole state, as a snapshot holds it.
+    struct State {
+        version: Version,
+        #[serde(with = "serde_bytes")]
+        text: Vec<u8>,
+        /// Missing in snapshots of earlier releases.
+        #[serde(default)]
+        evacuations: Evacuations,
     }
 }
 
-/// The configuration in force.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+/// The configuration in force, and the evacuated availability zones.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Documents {
     version: Version,
     text: Vec<u8>,
+    evacuations: Evacuations,
 }
 
 impl Documents {
@@ -53,13 +89,29 @@
 
     /// Returns the configuration in force as it was submitted, if there is one.
     pub fn submission(&self) -> Option<Submission> {
-        (self.version > Version(0)).then(|| self.to_submission())
+        (self.version > Version(0)).then(|| Submission {
+            version: self.version,
+            text: self.text.clone(),
+        })
     }
 
-    /// Returns the verdict on a submission if it is certain without the log.
+    /// Returns the evacuated availability zones.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns the verdict on a command if it is certain without the log.
     ///
-    /// Versions only rise, so a submission below the version in force can never be accepted.
-    pub fn known_verdict(&self, submission: &Submission) -> Option<Verdict> {
+    /// Versions only rise, so a submission below the version in force can never be accepted. A zone
+    /// can be evacuated and taken back any number of times, so an evacuation always needs the log.
+    pub fn known_verdict(&self, command: &Command) -> Option<Verdict> {
+        match command {
+            Command::Configure(submission) => self.submission_verdict(submission),
+            Command::Evacuate(_) => None,
+        }
+    }
+
+    fn submission_verdict(&self, submission: &Submission) -> Option<Verdict> {
         if submission.version > self.version {
             return None;
         }
@@ -71,38 +123,60 @@
         })
     }
 
-    fn to_submission(&self) -> Submission {
-        Submission {
-            version: self.version,
-            text: self.text.clone(),
+    fn configure(&mut self, submission: Submission) -> Verdict {
+        if let Some(verdict) = self.submission_verdict(&submission) {
+            return verdict;
+        }
+        self.version = submission.version;
+        self.text = submission.text;
+        Verdict::Accepted
+    }
+
+    fn evacuate(&mut self, order: &EvacuationOrder) -> Verdict {
+        let zones = &self.evacuations.zones;
+        let is_new = order.evacuated && !zones.contains(&order.zone);
+        if is_new && zones.len() >= MAX_EVACUATED_ZONES {
+            return Verdict::Full;
+        }
+        if self.evacuations.apply(order) {
+            Verdict::Accepted
+        } else {
+            Verdict::Held
         }
     }
 }
 
 impl StateMachine for Documents {
     fn apply(&mut self, _: Index, command: &[u8]) -> Vec<u8> {
-        let Ok(submission) = rmp_serde::from_slice::<Submission>(command) else {
+        let verdict = match rmp_serde::from_slice(command) {
+            Ok(Command::Configure(submission)) => self.configure(submission),
+            Ok(Command::Evacuate(order)) => self.evacuate(&order),
             // Only a later release can have written this command. Every voter of this release gives
             // the same verdict.
-            return encode(&Verdict::Conflict);
+            Err(_) => Verdict::Conflict,
         };
-        let verdict = self.known_verdict(&submission);
-        if verdict.is_none() {
-            self.version = submission.version;
-            self.text = submission.text;
-        }
-        encode(&verdict.unwrap_or(Verdict::Accepted))
+        encode(&verdict)
     }
 
     fn snapshot(&self) -> Vec<u8> {
-        encode(&self.to_submission())
+        encode(&State {
+            version: self.version,
+            text: self.text.clone(),
+            evacuations: self.evacuations.clone(),
+        })
     }
 
     fn restore(&mut self, bytes: &[u8]) -> Result<()> {
-        let kept: Submission = rmp_serde::from_slice(bytes).map_err(|e| RestoreError {
+        let kept: State = rmp_serde::from_slice(bytes).map_err(|e| RestoreError {
             reason: e.to_string(),
         })?;
         (self.version, self.text) = (kept.version, kept.text);
+        self.evacuations = kept.evacuations;
         Ok(())
     }
+
+    /// Skips revisions, so that gateways that had lost ones in force take the next one.
+    fn majority_replaced(&mut self, _: Index) {
+        self.evacuations.revision += SKIPPED_REVISIONS;
+    }
 }
--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -1,8 +1,8 @@
-//! The state machine of whole configurations: the highest version is in force.
+//! The state machine of whole configurations and evacuations.
 
 use quickcheck::quickcheck;
 
-use snipemast_control::documents::{Documents, Submission, Verdict};
+use snipemast_control::documents::{Command, Documents, Submission, Verdict, MAX_EVACUATED_ZONES};
 use snipemast_control::StateMachine;
 use snipemast_core::prelude::*;
 
@@ -16,6 +16,15 @@
     rmp_serde::from_slice(&verdict).unwrap()
 }
 
+fn evacuate(machine: &mut Documents, zone: &str, evacuated: bool) -> Verdict {
+    let command = Command::Evacuate(EvacuationOrder {
+        zone: ZoneId::new(zone).unwrap(),
+        evacuated,
+    });
+    let verdict = machine.apply(Index(1), &rmp_serde::to_vec_named(&command).unwrap());
+    rmp_serde::from_slice(&verdict).unwrap()
+}
+
 /// An acknowledgement is lost and the operator resends the same configuration, also after a later
 /// one was accepted. It must be acknowledged again, and nothing may change.
 #[test]
@@ -38,7 +47,88 @@
     assert_eq!(machine.text(), b"a");
 }
 
+/// An operator resends an order whose acknowledgement was lost. It must be acknowledged again, and only real
+/// changes may be numbered, since each is news to all gateways.
+#[test]
+fn evacuation_resent() {
+    let mut machine = Documents::new();
+    assert_eq!(evacuate(&mut machine, "a", true), Verdict::Accepted);
+    assert_eq!(evacuate(&mut machine, "a", true), Verdict::Held);
+    assert_eq!(evacuate(&mut machine, "b", false), Verdict::Held);
+    assert_eq!(machine.evacuations().revision, 1);
+    assert_eq!(evacuate(&mut machine, "a", false), Verdict::Accepted);
+    assert_eq!(machine.evacuations().revision, 2);
+    assert!(machine.evacuations().zones.is_empty());
+}
+
+/// Orders for ever more zones must not let the state grow without bound; zones in it can still be taken back.
+#[test]
+fn evacuations_bounded() {
+    let mut machine = Documents::new();
+    for number in 0..MAX_EVACUATED_ZONES {
+        let verdict = evacuate(&mut machine, &format!("z-{number}"), true);
+        assert_eq!(verdict, Verdict::Accepted);
+    }
+    assert_eq!(evacuate(&mut machine, "more", true), Verdict::Full);
+    assert_eq!(evacuate(&mut machine, "z-1", true), Verdict::Held);
+    assert_eq!(evacuate(&mut machine, "z-1", false), Verdict::Accepted);
+    assert_eq!(evacuate(&mut machine, "more", true), Verdict::Accepted);
+}
+
+/// A log and a snapshot of a release without evacuations must be readable, or the cluster does not start.
+#[test]
+fn earlier_release_read() {
+    let mut machine = Documents::new();
+    submit(&mut machine, 3, "a");
+    evacuate(&mut machine, "a", true);
+    let earlier = Submission {
+        version: Version(5),
+        text: b"old".to_vec(),
+    };
+    let snapshot = rmp_serde::to_vec_named(&earlier).unwrap();
+    machine.restore(&snapshot).unwrap();
+    assert_eq!(machine.version(), Version(5));
+    assert_eq!(machine.evacuations(), &Evacuations::default());
+}
+
+/// When a lost majority is replaced, gateways may have evacuations in force that are gone. The next ones must count
+/// as newer.
+#[test]
+fn lost_evacuations_outnumbered() {
+    let mut machine = Documents::new();
+    evacuate(&mut machine, "a", true);
+    let mut gateway = machine.evacuations().clone();
+    gateway.apply(&EvacuationOrder {
+        zone: ZoneId::new("b").unwrap(),
+        evacuated: true,
+    });
+    machine.majority_replaced(Index(9));
+    assert_eq!(gateway.update(machine.evacuations().clone()).len(), 1);
+    assert_eq!(&gateway, machine.evacuations());
+}
+
 quickcheck! {
+    /// Whatever news reaches a gateway, in any order and any number of times, the newest is in force, and nothing older
+    /// after it.
+    fn newest_evacuations_hold(orders: Vec<(u8, bool)>, delivered: Vec<usize>) -> bool {
+        let mut machine = Documents::new();
+        let mut states = vec![machine.evacuations().clone()];
+        for (zone, evacuated) in orders {
+            evacuate(&mut machine, &format!("z-{}", zone % 4), evacuated);
+            states.push(machine.evacuations().clone());
+        }
+        let mut gateway = Evacuations::default();
+        let mut newest = 0;
+        let rises = delivered.into_iter().all(|index| {
+            let news = &states[index % states.len()];
+            newest = newest.max(news.revision);
+            gateway.update(news.clone());
+            gateway.revision == newest
+        });
+        gateway.update(machine.evacuations().clone());
+        rises && &gateway == machine.evacuations()
+    }
+
     /// In any order, the highest version is in force, and none is in force after a higher one.
     fn highest_wins(versions: Vec<u8>) -> bool {
         let mut machine = Documents::new();
@@ -53,10 +143,13 @@
         rises && machine.version() == Version(u64::from(highest))
     }
 
-    /// A snapshot restores the same configuration.
-    fn snapshot_restores(version: u32, text: String) -> bool {
+    /// A snapshot restores the same configuration and evacuations.
+    fn snapshot_restores(version: u32, text: String, zones: Vec<u8>) -> bool {
         let mut machine = Documents::new();
         submit(&mut machine, u64::from(version), &text);
+        for zone in zones {
+            evacuate(&mut machine, &format!("z-{zone}"), zone % 3 > 0);
+        }
         let mut other = Documents::new();
         other.restore(&machine.snapshot()).is_ok() && other == machine
     }
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use snipemast_control::documents::{Submission, Verdict};
+use snipemast_control::documents::{Command, Submission, Verdict};
 use snipemast_control::forming::Hello;
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
@@ -21,6 +21,7 @@
 use snipemast_registry::{news, rank, Poll, RankUpdate, Standing};
 use snipemast_routes::{check, Fault};
 
+use crate::evacuation;
 use crate::join::OwnHost;
 use crate::peers::{path, Ack, Batch, JoinAnswer, JoinRequest, ReadAnswer, SubmitAnswer};
 use crate::spread;
@@ -40,7 +41,7 @@
 /// caller still gets an answer.
 const LEADER_TIMEOUT: Span = Span::from_millis(950);
 
-type Answer = Response<Full<Bytes>>;
+pub(crate) type Answer = Response<Full<Bytes>>;
 
 /// The state that the request handlers use.
 #[derive(Debug)]
@@ -64,6 +65,8 @@
                 None => text_answer(StatusCode::BAD_REQUEST, "the body can't be read"),
             },
             Some(Call::Leave(id)) => self.leave(&id).await,
+            Some(Call::Evacuate(zone)) => self.evacuate(&zone, true).await,
+            Some(Call::EndEvacuation(zone)) => self.evacuate(&zone, false).await,
             None if request.uri().path() == METRICS => self.metrics(),
             None => text_answer(StatusCode::NOT_FOUND, "no such call"),
         }
@@ -105,7 +108,7 @@
             version,
             text: text.to_vec(),
         };
-        match self.submit_to_leader(submission).await {
+        match self.submit_to_leader(&Command::Configure(submission)).await {
             Some(Verdict::Conflict) => {
                 self.record(
                     Event::PatchRefused,
@@ -150,15 +153,15 @@
         self.state.journal.record(event, subject, detail);
     }
 
-    /// Submits a configuration to the leader, here or on another host.
-    async fn submit_to_leader(&self, submission: Submission) -> Option<Verdict> {
+    /// Submits a command to the leader, here or on another host.
+    pub(crate) async fn submit_to_leader(&self, command: &Command) -> Option<Verdict> {
         let (leader, own) = self.state.voter.leader()?;
         if own {
-            return self.state.voter.submit(&submission).await;
+            return self.state.voter.submit(command).await;
         }
         let client = RpcClient::new(leader);
         let submitted = client
-            .call(path::SUBMIT, &submission, LEADER_TIMEOUT)
+            .call(path::SUBMIT, command, LEADER_TIMEOUT)
             .await
             .ok()?;
         match submitted {
@@ -301,8 +304,11 @@
     }
 
     async fn submit(&self, body: &[u8]) -> Option<Answer> {
-        let submission: Submission = decode(body)?;
-        let verdict = self.state.voter.submit(&submission).await;
+        let command: Command = decode(body)?;
+        if matches!(command, Command::Evacuate(_)) {
+            evacuation::await_hangup().await;
+        }
+        let verdict = self.state.voter.submit(&command).await;
         let submitted = verdict.map_or(SubmitAnswer::Unsettled, SubmitAnswer::Settled);
         Some(rpc::encode_response(&submitted))
     }
@@ -327,6 +333,8 @@
         let version = state.voter.version();
         text.push_str(&format!("snipemast_gateways {gateways}\n"));
         text.push_str(&format!("snipemast_configuration_version {version}\n"));
+        let evacuated = state.voter.evacuations().zones.len();
+        text.push_str(&format!("snipemast_evacuated_zones {evacuated}\n"));
         let (vote, voters) = state.voter.vote_counts();
         text.push_str(&format!("snipemast_vote {}\n", u8::from(vote)));
         text.push_str(&format!("snipemast_voters {voters}\n"));
@@ -348,13 +356,13 @@
     rpc::decode(body).ok()
 }
 
-fn text_answer(status: StatusCode, text: &str) -> Answer {
+pub(crate) fn text_answer(status: StatusCode, text: &str) -> Answer {
     let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
-fn json_answer(status: StatusCode, value: &serde_json::Value) -> Answer {
+pub(crate) fn json_answer(status: StatusCode, value: &serde_json::Value) -> Answer {
     json_body(status, value.to_string().into())
 }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `strangers`: the senders of announcements that are refused.
 //! - `peers`: the messages of calls between controllers.
 //! - `api`: the HTTP interface for operators, servers and the system's own processes.
+//! - `evacuation`: operators' orders to evacuate an availability zone, and to take it back.
 //! - `spread`: the answers to polls of gateways and other controllers.
 
 pub mod process;
@@ -14,6 +15,7 @@
 
 mod api;
 mod disk;
+mod evacuation;
 mod join;
 mod links;
 mod peers;
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -14,7 +14,7 @@
     pub(crate) const HELLO: &str = "/hello";
     /// Asks to become a voter: a [`JoinRequest`](super::JoinRequest).
     pub(crate) const JOIN: &str = "/join";
-    /// Submits a whole configuration to the leader.
+    /// Submits an operator's [`Command`](snipemast_control::documents::Command) to the leader.
     pub(crate) const SUBMIT: &str = "/submit";
     /// Reads the newest configuration from the leader.
     pub(crate) const READ: &str = "/read";
@@ -48,11 +48,11 @@
         pub(crate) leader: Option<SocketAddr>,
     }
 
-    /// The answer to a submission.
+    /// The answer to a command.
     pub(crate) enum SubmitAnswer {
         /// The leader has a verdict.
         Settled(Verdict),
-        /// There is no verdict; the submission may be sent again.
+        /// There is no verdict; the command may be sent again.
         Unsettled,
     }
 
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -34,6 +34,7 @@
     let document = (poll.wants_document && version > poll.version)
         .then(|| state.voter.document())
         .flatten();
+    let evacuations = has_newer_evacuations(state, &poll).then(|| state.voter.evacuations());
     let grants = match poll.kind {
         PollerKind::Gateway => state.grant(&poll.demands),
         PollerKind::Controller | PollerKind::Sidecar => None,
@@ -48,10 +49,14 @@
         entries: state.table.lock().since(after, now),
         version,
         document: document.map(|d| RawDocument(d.text)),
+        evacuations,
         zone: state.settings.zone.clone(),
         controllers: state.controllers(),
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateway_count(now),
+        local_gateways: poll
+            .zone
+            .map_or(0, |zone| pollers.local_gateway_count(now, &zone)),
         slow: pollers.slow_servers(now),
         silent: pollers.silent_servers(now),
         grants,
@@ -67,6 +72,12 @@
         || poll.cursor.revision < cursor.revision
         || version > poll.told
         || (poll.wants_document && version > poll.version)
+        || has_newer_evacuations(state, poll)
+}
+
+fn has_newer_evacuations(state: &State, poll: &Poll) -> bool {
+    let newest = state.voter.evacuation_revision();
+    poll.evacuations.is_some_and(|revision| revision < newest)
 }
 
 /// Merges the news of the other controllers.
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -148,9 +148,13 @@
     /// Grants shares of limits to a gateway; `None` if this controller may not grant any.
     pub(crate) fn grant(&self, demands: &[Demand]) -> Option<Vec<Grant>> {
         let term = self.voter.leading_term()?;
+        let evacuations = self.voter.evacuations();
         let table = self.table.lock();
         let limit = |id: &ServerId| {
             let known = table.get(id)?;
+            if evacuations.zones.contains(&known.announcement.zone) {
+                return None;
+            }
             Some((known.announcement.start, table.limit(id)?))
         };
         let now = self.clock.now();
--- a/crates/controller/src/voter.rs
+++ b/crates/controller/src/voter.rs
@@ -8,7 +8,7 @@
 use event_listener::Event as Signal;
 use parking_lot::Mutex;
 
-use snipemast_control::documents::{Documents, Submission, Verdict};
+use snipemast_control::documents::{Command, Documents, Submission, Verdict};
 use snipemast_control::roster::Roster;
 use snipemast_control::{
     ClusterId, DiskStorage, Envelope, Input, Location, Node, NodeEvent, NodeParams, Output,
@@ -236,24 +236,23 @@
         }
     }
 
-    /// Submits a configuration if this voter is the leader; returns the verdict, if there is one.
-    pub(crate) async fn submit(&self, submission: &Submission) -> Option<Verdict> {
-        if let Some(verdict) = self.known_verdict(submission) {
+    /// Submits a command if this voter is the leader; returns the verdict, if there is one.
+    pub(crate) async fn submit(&self, command: &Command) -> Option<Verdict> {
+        if let Some(verdict) = self.known_verdict(command) {
             return Some(verdict);
         }
-        let command = snipemast_net::rpc::encode(submission).to_vec();
+        let command = snipemast_net::rpc::encode(command).to_vec();
         let answer = self.submit_input(|ticket| Input::Propose { ticket, command });
         let answer = within(VERDICT_TIMEOUT, async { answer?.recv().await.ok() }).await;
         let verdict = answer.flatten()?.ok()?;
         snipemast_net::rpc::decode(&verdict).ok()
     }
 
-    /// Returns the verdict on a submission that needs no entry in the log, because its version is
-    /// not above the one in force.
-    fn known_verdict(&self, submission: &Submission) -> Option<Verdict> {
+    /// Returns the verdict on a command that needs no entry in the log.
+    fn known_verdict(&self, command: &Command) -> Option<Verdict> {
         let guard = self.running.lock();
         let node = &guard.as_ref()?.node;
-        node.machine().known_verdict(submission)
+        node.machine().known_verdict(command)
     }
 
     /// Passes an input with a new ticket to the node; returns the receiver of its answer.
@@ -298,6 +297,20 @@
         version.unwrap_or(Version(0))
     }
 
+    /// Returns the committed evacuations that this voter knows.
+    pub(crate) fn evacuations(&self) -> Evacuations {
+        let guard = self.running.lock();
+        let machine = guard.as_ref().map(|r| r.node.machine());
+        machine.map_or_else(Evacuations::default, |m| m.evacuations().clone())
+    }
+
+    /// Returns the revision of the committed evacuations that this voter knows.
+    pub(crate) fn evacuation_revision(&self) -> u64 {
+        let guard = self.running.lock();
+        let machine = guard.as_ref().map(|r| r.node.machine());
+        machine.map_or(0, |m| m.evacuations().revision)
+    }
+
     /// Returns the committed document that this voter knows.
     pub(crate) fn document(&self) -> Option<Submission> {
         let guard = self.running.lock();
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -129,6 +129,10 @@
     OrderRefused = 408;
     /// An order was passed to a backend server.
     OrderPassed = 409;
+    /// An operator's order to evacuate an availability zone, or to take it back, was accepted, or came into force in a process.
+    ZoneEvacuated = 410;
+    /// An operator's order to evacuate an availability zone, or to take it back, was refused.
+    EvacuationRefused = 411;
     /// A member joined the view.
     MemberJoined = 500;
     /// A member began to drain.
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -1,6 +1,7 @@
 //! The types that most modules import.
 
 pub use crate::data;
+pub use crate::evacuation::{EvacuationOrder, Evacuations};
 pub use crate::events::{Event, Record, Ring};
 pub use crate::hlc::{HybridClock, Stamp};
 pub use crate::ids::{
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -10,6 +10,7 @@
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
 use snipemast_placement::choice::AnnouncedServer;
+use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::ReportedChange;
 use snipemast_placement::pools::{Pools, ServerReport};
 use snipemast_platform::document;
@@ -127,6 +128,24 @@
             .record(Event::VersionApplied, subject, "in force");
     }
 
+    /// Puts the evacuations that a controller reports into force, unless they are old.
+    fn apply_evacuations(&self, controller: SocketAddr, evacuations: Evacuations) {
+        let mut current = self.state.evacuations.lock();
+        let orders = current.update(evacuations);
+        if orders.is_empty() {
+            return;
+        }
+        let now = self.state.clock.now();
+        let zones = current.zones.clone();
+        self.state.servers.lock().set_evacuated(now, zones);
+        drop(current);
+        for order in orders {
+            let detail = format_args!("{order}, by {controller}");
+            let journal = &self.state.journal;
+            journal.record(Event::ZoneEvacuated, &order.zone, detail);
+        }
+    }
+
     /// Records which groups have stalled and which are running.
     fn apply_groups(&self, pools: &Pools) {
         let now = self.state.clock.now();
@@ -186,6 +205,7 @@
                 zone: k.announcement.zone.clone(),
                 slots: k.announcement.slots,
                 leaving_since: registry.leaving_since(&k.announcement.id),
+                cold_until: k.cold_until,
             })
         });
         let announced = announced.collect();
@@ -193,7 +213,7 @@
         drop(registry);
         self.apply_groups(&pools);
         let mut servers = self.state.servers.lock();
-        let gone = servers.set_announced(announced);
+        let gone = servers.set_announced(now, announced);
         servers.set_limits(now, limits);
         drop(servers);
         for address in gone {
@@ -214,6 +234,7 @@
 impl FeedHandler for NewsReader {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let version = self.state.version();
+        let evacuations = self.state.evacuations.lock().revision;
         let mut known = self.known.lock();
         let leads = known.leader == Some(controller);
         let entry = known.controllers.entry(controller).or_default();
@@ -223,7 +244,9 @@
             version,
             told: entry.reported_version,
             wants_document,
+            zone: Some(self.state.settings.zone.clone()),
             cursor: entry.cursor,
+            evacuations: Some(evacuations),
             wait: FOLLOWER_WAIT,
             ..Poll::new(self.state.settings.host.clone(), PollerKind::Gateway)
         };
@@ -235,13 +258,20 @@
     }
 
     fn handle_news(&self, controller: SocketAddr, mut news: News) {
+        // First, so that a gateway that has just started sends nothing to an evacuated zone.
+        if let Some(evacuations) = news.evacuations.take() {
+            self.apply_evacuations(controller, evacuations);
+        }
         if let Some(document) = news.document.take() {
             self.apply_document(&document.0);
         }
         self.apply_entries(controller, &mut news);
         let now = self.state.clock.now();
         self.state.budget.lock().observe_gateways(news.gateways);
-        self.state.servers.lock().observe_gateways(news.gateways);
+        self.state.servers.lock().observe_gateways(GatewayCounts {
+            all: news.gateways,
+            local: news.local_gateways,
+        });
         let mut known = self.known.lock();
         if news.leader == Some(controller) {
             known.leader = news.leader;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -126,6 +126,8 @@
         "snipemast_configuration_version {}\n",
         state.version()
     ));
+    let evacuated = state.evacuations.lock().zones.len();
+    text.push_str(&format!("snipemast_evacuated_zones {evacuated}\n"));
     text.push_str(&state.metrics.render());
     text
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,8 @@
     routes: RwLock<Option<Arc<Routes>>>,
     /// Wakes tasks that wait for a configuration to come into force.
     pub(crate) applied: Signal,
+    /// The evacuations in force.
+    pub(crate) evacuations: Mutex<Evacuations>,
     pub(crate) registry: Mutex<Registry>,
     pub(crate) servers: Mutex<Servers>,
     pub(crate) budget: Mutex<RetryBudget>,
@@ -70,6 +72,7 @@
             .with_pick(decisions.placing)
             .with_seed(rand::random())
             .with_drain(settings.bounds.drain)
+            .with_heartbeat(settings.heartbeat)
             .with_load_limits(LoadLimits {
                 full: decisions.full,
                 late: decisions.late,
@@ -85,6 +88,7 @@
             metrics: Metrics::new(),
             routes: RwLock::new(None),
             applied: Signal::new(),
+            evacuations: Mutex::default(),
             registry: Mutex::new(Registry::new()),
             servers: Mutex::new(servers),
             budget: Mutex::new(RetryBudget::new(bounds)),
@@ -130,6 +134,9 @@
         {
             return false;
         }
+        let services = routes.services();
+        let cold = services.filter_map(|s| Some((s.name.clone(), s.cold_rate?)));
+        self.servers.lock().set_cold_rates(cold.collect());
         *current = Some(Arc::new(routes));
         drop(current);
         self.applied.notify(usize::MAX);
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -26,7 +26,12 @@
 ) -> Option<Answer> {
     /// How often a waiting request looks for a slot.
     const SLOT_CHECK_INTERVAL: Span = Span::from_millis(60);
-    if [Unplaced::AllLimited, Unplaced::AllResting].contains(&unplaced) {
+    let scheduled = [
+        Unplaced::AllLimited,
+        Unplaced::AllResting,
+        Unplaced::AllCold,
+    ];
+    if scheduled.contains(&unplaced) {
         return wait_for_schedule(job, unplaced, queued).await;
     }
     let is_out = unplaced == Unplaced::Out;
@@ -60,7 +65,7 @@
     None
 }
 
-/// Waits until the scheduled time of a request whose servers are all limited or resting, if the
+/// Waits until the scheduled time of a request whose servers are all limited, resting or cold, if the
 /// request can still be on time after that. Returns the refusal otherwise.
 async fn wait_for_schedule(job: &Job, unplaced: Unplaced, queued: &mut bool) -> Option<Answer> {
     let now = job.state.clock.now();
@@ -71,6 +76,10 @@
                 servers.next_send(now, &job.service).unwrap_or(now),
                 servers.capacity(&job.service),
             ),
+            Unplaced::AllCold => (
+                servers.next_cold_send(now, &job.service).unwrap_or(now),
+                servers.cold_capacity(&job.service),
+            ),
             _ => (now, servers.total_limit(&job.service)),
         }
     };
@@ -123,6 +132,8 @@
         Unplaced::Spent => "no repeat is left",
         Unplaced::AllLimited => "every server has what it takes for now",
         Unplaced::AllResting => "every server asked for rest",
+        Unplaced::AllCold => "every server is cold and has what it takes for now",
+        Unplaced::Evacuated => "every server is in an evacuated zone",
         Unplaced::AllOut => "no server can be reached",
         Unplaced::Nobody => "the service has no server",
         Unplaced::Out => "the service is out",
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -58,8 +58,12 @@
 pub enum Unplaced {
     /// No server is known.
     Nobody,
+    /// All servers are in evacuated availability zones.
+    Evacuated,
     /// All servers are ejected after failures.
     AllOut,
+    /// All servers that are not ejected are cold, and this gateway's next turns come later.
+    AllCold,
     /// All servers that are not ejected asked this gateway for rest.
     AllResting,
     /// All servers that are not ejected name limits, and have been sent as much as they take.
@@ -91,4 +95,6 @@
     pub slots: u32,
     /// When the server first said in an answer that it is leaving, if it did.
     pub leaving_since: Option<Moment>,
+    /// Until when the server is cold, as far as it has said.
+    pub cold_until: Moment,
 }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 //!
 //! - [`allowances`]: how many requests a gateway may send to servers that name a rate limit.
 //! - [`rests`]: when servers that asked for rest may be sent requests again.
+//! - [`cold`]: how many requests a gateway sends to servers that are cold.
 //!
 //! When a request can't be sent at once, or fails:
 //!
@@ -32,6 +33,7 @@
 pub mod allowances;
 pub mod budget;
 pub mod choice;
+pub mod cold;
 pub mod events;
 pub mod length;
 pub mod outage;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -5,6 +5,7 @@
 //! requests show.
 //!
 //! - `asked`: what servers ask of gateways: limits, rests, and leaving.
+//! - `evacuation`: evacuated availability zones, and servers that may be cold.
 //! - `health`: what requests show of servers' health.
 //! - `open`: which servers may take a request now.
 
@@ -15,12 +16,14 @@
 
 use crate::allowances::Allowances;
 use crate::choice::{AnnouncedServer, Choice, Constraints, Unplaced};
+use crate::cold::ColdServers;
 use crate::pick::{Candidate, Freshness, Pick, PickPolicy};
 use crate::pools::Pool;
 use crate::rests::Rests;
 use crate::urgency::{LoadLimits, Urgency};
 
 mod asked;
+mod evacuation;
 mod health;
 mod open;
 
@@ -50,6 +53,12 @@
     slow: HashMap<ServerId, u32>,
     allowances: Allowances,
     rests: Rests,
+    cold: ColdServers,
+    /// The availability zones whose servers may be sent nothing.
+    evacuated: BTreeSet<ZoneId>,
+    /// How long a server that may have turned cold unnoticed is treated as cold: until its next
+    /// heartbeats have told.
+    settle: Span,
     /// How long a server that is leaving still serves. For a part of that it may be sent requests
     /// that no other server takes.
     drain: Span,
@@ -89,6 +98,9 @@
             slow: HashMap::new(),
             allowances: Allowances::new(0),
             rests: Rests::default(),
+            cold: ColdServers::default(),
+            evacuated: BTreeSet::new(),
+            settle: Span::default(),
             drain: Span::default(),
             counted_at: Moment::ZERO,
             usual_durations: HashMap::new(),
@@ -105,6 +117,15 @@
     pub fn with_seed(mut self, seed: u64) -> Self {
         self.allowances = Allowances::new(seed);
         self.rests = Rests::new(seed);
+        self.cold = ColdServers::new(seed);
+        self
+    }
+
+    /// Sets the interval between two heartbeats of a server.
+    pub fn with_heartbeat(mut self, heartbeat: Span) -> Self {
+        /// Enough that one may be lost and the next one late.
+        const HEARTBEATS: u64 = 3;
+        self.settle = heartbeat.times(HEARTBEATS);
         self
     }
 
@@ -125,10 +146,16 @@
     ///
     /// This guards against a server that crashes and starts again under the same id: the requests,
     /// failures and pace of its earlier start would keep requests away from it.
-    pub fn set_announced(&mut self, announced: Vec<AnnouncedServer>) -> Vec<SocketAddr> {
+    pub fn set_announced(
+        &mut self,
+        now: Moment,
+        announced: Vec<AnnouncedServer>,
+    ) -> Vec<SocketAddr> {
         let mut before = std::mem::take(&mut self.known);
         let mut gone = Vec::new();
         for announced in announced {
+            let (id, start) = (&announced.server, announced.start);
+            self.cold.record(now, id, start, announced.cold_until);
             let known = before.remove(&announced.server);
             let server = match known {
                 Some(known) if known.matches(&announced) => Server { announced, ..known },
@@ -141,13 +168,20 @@
             self.known.insert(server.announced.server.clone(), server);
         }
         gone.extend(before.into_values().map(|s| s.announced.address));
-        let pools: BTreeSet<&Pool> = self.known.values().map(|s| &s.announced.pool).collect();
+        self.update_pools();
+        gone
+    }
+
+    /// Updates the pools: those with a server that is not evacuated.
+    fn update_pools(&mut self) {
+        let usable = self.known.values().map(|s| &s.announced);
+        let usable = usable.filter(|s| !self.evacuated.contains(&s.zone));
+        let pools: BTreeSet<&Pool> = usable.map(|s| &s.pool).collect();
         self.pools.clear();
         for pool in pools {
             let service = self.pools.entry(pool.service.clone()).or_default();
             service.push(pool.clone());
         }
-        gone
     }
 
     /// Sets the number of requests that the other gateways reported in flight, and the average age
@@ -227,6 +261,8 @@
         let (id, Candidate { own, others, .. }) = picked.ok_or(unplaced)?;
         let server = self.known.get_mut(&id).ok_or(Unplaced::Nobody)?;
         server.own += 1;
+        let local = server.announced.zone == self.zone;
+        self.cold.spend(now, &server.announced, local);
         let start = server.announced.start;
         self.allowances.spend(now, &id);
         self.rests.spend(now, &id, start);
--- a/crates/placement/src/servers/asked.rs
+++ b/crates/placement/src/servers/asked.rs
@@ -5,6 +5,7 @@
 use super::{Servers, DEFAULT_DURATION};
 use crate::allowances::GrantLease;
 use crate::choice::AnnouncedServer;
+use crate::cold::GatewayCounts;
 use crate::pick::Pick;
 
 impl<P: Pick> Servers<P> {
@@ -13,9 +14,10 @@
         self.allowances.set_limits(now, limits);
     }
 
-    /// Raises the known number of gateways.
-    pub fn observe_gateways(&mut self, count: u32) {
-        self.allowances.observe_gateways(count);
+    /// Raises the known numbers of gateways.
+    pub fn observe_gateways(&mut self, counts: GatewayCounts) {
+        self.allowances.observe_gateways(counts.all);
+        self.cold.observe_gateways(counts);
     }
 
     /// Adds requests that the leader grants to this gateway.
@@ -75,7 +77,9 @@
     pub fn demand(&mut self, now: Moment, server: &ServerId) -> u32 {
         let known = self.known.get(server).map(|s| &s.announced);
         let unavailable = |s: &AnnouncedServer| {
-            s.leaving_since.is_some() || self.rests.next_send(now, server, s.start).is_some()
+            s.leaving_since.is_some()
+                || self.is_evacuated(s)
+                || self.rests.next_send(now, server, s.start).is_some()
         };
         if known.is_some_and(unavailable) {
             return 0;
@@ -91,12 +95,13 @@
             .sum()
     }
 
-    /// Returns the servers of a service that are not leaving.
-    fn remaining<'a>(
+    /// Returns the servers of a service that are neither leaving nor evacuated.
+    pub(super) fn remaining<'a>(
         &'a self,
         service: &'a ServiceId,
     ) -> impl Iterator<Item = &'a AnnouncedServer> {
         let all = self.known.values().map(|s| &s.announced);
-        all.filter(move |s| s.pool.service == *service && s.leaving_since.is_none())
+        let all = all.filter(move |s| s.pool.service == *service && s.leaving_since.is_none());
+        all.filter(|s| !self.is_evacuated(s))
     }
 }
--- a/crates/placement/src/servers/health.rs
+++ b/crates/placement/src/servers/health.rs
@@ -69,13 +69,14 @@
     }
 
     /// Begins a health check of a server that shows nothing, unless one began recently or the server
-    /// is resting or known to be frozen. Returns whether it does.
+    /// is resting, evacuated or known to be frozen. Returns whether it does.
     pub fn begin_check(&mut self, now: Moment, id: &ServerId) -> bool {
         let Some(server) = self.known.get_mut(id) else {
             return false;
         };
-        let resting = self.rests.is_resting(now, id, server.announced.start);
-        let due = now >= server.last_check + CHECK_INTERVAL && !server.frozen && !resting;
+        let unwanted = self.rests.is_resting(now, id, server.announced.start)
+            || self.evacuated.contains(&server.announced.zone);
+        let due = now >= server.last_check + CHECK_INTERVAL && !server.frozen && !unwanted;
         if due {
             server.last_check = now;
         }
@@ -113,11 +114,12 @@
         (!known_state).then_some((server.announced.start, server.announced.address))
     }
 
-    /// Records that a frozen start of a server answers again.
+    /// Records that a frozen start of a server answers again. It may have turned cold meanwhile.
     pub fn mark_answering(&mut self, now: Moment, id: &ServerId, start: Incarnation) {
         if let Some(server) = self.get(id, start) {
             server.frozen = false;
             server.ejected_until = server.ejected_until.min(now);
+            self.cold.record(now, id, start, now + self.settle);
         }
     }
 
@@ -161,10 +163,13 @@
         Some(span)
     }
 
-    /// Records that a server can be connected to again.
+    /// Records that a server can be connected to again. It may have turned cold meanwhile, as all
+    /// servers of an availability zone do whose power was lost.
     pub fn mark_reachable(&mut self, now: Moment, id: &ServerId) {
         if let Some(server) = self.known.get_mut(id) {
             server.ejected_until = server.ejected_until.min(now);
+            let until = now + self.settle;
+            self.cold.record(now, id, server.announced.start, until);
         }
     }
 }
--- a/crates/placement/src/servers/open.rs
+++ b/crates/placement/src/servers/open.rs
@@ -3,7 +3,7 @@
 use snipemast_core::prelude::*;
 
 use super::{Server, Servers};
-use crate::choice::{Constraints, Unplaced};
+use crate::choice::{AnnouncedServer, Constraints, Unplaced};
 use crate::pick::{Candidate, Pick};
 use crate::urgency::Urgency;
 
@@ -70,6 +70,10 @@
             if !constraints.allow(&server.announced) || self.is_slow_outlier(&server.announced) {
                 continue;
             }
+            if self.is_evacuated(&server.announced) {
+                open.skip(Unplaced::Evacuated);
+                continue;
+            }
             if server.announced.leaving_since.is_some() {
                 leaving.push((id, server));
                 continue;
@@ -77,7 +81,7 @@
             let admitted = self.admit(now, server, load_limit);
             let wants_grant = matches!(admitted, Ok(_) | Err(Unplaced::AllLimited));
             if wants_grant && self.allowances.is_limited(id) {
-                limited.push((id, self.is_local(server)));
+                limited.push((id, self.is_local(&server.announced)));
             }
             match admitted {
                 Ok(candidate) => open.add(id, candidate),
@@ -130,6 +134,7 @@
         self.known.values().any(|server| {
             constraints.allow(&server.announced)
                 && server.announced.leaving_since.is_none()
+                && !self.is_evacuated(&server.announced)
                 && !self.is_slow_outlier(&server.announced)
                 && self.admit(now, server, load_limit).is_ok()
         })
@@ -148,6 +153,10 @@
         if next_send.is_some() {
             return Err(Unplaced::AllResting);
         }
+        let local = self.is_local(announced);
+        if self.cold.next_send(now, announced, local).is_some() {
+            return Err(Unplaced::AllCold);
+        }
         let candidate = self.candidate(now, server);
         let load = 100 * (candidate.own + candidate.others);
         if load >= candidate.slots * load_limit || now < server.full_until {
@@ -181,11 +190,12 @@
             own: server.own,
             others: self.fresh_others(now, server),
             slots: server.announced.slots.max(1),
-            same_zone: self.is_local(server),
+            same_zone: self.is_local(&server.announced),
         }
     }
 
-    fn is_local(&self, server: &Server) -> bool {
-        server.announced.zone == self.zone
+    /// Whether a server is in this gateway's availability zone.
+    pub(super) fn is_local(&self, announced: &AnnouncedServer) -> bool {
+        announced.zone == self.zone
     }
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -28,12 +28,22 @@
         zone: ZoneId::new("a").unwrap(),
         slots: 4,
         leaving_since: None,
+        cold_until: Moment::ZERO,
     }
 }
 
 /// Chooses a server of the service for a request.
 pub(crate) fn choose(servers: &mut Servers, now: Moment) -> Result<Choice, Unplaced> {
-    with_constraints(|constraints| servers.choose(now, constraints, Urgency::InTime, 7))
+    choose_by(servers, now, 7)
+}
+
+/// Chooses a server of the service for a request, with a random number of its own.
+pub(crate) fn choose_by(
+    servers: &mut Servers,
+    now: Moment,
+    chance: u64,
+) -> Result<Choice, Unplaced> {
+    with_constraints(|constraints| servers.choose(now, constraints, Urgency::InTime, chance))
 }
 
 /// Whether one of the service's servers has a free slot.
--- a/crates/placement/tests/leaving.rs
+++ b/crates/placement/tests/leaving.rs
@@ -21,7 +21,7 @@
 /// Returns a view of `count` servers, of which the first said at the moment 0 that it is leaving.
 fn servers(count: usize) -> Servers {
     let mut servers = Servers::new(ZoneId::new("a").unwrap()).with_drain(DRAIN);
-    servers.set_announced((1..=count).map(small).collect());
+    servers.set_announced(Moment::ZERO, (1..=count).map(small).collect());
     servers.record_leaving(at(0), &id(1), Incarnation(1));
     servers
 }
@@ -64,7 +64,7 @@
         leaving_since: Some(at(0)),
         ..small(1)
     };
-    servers.set_announced(vec![leaving, small(2)]);
+    servers.set_announced(Moment::ZERO, vec![leaving, small(2)]);
     for _ in 0..2 {
         assert_eq!(choose(&mut servers, at(10)), Ok(id(2)));
         servers.release(&id(2), Incarnation(1));
--- a/crates/placement/tests/rests.rs
+++ b/crates/placement/tests/rests.rs
@@ -22,7 +22,7 @@
 /// Returns a view of `count` servers, each at its first start.
 fn servers(count: usize) -> Servers {
     let mut servers = Servers::new(ZoneId::new("a").unwrap());
-    servers.set_announced((1..=count).map(announced).collect());
+    servers.set_announced(Moment::ZERO, (1..=count).map(announced).collect());
     servers
 }
 
@@ -79,15 +79,15 @@
 fn rest_outlives_news() {
     let mut servers = servers(1);
     rest(&mut servers, at(0), REST);
-    servers.set_announced(Vec::new());
-    servers.set_announced(vec![announced(1)]);
+    servers.set_announced(Moment::ZERO, Vec::new());
+    servers.set_announced(Moment::ZERO, vec![announced(1)]);
     assert!(!is_chosen(&mut servers, at(2_999)));
     let address = "10.0.0.9:80".parse().unwrap();
     let moved = AnnouncedServer {
         address,
         ..announced(1)
     };
-    servers.set_announced(vec![moved]);
+    servers.set_announced(Moment::ZERO, vec![moved]);
     assert!(!is_chosen(&mut servers, at(2_999)));
 }
 
@@ -96,10 +96,13 @@
 fn new_start_unaffected() {
     let mut servers = servers(1);
     rest(&mut servers, at(0), REST);
-    servers.set_announced(vec![AnnouncedServer {
-        start: Incarnation(2),
-        ..announced(1)
-    }]);
+    servers.set_announced(
+        Moment::ZERO,
+        vec![AnnouncedServer {
+            start: Incarnation(2),
+            ..announced(1)
+        }],
+    );
     assert!(is_chosen(&mut servers, at(10)));
     rest(&mut servers, at(20), REST);
     assert!(
@@ -256,8 +259,8 @@
                 1 => servers.release(&id(1), Incarnation(1)),
                 2 => drop(servers.record_accepted(now, &id(1), Incarnation(1))),
                 3 => drop(servers.record_fault(now, &id(1), Incarnation(1), ServerFault::Full)),
-                4 => drop(servers.set_announced(Vec::new())),
-                _ => drop(servers.set_announced(vec![announced(1)])),
+                4 => drop(servers.set_announced(Moment::ZERO, Vec::new())),
+                _ => drop(servers.set_announced(Moment::ZERO, vec![announced(1)])),
             }
             let chosen = is_chosen(&mut servers, now);
             !chosen || now >= until
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -46,13 +46,17 @@
         zone: ZoneId::new(zone).unwrap(),
         slots: 4,
         leaving_since: None,
+        cold_until: Moment::ZERO,
     }
 }
 
 fn servers(zones: &[&str]) -> Servers {
     let mut servers = Servers::new(ZoneId::new("a").unwrap());
     let all = zones.iter().enumerate();
-    servers.set_announced(all.map(|(n, zone)| announced(n + 1, zone)).collect());
+    servers.set_announced(
+        Moment::ZERO,
+        all.map(|(n, zone)| announced(n + 1, zone)).collect(),
+    );
     servers
 }
 
@@ -154,7 +158,7 @@
         start: Incarnation(1),
         ..announced(1, "a")
     };
-    let left = servers.set_announced(vec![again.clone()]);
+    let left = servers.set_announced(Moment::ZERO, vec![again.clone()]);
     assert_eq!(left, vec![again.address]);
     for chance in 0..6 {
         assert!(choose(&mut servers, chance).is_ok());
@@ -163,7 +167,7 @@
     assert_eq!(choose(&mut servers, 7), Err(Unplaced::AllFull));
     servers.release(&id(1), Incarnation(1));
     assert!(choose(&mut servers, 7).is_ok());
-    assert_eq!(servers.set_announced(vec![again]), Vec::new());
+    assert_eq!(servers.set_announced(Moment::ZERO, vec![again]), Vec::new());
 }
 
 /// A request shows nothing and its caller gives up after two seconds: the host of one server is
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -24,6 +24,9 @@
         pub slots: u32,
         /// Whether it is draining.
         pub draining: bool,
+        /// How much longer it is cold. A cold server tolerates few requests per second.
+        #[serde(default)]
+        pub cold_left: Span,
         /// A number that rises with each heartbeat of one start, so that a late heartbeat can be
         /// recognized.
         pub sequence: u64,
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -59,6 +59,9 @@
         pub host: HostId,
         /// The poller's kind.
         pub kind: PollerKind,
+        /// The poller's availability zone.
+        #[serde(default)]
+        pub zone: Option<ZoneId>,
         /// The configuration version that the poller has in force.
         pub version: Version,
         /// The highest version that this controller has told it of.
@@ -68,6 +71,10 @@
         pub wants_document: bool,
         /// How much of the controller's table the poller has.
         pub cursor: Cursor,
+        /// The revision of the evacuations that the poller has in force; none if it needs no news of
+        /// them.
+        #[serde(default)]
+        pub evacuations: Option<u64>,
         /// How long the answer may wait for news.
         pub wait: Span,
         /// The poller's own requests in flight, if this controller adds them up.
@@ -96,6 +103,9 @@
         pub version: Version,
         /// The document of that version, as its operator sent it.
         pub document: Option<RawDocument>,
+        /// The evacuated availability zones, if they changed since the revision that the poller has.
+        #[serde(default)]
+        pub evacuations: Option<Evacuations>,
         /// The controller's availability zone.
         pub zone: ZoneId,
         /// The addresses at which all controllers accept polls.
@@ -104,6 +114,9 @@
         pub leader: Option<SocketAddr>,
         /// The number of gateways that poll.
         pub gateways: u32,
+        /// The number of gateways that poll and are in the poller's availability zone.
+        #[serde(default)]
+        pub local_gateways: u32,
         /// The requests in flight of all other gateways.
         #[serde(rename = "flying")]
         pub in_flight: InFlight,
@@ -129,10 +142,12 @@
         Self {
             host,
             kind,
+            zone: None,
             version: Version(0),
             told: Version(0),
             wants_document: false,
             cursor: Cursor::default(),
+            evacuations: None,
             wait: Span::default(),
             in_flight: InFlight::new(),
             slow: Vec::new(),
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -24,6 +24,7 @@
 #[derive(Debug)]
 struct Poller {
     kind: PollerKind,
+    zone: Option<ZoneId>,
     version: Version,
     cursor: Cursor,
     last: Moment,
@@ -42,6 +43,7 @@
     pub fn record(&mut self, now: Moment, poll: &Poll) -> bool {
         let poller = Poller {
             kind: poll.kind,
+            zone: poll.zone.clone(),
             version: poll.version,
             cursor: poll.cursor,
             last: now,
@@ -58,6 +60,12 @@
         self.connected_gateways(now).count() as u32
     }
 
+    /// Returns how many gateways in an availability zone are connected.
+    pub fn local_gateway_count(&self, now: Moment, zone: &ZoneId) -> u32 {
+        let gateways = self.connected_gateways(now);
+        gateways.filter(|p| p.zone.as_ref() == Some(zone)).count() as u32
+    }
+
     /// Whether every connected gateway has this version in force.
     pub fn has_version(&self, now: Moment, version: Version) -> bool {
         self.connected_gateways(now).all(|p| p.version >= version)
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -28,6 +28,10 @@
 /// late.
 pub const RETENTION: Span = Span::from_secs(120);
 
+/// How much later than known the end of a server's cold time must be to count as news: more than the
+/// usual differences in how long heartbeats travel.
+const COLD_TOLERANCE: Span = Span::from_millis(500);
+
 data! {
     /// What one table tells another about a server.
     pub struct Entry {
@@ -55,6 +59,8 @@
     pub standing: Standing,
     /// When any controller last heard the server.
     pub heard: Moment,
+    /// Until when the server is cold, as far as it has said.
+    pub cold_until: Moment,
     /// The table's revision at the server's last change.
     changed: u64,
 }
@@ -319,8 +325,12 @@
 
     fn to_entry(&self, known: &KnownServer, now: Moment) -> Entry {
         let rank = self.known_rank(known);
+        let cold_left = known.heard.until(known.cold_until);
         Entry {
-            announcement: known.announcement.clone(),
+            announcement: Announcement {
+                cold_left,
+                ..known.announcement.clone()
+            },
             standing: known.standing,
             age: now.since(known.heard),
             rank: rank.map(|rank| RankEntry {
@@ -374,7 +384,11 @@
             }
             return false;
         };
-        let same = known.standing == standing
+        let cold_until = heard + announcement.cold_left;
+        let turned_cold = announcement.cold_left > Span::default()
+            && cold_until >= known.cold_until + COLD_TOLERANCE;
+        let same = !turned_cold
+            && known.standing == standing
             && known.announcement.address == announcement.address
             && known.announcement.slots == announcement.slots;
         if same && standing != Standing::Lost {
@@ -389,6 +403,7 @@
         self.revision += 1;
         let (id, address) = (announcement.id.clone(), announcement.address);
         let known = KnownServer {
+            cold_until: heard + announcement.cold_left,
             announcement,
             standing,
             heard,
--- a/crates/registry/tests/common/mod.rs
+++ b/crates/registry/tests/common/mod.rs
@@ -26,6 +26,7 @@
         zone: ZoneId::new("a").unwrap(),
         slots: 12,
         draining: false,
+        cold_left: Span::default(),
         sequence: 1,
     }
 }
--- a/crates/registry/tests/ranks.rs
+++ b/crates/registry/tests/ranks.rs
@@ -23,6 +23,7 @@
         zone: ZoneId::new("a").unwrap(),
         slots: 4,
         draining: false,
+        cold_left: Span::default(),
         sequence,
     }
 }
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -25,6 +25,7 @@
         zone: ZoneId::new("a").expect("a valid name"),
         slots: 4,
         draining,
+        cold_left: Span::default(),
         sequence,
     }
 }
@@ -174,6 +175,28 @@
     assert_eq!(table.get(&other).map(|k| k.standing), Some(Standing::Ready));
 }
 
+/// Guards against gateways that don't learn that a server has turned cold again while it runs, and against news of
+/// each heartbeat that merely counts the time down.
+#[test]
+fn cold_again_is_news() {
+    let mut table = Table::new();
+    let cold = |sequence: u64, left: u64| Announcement {
+        cold_left: Span::from_millis(left),
+        ..heartbeat(1_000, sequence, false)
+    };
+    assert!(table.record_heartbeat(at(0), cold(1, 3_000)));
+    assert!(!table.record_heartbeat(at(1_200), cold(2, 1_800)));
+    assert!(!table.record_heartbeat(at(2_400), cold(3, 600)));
+    assert!(!table.record_heartbeat(at(3_600), cold(4, 0)));
+    assert!(table.record_heartbeat(at(4_800), cold(5, 2_900)));
+    let mut gateway = Table::new();
+    for entry in table.since(0, at(5_800)) {
+        gateway.merge(at(5_800), entry);
+    }
+    let known = gateway.get(&id()).expect("the server is known");
+    assert_eq!(known.cold_until, at(7_700));
+}
+
 /// A heartbeat of one of a server's starts.
 #[derive(Debug, Clone)]
 struct Heartbeat {
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -79,6 +79,8 @@
         pub connections: u32,
         /// The properties of its model engine, if its servers are ranks of one.
         pub engine: Option<Engine>,
+        /// How many requests a cold server of it tolerates, if they are fewer than usual.
+        pub cold_rate: Option<Rate>,
     }
 
     /// Limits on what callers may send, and how slowly.
