Controllers tell each other changes, and which servers they have heard

Cause: a controller's answer to another one held every server, at least every 0.8 s, so that none counts as silent: controllers x controllers x servers.

Change: the answer holds what changed since the poller's position, and, when the poller asks for it every 7.5 s, a list of the servers that were heard (registry::heard). Who finds that it missed a change asks for everything. Earlier releases, which don't say that they keep what they were told, get everything as before. A rank is kept for as long as its server is, since it is told again only when it changes; gateways forgot ranks that had not changed for two minutes.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -1,18 +1,21 @@
 //! Answers to the polls of gateways and other controllers, and this controller's own polls.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use parking_lot::Mutex;
+
 use snipemast_core::prelude::*;
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
+use snipemast_registry::heard::HEARD_INTERVAL;
 use snipemast_registry::news::RawDocument;
 use snipemast_registry::{Cursor, News, Poll, PollerKind};
 
 use crate::state::State;
 
-/// How long a poll of another controller waits for news. The answer also tells when servers were
-/// last heard there, so this is below the interval between two heartbeats.
+/// How long a poll of another controller waits for news.
 const PEER_WAIT: Span = Span::from_millis(800);
 
 /// Answers a poll as soon as there is news or its wait is over.
@@ -25,11 +28,7 @@
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
     let now = state.clock.now();
     let cursor = state.cursor();
-    let after = match (poll.kind, poll.cursor.epoch == state.epoch) {
-        (PollerKind::Gateway | PollerKind::Sidecar, true) => poll.cursor.revision,
-        // Controllers learn of every heartbeat, so that none considers a server silent.
-        _ => 0,
-    };
+    let after = poll.after(state.epoch);
     let version = state.voter.version();
     let document = (poll.wants_document && version > poll.version)
         .then(|| state.voter.document())
@@ -44,9 +43,15 @@
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
         PollerKind::Controller | PollerKind::Sidecar => Default::default(),
     };
+    let (entries, heard) = {
+        let table = state.table.lock();
+        let heard = poll.wants_heard.then(|| table.heard_servers(now));
+        (table.since(after, now), heard.unwrap_or_default())
+    };
     News {
         cursor,
-        entries: state.table.lock().since(after, now),
+        entries,
+        heard,
         version,
         document: document.map(|d| RawDocument(d.text)),
         evacuations,
@@ -84,33 +89,31 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     state: Arc<State>,
-    cursors: parking_lot::Mutex<std::collections::HashMap<SocketAddr, Cursor>>,
+    known: Mutex<HashMap<SocketAddr, Peer>>,
+}
+
+/// What this controller has from another one.
+#[derive(Debug, Default)]
+struct Peer {
+    cursor: Cursor,
+    /// When it last told which servers it has heard.
+    heard: Option<Moment>,
+    /// Whether the last poll asked it for that.
+    asked: bool,
 }
 
 impl Peers {
     pub(crate) fn new(state: Arc<State>) -> Arc<Self> {
         Arc::new(Self {
             state,
-            cursors: Default::default(),
+            known: Mutex::default(),
         })
     }
-}
-
-impl FeedHandler for Peers {
-    fn next_poll(&self, controller: SocketAddr) -> Poll {
-        let cursor = self.cursors.lock().get(&controller).copied();
-        Poll {
-            version: Version(u64::MAX),
-            told: Version(u64::MAX),
-            cursor: cursor.unwrap_or_default(),
-            wait: PEER_WAIT,
-            ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
-        }
-    }
 
-    fn handle_news(&self, controller: SocketAddr, news: News) {
-        self.cursors.lock().insert(controller, news.cursor);
-        let now = self.state.clock.now();
+    /// Merges a controller's entries and the servers that it has heard. Returns whether the table has
+    /// all of these now.
+    fn merge(&self, controller: SocketAddr, now: Moment, news: News) -> bool {
+        let mut complete = true;
         self.state.update_table(|table| {
             let revision = table.revision();
             for entry in news.entries {
@@ -123,8 +126,41 @@
                     );
                 }
             }
+            complete = table.merge_heard(now, &news.heard);
             table.revision() > revision
         });
+        complete
+    }
+}
+
+impl FeedHandler for Peers {
+    fn next_poll(&self, controller: SocketAddr) -> Poll {
+        let now = self.state.clock.now();
+        let mut known = self.known.lock();
+        let peer = known.entry(controller).or_default();
+        peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
+        Poll {
+            version: Version(u64::MAX),
+            told: Version(u64::MAX),
+            cursor: peer.cursor,
+            incremental: true,
+            wants_heard: peer.asked,
+            wait: PEER_WAIT,
+            ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
+        }
+    }
+
+    fn handle_news(&self, controller: SocketAddr, news: News) {
+        let now = self.state.clock.now();
+        let cursor = news.cursor;
+        let complete = self.merge(controller, now, news);
+        let mut known = self.known.lock();
+        let peer = known.entry(controller).or_default();
+        // After a missed change the next poll asks for everything.
+        peer.cursor = if complete { cursor } else { Cursor::default() };
+        if peer.asked {
+            peer.heard = Some(now);
+        }
     }
 
     async fn wait_after_news(&self, _: SocketAddr) {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`announcement`]: what a server announces about itself.
 //! - [`table`]: the known servers, each with its latest announcement.
 //! - [`news`]: the polls of gateways, sidecars and controllers, and a controller's answers.
+//! - [`heard`]: how lately servers were heard, as controllers tell each other.
 //! - [`grants`]: which gateway may send the next requests to a server that names a limit.
 //! - [`limit`]: a server's limit on the requests that all gateways together send to it.
 //! - [`leaving`]: servers that say in their answers that they are leaving.
@@ -12,6 +13,7 @@
 
 pub mod announcement;
 pub mod grants;
+pub mod heard;
 pub mod leaving;
 pub mod limit;
 pub mod news;
@@ -22,6 +24,7 @@
 
 pub use announcement::{Announcement, Standing};
 pub use grants::{Demand, Grant, Grants};
+pub use heard::HeardServer;
 pub use leaving::LeavingServer;
 pub use limit::{LimitEntry, LimitUpdate};
 pub use news::{Cursor, News, Poll, PollerKind};
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -10,6 +10,7 @@
 use snipemast_core::prelude::*;
 
 use crate::grants::{Demand, Grant};
+use crate::heard::HeardServer;
 use crate::leaving::LeavingServer;
 use crate::table::Entry;
 
@@ -75,6 +76,13 @@
         /// them.
         #[serde(default)]
         pub evacuations: Option<u64>,
+        /// Whether the poller is a controller that keeps what it was told. Others get all entries with
+        /// every answer.
+        #[serde(default)]
+        pub incremental: bool,
+        /// Whether the answer should list the servers that were heard.
+        #[serde(default)]
+        pub wants_heard: bool,
         /// How long the answer may wait for news.
         pub wait: Span,
         /// The poller's own requests in flight, if this controller adds them up.
@@ -99,6 +107,9 @@
         pub cursor: Cursor,
         /// What changed in the table.
         pub entries: Vec<Entry>,
+        /// The servers that were heard, if the poller asked for them.
+        #[serde(default)]
+        pub heard: Vec<HeardServer>,
         /// The highest committed version that this controller knows.
         pub version: Version,
         /// The document of that version, as its operator sent it.
@@ -137,6 +148,17 @@
 }
 
 impl Poll {
+    /// Returns the revision of a table after which the poller needs its changes. `epoch` is the
+    /// table's own.
+    pub fn after(&self, epoch: u64) -> u64 {
+        let keeps = self.kind != PollerKind::Controller || self.incremental;
+        if keeps && self.cursor.epoch == epoch {
+            self.cursor.revision
+        } else {
+            0
+        }
+    }
+
     /// Creates the poll of a process that has nothing yet, reports nothing, and doesn't wait.
     pub fn new(host: HostId, kind: PollerKind) -> Self {
         Self {
@@ -148,6 +170,8 @@
             wants_document: false,
             cursor: Cursor::default(),
             evacuations: None,
+            incremental: false,
+            wants_heard: false,
             wait: Span::default(),
             in_flight: InFlight::new(),
             slow: Vec::new(),
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -13,6 +13,7 @@
 use snipemast_core::starts::StartMap;
 
 use crate::announcement::{Announcement, Standing};
+use crate::heard::HeardServer;
 use crate::leaving::{LeavingServer, LeavingServers};
 use crate::limit::{KnownLimit, LimitEntry, LimitUpdate};
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankUpdate};
@@ -260,6 +261,38 @@
         known.into_iter().map(|k| self.to_entry(k, now)).collect()
     }
 
+    /// Returns the servers that are in use and were heard before they count as silent.
+    pub fn heard_servers(&self, now: Moment) -> Vec<HeardServer> {
+        let heard = self.servers.values().filter(|k| k.is_heard(now));
+        let heard = heard.map(|k| HeardServer {
+            server: k.announcement.id.clone(),
+            start: k.announcement.start,
+            sequence: k.announcement.sequence,
+            age: now.since(k.heard),
+        });
+        heard.collect()
+    }
+
+    /// Merges the servers that another table's owner has heard. Returns whether this table has all of
+    /// them; otherwise a change was missed, and the other table is needed in full.
+    pub fn merge_heard(&mut self, now: Moment, heard: &[HeardServer]) -> bool {
+        let mut complete = true;
+        for told in heard {
+            let Some(known) = self.servers.get_mut(&told.server) else {
+                complete &= self.goodbyes.contains_key(&told.server);
+                continue;
+            };
+            let announced = &mut known.announcement;
+            if told.start != announced.start || known.standing == Standing::Lost {
+                complete &= told.start < announced.start;
+                continue;
+            }
+            announced.sequence = announced.sequence.max(told.sequence);
+            known.heard = known.heard.max(now - told.age);
+        }
+        complete
+    }
+
     /// Returns the table's revision, a number that rises with each change.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -320,7 +353,13 @@
         self.limits.retain(|id, start, _| is_latest(id, start));
         self.leaving.forget(now, is_latest);
         self.goodbyes.retain(|_, at| !past(*at));
-        self.ranks.retain(|_, rank| !past(rank.received));
+        // A rank is told again only when it changes, so it is kept for as long as its server is.
+        let is_held = |address: &SocketAddr| {
+            let holder = self.holders.get(address);
+            holder.is_some_and(|id| servers.contains_key(id))
+        };
+        self.ranks
+            .retain(|address, rank| !past(rank.received) || is_held(address));
     }
 
     fn to_entry(&self, known: &KnownServer, now: Moment) -> Entry {
@@ -509,6 +548,12 @@
 }
 
 impl KnownServer {
+    /// Whether it is in use and was heard before it counts as silent.
+    fn is_heard(&self, now: Moment) -> bool {
+        let in_use = matches!(self.standing, Standing::Ready | Standing::Draining);
+        in_use && now < self.heard + SILENCE_TIMEOUT
+    }
+
     fn report(&self) -> Report {
         Report {
             start: self.announcement.start,
