Gateways are sent changes of servers by the controllers of their own zone only

Cause: every controller sent every change of its table to every gateway: gateways x controllers x changes. A group of 192 ranks that goes down and comes back changes 192 entries twice, 25 times to each of 431 gateways.

Change: the controllers of a gateway's zone are its relays (registry::relays). Their news say how much of each other controller's table they have merged; the gateway reports that to the controller in question, whose acknowledgements of drains wait for it as before. A controller of another zone wakes a gateway only for what it acknowledges, and is asked for changes if the relays have not delivered them within 0.4 s, or don't answer.

Shown: crates/registry/tests/relays.rs: a change is sent by the controllers of the zone only, relays that are cut off or lost are passed by, and a gateway never reports what it does not have, whatever is lost or starts anew.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -21,7 +21,6 @@
 use snipemast_registry::{news, rank, Poll, RankUpdate, Standing};
 use snipemast_routes::{check, Fault};
 
-use crate::evacuation;
 use crate::join::OwnHost;
 use crate::peers::{path, Ack, Batch, JoinAnswer, JoinRequest, ReadAnswer, SubmitAnswer};
 use crate::spread;
@@ -275,6 +274,8 @@
     /// still send requests to it.
     async fn wait_for_gateways(&self) {
         let cursor = self.state.cursor();
+        // A report that is repeated here changes nothing, but gateways are to be asked for it now.
+        self.state.notify_waiters();
         let everywhere = |s: &State| s.pollers.lock().has_revision(s.clock.now(), cursor);
         if !self.state.wait_until(IN_FORCE_TIMEOUT, everywhere).await {
             let detail = "a gateway has not confirmed the change";
@@ -305,9 +306,6 @@
 
     async fn submit(&self, body: &[u8]) -> Option<Answer> {
         let command: Command = decode(body)?;
-        if matches!(command, Command::Evacuate(_)) {
-            evacuation::await_hangup().await;
-        }
         let verdict = self.state.voter.submit(&command).await;
         let submitted = verdict.map_or(SubmitAnswer::Unsettled, SubmitAnswer::Settled);
         Some(rpc::encode_response(&submitted))
--- a/crates/controller/src/evacuation.rs
+++ b/crates/controller/src/evacuation.rs
@@ -13,6 +13,10 @@
     ///
     /// The acknowledgement does not wait for the gateways. They have the order with their next poll,
     /// long before it must be in force.
+    ///
+    /// An order names no version, so one that is carried out late would undo its reversal. A host that was
+    /// frozen reads an order together with the close of its caller, who has given it up; the HTTP library
+    /// drops such a call before this is polled.
     pub(crate) async fn evacuate(&self, zone: &str, evacuated: bool) -> Answer {
         let Ok(zone) = ZoneId::new(zone) else {
             return text_answer(StatusCode::BAD_REQUEST, "this is no name of a zone");
@@ -21,7 +25,6 @@
             self.refuse_evacuation(&zone, "no such zone");
             return text_answer(StatusCode::NOT_FOUND, "there is no such zone");
         }
-        await_hangup().await;
         let order = EvacuationOrder { zone, evacuated };
         let verdict = self
             .submit_to_leader(&Command::Evacuate(order.clone()))
@@ -53,12 +56,3 @@
         journal.record(Event::EvacuationRefused, zone, reason);
     }
 }
-
-/// Gives the connection the chance to drop the call if its caller has closed it.
-///
-/// An order names no version. A host that was frozen may read an order long after the operator gave it up,
-/// sent it to another host and reversed it. Carried out then, it would undo the reversal. The caller's close is
-/// read by then too, but only after the call has begun.
-pub(crate) async fn await_hangup() {
-    futures_lite::future::yield_now().await;
-}
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -27,6 +27,12 @@
     state.merge_leaving_servers(&poll.host, &poll.leaving);
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
     let now = state.clock.now();
+    let is_local = poll.zone.as_ref() == Some(&state.settings.zone);
+    let covered = if is_local && !poll.without_entries {
+        state.coverage()
+    } else {
+        Vec::new()
+    };
     let cursor = state.cursor();
     let after = poll.after(state.epoch);
     let version = state.voter.version();
@@ -46,11 +52,13 @@
     let (entries, heard) = {
         let table = state.table.lock();
         let heard = poll.wants_heard.then(|| table.heard_servers(now));
-        (table.since(after, now), heard.unwrap_or_default())
+        let entries = (!poll.without_entries).then(|| table.since(after, now));
+        (entries.unwrap_or_default(), heard.unwrap_or_default())
     };
     News {
         cursor,
         entries,
+        covered,
         heard,
         version,
         document: document.map(|d| RawDocument(d.text)),
@@ -73,8 +81,13 @@
 fn has_news(state: &State, poll: &Poll) -> bool {
     let cursor = state.cursor();
     let version = state.voter.version();
+    let revision = if poll.without_entries {
+        state.table.lock().awaited_revision()
+    } else {
+        cursor.revision
+    };
     poll.cursor.epoch != cursor.epoch
-        || poll.cursor.revision < cursor.revision
+        || poll.cursor.revision < revision
         || version > poll.told
         || (poll.wants_document && version > poll.version)
         || has_newer_evacuations(state, poll)
@@ -92,10 +105,9 @@
     known: Mutex<HashMap<SocketAddr, Peer>>,
 }
 
-/// What this controller has from another one.
+/// When another controller told which servers it has heard.
 #[derive(Debug, Default)]
 struct Peer {
-    cursor: Cursor,
     /// When it last told which servers it has heard.
     heard: Option<Moment>,
     /// Whether the last poll asked it for that.
@@ -136,13 +148,14 @@
 impl FeedHandler for Peers {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let now = self.state.clock.now();
+        let cursor = self.state.merged.lock().get(&controller).copied();
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
         Poll {
             version: Version(u64::MAX),
             told: Version(u64::MAX),
-            cursor: peer.cursor,
+            cursor: cursor.unwrap_or_default(),
             incremental: true,
             wants_heard: peer.asked,
             wait: PEER_WAIT,
@@ -156,11 +169,13 @@
         let complete = self.merge(controller, now, news);
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
-        // After a missed change the next poll asks for everything.
-        peer.cursor = if complete { cursor } else { Cursor::default() };
         if peer.asked {
             peer.heard = Some(now);
         }
+        drop(known);
+        // After a missed change the next poll asks for everything.
+        let cursor = if complete { cursor } else { Cursor::default() };
+        self.state.merged.lock().insert(controller, cursor);
     }
 
     async fn wait_after_news(&self, _: SocketAddr) {
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -1,5 +1,6 @@
 //! The state that the parts of a controller share.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 use snipemast_net::BootClock;
 use snipemast_platform::settings::Settings;
 use snipemast_registry::limit::limit_change_event;
+use snipemast_registry::relays::Coverage;
 use snipemast_registry::{
     Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankUpdate, Table,
 };
@@ -31,6 +33,8 @@
     pub(crate) epoch: u64,
     /// The known servers.
     pub(crate) table: Mutex<Table>,
+    /// How much of each other controller's table is merged into this one.
+    pub(crate) merged: Mutex<HashMap<SocketAddr, Cursor>>,
     /// Updates from the processes beside ranks that are not yet merged into the table.
     pub(crate) rank_updates: Mutex<Vec<RankUpdate>>,
     /// The senders of announcements that are refused.
@@ -55,6 +59,18 @@
         }
     }
 
+    /// Returns how much of each other controller's table this one includes.
+    pub(crate) fn coverage(&self) -> Vec<Coverage> {
+        let controllers = self.controllers();
+        let mut merged = self.merged.lock();
+        merged.retain(|address, _| controllers.contains(address));
+        let merged = merged.iter().map(|(controller, cursor)| Coverage {
+            controller: *controller,
+            cursor: *cursor,
+        });
+        merged.collect()
+    }
+
     /// Notifies all waiting tasks that something changed.
     pub(crate) fn notify_waiters(&self) {
         self.changed.notify(usize::MAX);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use event_listener::Event as Signal;
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
@@ -14,10 +15,9 @@
 use snipemast_placement::outage::ReportedChange;
 use snipemast_placement::pools::{Pools, ServerReport};
 use snipemast_platform::document;
+use snipemast_registry::relays::{RelayAnswer, Relays};
 use snipemast_registry::source::{Source, FETCH_TIMEOUT};
-use snipemast_registry::{
-    Cursor, KnownServer, News, Poll, PollerKind, Standing, Table as Registry,
-};
+use snipemast_registry::{KnownServer, News, Poll, PollerKind, Standing, Table as Registry};
 use snipemast_routes::Table as Routes;
 
 use crate::frozen;
@@ -33,6 +33,8 @@
 pub(crate) struct NewsReader {
     state: Arc<State>,
     known: Mutex<KnownControllers>,
+    /// Wakes tasks that wait for the changes of a controller that relays pass on.
+    relayed: Signal,
 }
 
 #[derive(Debug, Default)]
@@ -40,11 +42,11 @@
     controllers: HashMap<SocketAddr, Controller>,
     leader: Option<SocketAddr>,
     source: Source,
+    relays: Relays,
 }
 
 #[derive(Debug, Default)]
 struct Controller {
-    cursor: Cursor,
     reported_version: Version,
     /// When the controller was last polled.
     polled: Moment,
@@ -73,6 +75,7 @@
         Arc::new(Self {
             state,
             known: Mutex::default(),
+            relayed: Signal::new(),
         })
     }
 
@@ -89,6 +92,42 @@
         Span::from_micros(wait).max(SHORTEST).min(LONGEST)
     }
 
+    /// Waits until relays have passed on the changes that a controller has, or asks it for them.
+    async fn await_relays(&self, controller: SocketAddr) {
+        let until = self.state.clock.now() + FETCH_TIMEOUT;
+        loop {
+            let relayed = self.relayed.listen();
+            if !self.known.lock().relays.lags(controller) {
+                return;
+            }
+            let left = self.state.clock.now().until(until);
+            if left == Span::default() {
+                self.known.lock().relays.request(controller);
+                return;
+            }
+            futures_lite::future::or(relayed, pause(left)).await;
+        }
+    }
+
+    /// Waits until the version that a controller reported is in force, or asks it for the document.
+    async fn await_document(&self, controller: SocketAddr) {
+        let lags = || self.known.lock().reported_version(controller) > self.state.version();
+        // Twice, so that a second controller is asked if the first one does not answer.
+        for _ in 0..2 {
+            let applied = self.state.applied.listen();
+            if !lags() {
+                return;
+            }
+            futures_lite::future::or(applied, pause(FETCH_TIMEOUT)).await;
+            let mut known = self.known.lock();
+            let late = self.state.version() < known.reported_version(controller);
+            if late && known.source.try_ask(self.state.clock.now()) {
+                known.request_document(controller);
+                return;
+            }
+        }
+    }
+
     /// Adds to a poll what the leader sums up, grants and passes on.
     fn add_reports(&self, poll: Poll) -> Poll {
         let demands = self.state.limit_demands();
@@ -237,6 +276,7 @@
         let evacuations = self.state.evacuations.lock().revision;
         let mut known = self.known.lock();
         let leads = known.leader == Some(controller);
+        let (cursor, with_entries) = known.relays.prepare(controller);
         let entry = known.controllers.entry(controller).or_default();
         entry.polled = self.state.clock.now();
         let wants_document = entry.same_zone || entry.wants_document || version == Version(0);
@@ -245,7 +285,8 @@
             told: entry.reported_version,
             wants_document,
             zone: Some(self.state.settings.zone.clone()),
-            cursor: entry.cursor,
+            cursor,
+            without_entries: !with_entries,
             evacuations: Some(evacuations),
             wait: FOLLOWER_WAIT,
             ..Poll::new(self.state.settings.host.clone(), PollerKind::Gateway)
@@ -265,6 +306,12 @@
         if let Some(document) = news.document.take() {
             self.apply_document(&document.0);
         }
+        let answer = RelayAnswer {
+            same_zone: news.zone == self.state.settings.zone,
+            cursor: news.cursor,
+            has_entries: !news.entries.is_empty(),
+            covered: std::mem::take(&mut news.covered),
+        };
         self.apply_entries(controller, &mut news);
         let now = self.state.clock.now();
         self.state.budget.lock().observe_gateways(news.gateways);
@@ -290,30 +337,19 @@
             known.leader = news.leader;
         }
         let entry = known.controllers.entry(controller).or_default();
-        entry.cursor = news.cursor;
         entry.reported_version = news.version;
-        entry.same_zone = news.zone == self.state.settings.zone;
+        entry.same_zone = answer.same_zone;
         entry.wants_document = false;
+        known.relays.record(controller, answer);
+        drop(known);
+        self.relayed.notify(usize::MAX);
     }
 
-    /// Waits until a version that a controller reported is in force, so that the next poll says so.
-    /// Asks this controller for the document if no other one delivers it.
+    /// Waits until what a controller reported is in force, so that the next poll says so. Asks this
+    /// controller for what no other one delivers.
     async fn wait_after_news(&self, controller: SocketAddr) {
-        let lags = || self.known.lock().reported_version(controller) > self.state.version();
-        // Twice, so that a second controller is asked if the first one does not answer.
-        for _ in 0..2 {
-            let applied = self.state.applied.listen();
-            if !lags() {
-                return;
-            }
-            futures_lite::future::or(applied, pause(FETCH_TIMEOUT)).await;
-            let mut known = self.known.lock();
-            let late = self.state.version() < known.reported_version(controller);
-            if late && known.source.try_ask(self.state.clock.now()) {
-                known.request_document(controller);
-                return;
-            }
-        }
+        self.await_relays(controller).await;
+        self.await_document(controller).await;
     }
 
     fn handle_loss(&self, controller: SocketAddr) {
@@ -321,5 +357,6 @@
         if known.leader == Some(controller) {
             known.leader = None;
         }
+        known.relays.record_loss(controller);
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -126,6 +126,8 @@
         "snipemast_configuration_version {}\n",
         state.version()
     ));
+    let servers = state.servers.lock().count();
+    text.push_str(&format!("snipemast_servers {servers}\n"));
     let evacuated = state.evacuations.lock().zones.len();
     text.push_str(&format!("snipemast_evacuated_zones {evacuated}\n"));
     text.push_str(&state.metrics.render());
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -232,6 +232,11 @@
         busy.map(|(id, s)| (id, s.own))
     }
 
+    /// Returns the number of servers that may be sent requests.
+    pub fn count(&self) -> usize {
+        self.known.len()
+    }
+
     /// Returns the pools of a service's servers.
     pub fn pools(&self, service: &ServiceId) -> &[Pool] {
         self.pools.get(service).map_or(&[], Vec::as_slice)
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`limit`]: a server's limit on the requests that all gateways together send to it.
 //! - [`leaving`]: servers that say in their answers that they are leaving.
 //! - [`rank`]: a server's place in a group of ranks.
+//! - [`relays`]: which controllers pass the changes of servers on to a gateway.
 //! - [`source`]: which controllers a gateway requests a configuration from.
 //! - [`pollers`]: which hosts poll a controller, and what each of them has.
 
@@ -19,6 +20,7 @@
 pub mod news;
 pub mod pollers;
 pub mod rank;
+pub mod relays;
 pub mod source;
 pub mod table;
 
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -12,6 +12,7 @@
 use crate::grants::{Demand, Grant};
 use crate::heard::HeardServer;
 use crate::leaving::LeavingServer;
+use crate::relays::Coverage;
 use crate::table::Entry;
 
 /// The path of a poll.
@@ -76,6 +77,10 @@
         /// them.
         #[serde(default)]
         pub evacuations: Option<u64>,
+        /// Whether the answer may leave the entries out, because other controllers pass them on to the
+        /// poller.
+        #[serde(default)]
+        pub without_entries: bool,
         /// Whether the poller is a controller that keeps what it was told. Others get all entries with
         /// every answer.
         #[serde(default)]
@@ -107,6 +112,10 @@
         pub cursor: Cursor,
         /// What changed in the table.
         pub entries: Vec<Entry>,
+        /// How much of the other controllers' tables the entries include, for pollers of this
+        /// controller's availability zone.
+        #[serde(default)]
+        pub covered: Vec<Coverage>,
         /// The servers that were heard, if the poller asked for them.
         #[serde(default)]
         pub heard: Vec<HeardServer>,
@@ -147,6 +156,13 @@
     pub struct RawDocument(#[serde(with = "serde_bytes")] pub Vec<u8>);
 }
 
+impl Cursor {
+    /// Whether it is at or after another position in the same table.
+    pub fn reaches(self, other: Self) -> bool {
+        self.epoch == other.epoch && self.revision >= other.revision
+    }
+}
+
 impl Poll {
     /// Returns the revision of a table after which the poller needs its changes. `epoch` is the
     /// table's own.
@@ -170,6 +186,7 @@
             wants_document: false,
             cursor: Cursor::default(),
             evacuations: None,
+            without_entries: false,
             incremental: false,
             wants_heard: false,
             wait: Span::default(),
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -73,8 +73,8 @@
 
     /// Whether every connected gateway has the table up to this revision.
     pub fn has_revision(&self, now: Moment, cursor: Cursor) -> bool {
-        let reaches = |c: Cursor| c.epoch == cursor.epoch && c.revision >= cursor.revision;
-        self.connected_gateways(now).all(|p| reaches(p.cursor))
+        self.connected_gateways(now)
+            .all(|p| p.cursor.reaches(cursor))
     }
 
     /// Returns the requests in flight of all gateways but one, and the mean age of their counts.
--- /dev/null
+++ b/crates/registry/src/relays.rs
@@ -0,0 +1,118 @@
+//! Which controllers pass the changes of servers on to a gateway.
+//!
+//! Every controller has every change, and every gateway polls every controller, which sees by that that
+//! the gateway is connected and what it has. But only the controllers of the gateway's own availability
+//! zone (its relays) send it the changes, so that these cross to each zone once. A relay says how much
+//! of each other controller's table it has merged; this is what the gateway has of that table then. If
+//! the relays don't deliver in time what another controller has, the gateway asks that one.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use snipemast_core::data;
+
+use crate::news::Cursor;
+
+data! {
+    /// How much of another controller's table a controller has merged into its own.
+    pub struct Coverage {
+        /// The address at which that controller accepts polls.
+        pub controller: SocketAddr,
+        /// The position in its table.
+        pub cursor: Cursor,
+    }
+}
+
+/// What a controller's answer says about its table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayAnswer {
+    /// Whether the controller is in the gateway's availability zone.
+    pub same_zone: bool,
+    /// How much of the table there is.
+    pub cursor: Cursor,
+    /// Whether the answer carries changes; earlier releases send them unasked.
+    pub has_entries: bool,
+    /// How much of other tables the controller has merged.
+    pub covered: Vec<Coverage>,
+}
+
+/// What a gateway has of each controller's table, and from which controllers it gets changes.
+#[derive(Debug, Default)]
+pub struct Relays {
+    known: HashMap<SocketAddr, Known>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    /// How much of the table was sent by the controller itself.
+    cursor: Cursor,
+    /// How much of the table there is, as the controller last said.
+    reported: Cursor,
+    /// How much of other tables it has passed on.
+    covered: HashMap<SocketAddr, Cursor>,
+    same_zone: bool,
+    answers: bool,
+    /// Whether it is asked for changes because the relays did not deliver them.
+    wanted: bool,
+    /// Whether the last poll asked it for changes.
+    asked: bool,
+}
+
+impl Relays {
+    /// Prepares a poll of a controller: returns what the gateway has of its table, and whether the
+    /// answer should carry the changes.
+    pub fn prepare(&mut self, controller: SocketAddr) -> (Cursor, bool) {
+        let has_relay = self.known.values().any(|k| k.same_zone && k.answers);
+        let cursor = self.cursor(controller);
+        let known = self.known.entry(controller).or_default();
+        known.asked = known.same_zone || known.wanted || !has_relay;
+        (cursor, known.asked)
+    }
+
+    /// Records an answer of a controller, after its entries were merged.
+    pub fn record(&mut self, controller: SocketAddr, answer: RelayAnswer) {
+        let known = self.known.entry(controller).or_default();
+        (known.same_zone, known.answers) = (answer.same_zone, true);
+        known.reported = answer.cursor;
+        if known.asked || answer.has_entries {
+            known.cursor = answer.cursor;
+            known.wanted = false;
+            let covered = answer.covered.into_iter();
+            known.covered = covered.map(|c| (c.controller, c.cursor)).collect();
+        }
+    }
+
+    /// Forgets a controller that no longer answers.
+    pub fn record_loss(&mut self, controller: SocketAddr) {
+        self.known.remove(&controller);
+    }
+
+    /// Whether a controller has changes that the gateway has not got yet.
+    pub fn lags(&self, controller: SocketAddr) -> bool {
+        let reported = self.known.get(&controller).map(|k| k.reported);
+        reported.is_some_and(|reported| !self.cursor(controller).reaches(reported))
+    }
+
+    /// Asks a controller for changes in the next poll.
+    pub fn request(&mut self, controller: SocketAddr) {
+        if let Some(known) = self.known.get_mut(&controller) {
+            known.wanted = true;
+        }
+    }
+
+    /// Returns how much of a controller's table the gateway has, from the controller itself or from
+    /// relays.
+    fn cursor(&self, controller: SocketAddr) -> Cursor {
+        let Some(own) = self.known.get(&controller) else {
+            return Cursor::default();
+        };
+        let passed_on = self
+            .known
+            .values()
+            .filter_map(|k| k.covered.get(&controller));
+        let all = passed_on.chain([&own.cursor]).copied();
+        let of_start = all.filter(|cursor| cursor.epoch == own.reported.epoch);
+        let newest = of_start.max_by_key(|cursor| cursor.revision);
+        newest.unwrap_or(own.cursor)
+    }
+}
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -79,6 +79,9 @@
     /// When servers last said goodbye to this process; the start that did may not be known yet.
     goodbyes: HashMap<ServerId, Moment>,
     revision: u64,
+    /// The revision at the last report of a server that is draining or gone, which is acknowledged
+    /// once all gateways have it.
+    awaited_revision: u64,
 }
 
 impl Table {
@@ -90,7 +93,11 @@
     /// Records a heartbeat; returns whether it changed more than the time.
     pub fn record_heartbeat(&mut self, now: Moment, announcement: Announcement) -> bool {
         let standing = announcement.standing();
-        self.apply(now, announcement, standing)
+        let changed = self.apply(now, announcement, standing);
+        if standing == Standing::Draining {
+            self.awaited_revision = self.revision;
+        }
+        changed
     }
 
     /// Records a goodbye; returns whether it is news.
@@ -100,13 +107,15 @@
     /// since it was heard here.
     pub fn record_goodbye(&mut self, now: Moment, id: &ServerId) -> bool {
         self.goodbyes.insert(id.clone(), now);
-        match self.servers.get(id) {
+        let changed = match self.servers.get(id) {
             Some(known) if known.standing != Standing::Gone => {
                 let announcement = known.announcement.clone();
                 self.put(now, announcement, Standing::Gone)
             }
             _ => false,
-        }
+        };
+        self.awaited_revision = self.revision;
+        changed
     }
 
     /// Merges an entry of another table; returns whether it changed more than the time.
@@ -298,6 +307,11 @@
         self.revision
     }
 
+    /// Returns the revision that every gateway is to have soon, since an acknowledgement waits for it.
+    pub fn awaited_revision(&self) -> u64 {
+        self.awaited_revision
+    }
+
     /// Returns all known servers.
     pub fn iter(&self) -> impl Iterator<Item = &KnownServer> {
         self.servers.values()
--- /dev/null
+++ b/crates/registry/tests/relays.rs
@@ -0,0 +1,247 @@
+//! Controllers of a gateway's own availability zone that pass changes on to it: how much it is sent, and that it never
+//! reports what it doesn't have.
+
+use std::net::SocketAddr;
+
+use quickcheck::quickcheck;
+
+use snipemast_core::prelude::*;
+use snipemast_registry::relays::{Coverage, RelayAnswer, Relays};
+use snipemast_registry::{Announcement, Cursor, Standing, Table};
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(100_000 + millis)
+}
+
+fn address(controller: usize) -> SocketAddr {
+    ([10, 1, 0, controller as u8 + 1], 7_340).into()
+}
+
+fn id(number: usize) -> ServerId {
+    ServerId::new(format!("i-{number}")).unwrap()
+}
+
+fn heartbeat(number: usize, sequence: u64, draining: bool) -> Announcement {
+    Announcement {
+        id: id(number),
+        start: Incarnation(1),
+        service: ServiceId::new("lector").unwrap(),
+        address: ([10, 0, 0, number as u8], 80).into(),
+        zone: ZoneId::new("a").unwrap(),
+        slots: 6,
+        draining,
+        cold_left: Span::default(),
+        sequence,
+    }
+}
+
+/// A controller's table, and how much of the others' it has merged.
+struct Controller {
+    table: Table,
+    epoch: u64,
+    merged: Vec<Cursor>,
+}
+
+/// Controllers that exchange their tables, and a gateway that polls them.
+struct Fleet {
+    controllers: Vec<Controller>,
+    /// The number of controllers in the gateway's availability zone; these come first.
+    local: usize,
+    relays: Relays,
+    table: Table,
+    /// The number of entries that the gateway was sent.
+    entries: usize,
+}
+
+impl Fleet {
+    fn new(count: usize, local: usize) -> Self {
+        let controller = |number: usize| Controller {
+            table: Table::new(),
+            epoch: number as u64 + 1,
+            merged: vec![Cursor::default(); count],
+        };
+        Self {
+            controllers: (0..count).map(controller).collect(),
+            local,
+            relays: Relays::default(),
+            table: Table::new(),
+            entries: 0,
+        }
+    }
+
+    fn cursor(&self, controller: usize) -> Cursor {
+        let known = &self.controllers[controller];
+        Cursor {
+            epoch: known.epoch,
+            revision: known.table.revision(),
+        }
+    }
+
+    /// Has a controller merge what another one has.
+    fn exchange(&mut self, now: Moment, asker: usize, other: usize) {
+        let cursor = self.cursor(other);
+        let from = self.controllers[asker].merged[other];
+        let after = if from.epoch == cursor.epoch {
+            from.revision
+        } else {
+            0
+        };
+        let entries = self.controllers[other].table.since(after, now);
+        let own = &mut self.controllers[asker];
+        for entry in entries {
+            own.table.merge(now, entry);
+        }
+        own.merged[other] = cursor;
+    }
+
+    /// Has the gateway poll a controller; the answer may be lost.
+    fn poll(&mut self, now: Moment, controller: usize, lost: bool) {
+        let (cursor, with_entries) = self.relays.prepare(address(controller));
+        let known = &self.controllers[controller];
+        let after = if cursor.epoch == known.epoch {
+            cursor.revision
+        } else {
+            0
+        };
+        let entries = if with_entries {
+            known.table.since(after, now)
+        } else {
+            Vec::new()
+        };
+        let covered = known
+            .merged
+            .iter()
+            .enumerate()
+            .map(|(other, cursor)| Coverage {
+                controller: address(other),
+                cursor: *cursor,
+            });
+        let answer = RelayAnswer {
+            same_zone: controller < self.local,
+            cursor: self.cursor(controller),
+            has_entries: !entries.is_empty(),
+            covered: covered.collect(),
+        };
+        if lost {
+            return;
+        }
+        self.entries += entries.len();
+        for entry in entries {
+            self.table.merge(now, entry);
+        }
+        self.relays.record(address(controller), answer);
+    }
+
+    /// Has all controllers exchange their tables, and the gateway poll all of them, some times in turn.
+    fn settle(&mut self, now: Moment) {
+        let count = self.controllers.len();
+        for _ in 0..3 {
+            for asker in 0..count {
+                for other in (0..count).filter(|other| *other != asker) {
+                    self.exchange(now, asker, other);
+                }
+            }
+            for controller in 0..count {
+                self.poll(now, controller, false);
+            }
+        }
+    }
+
+    /// Starts a controller anew, with an empty table.
+    fn restart(&mut self, controller: usize) {
+        let count = self.controllers.len();
+        let known = &mut self.controllers[controller];
+        known.table = Table::new();
+        known.epoch += 1_000;
+        known.merged = vec![Cursor::default(); count];
+    }
+}
+
+/// Guards against changes that every controller sends to every gateway: 25 times each, most of it between availability
+/// zones.
+#[test]
+fn changes_sent_by_zone() {
+    const SERVERS: usize = 200;
+    let mut fleet = Fleet::new(25, 5);
+    fleet.settle(at(0));
+    fleet.entries = 0;
+    for number in 0..SERVERS {
+        let controller = number % 25;
+        let table = &mut fleet.controllers[controller].table;
+        table.record_heartbeat(at(1), heartbeat(number, 1, false));
+    }
+    fleet.settle(at(2));
+    assert_eq!(fleet.table.iter().count(), SERVERS);
+    assert!(fleet.entries <= 5 * SERVERS, "{} entries", fleet.entries);
+    for controller in 0..25 {
+        let all = address(controller);
+        assert!(!fleet.relays.lags(all), "controller {controller}");
+        assert_eq!(fleet.relays.prepare(all).0, fleet.cursor(controller));
+    }
+}
+
+/// Guards against a gateway that learns nothing because the controllers of its zone are cut off from the others.
+#[test]
+fn cut_off_relays_passed_by() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.settle(at(0));
+    let table = &mut fleet.controllers[2].table;
+    table.record_heartbeat(at(1), heartbeat(1, 1, false));
+    fleet.poll(at(2), 0, false);
+    fleet.poll(at(2), 2, false);
+    assert!(fleet.relays.lags(address(2)));
+    fleet.relays.request(address(2));
+    fleet.poll(at(400), 2, false);
+    assert!(!fleet.relays.lags(address(2)));
+    assert!(fleet.table.get(&id(1)).is_some());
+}
+
+/// Guards against a gateway that is sent nothing because the only controller of its zone no longer answers.
+#[test]
+fn lost_relay_replaced() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.settle(at(0));
+    fleet.relays.record_loss(address(0));
+    let table = &mut fleet.controllers[2].table;
+    table.record_heartbeat(at(1), heartbeat(1, 1, false));
+    fleet.poll(at(2), 2, false);
+    assert!(fleet.table.get(&id(1)).is_some());
+}
+
+quickcheck! {
+    /// What a gateway reports to a controller, on which the acknowledgement of a drain waits, it has: whatever the order of
+    /// exchanges, answers lost, and controllers that start anew.
+    fn reports_what_it_has(steps: Vec<(u8, u8)>) -> bool {
+        let mut fleet = Fleet::new(4, 2);
+        let mut drained: Vec<(usize, Cursor, usize)> = Vec::new();
+        let mut sequence = 1;
+        for number in 0..8 {
+            let table = &mut fleet.controllers[number % 4].table;
+            table.record_heartbeat(at(0), heartbeat(number, 1, false));
+        }
+        steps.into_iter().enumerate().all(|(step, (kind, chance))| {
+            let now = at(step as u64 * 50);
+            let (one, other) = (usize::from(chance) % 4, usize::from(chance / 4) % 4);
+            match kind % 16 {
+                0 | 1 => {
+                    let server = usize::from(chance / 16) % 8;
+                    sequence += 1;
+                    let table = &mut fleet.controllers[one].table;
+                    table.record_heartbeat(now, heartbeat(server, sequence, true));
+                    drained.push((one, fleet.cursor(one), server));
+                }
+                2 if chance % 8 == 0 => fleet.restart(one),
+                3 => fleet.relays.request(address(one)),
+                4 if chance % 4 == 0 => fleet.relays.record_loss(address(one)),
+                5..=9 if one != other => fleet.exchange(now, one, other),
+                10 => fleet.poll(now, one, true),
+                _ => fleet.poll(now, one, false),
+            }
+            drained.iter().all(|(controller, cursor, server)| {
+                let (has, _) = fleet.relays.prepare(address(*controller));
+                let known = fleet.table.get(&id(*server));
+                !has.reaches(*cursor) || known.is_some_and(|k| k.standing == Standing::Draining)
+            })
+        })
+    }
+}
