A request whose group is out goes on to another open group at once

Cause: a server that says that its group is out ended the round of sends. A request that is no stream was refused although another group of its service was open, and a stream waited half a second, or for the group to reopen.

Change: the next round looks for an open pool, and ends with the service being out only if there is none. What it sends is still paid from the budget of repeats.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -253,10 +253,8 @@
                     self.sends.mark_not_run();
                     self.exclude(&server);
                 }
-                Err(Failure::Out) => {
-                    self.sends.mark_not_run();
-                    return give_up(Unplaced::Out);
-                }
+                // Another pool may be open; if none is, the next round finds that.
+                Err(Failure::Out) => self.sends.mark_not_run(),
                 Err(lost) => {
                     self.exclude(&server);
                     failure = Some(lost);
