Answers name the controllers only where they changed

Cause: each controller sends each gateway an answer a second, also without news; the 25 controllers' names were about a third of it.

Change: a poll carries a digest of the controllers that its sender knows, and the answer leaves them out where it is the same. Earlier releases send no digest and get the names.

Shown: crates/registry/tests/pollers.rs.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -10,7 +10,7 @@
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
 use snipemast_registry::heard::HEARD_INTERVAL;
-use snipemast_registry::news::RawDocument;
+use snipemast_registry::news::{controllers_digest, RawDocument};
 use snipemast_registry::{Cursor, News, Poll, PollerKind};
 
 use crate::state::State;
@@ -26,6 +26,10 @@
     state.merge_limits(&poll.host, &poll.demands);
     state.merge_leaving_servers(&poll.host, &poll.leaving);
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
+    let mut controllers = state.controllers();
+    if controllers_digest(controllers.iter().copied()) == poll.controllers {
+        controllers.clear();
+    }
     let now = state.clock.now();
     let is_local = poll.zone.as_ref() == Some(&state.settings.zone);
     let covered = if is_local && !poll.without_entries {
@@ -64,7 +68,7 @@
         document: document.map(|d| RawDocument(d.text)),
         evacuations,
         zone: state.settings.zone.clone(),
-        controllers: state.controllers(),
+        controllers,
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateway_count(now),
         local_gateways: poll
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -123,7 +123,11 @@
         let mut backoff = FIRST_BACKOFF;
         let mut answers = None;
         loop {
-            let poll = self.handler.next_poll(address);
+            let named = news::controllers_digest(self.state.lock().named.iter().copied());
+            let poll = Poll {
+                controllers: named,
+                ..self.handler.next_poll(address)
+            };
             let limit = Span::from_micros(poll.wait.as_micros() + POLL_SLACK.as_micros());
             let news = client.call::<_, News>(news::PATH, &poll, limit).await;
             if answers != Some(news.is_ok()) {
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -4,9 +4,10 @@
 //! bounded wait. The next poll thus acknowledges the answer before it.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use snipemast_core::data;
+use snipemast_core::hash::mix;
 use snipemast_core::prelude::*;
 
 use crate::grants::{Demand, Grant};
@@ -73,6 +74,9 @@
         pub wants_document: bool,
         /// How much of the controller's table the poller has.
         pub cursor: Cursor,
+        /// The [`controllers_digest`] of the controllers that the poller knows of; 0 if it knows none.
+        #[serde(default)]
+        pub controllers: u64,
         /// The revision of the evacuations that the poller has in force; none if it needs no news of
         /// them.
         #[serde(default)]
@@ -128,7 +132,7 @@
         pub evacuations: Option<Evacuations>,
         /// The controller's availability zone.
         pub zone: ZoneId,
-        /// The addresses at which all controllers accept polls.
+        /// The addresses at which all controllers accept polls; empty if the poller knows them.
         pub controllers: Vec<SocketAddr>,
         /// The address at which the leader accepts polls.
         pub leader: Option<SocketAddr>,
@@ -156,6 +160,24 @@
     pub struct RawDocument(#[serde(with = "serde_bytes")] pub Vec<u8>);
 }
 
+/// Returns a number that identifies a set of controllers, in any order.
+///
+/// Answers name controllers only where they changed: their names are a third of an answer without
+/// news, which each controller sends to each gateway once a second.
+pub fn controllers_digest(controllers: impl IntoIterator<Item = SocketAddr>) -> u64 {
+    let digest = |address: SocketAddr| {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => u128::from(ip.to_ipv6_mapped()),
+            IpAddr::V6(ip) => u128::from(ip),
+        };
+        mix(mix((ip >> 64) as u64) ^ mix(ip as u64) ^ u64::from(address.port()))
+    };
+    controllers
+        .into_iter()
+        .map(digest)
+        .fold(0, u64::wrapping_add)
+}
+
 impl Cursor {
     /// Whether it is at or after another position in the same table.
     pub fn reaches(self, other: Self) -> bool {
@@ -185,6 +207,7 @@
             told: Version(0),
             wants_document: false,
             cursor: Cursor::default(),
+            controllers: 0,
             evacuations: None,
             without_entries: false,
             incremental: false,
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -1,7 +1,9 @@
 //! Which hosts poll a controller, and which waiting answers that wakes.
 
+use std::net::SocketAddr;
+
 use snipemast_core::prelude::*;
-use snipemast_registry::news::InFlight;
+use snipemast_registry::news::{controllers_digest, InFlight};
 use snipemast_registry::{Cursor, Poll, PollerKind, Pollers};
 
 fn poll(version: u64, place: u64) -> Poll {
@@ -69,3 +71,21 @@
         .len();
     assert!(149 * 4 * bytes * 8 <= 17_000_000, "{bytes} bytes");
 }
+
+/// Guards against controllers that stay unknown because another set of them has the same digest, and against answers that
+/// name all of them anew because they are in another order.
+#[test]
+fn controllers_told_apart() {
+    let address = |host: u8| SocketAddr::from(([10, 1, 0, host], 7_340));
+    let all: Vec<SocketAddr> = (1..=25).map(address).collect();
+    let reversed = all.iter().rev().copied();
+    let digest = controllers_digest(all.iter().copied());
+    assert_eq!(controllers_digest(reversed), digest);
+    for left_out in 0..all.len() {
+        let mut others = all.clone();
+        others.remove(left_out);
+        assert_ne!(controllers_digest(others.clone()), digest);
+        others.push(address(77));
+        assert_ne!(controllers_digest(others), digest);
+    }
+}
