Relays that lag are passed by until they have caught up

Cause: with a zone's controllers cut off from the others, each change of those was waited for, 0.4 s after a poll of up to a second.

Change: once a relay was late, a gateway is sent the changes by the other controller itself, until the relays have passed on what it had then.

Shown: crates/registry/tests/relays.rs, cut_off_relays_passed_by.

--- a/crates/registry/src/relays.rs
+++ b/crates/registry/src/relays.rs
@@ -52,8 +52,8 @@
     covered: HashMap<SocketAddr, Cursor>,
     same_zone: bool,
     answers: bool,
-    /// Whether it is asked for changes because the relays did not deliver them.
-    wanted: bool,
+    /// What the relays did not deliver; it is asked for changes until they have.
+    missed: Option<Cursor>,
     /// Whether the last poll asked it for changes.
     asked: bool,
 }
@@ -64,8 +64,11 @@
     pub fn prepare(&mut self, controller: SocketAddr) -> (Cursor, bool) {
         let has_relay = self.known.values().any(|k| k.same_zone && k.answers);
         let cursor = self.cursor(controller);
+        let passed_on: Vec<Cursor> = self.passed_on(controller).collect();
         let known = self.known.entry(controller).or_default();
-        known.asked = known.same_zone || known.wanted || !has_relay;
+        let lacks = |missed: &Cursor| !passed_on.iter().any(|cursor| cursor.reaches(*missed));
+        known.missed = known.missed.filter(lacks);
+        known.asked = known.same_zone || known.missed.is_some() || !has_relay;
         (cursor, known.asked)
     }
 
@@ -76,7 +79,6 @@
         known.reported = answer.cursor;
         if known.asked || answer.has_entries {
             known.cursor = answer.cursor;
-            known.wanted = false;
             let covered = answer.covered.into_iter();
             known.covered = covered.map(|c| (c.controller, c.cursor)).collect();
         }
@@ -93,10 +95,14 @@
         reported.is_some_and(|reported| !self.cursor(controller).reaches(reported))
     }
 
-    /// Asks a controller for changes in the next poll.
+    /// Asks a controller for changes from the next poll on, until the relays have passed on what it
+    /// has now.
+    ///
+    /// Failure guarded against: the relays are cut off from a controller, and each of its changes would
+    /// be waited for in vain.
     pub fn request(&mut self, controller: SocketAddr) {
         if let Some(known) = self.known.get_mut(&controller) {
-            known.wanted = true;
+            known.missed = Some(known.reported);
         }
     }
 
@@ -106,13 +112,15 @@
         let Some(own) = self.known.get(&controller) else {
             return Cursor::default();
         };
-        let passed_on = self
-            .known
-            .values()
-            .filter_map(|k| k.covered.get(&controller));
-        let all = passed_on.chain([&own.cursor]).copied();
+        let all = self.passed_on(controller).chain([own.cursor]);
         let of_start = all.filter(|cursor| cursor.epoch == own.reported.epoch);
         let newest = of_start.max_by_key(|cursor| cursor.revision);
         newest.unwrap_or(own.cursor)
     }
+
+    /// Returns how much of a controller's table each relay has passed on.
+    fn passed_on(&self, controller: SocketAddr) -> impl Iterator<Item = Cursor> + '_ {
+        let known = self.known.values();
+        known.filter_map(move |k| k.covered.get(&controller).copied())
+    }
 }
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -194,6 +194,17 @@
     fleet.poll(at(400), 2, false);
     assert!(!fleet.relays.lags(address(2)));
     assert!(fleet.table.get(&id(1)).is_some());
+    // While the relay is cut off, the next change comes at once.
+    let table = &mut fleet.controllers[2].table;
+    table.record_heartbeat(at(500), heartbeat(2, 1, false));
+    fleet.poll(at(501), 2, false);
+    assert!(fleet.table.get(&id(2)).is_some());
+    // Once the relay has caught up, it passes changes on again.
+    fleet.settle(at(600));
+    let table = &mut fleet.controllers[2].table;
+    table.record_heartbeat(at(700), heartbeat(3, 1, false));
+    fleet.poll(at(701), 2, false);
+    assert!(fleet.table.get(&id(3)).is_none());
 }
 
 /// Guards against a gateway that is sent nothing because the only controller of its zone no longer answers.
