--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -1,18 +1,21 @@
 //! Answers to the polls of gateways and other controllers, and this controller's own polls.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use parking_lot::Mutex;
+
 use snipemast_core::prelude::*;
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
-use snipemast_registry::news::RawDocument;
+use snipemast_registry::heard::HEARD_INTERVAL;
+use snipemast_registry::news::{controllers_digest, RawDocument};
 use snipemast_registry::{Cursor, News, Poll, PollerKind};
 
 use crate::state::State;
 
-/// How long a poll of another controller waits for news. The answer also tells when servers were
-/// last heard there, so this is below the interval between two heartbeats.
+/// How long a poll of another controller waits for news.
 const PEER_WAIT: Span = Span::from_millis(800);
 
 /// Answers a poll as soon as there is news or its wait is over.
@@ -23,17 +26,24 @@
     state.merge_limits(&poll.host, &poll.demands);
     state.merge_leaving_servers(&poll.host, &poll.leaving);
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
+    let mut controllers = state.controllers();
+    if controllers_digest(controllers.iter().copied()) == poll.controllers {
+        controllers.clear();
+    }
     let now = state.clock.now();
-    let cursor = state.cursor();
-    let after = match (poll.kind, poll.cursor.epoch == state.epoch) {
-        (PollerKind::Gateway | PollerKind::Sidecar, true) => poll.cursor.revision,
-        // Controllers learn of every heartbeat, so that none considers a server silent.
-        _ => 0,
+    let is_local = poll.zone.as_ref() == Some(&state.settings.zone);
+    let covered = if is_local && !poll.without_entries {
+        state.coverage()
+    } else {
+        Vec::new()
     };
+    let cursor = state.cursor();
+    let after = poll.after(state.epoch);
     let version = state.voter.version();
     let document = (poll.wants_document && version > poll.version)
         .then(|| state.voter.document())
         .flatten();
+    let evacuations = has_newer_evacuations(state, &poll).then(|| state.voter.evacuations());
     let grants = match poll.kind {
         PollerKind::Gateway => state.grant(&poll.demands),
         PollerKind::Controller | PollerKind::Sidecar => None,
@@ -43,15 +53,27 @@
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
         PollerKind::Controller | PollerKind::Sidecar => Default::default(),
     };
+    let (entries, heard) = {
+        let table = state.table.lock();
+        let heard = poll.wants_heard.then(|| table.heard_servers(now));
+        let entries = (!poll.without_entries).then(|| table.since(after, now));
+        (entries.unwrap_or_default(), heard.unwrap_or_default())
+    };
     News {
         cursor,
-        entries: state.table.lock().since(after, now),
+        entries,
+        covered,
+        heard,
         version,
         document: document.map(|d| RawDocument(d.text)),
+        evacuations,
         zone: state.settings.zone.clone(),
-        controllers: state.controllers(),
+        controllers,
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateway_count(now),
+        local_gateways: poll
+            .zone
+            .map_or(0, |zone| pollers.local_gateway_count(now, &zone)),
         slow: pollers.slow_servers(now),
         silent: pollers.silent_servers(now),
         grants,
@@ -63,43 +85,51 @@
 fn has_news(state: &State, poll: &Poll) -> bool {
     let cursor = state.cursor();
     let version = state.voter.version();
+    let revision = if poll.without_entries {
+        state.table.lock().awaited_revision()
+    } else {
+        cursor.revision
+    };
     poll.cursor.epoch != cursor.epoch
-        || poll.cursor.revision < cursor.revision
+        || poll.cursor.revision < revision
         || version > poll.told
         || (poll.wants_document && version > poll.version)
+        || has_newer_evacuations(state, poll)
+}
+
+fn has_newer_evacuations(state: &State, poll: &Poll) -> bool {
+    let newest = state.voter.evacuation_revision();
+    poll.evacuations.is_some_and(|revision| revision < newest)
 }
 
 /// Merges the news of the other controllers.
 #[derive(Debug)]
 pub(crate) struct Peers {
     state: Arc<State>,
-    cursors: parking_lot::Mutex<std::collections::HashMap<SocketAddr, Cursor>>,
+    known: Mutex<HashMap<SocketAddr, Peer>>,
+}
+
+/// When another controller told which servers it has heard.
+#[derive(Debug, Default)]
+struct Peer {
+    /// When it last told which servers it has heard.
+    heard: Option<Moment>,
+    /// Whether the last poll asked it for that.
+    asked: bool,
 }
 
 impl Peers {
     pub(crate) fn new(state: Arc<State>) -> Arc<Self> {
         Arc::new(Self {
             state,
-            cursors: Default::default(),
+            known: Mutex::default(),
         })
     }
-}
-
-impl FeedHandler for Peers {
-    fn next_poll(&self, controller: SocketAddr) -> Poll {
-        let cursor = self.cursors.lock().get(&controller).copied();
-        Poll {
-            version: Version(u64::MAX),
-            told: Version(u64::MAX),
-            cursor: cursor.unwrap_or_default(),
-            wait: PEER_WAIT,
-            ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
-        }
-    }
 
-    fn handle_news(&self, controller: SocketAddr, news: News) {
-        self.cursors.lock().insert(controller, news.cursor);
-        let now = self.state.clock.now();
+    /// Merges a controller's entries and the servers that it has heard. Returns whether the table has
+    /// all of these now.
+    fn merge(&self, controller: SocketAddr, now: Moment, news: News) -> bool {
+        let mut complete = true;
         self.state.update_table(|table| {
             let revision = table.revision();
             for entry in news.entries {
@@ -112,8 +142,44 @@
                     );
                 }
             }
+            complete = table.merge_heard(now, &news.heard);
             table.revision() > revision
         });
+        complete
+    }
+}
+
+impl FeedHandler for Peers {
+    fn next_poll(&self, controller: SocketAddr) -> Poll {
+        let now = self.state.clock.now();
+        let cursor = self.state.merged.lock().get(&controller).copied();
+        let mut known = self.known.lock();
+        let peer = known.entry(controller).or_default();
+        peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
+        Poll {
+            version: Version(u64::MAX),
+            told: Version(u64::MAX),
+            cursor: cursor.unwrap_or_default(),
+            incremental: true,
+            wants_heard: peer.asked,
+            wait: PEER_WAIT,
+            ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
+        }
+    }
+
+    fn handle_news(&self, controller: SocketAddr, news: News) {
+        let now = self.state.clock.now();
+        let cursor = news.cursor;
+        let complete = self.merge(controller, now, news);
+        let mut known = self.known.lock();
+        let peer = known.entry(controller).or_default();
+        if peer.asked {
+            peer.heard = Some(now);
+        }
+        drop(known);
+        // After a missed change the next poll asks for everything.
+        let cursor = if complete { cursor } else { Cursor::default() };
+        self.state.merged.lock().insert(controller, cursor);
     }
 
     async fn wait_after_news(&self, _: SocketAddr) {
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -4,19 +4,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use event_listener::Event as Signal;
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
 use snipemast_placement::choice::AnnouncedServer;
+use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::ReportedChange;
 use snipemast_placement::pools::{Pools, ServerReport};
 use snipemast_platform::document;
+use snipemast_registry::relays::{RelayAnswer, Relays};
 use snipemast_registry::source::{Source, FETCH_TIMEOUT};
-use snipemast_registry::{
-    Cursor, KnownServer, News, Poll, PollerKind, Standing, Table as Registry,
-};
+use snipemast_registry::{KnownServer, News, Poll, PollerKind, Standing, Table as Registry};
 use snipemast_routes::Table as Routes;
 
 use crate::frozen;
@@ -32,6 +33,8 @@
 pub(crate) struct NewsReader {
     state: Arc<State>,
     known: Mutex<KnownControllers>,
+    /// Wakes tasks that wait for the changes of a controller that relays pass on.
+    relayed: Signal,
 }
 
 #[derive(Debug, Default)]
@@ -39,11 +42,11 @@
     controllers: HashMap<SocketAddr, Controller>,
     leader: Option<SocketAddr>,
     source: Source,
+    relays: Relays,
 }
 
 #[derive(Debug, Default)]
 struct Controller {
-    cursor: Cursor,
     reported_version: Version,
     /// When the controller was last polled.
     polled: Moment,
@@ -72,6 +75,7 @@
         Arc::new(Self {
             state,
             known: Mutex::default(),
+            relayed: Signal::new(),
         })
     }
 
@@ -88,6 +92,42 @@
         Span::from_micros(wait).max(SHORTEST).min(LONGEST)
     }
 
+    /// Waits until relays have passed on the changes that a controller has, or asks it for them.
+    async fn await_relays(&self, controller: SocketAddr) {
+        let until = self.state.clock.now() + FETCH_TIMEOUT;
+        loop {
+            let relayed = self.relayed.listen();
+            if !self.known.lock().relays.lags(controller) {
+                return;
+            }
+            let left = self.state.clock.now().until(until);
+            if left == Span::default() {
+                self.known.lock().relays.request(controller);
+                return;
+            }
+            futures_lite::future::or(relayed, pause(left)).await;
+        }
+    }
+
+    /// Waits until the version that a controller reported is in force, or asks it for the document.
+    async fn await_document(&self, controller: SocketAddr) {
+        let lags = || self.known.lock().reported_version(controller) > self.state.version();
+        // Twice, so that a second controller is asked if the first one does not answer.
+        for _ in 0..2 {
+            let applied = self.state.applied.listen();
+            if !lags() {
+                return;
+            }
+            futures_lite::future::or(applied, pause(FETCH_TIMEOUT)).await;
+            let mut known = self.known.lock();
+            let late = self.state.version() < known.reported_version(controller);
+            if late && known.source.try_ask(self.state.clock.now()) {
+                known.request_document(controller);
+                return;
+            }
+        }
+    }
+
     /// Adds to a poll what the leader sums up, grants and passes on.
     fn add_reports(&self, poll: Poll) -> Poll {
         let demands = self.state.limit_demands();
@@ -127,6 +167,24 @@
             .record(Event::VersionApplied, subject, "in force");
     }
 
+    /// Puts the evacuations that a controller reports into force, unless they are old.
+    fn apply_evacuations(&self, controller: SocketAddr, evacuations: Evacuations) {
+        let mut current = self.state.evacuations.lock();
+        let orders = current.update(evacuations);
+        if orders.is_empty() {
+            return;
+        }
+        let now = self.state.clock.now();
+        let zones = current.zones.clone();
+        self.state.servers.lock().set_evacuated(now, zones);
+        drop(current);
+        for order in orders {
+            let detail = format_args!("{order}, by {controller}");
+            let journal = &self.state.journal;
+            journal.record(Event::ZoneEvacuated, &order.zone, detail);
+        }
+    }
+
     /// Records which groups have stalled and which are running.
     fn apply_groups(&self, pools: &Pools) {
         let now = self.state.clock.now();
@@ -186,6 +244,7 @@
                 zone: k.announcement.zone.clone(),
                 slots: k.announcement.slots,
                 leaving_since: registry.leaving_since(&k.announcement.id),
+                cold_until: k.cold_until,
             })
         });
         let announced = announced.collect();
@@ -193,7 +252,7 @@
         drop(registry);
         self.apply_groups(&pools);
         let mut servers = self.state.servers.lock();
-        let gone = servers.set_announced(announced);
+        let gone = servers.set_announced(now, announced);
         servers.set_limits(now, limits);
         drop(servers);
         for address in gone {
@@ -214,8 +273,10 @@
 impl FeedHandler for NewsReader {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let version = self.state.version();
+        let evacuations = self.state.evacuations.lock().revision;
         let mut known = self.known.lock();
         let leads = known.leader == Some(controller);
+        let (cursor, with_entries) = known.relays.prepare(controller);
         let entry = known.controllers.entry(controller).or_default();
         entry.polled = self.state.clock.now();
         let wants_document = entry.same_zone || entry.wants_document || version == Version(0);
@@ -223,7 +284,10 @@
             version,
             told: entry.reported_version,
             wants_document,
-            cursor: entry.cursor,
+            zone: Some(self.state.settings.zone.clone()),
+            cursor,
+            without_entries: !with_entries,
+            evacuations: Some(evacuations),
             wait: FOLLOWER_WAIT,
             ..Poll::new(self.state.settings.host.clone(), PollerKind::Gateway)
         };
@@ -235,13 +299,26 @@
     }
 
     fn handle_news(&self, controller: SocketAddr, mut news: News) {
+        // First, so that a gateway that has just started sends nothing to an evacuated zone.
+        if let Some(evacuations) = news.evacuations.take() {
+            self.apply_evacuations(controller, evacuations);
+        }
         if let Some(document) = news.document.take() {
             self.apply_document(&document.0);
         }
+        let answer = RelayAnswer {
+            same_zone: news.zone == self.state.settings.zone,
+            cursor: news.cursor,
+            has_entries: !news.entries.is_empty(),
+            covered: std::mem::take(&mut news.covered),
+        };
         self.apply_entries(controller, &mut news);
         let now = self.state.clock.now();
         self.state.budget.lock().observe_gateways(news.gateways);
-        self.state.servers.lock().observe_gateways(news.gateways);
+        self.state.servers.lock().observe_gateways(GatewayCounts {
+            all: news.gateways,
+            local: news.local_gateways,
+        });
         let mut known = self.known.lock();
         if news.leader == Some(controller) {
             known.leader = news.leader;
@@ -260,30 +337,19 @@
             known.leader = news.leader;
         }
         let entry = known.controllers.entry(controller).or_default();
-        entry.cursor = news.cursor;
         entry.reported_version = news.version;
-        entry.same_zone = news.zone == self.state.settings.zone;
+        entry.same_zone = answer.same_zone;
         entry.wants_document = false;
+        known.relays.record(controller, answer);
+        drop(known);
+        self.relayed.notify(usize::MAX);
     }
 
-    /// Waits until a version that a controller reported is in force, so that the next poll says so.
-    /// Asks this controller for the document if no other one delivers it.
+    /// Waits until what a controller reported is in force, so that the next poll says so. Asks this
+    /// controller for what no other one delivers.
     async fn wait_after_news(&self, controller: SocketAddr) {
-        let lags = || self.known.lock().reported_version(controller) > self.state.version();
-        // Twice, so that a second controller is asked if the first one does not answer.
-        for _ in 0..2 {
-            let applied = self.state.applied.listen();
-            if !lags() {
-                return;
-            }
-            futures_lite::future::or(applied, pause(FETCH_TIMEOUT)).await;
-            let mut known = self.known.lock();
-            let late = self.state.version() < known.reported_version(controller);
-            if late && known.source.try_ask(self.state.clock.now()) {
-                known.request_document(controller);
-                return;
-            }
-        }
+        self.await_relays(controller).await;
+        self.await_document(controller).await;
     }
 
     fn handle_loss(&self, controller: SocketAddr) {
@@ -291,5 +357,6 @@
         if known.leader == Some(controller) {
             known.leader = None;
         }
+        known.relays.record_loss(controller);
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,25 +3,30 @@
 //! - [`announcement`]: what a server announces about itself.
 //! - [`table`]: the known servers, each with its latest announcement.
 //! - [`news`]: the polls of gateways, sidecars and controllers, and a controller's answers.
+//! - [`heard`]: how lately servers were heard, as controllers tell each other.
 //! - [`grants`]: which gateway may send the next requests to a server that names a limit.
 //! - [`limit`]: a server's limit on the requests that all gateways together send to it.
 //! - [`leaving`]: servers that say in their answers that they are leaving.
 //! - [`rank`]: a server's place in a group of ranks.
+//! - [`relays`]: which controllers pass the changes of servers on to a gateway.
 //! - [`source`]: which controllers a gateway requests a configuration from.
 //! - [`pollers`]: which hosts poll a controller, and what each of them has.
 
 pub mod announcement;
 pub mod grants;
+pub mod heard;
 pub mod leaving;
 pub mod limit;
 pub mod news;
 pub mod pollers;
 pub mod rank;
+pub mod relays;
 pub mod source;
 pub mod table;
 
 pub use announcement::{Announcement, Standing};
 pub use grants::{Demand, Grant, Grants};
+pub use heard::HeardServer;
 pub use leaving::LeavingServer;
 pub use limit::{LimitEntry, LimitUpdate};
 pub use news::{Cursor, News, Poll, PollerKind};
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -4,13 +4,16 @@
 //! bounded wait. The next poll thus acknowledges the answer before it.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use snipemast_core::data;
+use snipemast_core::hash::mix;
 use snipemast_core::prelude::*;
 
 use crate::grants::{Demand, Grant};
+use crate::heard::HeardServer;
 use crate::leaving::LeavingServer;
+use crate::relays::Coverage;
 use crate::table::Entry;
 
 /// The path of a poll.
@@ -59,6 +62,9 @@
         pub host: HostId,
         /// The poller's kind.
         pub kind: PollerKind,
+        /// The poller's availability zone.
+        #[serde(default)]
+        pub zone: Option<ZoneId>,
         /// The configuration version that the poller has in force.
         pub version: Version,
         /// The highest version that this controller has told it of.
@@ -68,6 +74,24 @@
         pub wants_document: bool,
         /// How much of the controller's table the poller has.
         pub cursor: Cursor,
+        /// The [`controllers_digest`] of the controllers that the poller knows of; 0 if it knows none.
+        #[serde(default)]
+        pub controllers: u64,
+        /// The revision of the evacuations that the poller has in force; none if it needs no news of
+        /// them.
+        #[serde(default)]
+        pub evacuations: Option<u64>,
+        /// Whether the answer may leave the entries out, because other controllers pass them on to the
+        /// poller.
+        #[serde(default)]
+        pub without_entries: bool,
+        /// Whether the poller is a controller that keeps what it was told. Others get all entries with
+        /// every answer.
+        #[serde(default)]
+        pub incremental: bool,
+        /// Whether the answer should list the servers that were heard.
+        #[serde(default)]
+        pub wants_heard: bool,
         /// How long the answer may wait for news.
         pub wait: Span,
         /// The poller's own requests in flight, if this controller adds them up.
@@ -92,18 +116,31 @@
         pub cursor: Cursor,
         /// What changed in the table.
         pub entries: Vec<Entry>,
+        /// How much of the other controllers' tables the entries include, for pollers of this
+        /// controller's availability zone.
+        #[serde(default)]
+        pub covered: Vec<Coverage>,
+        /// The servers that were heard, if the poller asked for them.
+        #[serde(default)]
+        pub heard: Vec<HeardServer>,
         /// The highest committed version that this controller knows.
         pub version: Version,
         /// The document of that version, as its operator sent it.
         pub document: Option<RawDocument>,
+        /// The evacuated availability zones, if they changed since the revision that the poller has.
+        #[serde(default)]
+        pub evacuations: Option<Evacuations>,
         /// The controller's availability zone.
         pub zone: ZoneId,
-        /// The addresses at which all controllers accept polls.
+        /// The addresses at which all controllers accept polls; empty if the poller knows them.
         pub controllers: Vec<SocketAddr>,
         /// The address at which the leader accepts polls.
         pub leader: Option<SocketAddr>,
         /// The number of gateways that poll.
         pub gateways: u32,
+        /// The number of gateways that poll and are in the poller's availability zone.
+        #[serde(default)]
+        pub local_gateways: u32,
         /// The requests in flight of all other gateways.
         #[serde(rename = "flying")]
         pub in_flight: InFlight,
@@ -123,16 +160,58 @@
     pub struct RawDocument(#[serde(with = "serde_bytes")] pub Vec<u8>);
 }
 
+/// Returns a number that identifies a set of controllers, in any order.
+///
+/// Answers name controllers only where they changed: their names are a third of an answer without
+/// news, which each controller sends to each gateway once a second.
+pub fn controllers_digest(controllers: impl IntoIterator<Item = SocketAddr>) -> u64 {
+    let digest = |address: SocketAddr| {
+        let ip = match address.ip() {
+            IpAddr::V4(ip) => u128::from(ip.to_ipv6_mapped()),
+            IpAddr::V6(ip) => u128::from(ip),
+        };
+        mix(mix((ip >> 64) as u64) ^ mix(ip as u64) ^ u64::from(address.port()))
+    };
+    controllers
+        .into_iter()
+        .map(digest)
+        .fold(0, u64::wrapping_add)
+}
+
+impl Cursor {
+    /// Whether it is at or after another position in the same table.
+    pub fn reaches(self, other: Self) -> bool {
+        self.epoch == other.epoch && self.revision >= other.revision
+    }
+}
+
 impl Poll {
+    /// Returns the revision of a table after which the poller needs its changes. `epoch` is the
+    /// table's own.
+    pub fn after(&self, epoch: u64) -> u64 {
+        let keeps = self.kind != PollerKind::Controller || self.incremental;
+        if keeps && self.cursor.epoch == epoch {
+            self.cursor.revision
+        } else {
+            0
+        }
+    }
+
     /// Creates the poll of a process that has nothing yet, reports nothing, and doesn't wait.
     pub fn new(host: HostId, kind: PollerKind) -> Self {
         Self {
             host,
             kind,
+            zone: None,
             version: Version(0),
             told: Version(0),
             wants_document: false,
             cursor: Cursor::default(),
+            controllers: 0,
+            evacuations: None,
+            without_entries: false,
+            incremental: false,
+            wants_heard: false,
             wait: Span::default(),
             in_flight: InFlight::new(),
             slow: Vec::new(),
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -13,6 +13,7 @@
 use snipemast_core::starts::StartMap;
 
 use crate::announcement::{Announcement, Standing};
+use crate::heard::HeardServer;
 use crate::leaving::{LeavingServer, LeavingServers};
 use crate::limit::{KnownLimit, LimitEntry, LimitUpdate};
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankUpdate};
@@ -28,6 +29,10 @@
 /// late.
 pub const RETENTION: Span = Span::from_secs(120);
 
+/// How much later than known the end of a server's cold time must be to count as news: more than the
+/// usual differences in how long heartbeats travel.
+const COLD_TOLERANCE: Span = Span::from_millis(500);
+
 data! {
     /// What one table tells another about a server.
     pub struct Entry {
@@ -55,6 +60,8 @@
     pub standing: Standing,
     /// When any controller last heard the server.
     pub heard: Moment,
+    /// Until when the server is cold, as far as it has said.
+    pub cold_until: Moment,
     /// The table's revision at the server's last change.
     changed: u64,
 }
@@ -72,6 +79,9 @@
     /// When servers last said goodbye to this process; the start that did may not be known yet.
     goodbyes: HashMap<ServerId, Moment>,
     revision: u64,
+    /// The revision at the last report of a server that is draining or gone, which is acknowledged
+    /// once all gateways have it.
+    awaited_revision: u64,
 }
 
 impl Table {
@@ -83,7 +93,11 @@
     /// Records a heartbeat; returns whether it changed more than the time.
     pub fn record_heartbeat(&mut self, now: Moment, announcement: Announcement) -> bool {
         let standing = announcement.standing();
-        self.apply(now, announcement, standing)
+        let changed = self.apply(now, announcement, standing);
+        if standing == Standing::Draining {
+            self.awaited_revision = self.revision;
+        }
+        changed
     }
 
     /// Records a goodbye; returns whether it is news.
@@ -93,13 +107,15 @@
     /// since it was heard here.
     pub fn record_goodbye(&mut self, now: Moment, id: &ServerId) -> bool {
         self.goodbyes.insert(id.clone(), now);
-        match self.servers.get(id) {
+        let changed = match self.servers.get(id) {
             Some(known) if known.standing != Standing::Gone => {
                 let announcement = known.announcement.clone();
                 self.put(now, announcement, Standing::Gone)
             }
             _ => false,
-        }
+        };
+        self.awaited_revision = self.revision;
+        changed
     }
 
     /// Merges an entry of another table; returns whether it changed more than the time.
@@ -254,11 +270,48 @@
         known.into_iter().map(|k| self.to_entry(k, now)).collect()
     }
 
+    /// Returns the servers that are in use and were heard before they count as silent.
+    pub fn heard_servers(&self, now: Moment) -> Vec<HeardServer> {
+        let heard = self.servers.values().filter(|k| k.is_heard(now));
+        let heard = heard.map(|k| HeardServer {
+            server: k.announcement.id.clone(),
+            start: k.announcement.start,
+            sequence: k.announcement.sequence,
+            age: now.since(k.heard),
+        });
+        heard.collect()
+    }
+
+    /// Merges the servers that another table's owner has heard. Returns whether this table has all of
+    /// them; otherwise a change was missed, and the other table is needed in full.
+    pub fn merge_heard(&mut self, now: Moment, heard: &[HeardServer]) -> bool {
+        let mut complete = true;
+        for told in heard {
+            let Some(known) = self.servers.get_mut(&told.server) else {
+                complete &= self.goodbyes.contains_key(&told.server);
+                continue;
+            };
+            let announced = &mut known.announcement;
+            if told.start != announced.start || known.standing == Standing::Lost {
+                complete &= told.start < announced.start;
+                continue;
+            }
+            announced.sequence = announced.sequence.max(told.sequence);
+            known.heard = known.heard.max(now - told.age);
+        }
+        complete
+    }
+
     /// Returns the table's revision, a number that rises with each change.
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// Returns the revision that every gateway is to have soon, since an acknowledgement waits for it.
+    pub fn awaited_revision(&self) -> u64 {
+        self.awaited_revision
+    }
+
     /// Returns all known servers.
     pub fn iter(&self) -> impl Iterator<Item = &KnownServer> {
         self.servers.values()
@@ -314,13 +367,23 @@
         self.limits.retain(|id, start, _| is_latest(id, start));
         self.leaving.forget(now, is_latest);
         self.goodbyes.retain(|_, at| !past(*at));
-        self.ranks.retain(|_, rank| !past(rank.received));
+        // A rank is told again only when it changes, so it is kept for as long as its server is.
+        let is_held = |address: &SocketAddr| {
+            let holder = self.holders.get(address);
+            holder.is_some_and(|id| servers.contains_key(id))
+        };
+        self.ranks
+            .retain(|address, rank| !past(rank.received) || is_held(address));
     }
 
     fn to_entry(&self, known: &KnownServer, now: Moment) -> Entry {
         let rank = self.known_rank(known);
+        let cold_left = known.heard.until(known.cold_until);
         Entry {
-            announcement: known.announcement.clone(),
+            announcement: Announcement {
+                cold_left,
+                ..known.announcement.clone()
+            },
             standing: known.standing,
             age: now.since(known.heard),
             rank: rank.map(|rank| RankEntry {
@@ -374,7 +437,11 @@
             }
             return false;
         };
-        let same = known.standing == standing
+        let cold_until = heard + announcement.cold_left;
+        let turned_cold = announcement.cold_left > Span::default()
+            && cold_until >= known.cold_until + COLD_TOLERANCE;
+        let same = !turned_cold
+            && known.standing == standing
             && known.announcement.address == announcement.address
             && known.announcement.slots == announcement.slots;
         if same && standing != Standing::Lost {
@@ -389,6 +456,7 @@
         self.revision += 1;
         let (id, address) = (announcement.id.clone(), announcement.address);
         let known = KnownServer {
+            cold_until: heard + announcement.cold_left,
             announcement,
             standing,
             heard,
@@ -494,6 +562,12 @@
 }
 
 impl KnownServer {
+    /// Whether it is in use and was heard before it counts as silent.
+    fn is_heard(&self, now: Moment) -> bool {
+        let in_use = matches!(self.standing, Standing::Ready | Standing::Draining);
+        in_use && now < self.heard + SILENCE_TIMEOUT
+    }
+
     fn report(&self) -> Report {
         Report {
             start: self.announcement.start,
