Names of the controllers' digest, and no pruning of what is merged

The list of what is merged of other controllers was pruned by the members of the cluster: a controller that is polled and not a member yet would have been asked for everything again and again. It is bounded by who is polled.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -27,7 +27,7 @@
     state.merge_leaving_servers(&poll.host, &poll.leaving);
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
     let mut controllers = state.controllers();
-    if controllers_digest(controllers.iter().copied()) == poll.controllers {
+    if controllers_digest(controllers.iter().copied()) == poll.controllers_digest {
         controllers.clear();
     }
     let now = state.clock.now();
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -61,9 +61,7 @@
 
     /// Returns how much of each other controller's table this one includes.
     pub(crate) fn coverage(&self) -> Vec<Coverage> {
-        let controllers = self.controllers();
-        let mut merged = self.merged.lock();
-        merged.retain(|address, _| controllers.contains(address));
+        let merged = self.merged.lock();
         let merged = merged.iter().map(|(controller, cursor)| Coverage {
             controller: *controller,
             cursor: *cursor,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -125,7 +125,7 @@
         loop {
             let named = news::controllers_digest(self.state.lock().named.iter().copied());
             let poll = Poll {
-                controllers: named,
+                controllers_digest: named,
                 ..self.handler.next_poll(address)
             };
             let limit = Span::from_micros(poll.wait.as_micros() + POLL_SLACK.as_micros());
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -175,7 +175,7 @@
     /// Updates the pools: those with a server that is not evacuated.
     fn update_pools(&mut self) {
         let usable = self.known.values().map(|s| &s.announced);
-        let usable = usable.filter(|s| !self.evacuated.contains(&s.zone));
+        let usable = usable.filter(|s| !self.is_evacuated(s));
         let pools: BTreeSet<&Pool> = usable.map(|s| &s.pool).collect();
         self.pools.clear();
         for pool in pools {
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -76,7 +76,7 @@
         pub cursor: Cursor,
         /// The [`controllers_digest`] of the controllers that the poller knows of; 0 if it knows none.
         #[serde(default)]
-        pub controllers: u64,
+        pub controllers_digest: u64,
         /// The revision of the evacuations that the poller has in force; none if it needs no news of
         /// them.
         #[serde(default)]
@@ -207,7 +207,7 @@
             told: Version(0),
             wants_document: false,
             cursor: Cursor::default(),
-            controllers: 0,
+            controllers_digest: 0,
             evacuations: None,
             without_entries: false,
             incremental: false,
