--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -38,6 +38,9 @@
     "GroupRestarted",
 ];
 
+/// Events whose effect on a process lasts until the next one, however long ago they were.
+const LASTING_EVENTS: [&str; 1] = ["ZoneEvacuated"];
+
 /// The error when a log can't be read.
 #[derive(Debug)]
 pub(crate) struct LogError {
@@ -148,11 +151,13 @@
         .flat_map(|l| split_words(&l.detail))
         .collect();
     let chosen = lines.iter().filter(|line| {
-        let near = line.micros().is_some_and(|at| from <= at && at <= until);
+        let before = line.micros().is_some_and(|at| at <= until);
+        let near = before && line.micros().is_some_and(|at| from <= at);
         let context = CONTEXT_EVENTS.contains(&line.msg.as_str());
-        let is_related =
-            processes.contains(&line.process.as_str()) || words.contains(&line.subject.as_str());
-        line.is_about(request) || (near && context && is_related)
+        let own_process = processes.contains(&line.process.as_str());
+        let is_related = own_process || words.contains(&line.subject.as_str());
+        let lasting = LASTING_EVENTS.contains(&line.msg.as_str()) && own_process;
+        line.is_about(request) || (near && context && is_related) || (before && lasting)
     });
     chosen.cloned().collect()
 }
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -76,6 +76,47 @@
     assert!(output.status.success());
 }
 
+/// Guards against a request that was refused because of an evacuation, which the explanation does not show because it
+/// was ordered long before.
+#[test]
+fn evacuation_shown() {
+    let gateway = log(
+        "evacuated",
+        &[
+            line(
+                "01.0",
+                "gw-1",
+                "ZoneEvacuated",
+                "a",
+                "a evacuated, by core-1",
+            ),
+            line(
+                "01.0",
+                "gw-2",
+                "ZoneEvacuated",
+                "b",
+                "b evacuated, by core-1",
+            ),
+            line("40.0", "gw-1", "RequestRefused", "r1", "Evacuated, 8s left"),
+            line(
+                "50.0",
+                "gw-1",
+                "ZoneEvacuated",
+                "a",
+                "a taken back, by core-1",
+            ),
+        ]
+        .concat(),
+    );
+    let output = explain("r1", &[gateway]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.contains("a evacuated"), "{text}");
+    assert!(
+        !text.contains("b evacuated") && !text.contains("taken back"),
+        "{text}"
+    );
+}
+
 /// Guards against silence when a log file is missing or when no line mentions the request.
 #[test]
 fn faults_named() {
