--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -11,7 +11,8 @@
 use snipemast_net::exec::pause;
 use snipemast_registry::heard::HEARD_INTERVAL;
 use snipemast_registry::news::{controllers_digest, RawDocument};
-use snipemast_registry::{Cursor, News, Poll, PollerKind};
+use snipemast_registry::relays::Coverage;
+use snipemast_registry::{Cursor, Entry, HeardServer, News, Poll, PollerKind};
 
 use crate::state::State;
 
@@ -26,19 +27,8 @@
     state.merge_limits(&poll.host, &poll.demands);
     state.merge_leaving_servers(&poll.host, &poll.leaving);
     state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
-    let mut controllers = state.controllers();
-    if controllers_digest(controllers.iter().copied()) == poll.controllers_digest {
-        controllers.clear();
-    }
     let now = state.clock.now();
-    let is_local = poll.zone.as_ref() == Some(&state.settings.zone);
-    let covered = if is_local && !poll.without_entries {
-        state.coverage()
-    } else {
-        Vec::new()
-    };
-    let cursor = state.cursor();
-    let after = poll.after(state.epoch);
+    let changes = table_changes(state, &poll, now);
     let version = state.voter.version();
     let document = (poll.wants_document && version > poll.version)
         .then(|| state.voter.document())
@@ -53,22 +43,16 @@
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
         PollerKind::Controller | PollerKind::Sidecar => Default::default(),
     };
-    let (entries, heard) = {
-        let table = state.table.lock();
-        let heard = poll.wants_heard.then(|| table.heard_servers(now));
-        let entries = (!poll.without_entries).then(|| table.since(after, now));
-        (entries.unwrap_or_default(), heard.unwrap_or_default())
-    };
     News {
-        cursor,
-        entries,
-        covered,
-        heard,
+        cursor: changes.cursor,
+        entries: changes.entries,
+        covered: changes.covered,
+        heard: changes.heard,
         version,
         document: document.map(|d| RawDocument(d.text)),
         evacuations,
         zone: state.settings.zone.clone(),
-        controllers,
+        controllers: unknown_controllers(state, &poll),
         leader: state.voter.leader().map(|(address, _)| address),
         gateways: pollers.gateway_count(now),
         local_gateways: poll
@@ -82,6 +66,42 @@
     }
 }
 
+/// What a poller lacks of the table.
+struct TableChanges {
+    cursor: Cursor,
+    entries: Vec<Entry>,
+    covered: Vec<Coverage>,
+    heard: Vec<HeardServer>,
+}
+
+/// Returns what a poller lacks of the table.
+///
+/// Position and coverage are read before the entries, which then include at least that much.
+fn table_changes(state: &State, poll: &Poll, now: Moment) -> TableChanges {
+    let is_local = poll.zone.as_ref() == Some(&state.settings.zone);
+    let covered = (is_local && !poll.without_entries).then(|| state.coverage());
+    let cursor = state.cursor();
+    let table = state.table.lock();
+    let after = poll.after(state.epoch);
+    let entries = (!poll.without_entries).then(|| table.since(after, now));
+    let heard = poll.wants_heard.then(|| table.heard_servers(now));
+    TableChanges {
+        cursor,
+        entries: entries.unwrap_or_default(),
+        covered: covered.unwrap_or_default(),
+        heard: heard.unwrap_or_default(),
+    }
+}
+
+/// Returns the addresses of all controllers, or none if the poller knows them.
+fn unknown_controllers(state: &State, poll: &Poll) -> Vec<SocketAddr> {
+    let controllers = state.controllers();
+    if controllers_digest(controllers.iter().copied()) == poll.controllers_digest {
+        return Vec::new();
+    }
+    controllers
+}
+
 fn has_news(state: &State, poll: &Poll) -> bool {
     let cursor = state.cursor();
     let version = state.voter.version();
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`leaving`]: servers that say in their answers that they are leaving.
 //! - [`rank`]: a server's place in a group of ranks.
 //! - [`relays`]: which controllers pass the changes of servers on to a gateway.
+//! - `report`: how reports of a server are ordered.
 //! - [`source`]: which controllers a gateway requests a configuration from.
 //! - [`pollers`]: which hosts poll a controller, and what each of them has.
 
@@ -21,6 +22,7 @@
 pub mod pollers;
 pub mod rank;
 pub mod relays;
+mod report;
 pub mod source;
 pub mod table;
 
--- a/crates/registry/src/relays.rs
+++ b/crates/registry/src/relays.rs
@@ -2,9 +2,10 @@
 //!
 //! Every controller has every change, and every gateway polls every controller, which sees by that that
 //! the gateway is connected and what it has. But only the controllers of the gateway's own availability
-//! zone (its relays) send it the changes, so that these cross to each zone once. A relay says how much
-//! of each other controller's table it has merged; this is what the gateway has of that table then. If
-//! the relays don't deliver in time what another controller has, the gateway asks that one.
+//! zone (its relays) send it the changes, so that only controllers send these between zones. A relay
+//! says how much of each other controller's table it has merged; this is what the gateway has of that
+//! table then. If the relays don't deliver in time what another controller has, the gateway asks that
+//! one.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,7 +52,6 @@
     /// How much of other tables it has passed on.
     covered: HashMap<SocketAddr, Cursor>,
     same_zone: bool,
-    answers: bool,
     /// What the relays did not deliver; it is asked for changes until they have.
     missed: Option<Cursor>,
     /// Whether the last poll asked it for changes.
@@ -62,7 +62,7 @@
     /// Prepares a poll of a controller: returns what the gateway has of its table, and whether the
     /// answer should carry the changes.
     pub fn prepare(&mut self, controller: SocketAddr) -> (Cursor, bool) {
-        let has_relay = self.known.values().any(|k| k.same_zone && k.answers);
+        let has_relay = self.known.values().any(|k| k.same_zone);
         let cursor = self.cursor(controller);
         let passed_on: Vec<Cursor> = self.passed_on(controller).collect();
         let known = self.known.entry(controller).or_default();
@@ -75,7 +75,7 @@
     /// Records an answer of a controller, after its entries were merged.
     pub fn record(&mut self, controller: SocketAddr, answer: RelayAnswer) {
         let known = self.known.entry(controller).or_default();
-        (known.same_zone, known.answers) = (answer.same_zone, true);
+        known.same_zone = answer.same_zone;
         known.reported = answer.cursor;
         if known.asked || answer.has_entries {
             known.cursor = answer.cursor;
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -17,6 +17,7 @@
 use crate::leaving::{LeavingServer, LeavingServers};
 use crate::limit::{KnownLimit, LimitEntry, LimitUpdate};
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankUpdate};
+use crate::report::Report;
 
 /// How long a server that sends no heartbeat stays ready.
 ///
@@ -505,62 +506,6 @@
     }
 }
 
-/// What was last heard of one start of a server.
-#[derive(Debug, Clone, Copy)]
-struct Report {
-    start: Incarnation,
-    sequence: u64,
-    standing: Standing,
-    heard: Moment,
-}
-
-impl Report {
-    /// Whether it is of a later start than another report, of the same server or of one at its
-    /// address.
-    ///
-    /// Starts are ordered by the time that servers give for them. A clock that is set back between
-    /// two starts reverses this order, so a start that is heard long after the other one fell
-    /// silent counts as the later one.
-    fn outranks(&self, other: &Self) -> bool {
-        if self.start == other.start {
-            return self.heard > other.heard;
-        }
-        if self.start > other.start {
-            return other.heard < self.heard + SILENCE_TIMEOUT;
-        }
-        self.heard >= other.heard + SILENCE_TIMEOUT
-    }
-
-    /// Returns the standing after a further report of the same start, or `None` if that report is
-    /// outdated.
-    fn merged_standing(&self, report: &Self) -> Option<Standing> {
-        let outdated = report.sequence <= self.sequence;
-        if self.standing == Standing::Gone {
-            return (!outdated && report.refutes(self)).then_some(report.standing);
-        }
-        if report.standing == Standing::Gone {
-            let refuted = self.sequence > report.sequence && self.refutes(report);
-            return (!refuted).then_some(Standing::Gone);
-        }
-        if outdated && report.standing <= self.standing {
-            return None;
-        }
-        Some(match self.standing {
-            // A server that is draining goes on draining until it restarts.
-            Standing::Draining => report.standing.max(Standing::Draining),
-            _ => report.standing,
-        })
-    }
-
-    /// Whether it shows that a goodbye was not from this start.
-    ///
-    /// The goodbye of the previous start may be delayed and cross the first heartbeats of this one,
-    /// which goes on announcing itself.
-    fn refutes(&self, goodbye: &Self) -> bool {
-        self.standing != Standing::Gone && self.heard >= goodbye.heard + SILENCE_TIMEOUT
-    }
-}
-
 impl KnownServer {
     /// Whether it is in use and was heard before it counts as silent.
     fn is_heard(&self, now: Moment) -> bool {
