--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -162,7 +162,7 @@
 
 /// Returns a number that identifies a set of controllers, in any order.
 ///
-/// Answers name controllers only where they changed: their names are a third of an answer without
+/// Answers name controllers only where they changed: their names make up much of an answer without
 /// news, which each controller sends to each gateway once a second.
 pub fn controllers_digest(controllers: impl IntoIterator<Item = SocketAddr>) -> u64 {
     let digest = |address: SocketAddr| {
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -219,6 +219,29 @@
     assert!(fleet.table.get(&id(1)).is_some());
 }
 
+/// Guards against the acknowledgement of a drain that waits for gateways which are not woken for it, and against
+/// gateways that every controller wakes for changes that it only heard of.
+#[test]
+fn only_reported_drains_awaited() {
+    let mut fleet = Fleet::new(2, 1);
+    let table = &mut fleet.controllers[0].table;
+    table.record_heartbeat(at(0), heartbeat(1, 1, false));
+    table.record_heartbeat(at(0), heartbeat(2, 1, false));
+    assert_eq!(table.awaited_revision(), 0);
+    table.record_heartbeat(at(1), heartbeat(1, 2, true));
+    let drained = table.revision();
+    assert_eq!(table.awaited_revision(), drained);
+    // The server repeats itself, here or where only others had heard it.
+    table.record_heartbeat(at(2), heartbeat(3, 1, false));
+    table.record_heartbeat(at(3), heartbeat(1, 3, true));
+    assert_eq!(table.awaited_revision(), table.revision());
+    table.record_goodbye(at(4), &id(2));
+    assert_eq!(table.awaited_revision(), table.revision());
+    fleet.exchange(at(5), 1, 0);
+    assert!(fleet.controllers[1].table.revision() > 0);
+    assert_eq!(fleet.controllers[1].table.awaited_revision(), 0);
+}
+
 quickcheck! {
     /// What a gateway reports to a controller, on which the acknowledgement of a drain waits, it has: whatever the order of
     /// exchanges, answers lost, and controllers that start anew.
