Requests are ordered by priority: of the workspace, then of the route

Lateness counts before priority, a workspace's priority before that of a route. The decision `order` has a third way, `priority`, which is the default; where all requests have one priority it orders as `lateness` does.

--- a/crates/benches/src/placing.rs
+++ b/crates/benches/src/placing.rs
@@ -276,7 +276,7 @@
                 excluded: &excluded,
             };
             let servers = &mut self.gateways[gateway];
-            let chosen = servers.choose(self.now, wanted, Urgency::InTime, chance);
+            let chosen = servers.choose(self.now, wanted, Urgency::default(), chance);
             let Ok(choice) = chosen else {
                 break;
             };
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -11,6 +11,7 @@
 };
 pub use crate::logs::{Journal, LogLevel, LogOutput};
 pub use crate::outcome::Outcome;
+pub use crate::priority::Priority;
 pub use crate::server::{Capabilities, LoadReport, Offer, Rank, ServerInfo};
 pub use crate::time::{Clock, Moment};
 pub use crate::units::{Rate, Size, Span};
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,7 +13,7 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::choice::{Constraints, Unplaced};
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::{Sends, Urgency};
+use snipemast_placement::{RequestPriority, Sends};
 use snipemast_platform::request::RequestHeaders;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
@@ -71,6 +71,8 @@
     let Match {
         route, workspace, ..
     } = matched;
+    let workspace_priority = workspace.as_ref().and_then(|w| w.priority);
+    let priority = RequestPriority::new(workspace_priority, route.priority);
     let patience = ask.timeout.unwrap_or(route.timeout).min(route.timeout);
     let (parts, body) = request.into_parts();
     let bound = routes.limits().body.as_bytes() as usize;
@@ -98,6 +100,7 @@
         body,
         service,
         workspace: workspace.map(|w| w.name.clone()),
+        priority,
         started,
         spent,
         deadline: started + patience,
@@ -269,7 +272,7 @@
 
     /// Whether the request is late and its answer could no longer end before its caller gives up.
     fn cannot_end_in_time(&self, job: &Job) -> bool {
-        let late = job.urgency(None) == Urgency::Late;
+        let late = job.urgency(None).is_late();
         late && job
             .stream_length()
             .is_some_and(|l| job.left() < l.shortest())
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,7 +18,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
-use snipemast_placement::{Choice, Pool, ServerFault, Urgency};
+use snipemast_placement::{Choice, Pool, RequestPriority, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_routes::{Repeat, Route};
@@ -51,6 +51,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<String>,
+    pub(crate) priority: RequestPriority,
     pub(crate) started: Moment,
     /// How much of its time the caller had spent before it asked here.
     pub(crate) spent: Span,
@@ -122,22 +123,26 @@
 
     /// Returns how urgent the request is compared with others.
     pub(crate) fn urgency(&self, last: Option<u64>) -> Urgency {
-        self.ordered_urgency(last).unwrap_or(Urgency::InTime)
+        self.ordered_urgency(last).unwrap_or_default()
     }
 
     /// Returns the urgency if requests are ordered by it. Only requests to engines are, because
     /// their queues are long.
     fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
-        let ordered = self.state.decisions.order == QueueOrder::Lateness;
-        if !ordered || self.route.gap.is_none() {
+        let order = self.state.decisions.order;
+        if order == QueueOrder::Arrival || self.route.gap.is_none() {
             return None;
         }
+        let priority = match order {
+            QueueOrder::Priority => self.priority,
+            _ => RequestPriority::default(),
+        };
         if last.is_some() && last != self.ask.last_event {
             return Some(Urgency::Resumed);
         }
         let waited = self.age().as_micros();
         let spent = Span::from_micros(self.spent.as_micros() + waited);
-        Some(Urgency::new(spent, self.route.objective))
+        Some(Urgency::new(spent, self.route.objective, priority))
     }
 
     /// Sends the request to a server and waits for the head of its answer.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -59,4 +59,4 @@
 pub use sends::Sends;
 pub use servers::{ServerFault, Servers};
 pub use shutdown::Shutdown;
-pub use urgency::{CallerPatience, Urgency};
+pub use urgency::{CallerPatience, RequestPriority, Urgency};
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -26,31 +26,64 @@
         /// In order of arrival.
         Arrival,
         /// Requests that can still be on time go first.
-        #[default]
         Lateness,
+        /// The same, and among them those of higher priority.
+        #[default]
+        Priority,
     }
 }
 
-/// How urgent a request is compared with others at the same server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The priority of a request: that of its workspace, and among equals that of its route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestPriority {
+    /// The priority of the workspace, or that of the route if the workspace has none.
+    pub workspace: Priority,
+    /// The priority of the route.
+    pub route: Priority,
+}
+
+impl RequestPriority {
+    /// Returns the priority of a workspace's request on a route.
+    pub fn new(workspace: Option<Priority>, route: Priority) -> Self {
+        Self {
+            workspace: workspace.unwrap_or(route),
+            route,
+        }
+    }
+}
+
+/// How urgent a request is compared with others of its service. The least one goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Urgency {
     /// A stream that is resumed: its caller has a part of the answer.
     Resumed,
     /// A request that can still be on time.
-    InTime,
+    InTime(RequestPriority),
     /// A request that is late whenever it begins.
-    Late,
+    Late(RequestPriority),
 }
 
 impl Urgency {
     /// Returns the urgency of a request. `spent` is the time since its caller first asked.
-    pub fn new(spent: Span, objective: Span) -> Self {
+    pub fn new(spent: Span, objective: Span, priority: RequestPriority) -> Self {
         if spent.times(100) < objective.times(LATE_PERCENT) {
-            Self::InTime
+            Self::InTime(priority)
         } else {
-            Self::Late
+            Self::Late(priority)
         }
     }
+
+    /// Whether the request is late whenever it begins.
+    pub const fn is_late(self) -> bool {
+        matches!(self, Self::Late(_))
+    }
+}
+
+impl Default for Urgency {
+    /// Returns the urgency of requests that are not ordered.
+    fn default() -> Self {
+        Self::InTime(RequestPriority::default())
+    }
 }
 
 /// How many requests a server may have in flight to be sent another one, in hundredths of its
@@ -67,8 +100,8 @@
     /// Returns the limit for a request of this urgency.
     pub fn limit_for(self, urgency: Urgency) -> u32 {
         match urgency {
-            Urgency::Resumed | Urgency::InTime => self.full,
-            Urgency::Late => self.full.min(self.late),
+            Urgency::Resumed | Urgency::InTime(_) => self.full,
+            Urgency::Late(_) => self.full.min(self.late),
         }
     }
 }
--- a/crates/placement/tests/common/mod.rs
+++ b/crates/placement/tests/common/mod.rs
@@ -43,7 +43,7 @@
     now: Moment,
     chance: u64,
 ) -> Result<Choice, Unplaced> {
-    with_constraints(|constraints| servers.choose(now, constraints, Urgency::InTime, chance))
+    with_constraints(|constraints| servers.choose(now, constraints, Urgency::default(), chance))
 }
 
 /// Whether one of the service's servers has a free slot.
--- a/crates/placement/tests/servers.rs
+++ b/crates/placement/tests/servers.rs
@@ -6,7 +6,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::pick::PickPolicy;
 use snipemast_placement::servers::{ServerFault, Servers};
-use snipemast_placement::{Pool, Urgency};
+use snipemast_placement::{Pool, RequestPriority, Urgency};
 
 const NOW: Moment = Moment::from_millis(50_000);
 
@@ -64,7 +64,7 @@
     let choice = servers.choose(
         NOW,
         constraints(&pool().service, &all_pools(), &[]),
-        Urgency::InTime,
+        Urgency::default(),
         chance,
     );
     choice.map(|c| c.server)
@@ -108,7 +108,7 @@
         .choose(
             later,
             constraints(&pool().service, &all_pools(), &[]),
-            Urgency::InTime,
+            Urgency::default(),
             1
         )
         .is_ok());
@@ -214,11 +214,11 @@
     servers.record_fault(NOW, &id(1), start, ServerFault::Still);
     assert_eq!(servers.frozen().collect::<Vec<_>>(), [&id(1)]);
     assert!(!servers.has_free_slot(later, constraints));
-    let chosen = servers.choose(later, constraints, Urgency::InTime, 1);
+    let chosen = servers.choose(later, constraints, Urgency::default(), 1);
     assert_eq!(chosen.unwrap_err(), Unplaced::AllOut);
     servers.mark_answering(later, &id(1), start);
     assert!(servers
-        .choose(later, constraints, Urgency::InTime, 1)
+        .choose(later, constraints, Urgency::default(), 1)
         .is_ok());
     assert_eq!(servers.frozen().count(), 0);
 }
@@ -237,7 +237,12 @@
     assert!(!moves(&servers), "the request may be answered where it is");
     servers.record_fault(NOW, &id(1), Incarnation(0), ServerFault::Still);
     assert!(moves(&servers));
-    assert!(!servers.may_move(NOW, &id(1), constraints, Urgency::Late));
+    assert!(!servers.may_move(
+        NOW,
+        &id(1),
+        constraints,
+        Urgency::Late(RequestPriority::default())
+    ));
     servers.set_other_counts(NOW, Span::default(), queued(6));
     assert!(!moves(&servers), "the request would be refused there");
 }
--- a/crates/placement/tests/turn.rs
+++ b/crates/placement/tests/turn.rs
@@ -1,7 +1,7 @@
 //! Tests of which requests begin first.
 
 use snipemast_core::prelude::*;
-use snipemast_placement::urgency::{CallerPatience, LoadLimits, Urgency};
+use snipemast_placement::urgency::{CallerPatience, LoadLimits, RequestPriority, Urgency};
 
 const OBJECTIVE: Span = Span::from_millis(400);
 
@@ -19,17 +19,13 @@
     assert_eq!(spent(0, 8_000), Span::default());
     let back = spent(5_000, 5_300);
     assert_eq!(back, Span::from_millis(2_700));
-    assert_eq!(Urgency::new(back, OBJECTIVE), Urgency::Late);
-    assert_eq!(
-        Urgency::new(spent(5_000, 7_990), OBJECTIVE),
-        Urgency::InTime
-    );
-    assert_eq!(
-        Urgency::new(Span::from_millis(300), OBJECTIVE),
-        Urgency::Late
-    );
+    let usual = RequestPriority::default();
+    let urgency = |spent| Urgency::new(spent, OBJECTIVE, usual);
+    assert_eq!(urgency(back), Urgency::Late(usual));
+    assert_eq!(urgency(spent(5_000, 7_990)), Urgency::InTime(usual));
+    assert_eq!(urgency(Span::from_millis(300)), Urgency::Late(usual));
     let limits = LoadLimits::default();
-    assert!(limits.limit_for(Urgency::Late) < limits.limit_for(Urgency::InTime));
+    assert!(limits.limit_for(Urgency::Late(usual)) < limits.limit_for(Urgency::InTime(usual)));
     assert_eq!(limits.limit_for(Urgency::Resumed), limits.full);
 }
 
@@ -48,3 +44,23 @@
         Span::default()
     );
 }
+
+/// A request of an urgent workspace waits behind others, because the priority of workspaces doesn't
+/// count, or counts after that of routes. Lateness counts before both.
+#[test]
+fn urgent_workspace_first() {
+    let priority = |workspace, route| {
+        RequestPriority::new(Some(Priority::new(workspace)), Priority::new(route))
+    };
+    let ordered = [
+        Urgency::Resumed,
+        Urgency::InTime(priority(0, 0)),
+        Urgency::InTime(priority(0, 2)),
+        Urgency::InTime(priority(1, 0)),
+        Urgency::Late(priority(0, 1)),
+        Urgency::Late(priority(1, 0)),
+    ];
+    assert!(ordered.is_sorted());
+    let without = RequestPriority::new(None, Priority::new(2));
+    assert_eq!(without, priority(2, 2));
+}
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -38,7 +38,7 @@
         /// The longest pause between two events of a stream that is on time.
         pub gap: Option<Span>,
         /// The priority of the requests; 0 is served first.
-        pub priority: u8,
+        pub priority: Priority,
         /// The services among which the requests are split.
         pub split: Vec<Share>,
         /// The most servers that one attempt of a caller may be sent to in all.
@@ -101,8 +101,8 @@
         pub name: String,
         /// The keys that callers present.
         pub keys: Vec<String>,
-        /// The priority of its requests, which overrides that of the route.
-        pub priority: Option<u8>,
+        /// The priority of its requests, which counts before that of their routes.
+        pub priority: Option<Priority>,
     }
 }
 
