Servers keep room for requests that can't wait

Cause: each server was filled up to 150 of 100 slots by whoever came. During a burst of the least urgent kind of request, urgent ones found servers full, and after each shift of the demand for experts the streams of all kinds paused for longer than promised, because too many ran.

Change: requests that can wait without being late, and those of the least urgent route of a service that has several priorities, are sent only to servers with at most 60 of 100 slots in use (`placement::reserve`, decision `yielding`). Priorities count as in use for 10 s after their last request, so services of one kind are served as before.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -111,6 +111,10 @@
         unlogged: UnloggedLines::default(),
     };
     state.budget.lock().record_request(started, &job.service);
+    if job.route.gap.is_some() {
+        let mut servers = state.servers.lock();
+        servers.record_request(started, &job.service, job.route.priority);
+    }
     place_request(Arc::new(job), active).await
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,9 +8,9 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
-use snipemast_placement::urgency::LoadLimits;
 use snipemast_placement::{
-    CallerPatience, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers, Shutdown,
+    CallerPatience, LoadLimits, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers,
+    Shutdown,
 };
 use snipemast_platform::settings::Settings;
 use snipemast_registry::Table as Registry;
@@ -76,6 +76,7 @@
             .with_load_limits(LoadLimits {
                 full: decisions.full,
                 late: decisions.late,
+                yielding: decisions.yielding,
             });
         let bounds = snipemast_placement::budget::RetryBounds {
             ratio: settings.bounds.retry_ratio,
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`choice`]: the inputs and the result of a choice.
 //! - [`pick`]: the policies that pick one of the servers that may take a request.
 //! - [`pools`]: groups servers that run and stall together into pools.
-//! - [`urgency`]: how urgent a request is, and how full a server may be for it.
+//! - [`urgency`]: how urgent a request is.
+//! - [`reserve`]: how full a server may be for a request, by its urgency.
 //!
 //! What servers ask for:
 //!
@@ -40,6 +41,7 @@
 pub mod passes;
 pub mod pick;
 pub mod pools;
+pub mod reserve;
 pub mod rests;
 pub mod returns;
 pub mod sends;
@@ -54,6 +56,7 @@
 pub use outage::Outages;
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
+pub use reserve::{LoadLimits, Reserve};
 pub use rests::Rests;
 pub use returns::RetrySchedule;
 pub use sends::Sends;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -19,8 +19,9 @@
 use crate::cold::ColdServers;
 use crate::pick::{Candidate, Freshness, Pick, PickPolicy};
 use crate::pools::Pool;
+use crate::reserve::{LoadLimits, Reserve};
 use crate::rests::Rests;
-use crate::urgency::{LoadLimits, Urgency};
+use crate::urgency::Urgency;
 
 mod asked;
 mod evacuation;
@@ -44,8 +45,7 @@
 #[derive(Debug)]
 pub struct Servers<P = PickPolicy> {
     pick: P,
-    /// How many requests a server may have in flight.
-    load_limits: LoadLimits,
+    reserve: Reserve,
     zone: ZoneId,
     known: BTreeMap<ServerId, Server>,
     /// The pools of each service's servers.
@@ -91,7 +91,7 @@
     pub fn new(zone: ZoneId) -> Self {
         Self {
             pick: P::default(),
-            load_limits: LoadLimits::default(),
+            reserve: Reserve::default(),
             zone,
             known: BTreeMap::new(),
             pools: HashMap::new(),
@@ -137,10 +137,15 @@
 
     /// Sets how many requests a server may have in flight before it counts as full.
     pub fn with_load_limits(mut self, load_limits: LoadLimits) -> Self {
-        self.load_limits = load_limits;
+        self.reserve = Reserve::new(load_limits);
         self
     }
 
+    /// Records a caller's request for a service on a route of this priority.
+    pub fn record_request(&mut self, now: Moment, service: &ServiceId, priority: Priority) {
+        self.reserve.record_request(now, service, priority);
+    }
+
     /// Sets the servers that may be sent requests, and keeps what is known of those that stay.
     /// Returns the addresses of the servers that are gone or have started again.
     ///
@@ -182,6 +187,8 @@
             let service = self.pools.entry(pool.service.clone()).or_default();
             service.push(pool.clone());
         }
+        let pools = &self.pools;
+        self.reserve.retain(|service| pools.contains_key(service));
     }
 
     /// Sets the number of requests that the other gateways reported in flight, and the average age
--- a/crates/placement/src/servers/open.rs
+++ b/crates/placement/src/servers/open.rs
@@ -63,7 +63,7 @@
         constraints: Constraints<'_>,
         urgency: Urgency,
     ) -> OpenServers<'_> {
-        let load_limit = self.load_limits.limit_for(urgency);
+        let load_limit = self.reserve.limit_for(constraints.service, urgency);
         let mut open = OpenServers::default();
         let (mut limited, mut leaving) = (Vec::new(), Vec::new());
         for (id, server) in &self.known {
@@ -126,8 +126,9 @@
         urgency: Urgency,
     ) -> bool {
         let frozen = self.known.get(from).is_some_and(|server| server.frozen);
+        let load_limit = self.reserve.limit_for(constraints.service, urgency);
         self.has_free_slot(now, constraints)
-            || frozen && self.has_open_server(now, constraints, self.load_limits.limit_for(urgency))
+            || frozen && self.has_open_server(now, constraints, load_limit)
     }
 
     fn has_open_server(&self, now: Moment, constraints: Constraints<'_>, load_limit: u32) -> bool {
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -10,10 +10,16 @@
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+use crate::outage::subtract;
+
 /// The part of the objective that may be spent before a request counts as late, in hundredths. The
 /// prompt and the first token take the rest.
 const LATE_PERCENT: u64 = 60;
 
+/// The time that a request can wait without being late from which on it counts as patient: long
+/// enough for a group to follow a shift of the demand for experts.
+const PATIENT_SLACK: Span = Span::from_millis(350);
+
 /// How long the longest patience of a route's callers is remembered. It falls when the
 /// configuration changes it.
 const PATIENCE_RETENTION: Span = Span::from_secs(30);
@@ -59,6 +65,8 @@
     Resumed,
     /// A request that can still be on time.
     InTime(RequestPriority),
+    /// A request that can still be on time after it has waited for a while.
+    Patient(RequestPriority),
     /// A request that is late whenever it begins.
     Late(RequestPriority),
 }
@@ -66,7 +74,11 @@
 impl Urgency {
     /// Returns the urgency of a request. `spent` is the time since its caller first asked.
     pub fn new(spent: Span, objective: Span, priority: RequestPriority) -> Self {
-        if spent.times(100) < objective.times(LATE_PERCENT) {
+        let latest = Span::from_micros(objective.as_micros() * LATE_PERCENT / 100);
+        let slack = subtract(latest, spent);
+        if slack >= PATIENT_SLACK {
+            Self::Patient(priority)
+        } else if slack > Span::default() {
             Self::InTime(priority)
         } else {
             Self::Late(priority)
@@ -86,37 +98,6 @@
     }
 }
 
-/// How many requests a server may have in flight to be sent another one, in hundredths of its
-/// slots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadLimits {
-    /// The limit for a request that can be on time.
-    pub full: u32,
-    /// The limit for a late request. What lies above is left to those that can be on time.
-    pub late: u32,
-}
-
-impl LoadLimits {
-    /// Returns the limit for a request of this urgency.
-    pub fn limit_for(self, urgency: Urgency) -> u32 {
-        match urgency {
-            Urgency::Resumed | Urgency::InTime(_) => self.full,
-            Urgency::Late(_) => self.full.min(self.late),
-        }
-    }
-}
-
-impl Default for LoadLimits {
-    /// A request in a server's own queue begins without a round-trip, and the server refuses what
-    /// is beyond that. Late requests get no place in the queue.
-    fn default() -> Self {
-        Self {
-            full: 150,
-            late: 100,
-        }
-    }
-}
-
 /// How long the callers of each route wait, which shows whether a caller asks again.
 #[derive(Debug, Clone, Default)]
 pub struct CallerPatience {
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -2,7 +2,8 @@
 
 use snipemast_core::data;
 use snipemast_placement::pick::PickPolicy;
-use snipemast_placement::urgency::{LoadLimits, QueueOrder};
+use snipemast_placement::urgency::QueueOrder;
+use snipemast_placement::LoadLimits;
 
 use crate::check::Settings;
 use crate::fault::{Fault, FaultKind};
@@ -27,6 +28,9 @@
         /// The same bound for requests that are already late, if requests that can still be on time
         /// go first.
         pub late: u32,
+        /// The same bound for requests that yield to others: those that can wait without being late,
+        /// and those of the least urgent route among several.
+        pub yielding: u32,
     }
 }
 
@@ -39,6 +43,7 @@
             holding: true,
             full: LoadLimits::default().full,
             late: LoadLimits::default().late,
+            yielding: LoadLimits::default().yielding,
         }
     }
 }
