Placement: an ordered queue of the requests that wait for a place

Cause: a request that finds all servers full looks again on its own, so that whoever looks at the right moment wins, and a newcomer overtakes all who wait.

Change: one queue for each service decides who looks next: by urgency, then the workspace that was given the fewest places, then arrival; each eighth place goes to the oldest. One request at a time looks. At most 512 wait; beyond that the least urgent is refused.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -19,6 +19,7 @@
 //! When a request can't be sent at once, or fails:
 //!
 //! - [`outage`]: which pools are out, and whether blocked requests wait, come back or are refused.
+//! - [`queue`]: which of the requests that wait for a place may try next.
 //! - [`returns`]: when blocked requests come back if all servers are limited or resting.
 //! - [`passes`]: whether new prompts are held back while an engine's forward passes are long.
 //! - [`length`]: estimates how long a stream takes.
@@ -40,6 +41,7 @@
 pub mod passes;
 pub mod pick;
 pub mod pools;
+pub mod queue;
 pub mod rests;
 pub mod returns;
 pub mod sends;
@@ -54,6 +56,7 @@
 pub use outage::Outages;
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
+pub use queue::PlaceQueue;
 pub use rests::Rests;
 pub use returns::RetrySchedule;
 pub use sends::Sends;
--- /dev/null
+++ b/crates/placement/src/queue.rs
@@ -0,0 +1,325 @@
+//! Decides which of the requests that wait for a place at a server may try next.
+//!
+//! A gateway has one queue for each service. One request at a time has the turn and looks for a
+//! place. If it finds one, the next request has the turn at once; if not, it stays where it is, and
+//! nobody looks until something may have freed a place.
+//!
+//! The most urgent request is first. The more urgent a request is, the fuller a server may be for
+//! it, so where the first one finds no place, none behind it would. A request that finds no place
+//! for a reason of its own, because no retry is left, passes the turn on.
+
+use std::collections::{BTreeMap, HashMap};
+
+use snipemast_core::prelude::*;
+
+use crate::choice::Unplaced;
+use crate::urgency::{RequestPriority, Urgency};
+
+/// The most requests of a service that wait in a gateway: several times what a gateway is sent
+/// within the longest wait.
+pub const MAX_WAITING: usize = 512;
+
+/// Once in this many places, the oldest request that waits gets one, whatever its urgency.
+const OLDEST_FIRST_EVERY: u64 = 8;
+
+/// How long the share of a workspace is remembered after the last of its requests has left.
+const SHARE_RETENTION: Span = Span::from_secs(5);
+
+/// The number of a waiting request, which no other request of the process has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// How the urgency of a waiting request is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ranking {
+    /// The urgency stays the same.
+    Fixed(Urgency),
+    /// The request becomes late while it waits.
+    Aging {
+        /// When its caller first asked.
+        asked: Moment,
+        /// The time within which its answer should begin.
+        objective: Span,
+        /// Its priority.
+        priority: RequestPriority,
+    },
+}
+
+impl Ranking {
+    /// Returns the urgency at a moment.
+    pub fn urgency(self, now: Moment) -> Urgency {
+        match self {
+            Self::Fixed(urgency) => urgency,
+            Self::Aging {
+                asked,
+                objective,
+                priority,
+            } => Urgency::new(now.since(asked), objective, priority),
+        }
+    }
+}
+
+/// A request that waits.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// Its workspace.
+    pub workspace: Option<String>,
+    /// How its urgency is found.
+    pub ranking: Ranking,
+    /// When it arrived at the gateway.
+    pub arrival: Moment,
+}
+
+/// The right to look for a place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Turn {
+    /// The request that has the turn.
+    pub ticket: Ticket,
+    /// The urgency with which it looks: that of the first request, so that the oldest one gets the
+    /// place that the first one would have taken.
+    pub urgency: Urgency,
+}
+
+/// What became of a request that joined a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Joined {
+    /// It waits.
+    Waits,
+    /// It waits, and this less urgent request is refused instead.
+    Replaces(Ticket),
+    /// It is refused, because the queue is full of requests that are at least as urgent.
+    Refused,
+}
+
+/// The requests of one service that wait in a gateway.
+#[derive(Debug)]
+pub struct PlaceQueue {
+    waiting: BTreeMap<Ticket, Entry>,
+    shares: HashMap<Option<String>, Share>,
+    /// The number of places that were given.
+    given: u64,
+    /// The places that the workspace of the last one had been given before. A workspace that begins
+    /// to wait starts from here, so that it has no credit for the time before.
+    level: u64,
+    /// The number of times that a place may have become free.
+    round: u64,
+    holder: Option<Ticket>,
+    /// Whether a place may have become free since the holder got the turn.
+    woken: bool,
+    /// Why the last request found no place.
+    blocked: Unplaced,
+}
+
+#[derive(Debug)]
+struct Entry {
+    request: WaitingRequest,
+    /// The round in which the request last passed the turn on.
+    passed: Option<u64>,
+}
+
+/// What a workspace was given.
+#[derive(Debug)]
+struct Share {
+    waiting: usize,
+    given: u64,
+    /// When the last of its requests left.
+    idle_since: Moment,
+}
+
+impl Default for PlaceQueue {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl PlaceQueue {
+    /// Creates an empty queue.
+    pub fn new() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            shares: HashMap::new(),
+            given: 0,
+            level: 0,
+            round: 0,
+            holder: None,
+            woken: false,
+            blocked: Unplaced::AllFull,
+        }
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Whether nothing is left to remember.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.shares.is_empty()
+    }
+
+    /// Returns why a new request has to wait: one that is at least as urgent waits for a place.
+    pub fn blocks(&self, now: Moment, urgency: Urgency) -> Option<Unplaced> {
+        let mut waiting = self.waiting.values();
+        let blocked =
+            waiting.any(|e| e.passed.is_none() && e.request.ranking.urgency(now) <= urgency);
+        blocked.then_some(self.blocked)
+    }
+
+    /// Adds a request, which does not look for a place before it has the turn.
+    pub fn join(&mut self, now: Moment, ticket: Ticket, request: WaitingRequest) -> Joined {
+        let mut joined = Joined::Waits;
+        if self.waiting.len() >= MAX_WAITING {
+            let Some(last) = self.last(now, ticket, &request) else {
+                return Joined::Refused;
+            };
+            self.remove(now, last);
+            joined = Joined::Replaces(last);
+        }
+        let level = self.level;
+        let share = self.shares.entry(request.workspace.clone());
+        let share = share.or_insert(Share {
+            waiting: 0,
+            given: level,
+            idle_since: now,
+        });
+        if share.waiting == 0 {
+            share.given = share.given.max(level);
+        }
+        share.waiting += 1;
+        let entry = Entry {
+            request,
+            passed: None,
+        };
+        self.waiting.insert(ticket, entry);
+        joined
+    }
+
+    /// Notes that a place may have become free. Returns who has the turn now, unless somebody has
+    /// it already.
+    pub fn wake(&mut self, now: Moment) -> Option<Turn> {
+        self.round += 1;
+        self.woken = self.holder.is_some();
+        self.next_turn(now)
+    }
+
+    /// Removes a request that found a place. Returns who has the turn next.
+    pub fn place(&mut self, now: Moment, ticket: Ticket) -> Option<Turn> {
+        let entry = self.remove(now, ticket)?;
+        self.given += 1;
+        if let Some(share) = self.shares.get_mut(&entry.request.workspace) {
+            self.level = self.level.max(share.given);
+            share.given += 1;
+        }
+        self.next_turn(now)
+    }
+
+    /// Puts back a request that found no place. Returns who has the turn next, if a place may have
+    /// become free meanwhile.
+    pub fn put_back(&mut self, now: Moment, ticket: Ticket, unplaced: Unplaced) -> Option<Turn> {
+        self.blocked = unplaced;
+        self.end_turn(ticket);
+        if let Some(entry) = self.waiting.get_mut(&ticket) {
+            entry.passed = None;
+        }
+        if self.woken {
+            self.next_turn(now)
+        } else {
+            None
+        }
+    }
+
+    /// Puts back a request that found no place for a reason of its own. Returns who has the turn
+    /// next.
+    pub fn pass(&mut self, now: Moment, ticket: Ticket) -> Option<Turn> {
+        self.end_turn(ticket);
+        if let Some(entry) = self.waiting.get_mut(&ticket) {
+            entry.passed = Some(self.round);
+        }
+        self.next_turn(now)
+    }
+
+    /// Removes a request that waits no longer. Returns who has the turn next, if the request had
+    /// it.
+    pub fn leave(&mut self, now: Moment, ticket: Ticket) -> Option<Turn> {
+        let held = self.holder == Some(ticket);
+        self.remove(now, ticket)?;
+        if held {
+            self.next_turn(now)
+        } else {
+            None
+        }
+    }
+
+    /// Forgets the workspaces of which nothing has waited for some seconds.
+    pub fn forget(&mut self, now: Moment) {
+        self.shares
+            .retain(|_, s| s.waiting > 0 || now < s.idle_since + SHARE_RETENTION);
+    }
+
+    /// Gives the turn to the next request, unless somebody has it already.
+    fn next_turn(&mut self, now: Moment) -> Option<Turn> {
+        if self.holder.is_some() {
+            return None;
+        }
+        let round = Some(self.round);
+        let open = || self.waiting.iter().filter(|(_, e)| e.passed != round);
+        let (urgency, .., first) = open().map(|(t, e)| self.rank(now, *t, e)).min()?;
+        let oldest_first = self.given % OLDEST_FIRST_EVERY == OLDEST_FIRST_EVERY - 1;
+        let oldest = open().map(|(t, e)| (e.request.arrival, *t)).min();
+        let ticket = match oldest {
+            Some((_, oldest)) if oldest_first => oldest,
+            _ => first,
+        };
+        self.holder = Some(ticket);
+        self.woken = false;
+        Some(Turn { ticket, urgency })
+    }
+
+    /// Returns the rank of a request; the least one is first. Among equals, the workspace that was
+    /// given the fewest places is first.
+    fn rank(&self, now: Moment, ticket: Ticket, entry: &Entry) -> (Urgency, u64, Moment, Ticket) {
+        let request = &entry.request;
+        let share = self.shares.get(&request.workspace);
+        let given = share.map_or(0, |s| s.given);
+        let urgency = request.ranking.urgency(now);
+        (urgency, given, request.arrival, ticket)
+    }
+
+    /// Returns the request that is refused if one more joins a full queue, or nothing if that is
+    /// the new one: the least urgent, and among equals one of the workspace with the most.
+    fn last(&self, now: Moment, new: Ticket, request: &WaitingRequest) -> Option<Ticket> {
+        let rank = |ticket: Ticket, request: &WaitingRequest, extra: usize| {
+            let share = self.shares.get(&request.workspace);
+            let waiting = share.map_or(0, |s| s.waiting) + extra;
+            let urgency = request.ranking.urgency(now);
+            (urgency, waiting, request.arrival, ticket)
+        };
+        let others = self
+            .waiting
+            .iter()
+            .filter(|(t, _)| self.holder != Some(**t));
+        let last = others.map(|(t, e)| rank(*t, &e.request, 0)).max()?;
+        (last > rank(new, request, 1)).then_some(last.3)
+    }
+
+    fn end_turn(&mut self, ticket: Ticket) {
+        if self.holder == Some(ticket) {
+            self.holder = None;
+        }
+    }
+
+    fn remove(&mut self, now: Moment, ticket: Ticket) -> Option<Entry> {
+        self.end_turn(ticket);
+        let entry = self.waiting.remove(&ticket)?;
+        if let Some(share) = self.shares.get_mut(&entry.request.workspace) {
+            share.waiting -= 1;
+            share.idle_since = now;
+        }
+        Some(entry)
+    }
+}
