Gateway: waiting streams are placed in order, and wait as long as callers do

Cause: each waiting stream looked for a place every 60 ms on its own. Callers of routes with an objective above 500 ms or a pause above 250 ms wait longer than the 1.6 s after which the gateway refused them.

Change: waiting streams are in the queue of their service. An answer that ends, new counts, other servers and a reopened pool let the first one look; one check each 60 ms for all queues finds what nobody tells. A newcomer waits behind those that are at least as urgent. A place in the queue is given up when its caller leaves. The longest wait follows from the route's objective and promised pause; it stays 1.6 s up to 500 ms and 250 ms.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -24,7 +24,7 @@
 use crate::send::{Failure, Job, Run};
 use crate::state::{ActiveRequest, State};
 use crate::stream;
-use crate::waiting::{wait_for_server, RETRY_AFTER_OUT};
+use crate::waiting::{wait_for_server, Waiting, RETRY_AFTER_OUT};
 
 /// The largest answer that is buffered before it is passed on, so that the request can be sent
 /// again if the answer breaks off.
@@ -153,6 +153,7 @@
     sends: Sends,
     /// Whether the retry budget already covers the next send.
     move_granted: bool,
+    waiting: Waiting,
 }
 
 /// What became of a request that was sent to servers.
@@ -228,8 +229,9 @@
                 return give_up(Unplaced::Out);
             }
             let chosen = {
+                let urgency = self.waiting.turn_urgency();
+                let urgency = urgency.unwrap_or_else(|| job.urgency(last));
                 let mut servers = job.state.servers.lock();
-                let urgency = job.urgency(last);
                 let constraints = Constraints {
                     service: &job.service,
                     allowed: &allowed,
@@ -247,6 +249,7 @@
                 servers.release(&choice.server, choice.start);
                 return give_up(Unplaced::Spent);
             }
+            self.waiting.end();
             let server = choice.server.clone();
             job.record_routed(&choice, !self.sends.is_empty());
             self.sends.begin();
@@ -294,14 +297,18 @@
 async fn place_request(job: Arc<Job>, active: ActiveRequest) -> Answer {
     let mut attempt = Attempt::default();
     let mut last_failure = None;
-    let mut queued = false;
     await_short_passes(&job).await;
+    let mut blocked = job.blocked_at_arrival();
     loop {
-        let run = match attempt.send_until_answered(&job, job.ask.last_event).await {
+        let placement = match blocked.take() {
+            Some(unplaced) => Placement::Unplaced(unplaced),
+            None => attempt.send_until_answered(&job, job.ask.last_event).await,
+        };
+        let run = match placement {
             Placement::Run(run) => *run,
             Placement::Unplaced(unplaced) => match last_failure {
                 Some(answer) => return answer,
-                None => match wait_for_server(&job, unplaced, &mut queued).await {
+                None => match wait_for_server(&job, unplaced, &mut attempt.waiting).await {
                     Some(refused) => return refused,
                     None => {
                         attempt.excluded.clear();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! - `stream`: passes a stream on, and resumes it at another server if it breaks.
 //! - `request_log`: what is logged and measured of a request.
 //! - `waiting`: requests that no server may take now.
+//! - `queue`: the requests that wait for a place, and who of them looks for one.
 //! - `limits`: rate limits that servers name, and the leader's grants.
 //! - `rests`: rests that servers ask for, and servers that are leaving.
 //! - `unknown`: unknown headers in servers' answers.
@@ -29,6 +30,7 @@
 mod limits;
 mod metrics;
 mod news;
+mod queue;
 mod request_log;
 mod rests;
 mod send;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -255,6 +255,7 @@
         let gone = servers.set_announced(now, announced);
         servers.set_limits(now, limits);
         drop(servers);
+        self.state.waiting.wake_all(now);
         for address in gone {
             self.state.connections.close_idle(address);
         }
@@ -328,6 +329,7 @@
             servers.set_other_counts(now, news.age, counts);
             servers.set_slow(slow.collect());
             drop(servers);
+            self.state.waiting.wake_all(now);
             frozen::check_reported(&self.state, &news.silent);
             if let Some(grants) = news.grants {
                 let entry = known.controllers.entry(controller).or_default();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,6 +19,7 @@
 use crate::answer::{local_answer, Answer};
 use crate::handle::handle;
 use crate::news::NewsReader;
+use crate::queue::check_queues;
 use crate::state::State;
 
 /// The result of running a gateway.
@@ -76,6 +77,7 @@
         })),
         spawn(follow_seeds(settings, feed, Arc::clone(&state))),
         spawn(expire_connections(Arc::clone(&state))),
+        spawn(check_queues(Arc::clone(&state))),
     ];
     journal.record(Event::ProcessStarted, front, "gateway");
     end.await;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -79,6 +79,7 @@
 #[derive(Debug)]
 struct InFlight {
     state: Arc<State>,
+    service: ServiceId,
     server: ServerId,
     start: Incarnation,
     begun: Moment,
@@ -87,6 +88,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.state.servers.lock().release(&self.server, self.start);
+        let now = self.state.clock.now();
+        self.state.waiting.wake(now, &self.service);
     }
 }
 
@@ -128,7 +131,7 @@
 
     /// Returns the urgency if requests are ordered by it. Only requests to engines are, because
     /// their queues are long.
-    fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
+    pub(crate) fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
         let order = self.state.decisions.order;
         if order == QueueOrder::Arrival || self.route.gap.is_none() {
             return None;
@@ -154,6 +157,7 @@
     ) -> Result<Run, Failure> {
         let in_flight = InFlight {
             state: Arc::clone(&self.state),
+            service: self.service.clone(),
             server: choice.server.clone(),
             start: choice.start,
             begun: self.state.clock.now(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
 
 use crate::connections::ConnectionPool;
 use crate::metrics::Metrics;
+use crate::queue::WaitingRequests;
 use crate::unknown::UnknownHeaders;
 
 /// The state that the parts of a gateway share. Each part of it has its own lock.
@@ -42,8 +43,8 @@
     pub(crate) patience: Mutex<CallerPatience>,
     /// Wakes requests whose server was found to be frozen.
     pub(crate) frozen: Signal,
-    /// Wakes requests that wait for a service.
-    pub(crate) reopened: Signal,
+    /// The requests that wait for a place at a server.
+    pub(crate) waiting: WaitingRequests,
     pub(crate) retry_schedule: Mutex<RetrySchedule>,
     pub(crate) passes: Mutex<PassTimes>,
     /// Wakes requests that wait for short forward passes.
@@ -95,7 +96,7 @@
             outages: Mutex::new(Outages::new()),
             patience: Mutex::default(),
             frozen: Signal::new(),
-            reopened: Signal::new(),
+            waiting: WaitingRequests::default(),
             retry_schedule: Mutex::default(),
             passes: Mutex::new(PassTimes::new()),
             shortened: Signal::new(),
@@ -144,10 +145,10 @@
     }
 
     /// Logs that a pool is out or open again. If it is open again, waiting requests look for a
-    /// server again.
+    /// place again.
     pub(crate) fn log_outage(&self, pool: &Pool, event: Event, detail: &str) {
         if event == Event::ServiceReopened {
-            self.reopened.notify(usize::MAX);
+            self.waiting.wake(self.clock.now(), &pool.service);
         }
         let group = pool.group.as_ref().map_or("", GroupId::as_str);
         let detail = format_args!("{group}: {detail}");
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -1,15 +1,18 @@
 //! Requests that no server may take now: they wait, or their callers come back later.
 
 use snipemast_core::prelude::*;
-use snipemast_net::exec::pause;
+use snipemast_net::exec::{pause, within};
 use snipemast_placement::choice::Unplaced;
 use snipemast_placement::outage::{
-    defer, BlockedRequest, Deferral, DEFAULT_STREAM_TIME, PROBE_INTERVAL,
+    defer, longest_wait, BlockedRequest, Deferral, DEFAULT_STREAM_TIME, RETRY_DIVISOR,
 };
+use snipemast_placement::queue::{Ranking, WaitingRequest};
 use snipemast_placement::returns::HeldRequest;
+use snipemast_placement::Urgency;
 
 use crate::answer::{refusal, Answer};
 use crate::metrics::Ended;
+use crate::queue::{Call, QueuePlace};
 use crate::send::Job;
 
 /// When a caller may come back after a refusal: after a forward pass of the engine, or after a
@@ -17,52 +20,130 @@
 const RETRY_AFTER_FULL: Span = Span::from_millis(300);
 pub(crate) const RETRY_AFTER_OUT: Span = Span::from_millis(700);
 
+/// The wait of a request for a place at a server.
+#[derive(Debug, Default)]
+pub(crate) struct Waiting {
+    place: Option<QueuePlace>,
+    /// The urgency with which the request looks for a place while it has the turn.
+    turn: Option<Urgency>,
+    /// Whether it was logged that the request waits.
+    logged: bool,
+}
+
+impl Waiting {
+    /// Returns the urgency of the request's turn, if it has the turn.
+    pub(crate) fn turn_urgency(&self) -> Option<Urgency> {
+        self.turn
+    }
+
+    /// Ends the wait, because the request found a place.
+    pub(crate) fn end(&mut self) {
+        self.turn = None;
+        if let Some(place) = self.place.take() {
+            place.found();
+        }
+    }
+
+    /// Waits until the request may look for a place. Returns nothing if it may not within this
+    /// time.
+    async fn next_call(&mut self, job: &Job, unplaced: Unplaced, span: Span) -> Option<Call> {
+        if self.place.is_none() {
+            let Some(place) = QueuePlace::join(&job.state, &job.service, job.waiting_request())
+            else {
+                return Some(Call::Refuse);
+            };
+            self.place = Some(place);
+        } else if let (Some(place), Some(_)) = (&self.place, self.turn.take()) {
+            place.put_back(unplaced);
+        }
+        let call = within(span, self.place.as_ref()?.next_call()).await;
+        if let Some(Call::Look(urgency)) = call {
+            self.turn = Some(urgency);
+        }
+        call
+    }
+}
+
+impl Job {
+    fn waiting_request(&self) -> WaitingRequest {
+        let ranking = match self.ordered_urgency(self.ask.last_event) {
+            Some(Urgency::InTime(priority)) => Ranking::Aging {
+                asked: self.started - self.spent,
+                objective: self.route.objective,
+                priority,
+            },
+            urgency => Ranking::Fixed(urgency.unwrap_or_default()),
+        };
+        WaitingRequest {
+            workspace: self.workspace.clone(),
+            ranking,
+            arrival: self.started,
+        }
+    }
+
+    fn blocked_request(&self) -> BlockedRequest {
+        BlockedRequest {
+            left: self.left(),
+            waited: self.age(),
+            timeout: self.route.timeout,
+            answer_time: self
+                .stream_length()
+                .map_or(DEFAULT_STREAM_TIME, |length| length.expected()),
+            longest_wait: longest_wait(self.route.objective, self.route.gap),
+        }
+    }
+
+    /// Returns why a new stream has to wait before it looks for a server: one that is at least as
+    /// urgent waits already. A stream that has no time to wait looks at once.
+    pub(crate) fn blocked_at_arrival(&self) -> Option<Unplaced> {
+        if !self.route.repeat.is_stream() {
+            return None;
+        }
+        let now = self.state.clock.now();
+        let urgency = self.urgency(self.ask.last_event);
+        let unplaced = self.state.waiting.blocks(now, &self.service, urgency)?;
+        let may_wait = matches!(defer(&self.blocked_request()), Deferral::Queue(_));
+        may_wait.then_some(unplaced)
+    }
+}
+
 /// Waits for a service that is out or full, if the request can still be answered after that.
 /// Returns the refusal otherwise.
 pub(crate) async fn wait_for_server(
     job: &Job,
     unplaced: Unplaced,
-    queued: &mut bool,
+    waiting: &mut Waiting,
 ) -> Option<Answer> {
-    /// How often a waiting request looks for a slot.
-    const SLOT_CHECK_INTERVAL: Span = Span::from_millis(60);
     let scheduled = [
         Unplaced::AllLimited,
         Unplaced::AllResting,
         Unplaced::AllCold,
     ];
     if scheduled.contains(&unplaced) {
-        return wait_for_schedule(job, unplaced, queued).await;
+        (waiting.place, waiting.turn) = (None, None);
+        return wait_for_schedule(job, unplaced, &mut waiting.logged).await;
     }
-    let is_out = unplaced == Unplaced::Out;
-    let may_queue = is_out || [Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
+    let may_queue = [Unplaced::Out, Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
     if !may_queue || !job.route.repeat.is_stream() {
         return Some(refuse(job, unplaced, retry_after(unplaced)));
     }
-    let now = job.state.clock.now();
-    let blocked = BlockedRequest {
-        left: job.left(),
-        waited: now.since(job.started),
-        timeout: job.route.timeout,
-        answer_time: job
-            .stream_length()
-            .map_or(DEFAULT_STREAM_TIME, |length| length.expected()),
-    };
-    let span = match defer(&blocked) {
-        Deferral::Queue(span) => span,
-        Deferral::RetryLater(span) => return Some(refuse(job, unplaced, span)),
-        Deferral::Refuse => return Some(refuse(job, unplaced, retry_after(unplaced))),
-    };
-    log_queued(job, unplaced, span, queued);
-    let reopened = job.state.reopened.listen();
-    let wait = if is_out {
-        PROBE_INTERVAL
-    } else {
-        SLOT_CHECK_INTERVAL
+    loop {
+        let span = match defer(&job.blocked_request()) {
+            Deferral::Queue(span) => span,
+            Deferral::RetryLater(span) => return Some(refuse(job, unplaced, span)),
+            Deferral::Refuse => return Some(refuse(job, unplaced, retry_after(unplaced))),
+        };
+        log_queued(job, unplaced, span, &mut waiting.logged);
+        match waiting.next_call(job, unplaced, span).await {
+            Some(Call::Look(_)) => return None,
+            Some(Call::Refuse) => {
+                let part = job.left().as_micros() / RETRY_DIVISOR;
+                return Some(refuse(job, unplaced, Span::from_micros(part)));
+            }
+            // The next round refuses the request.
+            None => {}
+        }
     }
-    .min(span);
-    futures_lite::future::or(reopened, pause(wait)).await;
-    None
 }
 
 /// Waits until the scheduled time of a request whose servers are all limited, resting or cold, if the
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -23,9 +23,17 @@
 /// its end, plus some tenths of a second of waiting for a slot.
 pub const DEFAULT_STREAM_TIME: Span = Span::from_millis(2_300);
 
-/// The longest time that a request waits in the gateway. Callers give up on a stream that shows
-/// nothing for two seconds, and its first token takes some 0.2 s.
-pub const MAX_QUEUE_TIME: Span = Span::from_millis(1_600);
+/// How long the callers of a stream wait at least for its next piece before they give up.
+const MIN_CALLER_WAIT: Span = Span::from_secs(2);
+
+/// Callers wait this many times the objective of their route, if that is longer.
+const WAIT_PER_OBJECTIVE: u64 = 4;
+
+/// Callers wait this many times the pause that their route promises, if that is longer.
+const WAIT_PER_PAUSE: u64 = 8;
+
+/// The part of the callers' wait that is left to the first token: some 0.2 s, and as much again.
+const FIRST_TOKEN_TIME: Span = Span::from_millis(400);
 
 /// A caller comes back after at most its remaining time divided by this.
 pub const RETRY_DIVISOR: u64 = 3;
@@ -189,6 +197,18 @@
     pub timeout: Span,
     /// How long its answer takes once it is sent.
     pub answer_time: Span,
+    /// How long requests of its route wait in the gateway at most.
+    pub longest_wait: Span,
+}
+
+/// Returns how long a request waits in the gateway at most, so that its first token comes before
+/// its caller gives up. The route names the time within which answers should begin, and may promise
+/// a pause between pieces.
+pub fn longest_wait(objective: Span, pause_target: Option<Span>) -> Span {
+    let for_objective = objective.times(WAIT_PER_OBJECTIVE);
+    let for_pause = pause_target.unwrap_or_default().times(WAIT_PER_PAUSE);
+    let wait = MIN_CALLER_WAIT.max(for_objective).max(for_pause);
+    subtract(wait, FIRST_TOKEN_TIME)
 }
 
 /// Decides what happens to a request that can't be sent now.
@@ -196,15 +216,16 @@
 /// The request waits in the gateway for as long as its caller tolerates it and the request can
 /// still be answered afterwards. After that, a first attempt is told to come back later. A request
 /// that came back already is refused, because its caller gives up after that. This way a request
-/// survives an outage of 5.3 s in total: 1.6 s here, a third of what is left, and 1.6 s again. It
-/// would be 4.3 s if the first attempt were sent back at once.
+/// of a route with a timeout of 8 s and an objective of at most 0.5 s survives an outage of 5.3 s in
+/// total: 1.6 s here, a third of what is left, and 1.6 s again. It would be 4.3 s if the first
+/// attempt were sent back at once.
 pub fn defer(blocked: &BlockedRequest) -> Deferral {
     /// A first attempt has at least this part of its route's timeout left, in hundredths.
     const FIRST_ATTEMPT_PERCENT: u64 = 80;
     let left_at_first = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
     let first = left_at_first.times(100) >= blocked.timeout.times(FIRST_ATTEMPT_PERCENT);
-    let spare =
-        subtract(blocked.left, blocked.answer_time).min(subtract(MAX_QUEUE_TIME, blocked.waited));
+    let spare = subtract(blocked.left, blocked.answer_time)
+        .min(subtract(blocked.longest_wait, blocked.waited));
     if spare > Span::default() {
         return Deferral::Queue(spare);
     }
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -2,13 +2,16 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::{
-    defer, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange, DEFAULT_STREAM_TIME,
-    MAX_QUEUE_TIME, PROBE_INTERVAL,
+    defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
+    DEFAULT_STREAM_TIME, PROBE_INTERVAL,
 };
 use snipemast_placement::pools::{GroupState, Pool};
 
 const TIMEOUT: Span = Span::from_secs(8);
 
+/// The longest wait of a route with an objective of 400 ms and a promised pause of 120 ms.
+const MAX_QUEUE_TIME: Span = Span::from_millis(1_600);
+
 fn pool(group: Option<&str>) -> Pool {
     Pool {
         service: ServiceId::new("lector").unwrap(),
@@ -29,6 +32,7 @@
         waited,
         timeout: TIMEOUT,
         answer_time: DEFAULT_STREAM_TIME,
+        longest_wait: longest_wait(Span::from_millis(400), Some(Span::from_millis(120))),
     }
 }
 
@@ -99,6 +103,22 @@
     assert_eq!(defer(&blocked(after, MAX_QUEUE_TIME)), Deferral::Refuse);
 }
 
+/// The callers of a route whose answers may begin after a second wait for 4 s. They are refused
+/// after 1.6 s, although a place would have become free in time.
+#[test]
+fn patient_callers_wait() {
+    let ms = Span::from_millis;
+    assert_eq!(longest_wait(ms(1_000), None), ms(3_600));
+    assert_eq!(longest_wait(ms(400), Some(ms(400))), ms(2_800));
+    assert_eq!(longest_wait(ms(500), Some(ms(250))), MAX_QUEUE_TIME);
+    assert_eq!(longest_wait(Span::default(), None), MAX_QUEUE_TIME);
+    let patient = BlockedRequest {
+        longest_wait: longest_wait(ms(1_000), Some(ms(120))),
+        ..blocked(ms(6_400), MAX_QUEUE_TIME)
+    };
+    assert_eq!(defer(&patient), Deferral::Queue(ms(2_000)));
+}
+
 /// A first attempt is refused without waiting, or does not come back after waiting.
 #[test]
 fn first_attempt_waits() {
