Placement: a request without a retry lets others go first for 60 ms

Cause: a waiting request whose retry budget is spent would look again, with a log line, for each place that becomes free.

Result: spent_passes_turn holds it; it looked at each wake before.

--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -22,6 +22,10 @@
 /// Once in this many places, the oldest request that waits gets one, whatever its urgency.
 const OLDEST_FIRST_EVERY: u64 = 8;
 
+/// How long a request that has no retry left lets others go first. Retries are earned by other
+/// requests, not by places that become free.
+const SPENT_PAUSE: Span = Span::from_millis(60);
+
 /// How long the share of a workspace is remembered after the last of its requests has left.
 const SHARE_RETENTION: Span = Span::from_secs(5);
 
@@ -101,8 +105,6 @@
     /// The places that the workspace of the last one had been given before. A workspace that begins
     /// to wait starts from here, so that it has no credit for the time before.
     level: u64,
-    /// The number of times that a place may have become free.
-    round: u64,
     holder: Option<Ticket>,
     /// Whether a place may have become free since the holder got the turn.
     woken: bool,
@@ -113,8 +115,8 @@
 #[derive(Debug)]
 struct Entry {
     request: WaitingRequest,
-    /// The round in which the request last passed the turn on.
-    passed: Option<u64>,
+    /// Until when the request lets others go first, if it last passed the turn on.
+    passed_until: Option<Moment>,
 }
 
 /// What a workspace was given.
@@ -140,7 +142,6 @@
             shares: HashMap::new(),
             given: 0,
             level: 0,
-            round: 0,
             holder: None,
             woken: false,
             blocked: Unplaced::AllFull,
@@ -166,7 +167,7 @@
     pub fn blocks(&self, now: Moment, urgency: Urgency) -> Option<Unplaced> {
         let mut waiting = self.waiting.values();
         let blocked =
-            waiting.any(|e| e.passed.is_none() && e.request.ranking.urgency(now) <= urgency);
+            waiting.any(|e| e.passed_until.is_none() && e.request.ranking.urgency(now) <= urgency);
         blocked.then_some(self.blocked)
     }
 
@@ -193,7 +194,7 @@
         share.waiting += 1;
         let entry = Entry {
             request,
-            passed: None,
+            passed_until: None,
         };
         self.waiting.insert(ticket, entry);
         joined
@@ -202,7 +203,6 @@
     /// Notes that a place may have become free. Returns who has the turn now, unless somebody has
     /// it already.
     pub fn wake(&mut self, now: Moment) -> Option<Turn> {
-        self.round += 1;
         self.woken = self.holder.is_some();
         self.next_turn(now)
     }
@@ -224,7 +224,7 @@
         self.blocked = unplaced;
         self.end_turn(ticket);
         if let Some(entry) = self.waiting.get_mut(&ticket) {
-            entry.passed = None;
+            entry.passed_until = None;
         }
         if self.woken {
             self.next_turn(now)
@@ -238,7 +238,7 @@
     pub fn pass(&mut self, now: Moment, ticket: Ticket) -> Option<Turn> {
         self.end_turn(ticket);
         if let Some(entry) = self.waiting.get_mut(&ticket) {
-            entry.passed = Some(self.round);
+            entry.passed_until = Some(now + SPENT_PAUSE);
         }
         self.next_turn(now)
     }
@@ -266,8 +266,8 @@
         if self.holder.is_some() {
             return None;
         }
-        let round = Some(self.round);
-        let open = || self.waiting.iter().filter(|(_, e)| e.passed != round);
+        let is_open = |e: &Entry| e.passed_until.is_none_or(|until| now >= until);
+        let open = || self.waiting.iter().filter(|(_, e)| is_open(e));
         let (urgency, .., first) = open().map(|(t, e)| self.rank(now, *t, e)).min()?;
         let oldest_first = self.given % OLDEST_FIRST_EVERY == OLDEST_FIRST_EVERY - 1;
         let oldest = open().map(|(t, e)| (e.request.arrival, *t)).min();
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -222,7 +222,8 @@
     assert_eq!(queue.put_back(now, turn.ticket, Unplaced::AllFull), None);
 }
 
-/// A request whose retries are used up is first in the queue, and no other looks for a place.
+/// A request whose retries are used up is first in the queue, and no other looks for a place, or it
+/// looks again for each place that becomes free.
 #[test]
 fn spent_passes_turn() {
     let mut queue = queue_of(&[("a", 0), ("a", 1), ("a", 2)]);
@@ -235,7 +236,10 @@
     let urgency = |number| Urgency::InTime(priority(number));
     assert_eq!(queue.blocks(now, urgency(1)), None);
     assert!(queue.blocks(now, urgency(2)).is_some());
-    assert_eq!(queue.wake(now).unwrap().ticket, Ticket(0));
+    let turn = queue.wake(now).unwrap();
+    assert_eq!(turn.ticket, Ticket(2));
+    queue.put_back(now, turn.ticket, Unplaced::AllFull);
+    assert_eq!(queue.wake(at(70)).unwrap().ticket, Ticket(0));
 }
 
 /// A gateway keeps a share for each workspace that ever waited.
