Placement: a queue tells newcomers why those wait who joined last

Cause: a newcomer was told the reason of the last look, perhaps that of an outage seconds ago; and a stream without a retry held newcomers back until its first turn.

Change: the reason comes with each stream that joins; one without a retry is skipped from the start.

Result: newcomer_waits and spent_passes_turn fail with either part taken out.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -48,8 +48,8 @@
     /// time.
     async fn next_call(&mut self, job: &Job, unplaced: Unplaced, span: Span) -> Option<Call> {
         if self.place.is_none() {
-            let Some(place) = QueuePlace::join(&job.state, &job.service, job.waiting_request())
-            else {
+            let request = job.waiting_request(unplaced);
+            let Some(place) = QueuePlace::join(&job.state, &job.service, request) else {
                 return Some(Call::Refuse);
             };
             self.place = Some(place);
@@ -65,7 +65,7 @@
 }
 
 impl Job {
-    fn waiting_request(&self) -> WaitingRequest {
+    fn waiting_request(&self, unplaced: Unplaced) -> WaitingRequest {
         let ranking = match self.ordered_urgency(self.ask.last_event) {
             Some(Urgency::InTime(priority)) => Ranking::Aging {
                 asked: self.started - self.spent,
@@ -78,6 +78,7 @@
             workspace: self.workspace.clone(),
             ranking,
             arrival: self.started,
+            unplaced,
         }
     }
 
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -72,6 +72,8 @@
     pub ranking: Ranking,
     /// When it arrived at the gateway.
     pub arrival: Moment,
+    /// Why it waits.
+    pub unplaced: Unplaced,
 }
 
 /// The right to look for a place.
@@ -192,9 +194,13 @@
             share.given = share.given.max(level);
         }
         share.waiting += 1;
+        let spent = request.unplaced == Unplaced::Spent;
+        if !spent {
+            self.blocked = request.unplaced;
+        }
         let entry = Entry {
             request,
-            passed_until: None,
+            passed_until: spent.then_some(now + SPENT_PAUSE),
         };
         self.waiting.insert(ticket, entry);
         joined
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -29,6 +29,7 @@
             priority: priority(number),
         },
         arrival,
+        unplaced: Unplaced::AllFull,
     }
 }
 
@@ -92,6 +93,9 @@
     assert_eq!(queue.blocks(now, urgency(1)), Some(Unplaced::Out));
     assert_eq!(served(&mut queue, now, 1), [0]);
     assert_eq!(queue.blocks(now, urgency(2)), None);
+    // An outage that is over is no longer the reason.
+    queue.join(now, Ticket(1), request("a", 1, now));
+    assert_eq!(queue.blocks(now, urgency(1)), Some(Unplaced::AllFull));
 }
 
 /// A workspace sends a hundred requests at once, and a single request of another one waits behind
@@ -236,6 +240,12 @@
     let urgency = |number| Urgency::InTime(priority(number));
     assert_eq!(queue.blocks(now, urgency(1)), None);
     assert!(queue.blocks(now, urgency(2)).is_some());
+    let spent = WaitingRequest {
+        unplaced: Unplaced::Spent,
+        ..request("a", 0, now)
+    };
+    queue.join(now, Ticket(3), spent);
+    assert_eq!(queue.blocks(now, urgency(1)), None);
     let turn = queue.wake(now).unwrap();
     assert_eq!(turn.ticket, Ticket(2));
     queue.put_back(now, turn.ticket, Unplaced::AllFull);
