Merge the queue of waiting streams; what yields is said by a request's class

Cause: the queue lets only the first request look, which holds only if load limits never grow as urgency falls. With the reserve they did: an in-time request of the least urgent route stood before late ones of other routes that had more room.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,7 +13,7 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::choice::{Constraints, Unplaced};
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::{RequestPriority, Sends};
+use snipemast_placement::{RequestClass, RequestPriority, Sends};
 use snipemast_platform::request::RequestHeaders;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
@@ -24,7 +24,7 @@
 use crate::send::{Failure, Job, Run};
 use crate::state::{ActiveRequest, State};
 use crate::stream;
-use crate::waiting::{wait_for_server, RETRY_AFTER_OUT};
+use crate::waiting::{wait_for_server, Waiting, RETRY_AFTER_OUT};
 
 /// The largest answer that is buffered before it is passed on, so that the request can be sent
 /// again if the answer breaks off.
@@ -91,6 +91,15 @@
         known.time_spent(started, &route.name, patience)
     };
     let service = choose_service(&route, rand::random());
+    let mut class = RequestClass {
+        objective: route.objective,
+        priority,
+        least: false,
+    };
+    if route.gap.is_some() {
+        let mut servers = state.servers.lock();
+        class.least = servers.record_request(started, &service, &class);
+    }
     let pieces = estimate_pieces(&routes, &service, &ask);
     let job = Job {
         state: Arc::clone(state),
@@ -100,7 +109,7 @@
         body,
         service,
         workspace: workspace.map(|w| w.name.clone()),
-        priority,
+        class,
         started,
         spent,
         deadline: started + patience,
@@ -111,10 +120,6 @@
         unlogged: UnloggedLines::default(),
     };
     state.budget.lock().record_request(started, &job.service);
-    if job.route.gap.is_some() {
-        let mut servers = state.servers.lock();
-        servers.record_request(started, &job.service, job.route.priority);
-    }
     place_request(Arc::new(job), active).await
 }
 
@@ -157,6 +162,7 @@
     sends: Sends,
     /// Whether the retry budget already covers the next send.
     move_granted: bool,
+    waiting: Waiting,
 }
 
 /// What became of a request that was sent to servers.
@@ -232,8 +238,9 @@
                 return give_up(Unplaced::Out);
             }
             let chosen = {
+                let urgency = self.waiting.turn_urgency();
+                let urgency = urgency.unwrap_or_else(|| job.urgency(last));
                 let mut servers = job.state.servers.lock();
-                let urgency = job.urgency(last);
                 let constraints = Constraints {
                     service: &job.service,
                     allowed: &allowed,
@@ -251,6 +258,7 @@
                 servers.release(&choice.server, choice.start);
                 return give_up(Unplaced::Spent);
             }
+            self.waiting.end();
             let server = choice.server.clone();
             job.record_routed(&choice, !self.sends.is_empty());
             self.sends.begin();
@@ -298,14 +306,18 @@
 async fn place_request(job: Arc<Job>, active: ActiveRequest) -> Answer {
     let mut attempt = Attempt::default();
     let mut last_failure = None;
-    let mut queued = false;
     await_short_passes(&job).await;
+    let mut blocked = job.blocked_at_arrival();
     loop {
-        let run = match attempt.send_until_answered(&job, job.ask.last_event).await {
+        let placement = match blocked.take() {
+            Some(unplaced) => Placement::Unplaced(unplaced),
+            None => attempt.send_until_answered(&job, job.ask.last_event).await,
+        };
+        let run = match placement {
             Placement::Run(run) => *run,
             Placement::Unplaced(unplaced) => match last_failure {
                 Some(answer) => return answer,
-                None => match wait_for_server(&job, unplaced, &mut queued).await {
+                None => match wait_for_server(&job, unplaced, &mut attempt.waiting).await {
                     Some(refused) => return refused,
                     None => {
                         attempt.excluded.clear();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,7 +18,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
-use snipemast_placement::{Choice, Pool, RequestPriority, ServerFault, Urgency};
+use snipemast_placement::{Choice, Pool, RequestClass, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_routes::{Repeat, Route};
@@ -51,7 +51,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<String>,
-    pub(crate) priority: RequestPriority,
+    pub(crate) class: RequestClass,
     pub(crate) started: Moment,
     /// How much of its time the caller had spent before it asked here.
     pub(crate) spent: Span,
@@ -79,6 +79,7 @@
 #[derive(Debug)]
 struct InFlight {
     state: Arc<State>,
+    service: ServiceId,
     server: ServerId,
     start: Incarnation,
     begun: Moment,
@@ -87,6 +88,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.state.servers.lock().release(&self.server, self.start);
+        let now = self.state.clock.now();
+        self.state.waiting.wake(now, &self.service);
     }
 }
 
@@ -128,21 +131,24 @@
 
     /// Returns the urgency if requests are ordered by it. Only requests to engines are, because
     /// their queues are long.
-    fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
+    pub(crate) fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
         let order = self.state.decisions.order;
         if order == QueueOrder::Arrival || self.route.gap.is_none() {
             return None;
         }
-        let priority = match order {
-            QueueOrder::Priority => self.priority,
-            _ => RequestPriority::default(),
+        let class = match order {
+            QueueOrder::Priority => self.class,
+            _ => RequestClass {
+                objective: self.route.objective,
+                ..RequestClass::default()
+            },
         };
         if last.is_some() && last != self.ask.last_event {
             return Some(Urgency::Resumed);
         }
         let waited = self.age().as_micros();
         let spent = Span::from_micros(self.spent.as_micros() + waited);
-        Some(Urgency::new(spent, self.route.objective, priority))
+        Some(Urgency::new(spent, &class))
     }
 
     /// Sends the request to a server and waits for the head of its answer.
@@ -154,6 +160,7 @@
     ) -> Result<Run, Failure> {
         let in_flight = InFlight {
             state: Arc::clone(&self.state),
+            service: self.service.clone(),
             server: choice.server.clone(),
             start: choice.start,
             begun: self.state.clock.now(),
--- a/crates/placement/src/reserve.rs
+++ b/crates/placement/src/reserve.rs
@@ -3,18 +3,18 @@
 //! All ranks of a group take each forward pass together, so each stream that runs lengthens the
 //! pauses of all others, and after a shift of the demand for experts they exceed what callers are
 //! promised if servers are full. During a burst of one kind of request, the other kinds find
-//! servers full as well. So requests that can wait without being late, requests that are late
-//! whatever happens, and those of the least urgent route of a service are sent only to servers with
-//! some room left. The others use that room.
+//! servers full as well. So where several kinds of request compete for a service, those that can
+//! wait without being late, those of the least urgent route, and those that are late whatever
+//! happens are sent only to servers with some room left. The others use that room.
 
 use std::collections::{BTreeMap, HashMap};
 
 use snipemast_core::prelude::*;
 
-use crate::urgency::Urgency;
+use crate::urgency::{RequestClass, Urgency};
 
-/// How long a route's priority counts as in use after its last request.
-const PRIORITY_AGE: Span = Span::from_secs(10);
+/// How long a kind of request counts as in use after its last request.
+const KIND_AGE: Span = Span::from_secs(10);
 
 /// How many requests a server may have in flight to be sent another one, in hundredths of its
 /// slots.
@@ -24,8 +24,7 @@
     pub full: u32,
     /// The limit for a late request. What lies above is left to those that can be on time.
     pub late: u32,
-    /// The limit for a request that yields to others: it can wait, or is of the least urgent route
-    /// among several.
+    /// The limit for a request that yields to others, if several kinds compete.
     pub yielding: u32,
 }
 
@@ -42,12 +41,22 @@
     }
 }
 
-/// Decides up to which load servers are filled, by urgency.
+/// Decides which requests yield to others, and up to which load servers are filled.
+///
+/// The limits never grow as urgency falls, so a request that finds no place leaves none to less
+/// urgent ones.
 #[derive(Debug, Clone, Default)]
 pub struct Reserve {
     limits: LoadLimits,
-    /// When a request of each route priority was last seen, by service.
-    seen: HashMap<ServiceId, BTreeMap<Priority, Moment>>,
+    /// When a request of each kind was last seen, by service.
+    seen: HashMap<ServiceId, BTreeMap<Kind, Moment>>,
+}
+
+/// What tells the kinds of request of a service apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Kind {
+    priority: Priority,
+    patient: bool,
 }
 
 impl Reserve {
@@ -59,15 +68,27 @@
         }
     }
 
-    /// Records a caller's request for a service on a route of this priority.
-    pub fn record_request(&mut self, now: Moment, service: &ServiceId, priority: Priority) {
+    /// Records a caller's request for a service. Returns whether it is of the least urgent route
+    /// among several.
+    pub fn record_request(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        class: &RequestClass,
+    ) -> bool {
+        let kind = Kind {
+            priority: class.priority.route,
+            patient: class.is_patient(),
+        };
         let Some(seen) = self.seen.get_mut(service) else {
-            self.seen
-                .insert(service.clone(), BTreeMap::from([(priority, now)]));
-            return;
+            let seen = BTreeMap::from([(kind, now)]);
+            self.seen.insert(service.clone(), seen);
+            return false;
         };
-        seen.insert(priority, now);
-        seen.retain(|_, last| now < *last + PRIORITY_AGE);
+        seen.insert(kind, now);
+        seen.retain(|_, last| now < *last + KIND_AGE);
+        let priorities = || seen.keys().map(|kind| kind.priority);
+        priorities().min() < priorities().max() && priorities().max() == Some(kind.priority)
     }
 
     /// Forgets the services for which `keep` is false.
@@ -83,27 +104,13 @@
             late,
             yielding,
         } = self.limits;
-        let limit = match urgency {
-            Urgency::Resumed => full,
-            Urgency::Patient(_) => yielding,
-            Urgency::InTime(priority) | Urgency::Late(priority)
-                if self.is_least_urgent(service, priority.route) =>
-            {
-                yielding
-            }
-            Urgency::InTime(_) => full,
-            Urgency::Late(_) => late,
-        };
-        limit.min(full)
-    }
-
-    /// Whether a route's priority is the least urgent one of several in use.
-    fn is_least_urgent(&self, service: &ServiceId, priority: Priority) -> bool {
-        let Some(seen) = self.seen.get(service) else {
-            return false;
-        };
-        let first = seen.first_key_value().map(|(priority, _)| *priority);
-        let last = seen.last_key_value().map(|(priority, _)| *priority);
-        first < last && last == Some(priority)
+        let competing = self.seen.get(service).is_some_and(|seen| seen.len() > 1);
+        match urgency {
+            Urgency::Resumed | Urgency::InTime(_) => full,
+            Urgency::Yielding(_) if competing => full.min(yielding),
+            Urgency::Yielding(_) => full,
+            Urgency::Late(_) if competing => full.min(late).min(yielding),
+            Urgency::Late(_) => full.min(late),
+        }
     }
 }
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -21,7 +21,7 @@
 use crate::pools::Pool;
 use crate::reserve::{LoadLimits, Reserve};
 use crate::rests::Rests;
-use crate::urgency::Urgency;
+use crate::urgency::{RequestClass, Urgency};
 
 mod asked;
 mod evacuation;
@@ -141,9 +141,15 @@
         self
     }
 
-    /// Records a caller's request for a service on a route of this priority.
-    pub fn record_request(&mut self, now: Moment, service: &ServiceId, priority: Priority) {
-        self.reserve.record_request(now, service, priority);
+    /// Records a caller's request for a service. Returns whether it is of the least urgent route
+    /// among several.
+    pub fn record_request(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        class: &RequestClass,
+    ) -> bool {
+        self.reserve.record_request(now, service, class)
     }
 
     /// Sets the servers that may be sent requests, and keeps what is known of those that stay.
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -58,6 +58,31 @@
     }
 }
 
+/// What decides how urgent a request is, apart from the time that it has waited.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestClass {
+    /// The time within which the answer should begin.
+    pub objective: Span,
+    /// The priority of the request.
+    pub priority: RequestPriority,
+    /// Whether the request is of the least urgent route among several.
+    pub least: bool,
+}
+
+impl RequestClass {
+    /// Whether a new request can wait for a while without being late.
+    pub fn is_patient(&self) -> bool {
+        self.slack(Span::default()) >= PATIENT_SLACK
+    }
+
+    /// Returns how much longer a request can wait without being late. `spent` is the time since its
+    /// caller first asked.
+    fn slack(&self, spent: Span) -> Span {
+        let latest = Span::from_micros(self.objective.as_micros() * LATE_PERCENT / 100);
+        subtract(latest, spent)
+    }
+}
+
 /// How urgent a request is compared with others of its service. The least one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Urgency {
@@ -65,23 +90,23 @@
     Resumed,
     /// A request that can still be on time.
     InTime(RequestPriority),
-    /// A request that can still be on time after it has waited for a while.
-    Patient(RequestPriority),
+    /// A request that can still be on time and yields to others: it can wait for a while without
+    /// being late, or is of the least urgent route among several.
+    Yielding(RequestPriority),
     /// A request that is late whenever it begins.
     Late(RequestPriority),
 }
 
 impl Urgency {
     /// Returns the urgency of a request. `spent` is the time since its caller first asked.
-    pub fn new(spent: Span, objective: Span, priority: RequestPriority) -> Self {
-        let latest = Span::from_micros(objective.as_micros() * LATE_PERCENT / 100);
-        let slack = subtract(latest, spent);
-        if slack >= PATIENT_SLACK {
-            Self::Patient(priority)
-        } else if slack > Span::default() {
-            Self::InTime(priority)
-        } else {
+    pub fn new(spent: Span, class: &RequestClass) -> Self {
+        let (slack, priority) = (class.slack(spent), class.priority);
+        if slack == Span::default() {
             Self::Late(priority)
+        } else if class.least || slack >= PATIENT_SLACK {
+            Self::Yielding(priority)
+        } else {
+            Self::InTime(priority)
         }
     }
 
