A group is held by how long steps take on the uneven map

Cause: the lead held its group 2 to 5 steps ahead after a shift of the demand, because the duration of a step was measured over a window before the shift. Each step that it waited for ran on the uneven map.

Change: a proposed map states which part of a step it saves. The expected step is the shortest of the last windows, longer by that part, or the last one where that is longer; what waiting costs follows from the same part instead of an assumed half. A map that saves little is held later.

--- a/crates/groups/src/ahead.rs
+++ b/crates/groups/src/ahead.rs
@@ -24,10 +24,18 @@
 /// polls just before and after the end of a step make it seem half as long.
 const STEP_WINDOW: Span = Span::from_millis(800);
 
-/// The part of a step that a balanced map saves. After a shift of the demand a step takes two to
-/// three times as long.
+/// The assumed part of a step that a balanced map saves, where the switch does not state it. After
+/// a shift of the demand a step takes two to three times as long.
 const STEP_SAVING: f64 = 0.5;
 
+/// The largest part of a step that a map is expected to save, so that an estimate of the demand
+/// that is far off does not make steps seem endless.
+const MAX_SAVING: f64 = 0.75;
+
+/// How many durations of steps are remembered. Together they span more than one shift of the demand
+/// and its switch, so that the shortest one is that of steps on a balanced map.
+const MAX_DURATIONS: usize = 4;
+
 /// The cost of time in which the group stands still, relative to time on an unbalanced map: no
 /// caller gets a token then.
 const STANDSTILL_COST: f64 = 2.0;
@@ -42,8 +50,10 @@
 pub struct HoldDistance {
     /// When the steps began to be counted, and at which step.
     counted_from: Option<(Moment, Step)>,
-    /// The duration of a step.
-    step: Option<Span>,
+    /// The durations of a step in the last windows; empty until the first one.
+    durations: VecDeque<Span>,
+    /// The part of a step that the next map saves, where it is known.
+    saving: Option<f64>,
     /// The durations of the last armings of all ranks; empty until the first one.
     armings: VecDeque<Span>,
     /// The assumed duration of an arming until one has been timed.
@@ -55,7 +65,8 @@
     pub fn new(ranks: usize) -> Self {
         Self {
             counted_from: None,
-            step: None,
+            durations: VecDeque::new(),
+            saving: None,
             armings: VecDeque::new(),
             assumed: CALL_TIME.times(sequential_calls(ranks) as u64),
         }
@@ -72,19 +83,39 @@
             return;
         }
         let each = took.as_micros() / steps;
-        self.step = Some(Span::from_micros(each.max(1)));
+        push_bounded(
+            &mut self.durations,
+            Span::from_micros(each.max(1)),
+            MAX_DURATIONS,
+        );
         self.counted_from = Some((now, step));
     }
 
+    /// Notes the part of a step that the next map saves.
+    pub fn expect_saving(&mut self, saving: f64) {
+        self.saving = Some(saving.clamp(0.0, MAX_SAVING));
+    }
+
+    /// Returns the expected duration of a step until the next map is in force.
+    ///
+    /// Failure guarded against: a group is held several steps ahead just after a shift of the
+    /// demand, because the last measured steps are those before the shift. The steps that it waits
+    /// for take twice as long, and no stream gets its tokens in time meanwhile. The steps before
+    /// the shift show how long steps on the next map take, and the saving shows how much longer
+    /// those on the current map take.
+    fn expected_step(&self) -> Option<Span> {
+        let last = *self.durations.back()?;
+        let shortest = self.durations.iter().min()?.as_micros() as f64;
+        let longer = shortest / (1.0 - self.saving.unwrap_or_default());
+        Some(last.max(Span::from_micros(longer as u64)))
+    }
+
     /// Notes how long it took to arm all ranks.
     ///
     /// Failure guarded against: one rank's arming gets no answer, so it takes ten times as long as
     /// usual, and the next switches are held unnecessarily far ahead.
     pub fn record_arming(&mut self, took: Span) {
-        if self.armings.len() == MAX_ARMINGS {
-            self.armings.pop_front();
-        }
-        self.armings.push_back(took);
+        push_bounded(&mut self.armings, took, MAX_ARMINGS);
     }
 
     /// Returns how many steps ahead to hold the group, so that the time lost by the old map and by
@@ -96,7 +127,10 @@
     pub fn steps(&self) -> u64 {
         /// How much longer than usual an arming may take, as a ratio.
         const MARGIN: f64 = 1.5;
-        let Some(step) = self.step else { return 1 };
+        let Some(step) = self.expected_step() else {
+            return 1;
+        };
+        let saving = self.saving.unwrap_or(STEP_SAVING);
         let mut armings: Vec<Span> = self.armings.iter().copied().collect();
         armings.sort_unstable();
         let outlier = armings.len() >= SKIP_LONGEST_FROM;
@@ -105,7 +139,7 @@
         let step = step.as_secs_f64();
         let cost = |ahead: u64| {
             let later = (ahead - 1) as f64 * step;
-            later * STEP_SAVING + STANDSTILL_COST * mean_standstill(needed - later, step)
+            later * saving + STANDSTILL_COST * mean_standstill(needed - later, step)
         };
         let mut best = 1;
         for ahead in 2..=MAX_AHEAD {
@@ -117,6 +151,14 @@
     }
 }
 
+/// Adds an item to a queue, and removes the oldest one where the queue is full.
+fn push_bounded(queue: &mut VecDeque<Span>, item: Span, bound: usize) {
+    if queue.len() == bound {
+        queue.pop_front();
+    }
+    queue.push_back(item);
+}
+
 /// Returns how long a group stands still on average where it needs this long, from a random moment
 /// of a step, until it may begin the next one.
 fn mean_standstill(needed: f64, step: f64) -> f64 {
--- a/crates/groups/src/even.rs
+++ b/crates/groups/src/even.rs
@@ -36,6 +36,8 @@
         /// The load of the fullest rank before and after, averaged over the sets, with the mean
         /// load at 1.
         pub fullest: (f64, f64),
+        /// The part of a step that the map saves.
+        pub saving: f64,
     }
 }
 
@@ -65,10 +67,12 @@
         after += last / sets;
         copies += copied;
     }
-    (copies > 0 && shorter(before, after) >= thresholds.step).then_some(Rebalanced {
+    let saving = shorter(before, after);
+    (copies > 0 && saving >= thresholds.step).then_some(Rebalanced {
         map: next,
         copies,
         fullest: (before, after),
+        saving,
     })
 }
 
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -122,6 +122,11 @@
         self.ahead.observe_step(now, step);
     }
 
+    /// Notes the part of a step that the next map saves.
+    pub fn expect_saving(&mut self, saving: f64) {
+        self.ahead.expect_saving(saving);
+    }
+
     /// Begins a switch to another map, under a number that no rank has had.
     ///
     /// The map is sent to the ranks as a draft, and in full to those that can't decode the draft.
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -298,6 +298,7 @@
         group.next = Some(Arc::clone(&map));
         let draft = group.draft(&map);
         let switch = &mut group.switch;
+        switch.expect_saving(rebalanced.saving);
         let orders = switch.begin(now, group.epoch, version, draft, map);
         self.journal.record(Event::MovePlanned, "group", detail);
         self.send_orders(orders);
