State that peers and callers fill is bounded by what is alive

Cause: a controller's voter kept the reply address of every voter id that a message ever named, and a queue with a task for every address; an entry's voter did the same with its queues of answers. An entry kept the loads of agents that only other entries owned, and what it had sent to every zone about every model. An entry kept an account for every workspace it ever served: Limiter::retain had no caller.

Change: Recent in core, a map with a capacity that drops what was used longest ago, for the voters' addresses, queues and connections. Limiter::forget_idle, called at each cleanup, drops accounts that are like new ones; it takes the place of retain, which no test used.

--- a/crates/controller/src/links.rs
+++ b/crates/controller/src/links.rs
@@ -1,6 +1,5 @@
 //! Sending of the replicated log's messages to other voters.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use async_channel::{bounded, Receiver, Sender};
@@ -8,6 +7,7 @@
 
 use snipemast_control::Envelope;
 use snipemast_core::prelude::*;
+use snipemast_core::recent::Recent;
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::RpcClient;
 
@@ -16,6 +16,9 @@
 /// The number of messages that may wait for one voter; more are dropped, and the log resends them.
 const QUEUE_LENGTH: usize = 256;
 
+/// The most voters that have a queue: several times as many as a cluster has. A queue that is dropped ends its task.
+const MAX_LINKS: usize = 64;
+
 /// How long a voter may take to receive messages: below its election timeout, so that one lost
 /// connection does not depose a leader.
 const SEND_TIMEOUT: Span = Span::from_millis(700);
@@ -28,21 +31,21 @@
 pub(crate) struct Links {
     /// The address at which this host receives answers.
     own: SocketAddr,
-    queues: Mutex<HashMap<SocketAddr, Sender<Envelope>>>,
+    queues: Mutex<Recent<SocketAddr, Sender<Envelope>>>,
 }
 
 impl Links {
     pub(crate) fn new(own: SocketAddr) -> Self {
         Self {
             own,
-            queues: Mutex::default(),
+            queues: Mutex::new(Recent::new(MAX_LINKS)),
         }
     }
 
     /// Sends a message; it may be lost.
     pub(crate) fn send(&self, to: SocketAddr, envelope: Envelope) {
         let (own, mut queues) = (self.own, self.queues.lock());
-        let queue = queues.entry(to).or_insert_with(|| {
+        let queue = queues.get_or_insert_with(to, || {
             let (sender, receiver) = bounded(QUEUE_LENGTH);
             spawn(send_batches(own, to, receiver)).detach();
             sender
--- a/crates/controller/src/voter.rs
+++ b/crates/controller/src/voter.rs
@@ -15,6 +15,7 @@
     Refusal, Ticket, Timing, VoterId, Voters, Write,
 };
 use snipemast_core::prelude::*;
+use snipemast_core::recent::Recent;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_net::BootClock;
 
@@ -34,6 +35,10 @@
 /// How long a request to join stays valid: long enough for a few repeats.
 const JOIN_LIFETIME: Span = Span::from_millis(1_500);
 
+/// The most addresses of voters without a known location that are kept: only a learner needs one, of
+/// the leader that calls it.
+const MAX_REPLY_ADDRESSES: usize = 16;
+
 /// Timeouts for the platform's links: a lost leader is replaced within some 1.5 s, and a lost
 /// packet, which is resent after some 200 ms, does not depose a leader. Snapshots are frequent
 /// because entries hold whole documents and the disk is small: 32 documents of 1 MB fit into a
@@ -73,8 +78,8 @@
     tickets: HashMap<Ticket, Sender<Result<Vec<u8>, Refusal>>>,
     last_ticket: Ticket,
     joining: BTreeMap<VoterId, (Location, Moment)>,
-    /// The addresses at which other voters receive answers.
-    reply_addresses: BTreeMap<VoterId, SocketAddr>,
+    /// The addresses at which other voters receive answers, by the ids that messages name.
+    reply_addresses: Recent<VoterId, SocketAddr>,
     next_tick: Moment,
 }
 
@@ -126,7 +131,7 @@
             tickets: HashMap::new(),
             last_ticket: Ticket(0),
             joining: BTreeMap::new(),
-            reply_addresses: BTreeMap::new(),
+            reply_addresses: Recent::new(MAX_REPLY_ADDRESSES),
             next_tick: now,
         });
         let tasks = [
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`events`]: the numbered events and the bounded ring buffer that keeps them.
 //! - [`outcome`]: whether a request ran, as far as its caller may conclude.
 //! - [`priority`]: the priority of workspaces and routes.
+//! - [`recent`]: a map with a fixed capacity.
 //! - [`server`]: what a backend server offers and reports.
 //! - [`starts`]: a map of values by backend server and start.
 //! - [`log_budget`]: how many log lines of each kind are written in a second.
@@ -27,6 +28,7 @@
 pub mod outcome;
 pub mod prelude;
 pub mod priority;
+pub mod recent;
 pub mod server;
 pub mod starts;
 pub mod time;
--- a/crates/entry/src/admit.rs
+++ b/crates/entry/src/admit.rs
@@ -265,9 +265,13 @@
         }
     }
 
-    /// Sets silent entries aside, marks loaded models, and drops idle lanes without servers.
+    /// Sets silent entries aside, marks loaded models, and drops idle accounts and idle lanes without servers.
     fn clean_up(&self) {
-        self.demands.lock().set_aside_silent(self.clock.now());
+        let now = self.clock.now();
+        self.demands.lock().set_aside_silent(now);
+        for shard in &self.accounts {
+            shard.lock().forget_idle(now);
+        }
         for wish in self.due_loads() {
             if self.chooser.capacity(&wish.wanted).is_some() {
                 self.wishes.lock().mark_loaded(&wish.wanted);
--- a/crates/entry/src/voter/links.rs
+++ b/crates/entry/src/voter/links.rs
@@ -3,7 +3,6 @@
 //! Messages that need an answer are sent as requests, in batches over a few connections. Answers
 //! return as the responses, so that a heartbeat costs one exchange.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,6 +13,7 @@
 
 use snipemast_control::{Envelope, Input, Message, VoterId};
 use snipemast_core::prelude::*;
+use snipemast_core::recent::Recent;
 use snipemast_wire::control::{path, Batch};
 use snipemast_wire::Peer;
 
@@ -23,6 +23,9 @@
 /// The most messages that may wait for a peer; later ones are dropped, and the protocol resends
 /// them.
 const MAX_QUEUED: usize = 256;
+/// The most voters that have a connection, and the most that have a queue of answers: several times as many as a cluster
+/// has.
+const MAX_PEERS: usize = 64;
 /// The most batches that may be in flight to one peer.
 const MAX_BATCHES: usize = 3;
 /// How long a request waits for its first answer at the receiver.
@@ -36,8 +39,8 @@
 pub(super) struct Links {
     own: VoterId,
     shared: Arc<VoterShared>,
-    links: Mutex<BTreeMap<VoterId, Link>>,
-    answers: Mutex<BTreeMap<VoterId, AnswerQueue>>,
+    links: Mutex<Recent<VoterId, Link>>,
+    answers: Mutex<Recent<VoterId, AnswerQueue>>,
 }
 
 struct Link {
@@ -57,8 +60,8 @@
         Self {
             own,
             shared,
-            links: Mutex::default(),
-            answers: Mutex::default(),
+            links: Mutex::new(Recent::new(MAX_PEERS)),
+            answers: Mutex::new(Recent::new(MAX_PEERS)),
         }
     }
 
@@ -70,7 +73,7 @@
             let Some(address) = address else {
                 return;
             };
-            self.send_queue(envelope.to, address)
+            self.with_link(envelope.to, address, |link| link.queue.clone())
         };
         let _ = queue.try_send(envelope);
     }
@@ -104,8 +107,7 @@
 
     /// Returns the connections to a voter.
     pub(super) fn peer(&self, id: VoterId, address: SocketAddr) -> Arc<Peer> {
-        self.send_queue(id, address);
-        Arc::clone(&self.links.lock()[&id].peer)
+        self.with_link(id, address, |link| Arc::clone(&link.peer))
     }
 
     /// Closes every connection.
@@ -128,16 +130,20 @@
             let (sender, receiver) = async_channel::bounded(MAX_QUEUED);
             AnswerQueue { sender, receiver }
         };
-        answers.entry(to).or_insert_with(new_queue).clone()
+        answers.get_or_insert_with(to, new_queue).clone()
     }
 
-    /// Returns the queue to a voter, and connects to it if its address is new.
-    fn send_queue(&self, to: VoterId, address: SocketAddr) -> Sender<Envelope> {
+    /// Reads the connections to a voter, which are made anew if its address is new.
+    fn with_link<T>(&self, to: VoterId, address: SocketAddr, read: impl FnOnce(&Link) -> T) -> T {
         let mut links = self.links.lock();
-        let control_host = links.get(&to).filter(|l| l.peer.address() == address);
-        if let Some(link) = control_host {
-            return link.queue.clone();
+        let link = links.get_or_insert_with(to, || self.connect(address));
+        if link.peer.address() != address {
+            *link = self.connect(address);
         }
+        read(link)
+    }
+
+    fn connect(&self, address: SocketAddr) -> Link {
         let (queue, envelopes) = async_channel::bounded(MAX_QUEUED);
         let peer = Arc::new(Peer::new(address));
         let start_sender = || {
@@ -149,16 +155,12 @@
                 shared,
             ))
         };
-        let senders = (0..MAX_BATCHES).map(|_| start_sender()).collect();
-        links.insert(
-            to,
-            Link {
-                peer,
-                queue: queue.clone(),
-                _senders: senders,
-            },
-        );
-        queue
+        let _senders = (0..MAX_BATCHES).map(|_| start_sender()).collect();
+        Link {
+            peer,
+            queue,
+            _senders,
+        }
     }
 }
 
--- a/crates/membership/src/exchange.rs
+++ b/crates/membership/src/exchange.rs
@@ -278,7 +278,8 @@
             self.schedule_burst(now);
         }
         for note in &packet.loads {
-            self.loads.record(now, &note.host, note.load);
+            self.loads
+                .record_reported(now, &self.table, &note.host, note.load);
         }
         for pool in &packet.pools {
             self.loads.record_pool(now, pool.clone());
--- a/crates/membership/src/loads.rs
+++ b/crates/membership/src/loads.rs
@@ -60,6 +60,15 @@
         }
     }
 
+    /// Records an agent's load that a peer reported. An old load of an agent without an owner is ignored, so that peers don't
+    /// send each other the loads of gone agents for good.
+    pub fn record_reported(&mut self, now: Moment, table: &Table, host: &HostId, load: Load) {
+        let age = Span::from_millis(load.age.into());
+        if age < REFRESH_INTERVAL || table.is_owned(host) {
+            self.record(now, host, load);
+        }
+    }
+
     /// Returns an agent's load with its current age.
     pub fn load(&self, now: Moment, host: &HostId) -> Option<LoadReport> {
         let known = self.agents.get(host)?;
@@ -111,9 +120,24 @@
         self.pools.insert(key, (pool, now));
     }
 
-    /// Forgets summaries that are older than a span.
-    pub fn expire(&mut self, now: Moment, keep: Span) {
+    /// Forgets summaries that are older than a span, and what is due to be sent again anyway: old loads of agents without an
+    /// owner, and the record of old transmissions.
+    pub fn expire(&mut self, now: Moment, table: &Table, keep: Span) {
         self.pools.retain(|_, (_, at)| now.since(*at) < keep);
+        let is_due = |at: Moment| now.since(at) >= REFRESH_INTERVAL;
+        self.agents
+            .retain(|host, known| !is_due(known.at) || table.is_owned(host));
+        self.sent_pools.retain(|_, (_, at)| !is_due(*at));
+    }
+
+    /// Returns the hosts of the agents whose load is known.
+    pub fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.agents.keys()
+    }
+
+    /// Returns the number of summaries whose transmission is remembered.
+    pub fn sent_count(&self) -> usize {
+        self.sent_pools.len()
     }
 
     /// Picks the summaries of the own zone's pools that changed since they were last sent to
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -349,7 +349,8 @@
         }
         self.judge_suspects(now);
         self.piggyback.expire(now);
-        self.loads.expire(now, self.tuning.zone_retention);
+        let keep = self.tuning.zone_retention;
+        self.loads.expire(now, &self.table, keep);
         let lost = self.zones.forget(now, self.tuning.zone_retention);
         let touched = self
             .table
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -131,6 +131,11 @@
         self.holders.keys()
     }
 
+    /// Whether an agent has at least one owner.
+    pub fn is_owned(&self, agent: &HostId) -> bool {
+        self.holders.contains_key(agent)
+    }
+
     /// Returns the owners of this agent, ordered by host.
     pub fn owners(&self, agent: &HostId) -> impl Iterator<Item = &Row> {
         let hosts = self.holders.get(agent).into_iter().flatten();
--- a/crates/routing/src/bucket.rs
+++ b/crates/routing/src/bucket.rs
@@ -53,9 +53,18 @@
         self.level = (self.level - amount).min(self.depth);
     }
 
-    fn fill(&mut self, now: Moment) {
+    /// Whether the bucket is filled up to its depth.
+    pub fn is_full(&self, now: Moment) -> bool {
+        self.level_at(now) >= self.depth
+    }
+
+    fn level_at(&self, now: Moment) -> f64 {
         let passed = now.since(self.filled_at).as_secs_f64();
-        self.level = (self.level + passed * self.rate).min(self.depth);
+        (self.level + passed * self.rate).min(self.depth)
+    }
+
+    fn fill(&mut self, now: Moment) {
+        self.level = self.level_at(now);
         self.filled_at = self.filled_at.max(now);
     }
 
--- a/crates/routing/src/limiter.rs
+++ b/crates/routing/src/limiter.rs
@@ -119,7 +119,7 @@
         for (workspace, account) in &self.accounts {
             for (&reason, refusal_rate) in &account.refusals {
                 let rate = refusal_rate.per_second(now);
-                if rate > 0.01 {
+                if rate > QUIET_RATE {
                     let back = HeldBack {
                         reason,
                         rate,
@@ -133,10 +133,15 @@
         held
     }
 
-    /// Forgets the workspaces for which `keep` is false and that have no requests in flight.
-    pub fn retain(&mut self, keep: impl Fn(&WorkspaceId) -> bool) {
-        self.accounts
-            .retain(|workspace, a| a.running > 0 || keep(workspace));
+    /// Forgets the workspaces that have nothing in flight, full buckets and no recent refusals: a new account of theirs would
+    /// be the same.
+    pub fn forget_idle(&mut self, now: Moment) {
+        self.accounts.retain(|_, account| !account.is_idle(now));
+    }
+
+    /// Returns the number of workspaces that have an account.
+    pub fn account_count(&self) -> usize {
+        self.accounts.len()
     }
 
     fn account(&mut self, workspace: &WorkspaceId) -> &mut Account {
@@ -187,6 +192,15 @@
         Ok(())
     }
 
+    fn is_idle(&self, now: Moment) -> bool {
+        let is_full = |bucket: &Option<Bucket>| bucket.is_none_or(|b| b.is_full(now));
+        let is_quiet = |rate: &DecayingRate| rate.per_second(now) < QUIET_RATE;
+        self.running == 0
+            && is_full(&self.requests)
+            && is_full(&self.tokens)
+            && self.refusals.values().all(is_quiet)
+    }
+
     fn record_refusal(&mut self, now: Moment, refusal: Refusal) {
         self.refusals
             .entry(refusal.reason)
--- a/crates/routing/tests/limits.rs
+++ b/crates/routing/tests/limits.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::{seeded, workspace, CALM};
 use quickcheck::QuickCheck;
 use snipemast_config::document::Limits;
@@ -228,6 +230,48 @@
     assert!(admit(&mut limiter).is_ok());
 }
 
+/// Guards against a process whose memory grows with every workspace that it has ever served: after a quiet time only the
+/// workspaces with requests in flight are left, and forgetting one changes no decision.
+#[test]
+fn idle_accounts_forgotten() {
+    fn property(steps: Vec<(u8, u8, bool)>) -> bool {
+        let limits = Limits {
+            requests: Some(Rate::per_second(2)),
+            tokens: Some(Rate::per_second(90)),
+            ..Limits::default()
+        };
+        let (mut kept, mut limiter) = (Limiter::new(), Limiter::new());
+        let mut now = CALM;
+        let mut running: BTreeMap<WorkspaceId, u32> = BTreeMap::new();
+        for (name, millis, ends) in steps {
+            now = now + Span::from_millis(u64::from(millis) * 8);
+            let id = workspace(&format!("w-{name}"));
+            let count = running.entry(id.clone()).or_default();
+            if ends && *count > 0 {
+                *count -= 1;
+                kept.finish(now, &id, 20.0, 20.0);
+                limiter.finish(now, &id, 20.0, 20.0);
+            } else {
+                let expected = kept.admit(now, &id, &limits, WHOLE, 20.0);
+                let verdict = limiter.admit(now, &id, &limits, WHOLE, 20.0);
+                if verdict.is_ok() != expected.is_ok() {
+                    return false;
+                }
+                match verdict {
+                    Ok(()) => *count += 1,
+                    Err(refusal) => drop(limiter.record_refusal(now, &id, refusal)),
+                }
+            }
+            limiter.forget_idle(now);
+        }
+        limiter.forget_idle(now + Span::from_secs(3_600));
+        let alive = running.values().filter(|count| **count > 0).count();
+        limiter.account_count() == alive
+    }
+    let mut check = QuickCheck::new().rng(seeded(5));
+    check.quickcheck(property as fn(Vec<(u8, u8, bool)>) -> bool);
+}
+
 #[test]
 fn load_requested() {
     // A model is requested that no server has loaded. Its callers must be told at once how long a
