No clash and no exchanged value is lost without a log line

Cause: an entry remembered the first 64 identity clashes and logged none after them. A topic held 2,048 values and dropped further ones silently: a fleet of twice 1,032 processes has 2,064, and also its own value could be the one without room. A value that was too long to publish was dropped silently too.

Change: the 64 clashes seen last are remembered. The count of a topic's values no longer walks over all values for each that arrives.

Tests: every_clash_logged fails with the first 64 kept (none logged at the 65th); no_value_lost_silently fails at 2,048 (2,048 of 2,064 values) and without the report.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -147,6 +147,8 @@
     ClockIgnored = 505;
     /// A server's words can't be read or name nothing that is known, and are ignored.
     AnnouncementIgnored = 506;
+    /// A value that processes exchange was dropped, because it is too long or too many processes publish one.
+    ValueDropped = 507;
     /// A new expert map was proposed.
     MapProposed = 600;
     /// A rank promised to enter no step without a verdict.
--- a/crates/membership/src/agents.rs
+++ b/crates/membership/src/agents.rs
@@ -134,8 +134,7 @@
     }
 
     fn record_agent_clash(&mut self, known: &AgentCard, other: &AgentCard) {
-        let key = (other.agent.clone(), other.address);
-        if self.clashes.len() < 64 && self.clashes.insert(key) {
+        if self.is_new_clash(&other.agent, other.address) {
             let detail = format!(
                 "{} at {} and {} at {}",
                 known.agent, known.address, other.agent, other.address
--- a/crates/membership/src/judge.rs
+++ b/crates/membership/src/judge.rs
@@ -255,8 +255,7 @@
 
     /// Records that two processes run under one identity.
     pub(crate) fn record_clash(&mut self, one: &crate::NodeCard, other: &crate::NodeCard) {
-        let key = (other.process.clone(), other.address);
-        if self.clashes.len() < 64 && self.clashes.insert(key) {
+        if self.is_new_clash(&other.process, other.address) {
             let detail = format!(
                 "{} at {} and {} at {}",
                 one.process, one.address, other.process, other.address
--- a/crates/membership/src/node.rs
+++ b/crates/membership/src/node.rs
@@ -7,18 +7,22 @@
 use rand::{RngExt, SeedableRng};
 
 use snipemast_core::prelude::*;
+use snipemast_core::recent::Recent;
 
 use crate::card::NodeCard;
 use crate::leases::Leases;
 use crate::loads::Loads;
 use crate::message::{AgentMessage, LeaseReply, Packet};
-use crate::piggyback::{PiggybackStore, Topic};
+use crate::piggyback::{PiggybackStore, Topic, MAX_SOURCES};
 use crate::spread::{BroadcastQueue, Priority};
 use crate::table::{Row, Standing, Table, Verdict, VerdictKind};
 use crate::tuning::Tuning;
 use crate::view::{AgentView, Reach};
 use crate::zones::Zones;
 
+/// The most identity clashes that are remembered, so that each is logged once. With more at a time, some are logged again.
+const MAX_CLASHES: usize = 64;
+
 /// The id of an exchange or call that awaits an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(pub u64);
@@ -124,8 +128,8 @@
     pub(crate) pending: BTreeMap<Token, Pending>,
     /// The peers that are being checked, with the number of exchanges that are still pending.
     pub(crate) checks: BTreeMap<HostId, u32>,
-    /// The identity clashes that were already logged.
-    pub(crate) clashes: BTreeSet<(ProcessId, SocketAddr)>,
+    /// The identity clashes that were logged and seen last.
+    pub(crate) clashes: Recent<(ProcessId, SocketAddr), ()>,
     pub(crate) joined: bool,
     pub(crate) superseded: bool,
     /// When this process last resumed after a stall.
@@ -183,7 +187,7 @@
             piggyback: PiggybackStore::default(),
             pending: BTreeMap::new(),
             checks: BTreeMap::new(),
-            clashes: BTreeSet::new(),
+            clashes: Recent::new(MAX_CLASHES),
             superseded: false,
             resumed_at: now,
             compared_at: now,
@@ -349,6 +353,7 @@
         }
         self.judge_suspects(now);
         self.piggyback.expire(now);
+        self.report_dropped_values();
         let keep = self.tuning.zone_retention;
         self.loads.expire(now, &self.table, keep);
         let lost = self.zones.forget(now, self.tuning.zone_retention);
@@ -501,11 +506,29 @@
         let done = self
             .piggyback
             .publish(now, &self.me.process, topic, value, life);
-        if done.is_ok() && topic.is_urgent() {
-            self.schedule_burst(now);
+        match done {
+            Ok(()) if topic.is_urgent() => self.schedule_burst(now),
+            Ok(()) => {}
+            Err(e) => self.record_event(Event::ValueDropped, self.me.process.clone(), e),
+        }
+    }
+
+    /// Reports the values of peers for which there was no room since the last sweep.
+    fn report_dropped_values(&mut self) {
+        let dropped = self.piggyback.take_dropped();
+        if let Some(source) = dropped.last {
+            let detail = format!("{} values, {MAX_SOURCES} are known", dropped.count);
+            self.record_event(Event::ValueDropped, source, detail);
         }
     }
 
+    /// Whether a clash with this process is new, or was not seen for long. Remembers it.
+    pub(crate) fn is_new_clash(&mut self, process: &ProcessId, address: SocketAddr) -> bool {
+        self.clashes
+            .insert((process.clone(), address), ())
+            .is_none()
+    }
+
     /// Raises the version of the own set above another one, changes the row, and spreads the
     /// change.
     pub(crate) fn raise_version(&mut self, now: Moment, past: u64, change: impl FnOnce(&mut Row)) {
--- a/crates/membership/src/piggyback.rs
+++ b/crates/membership/src/piggyback.rs
@@ -17,8 +17,9 @@
 /// The maximum size of a value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_024;
 
-/// How many values one topic keeps; values of further sources are ignored.
-pub const MAX_SOURCES: usize = 2_048;
+/// How many values of other processes one topic keeps: with the largest values, 8 MB. Values of further sources are dropped
+/// and counted.
+pub const MAX_SOURCES: usize = 8_192;
 
 /// How long a value may live without being published again.
 pub const MAX_LIFETIME: Span = Span::from_secs(3_600);
@@ -113,7 +114,17 @@
 /// The values that one process knows, including its own.
 #[derive(Debug, Default)]
 pub struct PiggybackStore {
-    stored: BTreeMap<(Topic, HostId), StoredValue>,
+    stored: BTreeMap<Topic, BTreeMap<HostId, StoredValue>>,
+    dropped: DroppedValues,
+}
+
+/// The values for which there was no room.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct DroppedValues {
+    /// How many there were.
+    pub count: u64,
+    /// The source of the last one.
+    pub last: Option<ProcessId>,
 }
 
 #[derive(Debug)]
@@ -137,37 +148,46 @@
         if value.len() > MAX_VALUE_BYTES {
             return Err(PublishError::Oversized(value.len()));
         }
-        let last = self.stored.get(&(topic, source.host.clone()));
+        let last = self
+            .stored
+            .get(&topic)
+            .and_then(|values| values.get(&source.host));
         let sequence = last.map_or(1, |k| k.item.sequence + 1);
-        let source = source.clone();
-        self.merge(
-            now,
-            PiggybackValue {
-                topic,
-                source,
-                sequence,
-                left: lifetime,
-                value,
-            },
-        );
+        let item = PiggybackValue {
+            topic,
+            source: source.clone(),
+            sequence,
+            left: lifetime,
+            value,
+        };
+        self.merge_within(now, item, MAX_SOURCES + 1);
         Ok(())
     }
 
     /// Merges a value from a peer; returns whether it is news.
-    pub fn merge(&mut self, now: Moment, mut item: PiggybackValue) -> bool {
+    pub fn merge(&mut self, now: Moment, item: PiggybackValue) -> bool {
+        self.merge_within(now, item, MAX_SOURCES)
+    }
+
+    /// Returns the values that were dropped since the last call.
+    pub fn take_dropped(&mut self) -> DroppedValues {
+        std::mem::take(&mut self.dropped)
+    }
+
+    fn merge_within(&mut self, now: Moment, mut item: PiggybackValue, most: usize) -> bool {
         if item.value.len() > MAX_VALUE_BYTES || item.left == Span::default() {
             return false;
         }
         item.left = item.left.min(MAX_LIFETIME);
-        let topic = item.topic;
-        let has_room = self.value_count(topic) < MAX_SOURCES;
+        let values = self.stored.entry(item.topic).or_default();
+        let has_room = values.len() < most;
         let expires = now + item.left;
         let fresh = StoredValue {
             item,
             expires,
             sent: 0,
         };
-        match self.stored.entry((topic, fresh.item.source.host.clone())) {
+        match values.entry(fresh.item.source.host.clone()) {
             Entry::Occupied(mut entry) if fresh.order_key() > entry.get().order_key() => {
                 entry.insert(fresh);
                 true
@@ -176,21 +196,28 @@
                 entry.insert(fresh);
                 true
             }
-            _ => false,
+            Entry::Vacant(_) => {
+                self.dropped.count += 1;
+                self.dropped.last = Some(fresh.item.source);
+                false
+            }
+            Entry::Occupied(_) => false,
         }
     }
 
     /// Returns the values of a topic with their sources.
     pub fn values(&self, topic: Topic) -> impl Iterator<Item = (&ProcessId, &[u8])> {
-        self.stored
-            .iter()
-            .filter(move |((t, _), _)| *t == topic)
-            .map(|(_, k)| (&k.item.source, k.item.value.as_slice()))
+        let values = self.stored.get(&topic).into_iter();
+        values
+            .flat_map(BTreeMap::values)
+            .map(|k| (&k.item.source, k.item.value.as_slice()))
     }
 
     /// Removes expired values.
     pub fn expire(&mut self, now: Moment) {
-        self.stored.retain(|_, k| k.expires > now);
+        for values in self.stored.values_mut() {
+            values.retain(|_, k| k.expires > now);
+        }
     }
 
     /// Picks values for a peer within a budget of bytes, the most urgent topics first.
@@ -203,7 +230,7 @@
         budget: &mut usize,
     ) -> Vec<PiggybackValue> {
         let mut picked = Vec::new();
-        for stored in self.stored.values_mut() {
+        for stored in self.stored.values_mut().flat_map(BTreeMap::values_mut) {
             let travels = same_zone || stored.item.topic.scope() == Scope::Everywhere;
             let size = stored.size();
             if !travels
@@ -227,7 +254,11 @@
     /// Returns all values, for a process that has just joined.
     pub(crate) fn all_values(&self, now: Moment, same_zone: bool) -> Vec<PiggybackValue> {
         let travels = |k: &&StoredValue| same_zone || k.item.topic.scope() == Scope::Everywhere;
-        let live = self.stored.values().filter(travels);
+        let live = self
+            .stored
+            .values()
+            .flat_map(BTreeMap::values)
+            .filter(travels);
         live.filter(|k| k.expires > now)
             .map(|k| PiggybackValue {
                 left: now.until(k.expires),
@@ -235,10 +266,6 @@
             })
             .collect()
     }
-
-    fn value_count(&self, topic: Topic) -> usize {
-        self.stored.keys().filter(|(t, _)| *t == topic).count()
-    }
 }
 
 impl StoredValue {
--- a/crates/membership/tests/growth.rs
+++ b/crates/membership/tests/growth.rs
@@ -7,8 +7,10 @@
 
 use snipemast_core::prelude::*;
 use snipemast_membership::message::{AgentLoad, Ask};
+use snipemast_membership::piggyback::{MAX_SOURCES, MAX_VALUE_BYTES};
 use snipemast_membership::{
-    AgentCard, AgentMessage, Input, Load, Node, NodeCard, Packet, Table, Tuning,
+    AgentCard, AgentMessage, Input, Load, Node, NodeCard, Output, Packet, PiggybackValue, Table,
+    Topic, Tuning,
 };
 
 const START: Moment = Moment::from_millis(1_000_000);
@@ -122,3 +124,88 @@
         sent == remembered && loads.sent_count() == 0
     }
 }
+
+/// Returns the events that a node records.
+fn events(outputs: Vec<Output>, wanted: Event) -> Vec<(String, String)> {
+    let events = outputs.into_iter().filter_map(|output| match output {
+        Output::Event {
+            event,
+            subject,
+            detail,
+        } if event == wanted => Some((subject, detail)),
+        _ => None,
+    });
+    events.collect()
+}
+
+/// Guards against two servers under one name that no log line tells of, because the process has logged many clashes before.
+/// Each is logged once, also when its agents repeat themselves.
+#[test]
+fn every_clash_logged() {
+    let tuning = Tuning::default();
+    let mut node = Node::new(START, card(1, "pichincha"), Vec::new(), tuning, 1);
+    let mut clashes = 0;
+    for number in 0..200 {
+        let now = START + Span::from_secs(u64::from(number));
+        for (port, logged) in [(7, 0), (8, 1), (8, 0)] {
+            let mut card = agent(number);
+            card.address.set_port(port);
+            let enrol = AgentMessage::Enrol {
+                card: Box::new(card),
+                load: load(0),
+            };
+            let outputs = node.handle(now, Input::Agent(enrol));
+            assert_eq!(
+                events(outputs, Event::IdentityClash).len(),
+                logged,
+                "agent {number}"
+            );
+            clashes += logged;
+        }
+    }
+    assert_eq!(clashes, 200);
+}
+
+fn value(number: usize, value: Vec<u8>) -> PiggybackValue {
+    PiggybackValue {
+        topic: Topic::Demand,
+        source: ProcessId::new(id(&format!("entry-{number}")), Incarnation::new(1)),
+        sequence: 1,
+        left: Span::from_secs(60),
+        value,
+    }
+}
+
+/// Guards against limits that are exceeded, because the demand of some processes of a large fleet is ignored. A fleet of
+/// twice 1,032 processes has room; beyond the bound, the log says which values are dropped, and the own value is kept.
+#[test]
+fn no_value_lost_silently() {
+    let tuning = Tuning::default();
+    let mut node = Node::new(START, card(1, "pichincha"), Vec::new(), tuning, 1);
+    let deliver = |node: &mut Node, numbers: std::ops::Range<usize>| {
+        for number in numbers {
+            let Input::Asked(mut packet) = report(id("agent-1"), load(0)) else {
+                unreachable!();
+            };
+            packet.piggyback = vec![value(number, vec![1])];
+            node.handle(START, Input::Asked(packet));
+        }
+        node.piggyback().values(Topic::Demand).count()
+    };
+    assert_eq!(deliver(&mut node, 2..2_066), 2_064);
+    assert_eq!(deliver(&mut node, 2_066..10_000), MAX_SOURCES);
+    let publish = |bytes| Input::Publish(Topic::Demand, vec![1; bytes], Span::from_secs(60));
+    assert!(events(node.handle(START, publish(8)), Event::ValueDropped).is_empty());
+    let mut values = node.piggyback().values(Topic::Demand);
+    assert!(values.any(|(source, _)| *source == node.card().process));
+    drop(values);
+    let next = START + Span::from_secs(1);
+    let dropped = events(node.handle(next, Input::Tick), Event::ValueDropped);
+    let [(subject, detail)] = dropped.as_slice() else {
+        panic!("{dropped:?}");
+    };
+    assert!(subject.starts_with("entry-9999"), "{subject}");
+    assert!(detail.starts_with("1806 values"), "{detail}");
+    let long = node.handle(next, publish(MAX_VALUE_BYTES + 1));
+    assert_eq!(events(long, Event::ValueDropped).len(), 1);
+}
