Drafts of maps carry a checksum that every process computes alike

Cause: the digest of a draft was the standard library's DefaultHasher, which may differ between toolchains. A rank of another toolchain answered every draft with Untold; four such ranks get the full map, with more the switch is given up, and the group keeps its map for good.

Change: a draft carries an XXH3 checksum over numbers of 16 bits in little-endian order. A process that finds it compares nothing else. It also still carries the old digest, for ranks of an earlier release, and a draft without a checksum is held against the old digest as before.

Tests: other_toolchain_decodes failed before the change (None instead of the map); mixed_releases_go_on reads and writes drafts in the form of the earlier release, both ways; wrong_checksum_rejected; checksum_fixed. Mixed sidecar processes were not run, only their messages.

--- a/crates/groups/src/draft.rs
+++ b/crates/groups/src/draft.rs
@@ -7,6 +7,8 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::Xxh3;
+
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -52,8 +54,12 @@
             base: Base,
             /// The changed slots, in order.
             changes: Vec<Change>,
-            /// The digest of the resulting map.
+            /// The hash of the resulting map by the standard library of the sender's toolchain, for
+            /// processes that don't know the checksum.
             digest: u64,
+            /// The [`checksum`] of the resulting map. Earlier releases send none.
+            #[serde(default)]
+            checksum: Option<u64>,
         },
     }
 }
@@ -79,6 +85,7 @@
             base,
             changes,
             digest: digest(map),
+            checksum: Some(checksum(map)),
         }
     }
 }
@@ -93,7 +100,7 @@
     ///
     /// Failure guarded against: a group forms again, its new lead uses a number that an earlier
     /// lead used for another map, and two ranks decode one draft to different maps. Maps of another
-    /// incarnation are not used, and the digest shows whether the result is the intended map.
+    /// incarnation are not used, and the checksum shows whether the result is the intended map.
     pub fn decode(
         &mut self,
         epoch: GroupIncarnation,
@@ -106,6 +113,7 @@
                 base,
                 changes,
                 digest: expected,
+                checksum: expected_sum,
             } => {
                 let mut map = self.base_map(epoch, base)?;
                 let mut slots = map.slots_mut();
@@ -113,7 +121,11 @@
                     *slots.nth(*between as usize)? = *expert;
                 }
                 drop(slots);
-                if digest(&map) != *expected {
+                let intended = match expected_sum {
+                    Some(sum) => checksum(&map) == *sum,
+                    None => digest(&map) == *expected,
+                };
+                if !intended {
                     return None;
                 }
                 Arc::new(map)
@@ -146,6 +158,22 @@
     }
 }
 
+/// Returns the XXH3 hash of a map, which is the same in all processes: of the number of ranks and
+/// slots of each layer and its experts, as little-endian numbers of 16 bits.
+pub fn checksum(map: &ExpertMap) -> u64 {
+    let mut hasher = Xxh3::new();
+    for layer in &map.layers {
+        hasher.update(&layer.ranks().to_le_bytes());
+        hasher.update(&layer.slots().to_le_bytes());
+        for rank in 0..layer.ranks() {
+            for expert in layer.rank_slots(rank) {
+                hasher.update(&expert.to_le_bytes());
+            }
+        }
+    }
+    hasher.digest()
+}
+
 fn digest(map: &ExpertMap) -> u64 {
     let mut hasher = DefaultHasher::new();
     map.hash(&mut hasher);
--- a/crates/groups/tests/draft.rs
+++ b/crates/groups/tests/draft.rs
@@ -1,12 +1,14 @@
 //! Maps that are encoded as their difference from one that ranks know.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use quickcheck::quickcheck;
+use serde::{Deserialize, Serialize};
 
 use snipemast_control::SplitMix64;
 use snipemast_core::prelude::*;
-use snipemast_groups::draft::{Base, Draft, KnownMaps};
+use snipemast_groups::draft::{checksum, Base, Change, Draft, KnownMaps};
 use snipemast_groups::executor::{Action, Executor, OrderSeq};
 use snipemast_groups::map::ExpertMap;
 use snipemast_groups::order::{Order, Outcome, RankState};
@@ -74,6 +76,83 @@
     assert!(known.decode(EPOCH, MapVersion(2), &draft).is_none());
 }
 
+/// Failure guarded against: a process that was built with another toolchain rejects every draft, because the standard
+/// library's hash of a map differs there, and a group whose sidecars are replaced one by one keeps its old map.
+#[test]
+fn other_toolchain_decodes() {
+    let from = first_map();
+    let map = changed(&from, &mut SplitMix64::new(9));
+    let mut draft = Draft::new(ROUND_ROBIN, &from, &map);
+    let Draft::Changed { digest, .. } = &mut draft else {
+        panic!("{draft:?}");
+    };
+    *digest ^= 1;
+    let decoded = KnownMaps::default().decode(EPOCH, MapVersion(1), &draft);
+    assert_eq!(decoded, Some(map));
+}
+
+/// Failure guarded against: the checksum of a map changes with a release, and the processes of two releases reject each
+/// other's drafts.
+#[test]
+fn checksum_fixed() {
+    assert_eq!(checksum(&first_map()), 0xaabf_f740_ec03_3fb5);
+    assert_eq!(checksum(&ExpertMap::default()), 0x2d06_8005_38d3_94c2);
+}
+
+/// A draft as an earlier release sends and reads it.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+enum EarlierDraft {
+    Changed {
+        base: Base,
+        changes: Vec<Change>,
+        digest: u64,
+    },
+}
+
+fn earlier_digest(map: &ExpertMap) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    map.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Failure guarded against: a group whose sidecars are replaced one by one keeps its old map, because those of the earlier
+/// release reject the drafts of the later one, or the other way round.
+#[test]
+fn mixed_releases_go_on() {
+    let from = first_map();
+    let map = changed(&from, &mut SplitMix64::new(11));
+    let draft = Draft::new(ROUND_ROBIN, &from, &map);
+    let bytes = rmp_serde::to_vec_named(&draft).unwrap();
+    let earlier: EarlierDraft = rmp_serde::from_slice(&bytes).unwrap();
+    let EarlierDraft::Changed { digest, .. } = &earlier;
+    assert_eq!(*digest, earlier_digest(&map));
+    let bytes = rmp_serde::to_vec_named(&earlier).unwrap();
+    let received: Draft = rmp_serde::from_slice(&bytes).unwrap();
+    let mut known = KnownMaps::default();
+    assert_eq!(known.decode(EPOCH, MapVersion(1), &received), Some(map));
+    let mut damaged = received;
+    let Draft::Changed { digest, .. } = &mut damaged else {
+        panic!("{damaged:?}");
+    };
+    *digest ^= 1;
+    assert_eq!(known.decode(EPOCH, MapVersion(2), &damaged), None);
+}
+
+/// Failure guarded against: a map that was changed on its way is put into force, because only the hash of an earlier
+/// release was compared.
+#[test]
+fn wrong_checksum_rejected() {
+    let from = first_map();
+    let map = changed(&from, &mut SplitMix64::new(13));
+    let mut draft = Draft::new(ROUND_ROBIN, &from, &map);
+    let Draft::Changed { checksum, .. } = &mut draft else {
+        panic!("{draft:?}");
+    };
+    *checksum = checksum.map(|sum| sum ^ 1);
+    let decoded = KnownMaps::default().decode(EPOCH, MapVersion(1), &draft);
+    assert_eq!(decoded, None);
+}
+
 /// Failure guarded against: the group keeps its old map and answers are late, because a restarted
 /// sidecar can't decode the new map. That rank must be sent the full map.
 #[test]
