Messages about files and settings name the place and the reason

A folder that can't be joined or launched is named; a log in memory has an error of its own.

The change in form.rs has no test: its errors need a disk that fails between two calls.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -31,8 +31,10 @@
 pub(crate) enum ClientError {
     /// The command line is invalid; holds the usage line.
     Usage(&'static str),
-    /// A file can't be read or written.
-    File(PathBuf),
+    /// A file can't be read, with the reason.
+    Unread(PathBuf, String),
+    /// A file can't be written, with the reason.
+    Unwritten(PathBuf, String),
     /// The host can't be reached, or it closed the connection before the whole answer.
     Unreachable(SocketAddr),
     /// The answer is not the expected document.
@@ -43,7 +45,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Usage(usage) => write!(f, "usage: snipemast {usage}"),
-            Self::File(path) => write!(f, "{} can't be read", path.display()),
+            Self::Unread(path, reason) => {
+                write!(f, "{} can't be read: {reason}", path.display())
+            }
+            Self::Unwritten(path, reason) => {
+                write!(f, "{} can't be written: {reason}", path.display())
+            }
             Self::Unreachable(address) => write!(f, "{address} does not answer"),
             Self::Malformed => f.write_str("the host answered with another document"),
         }
@@ -55,7 +62,7 @@
 impl ClientError {
     fn code(&self) -> u8 {
         match self {
-            Self::Usage(_) | Self::File(_) => exit::USAGE,
+            Self::Usage(_) | Self::Unread(..) | Self::Unwritten(..) => exit::USAGE,
             Self::Unreachable(_) | Self::Malformed => exit::UNREACHABLE,
         }
     }
@@ -70,7 +77,7 @@
     let client = OperatorClient::new(args.to, args.key.as_deref(), args.json);
     let body = match (&args.file, args.back) {
         (Some(file), None) => {
-            std::fs::read(file).change_context_lazy(|| ClientError::File(file.clone()))?
+            std::fs::read(file).map_err(|e| ClientError::Unread(file.clone(), e.to_string()))?
         }
         (None, Some(to)) => {
             let answer = client.get(&format!("/config/back?to={to}"))?;
--- a/crates/cli/src/platform.rs
+++ b/crates/cli/src/platform.rs
@@ -24,15 +24,14 @@
 /// Runs the gateway role of an entry host until a signal ends the process.
 pub(crate) fn gateway(args: &GatewayArgs) -> ExitCode {
     let decisions = match &args.decisions {
-        Some(path) => snipemast_settings::read(path),
-        None => Ok(Decisions::default()),
-    };
-    let decisions = match decisions {
-        Ok(decisions) => decisions,
-        Err(report) => {
-            eprintln!("snipemast: {report}");
-            return ExitCode::from(exit::USAGE);
-        }
+        None => Decisions::default(),
+        Some(path) => match snipemast_settings::read(path) {
+            Ok(decisions) => decisions,
+            Err(report) => {
+                eprintln!("snipemast: {}:\n{report}", path.display());
+                return ExitCode::from(exit::USAGE);
+            }
+        },
     };
     run(|settings, journal, end| async {
         snipemast_gateway::run(settings, decisions, journal, end)
--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -32,7 +32,8 @@
     }
     let timeline: Timeline = answer.read_document()?;
     let drawing = drawing::draw(&timeline);
-    std::fs::write(file, drawing).map_err(|_| ClientError::File(file.clone()))?;
+    std::fs::write(file, drawing)
+        .map_err(|e| ClientError::Unwritten(file.clone(), e.to_string()))?;
     println!(
         "{} events drawn into {}",
         timeline.records.len(),
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -8,6 +8,7 @@
 use snipemast_core::prelude::*;
 
 use crate::entry::Write;
+use crate::force::CONFIRMATION;
 
 /// The result of a storage operation.
 pub type Result<T> = std::result::Result<T, Report<StorageError>>;
@@ -72,7 +73,11 @@
             Self::Copied(p) => write!(f, "{} is a copy and must not vote", p.display()),
             Self::Incomplete(p) => write!(f, "{} lacks some of its files", p.display()),
             Self::Ended => f.write_str("an earlier write failed"),
-            Self::Unforced(p) => write!(f, "{} does not fit this folder", p.display()),
+            Self::Unforced(p) => write!(
+                f,
+                "{} must name the last index of the log in this folder, then \"{CONFIRMATION}\"",
+                p.display()
+            ),
         }
     }
 }
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -319,6 +319,10 @@
             StorageError::Unforced(folder.file("force"))
         );
     }
+    // The operator learns which file is wrong and what it must say.
+    let message = folder.open().unwrap_err().to_string();
+    assert!(message.contains(&folder.file("force").display().to_string()));
+    assert!(message.contains("last index") && message.contains(force::CONFIRMATION));
     fs::write(
         folder.file("force"),
         format!("{last} {}\n", force::CONFIRMATION),
--- a/crates/entry/src/voter.rs
+++ b/crates/entry/src/voter.rs
@@ -52,6 +52,8 @@
 pub enum VoterError {
     /// The data folder can't be used.
     Storage(PathBuf),
+    /// The log in memory can't be used.
+    Memory,
     /// A thread can't be started.
     Thread,
 }
@@ -60,6 +62,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Storage(path) => write!(f, "{} can't hold the log", path.display()),
+            Self::Memory => f.write_str("the log in memory can't be used"),
             Self::Thread => f.write_str("the voter's threads can't be started"),
         }
     }
--- a/crates/entry/src/voter/form.rs
+++ b/crates/entry/src/voter/form.rs
@@ -21,7 +21,9 @@
 use snipemast_wire::Peer;
 
 use super::engine::{DiskState, Engine};
-use super::{disk, spawn_task, spawn_thread, Result, VoterError, VoterOptions, VoterShared};
+use super::{
+    disk, spawn_task, spawn_thread, LogStorage, Result, VoterError, VoterOptions, VoterShared,
+};
 
 /// The pause between two rounds of asking the other hosts.
 const ROUND_PAUSE: Span = Span::from_millis(200);
@@ -101,6 +103,16 @@
     }
 }
 
+impl VoterOptions {
+    /// Returns the error of a log that can't be used.
+    fn storage_error(&self) -> VoterError {
+        match &self.log {
+            LogStorage::Folder(folder) => VoterError::Storage(folder.clone()),
+            LogStorage::Memory => VoterError::Memory,
+        }
+    }
+}
+
 /// Starts the voter, at once if its cluster is known, else in a task once the cluster is found.
 pub(super) fn start_voter<M, S, F>(
     options: VoterOptions,
@@ -121,7 +133,7 @@
         (start.cluster, start.first_voters) =
             (Some(ClusterId(start.voter.get())), first_voters.clone());
         let joined = storage.join(ClusterId(start.voter.get()), first_voters);
-        joined.map_err(|e| e.change_context(VoterError::Storage(Default::default())))?;
+        joined.map_err(|e| e.change_context(options.storage_error()))?;
     }
     if start.cluster.is_some() {
         launch(&options, start, storage, machine, engine)?;
@@ -175,7 +187,7 @@
     let node = Node::new(params, machine, shared.clock.now());
     let node = node.map_err(|e| {
         shared.journal.record(Event::StorageRefused, "snapshot", &e);
-        error_stack::Report::new(e).change_context(VoterError::Storage(Default::default()))
+        error_stack::Report::new(e).change_context(options.storage_error())
     })?;
     let state = Arc::new(DiskState::default());
     let (writes, pending) = channel();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,7 +25,7 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 
 /// The result of reading settings.
 pub type Result<T> = std::result::Result<T, Report<SettingsError>>;
@@ -33,8 +33,8 @@
 /// A reason why a settings file can't be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SettingsError {
-    /// The file can't be read.
-    Unreadable(PathBuf),
+    /// The file can't be read, with the reason.
+    Unreadable(PathBuf, String),
     /// The text has faults.
     Faulty(Vec<Fault>),
 }
@@ -42,7 +42,9 @@
 impl fmt::Display for SettingsError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unreadable(path) => write!(f, "{} can't be read", path.display()),
+            Self::Unreadable(path, reason) => {
+                write!(f, "{} can't be read: {reason}", path.display())
+            }
             Self::Faulty(faults) => {
                 let lines: Vec<String> = faults.iter().map(Fault::to_string).collect();
                 f.write_str(&lines.join("\n"))
@@ -56,7 +58,7 @@
 /// Reads and checks a settings file.
 pub fn read<T: Settings>(path: &Path) -> Result<T> {
     let text = std::fs::read_to_string(path)
-        .change_context_lazy(|| SettingsError::Unreadable(path.into()))?;
+        .map_err(|e| Report::new(SettingsError::Unreadable(path.into(), e.to_string())))?;
     parse(&text)
 }
 
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -193,3 +193,15 @@
         .tests(500)
         .quickcheck(never_panics as fn(String) -> bool);
 }
+
+/// Guards against an operator who can't tell whether the file is missing, locked or a folder.
+#[test]
+fn unreadable_file_named() {
+    let path = std::path::Path::new("/nowhere/agent.toml");
+    let report = snipemast_settings::read::<AgentSettings>(path).expect_err("no file");
+    let message = report.to_string();
+    assert!(
+        message.starts_with("/nowhere/agent.toml can't be read: No such file"),
+        "{message}"
+    );
+}
