A peer's draft can't end a sidecar

Cause: the base of a draft named layers, ranks and slots that nothing bounded: ten bytes asked for gigabytes, and the allocator ended the process. A full map whose layers said more ranks than they had slots for was accepted, and read beyond its end.

Change: a base has at most 4,194,304 slots; a full map must have the slots that it says.

Tests: unsound_layers_rejected, any_draft_survived and any_base_survived.

--- a/crates/groups/src/draft.rs
+++ b/crates/groups/src/draft.rs
@@ -18,6 +18,9 @@
 /// that was given up.
 const MAX_KNOWN: usize = 3;
 
+/// The most slots of a base: some 200 times as many as 192 ranks with 10 sets of experts have, and 8 MB.
+const MAX_SLOTS: u64 = 1 << 22;
+
 data! {
     /// The map that the changes of a draft start from.
     #[derive(Copy)]
@@ -96,7 +99,7 @@
 
 impl KnownMaps {
     /// Decodes a draft and remembers its map. Returns `None` where the base of the draft is not
-    /// known.
+    /// known, or the map is not the intended one or has no sound shape.
     ///
     /// Failure guarded against: a group forms again, its new lead uses a number that an earlier
     /// lead used for another map, and two ranks decode one draft to different maps. Maps of another
@@ -108,6 +111,7 @@
         draft: &Draft,
     ) -> Option<Arc<ExpertMap>> {
         let map = match draft {
+            Draft::Whole(map) if !map.is_sound() => return None,
             Draft::Whole(map) => Arc::clone(map),
             Draft::Changed {
                 base,
@@ -146,7 +150,9 @@
                 slots,
                 experts,
             } => {
-                let fits = u32::from(experts) <= u32::from(ranks) * u32::from(slots);
+                let held = u64::from(ranks) * u64::from(slots);
+                let sound = held * u64::from(layers) <= MAX_SLOTS;
+                let fits = sound && u64::from(experts) <= held;
                 fits.then(|| ExpertMap::round_robin(usize::from(layers), ranks, slots, experts))
             }
             Base::Known(version) => {
--- a/crates/groups/src/map.rs
+++ b/crates/groups/src/map.rs
@@ -264,6 +264,12 @@
         next
     }
 
+    /// Whether each layer has as many slots as its ranks say, which a map from a peer may not have.
+    pub fn is_sound(&self) -> bool {
+        let sound = |l: &Layer| l.held.len() == usize::from(l.ranks) * usize::from(l.slots);
+        self.layers.iter().all(sound)
+    }
+
     /// Whether every expert of every layer is held by at least one rank.
     pub fn is_whole(&self, experts: usize) -> bool {
         let whole = |layer: &Layer| layer.replicas(experts).iter().all(|n| *n > 0);
--- a/crates/groups/tests/draft.rs
+++ b/crates/groups/tests/draft.rs
@@ -10,7 +10,7 @@
 use snipemast_core::prelude::*;
 use snipemast_groups::draft::{checksum, Base, Change, Draft, KnownMaps};
 use snipemast_groups::executor::{Action, Executor, OrderSeq};
-use snipemast_groups::map::ExpertMap;
+use snipemast_groups::map::{ExpertMap, Layer};
 use snipemast_groups::order::{Order, Outcome, RankState};
 use snipemast_groups::switch::Switch;
 
@@ -202,3 +202,79 @@
         Action::Give(_)
     ));
 }
+
+/// Returns a draft in MessagePack, as a peer sends it.
+fn sample_bytes(kind: u8) -> Vec<u8> {
+    let from = first_map();
+    let map = changed(&from, &mut SplitMix64::new(17));
+    let draft = match kind % 3 {
+        0 => Draft::Whole(map),
+        1 => Draft::new(ROUND_ROBIN, &from, &map),
+        _ => Draft::new(Base::Known(MapVersion(1)), &from, &map),
+    };
+    rmp_serde::to_vec_named(&draft).unwrap()
+}
+
+/// Reads every slot of a map, as a rank does that copies its experts.
+fn read_slots(map: &ExpertMap) -> usize {
+    let ranks = |layer: &Layer| {
+        (0..layer.ranks())
+            .map(|rank| layer.rank_slots(rank).len())
+            .sum::<usize>()
+    };
+    map.layers.iter().map(ranks).sum()
+}
+
+quickcheck! {
+    /// Failure guarded against: a sidecar ends because a peer sends it a map whose layers have fewer slots than they say, or
+    /// a base that no process has the memory for.
+    fn any_draft_survived(kind: u8, changes: Vec<(u16, u8)>) -> bool {
+        let mut bytes = sample_bytes(kind);
+        let length = bytes.len();
+        for (at, byte) in changes {
+            bytes[usize::from(at) % length] = byte;
+        }
+        let Ok(draft) = rmp_serde::from_slice::<Draft>(&bytes) else {
+            return true;
+        };
+        let decoded = KnownMaps::default().decode(EPOCH, MapVersion(1), &draft);
+        decoded.is_none_or(|map| read_slots(&map) == map.slots().count())
+    }
+
+    /// Failure guarded against: as before, by a base of any shape.
+    fn any_base_survived(layers: u16, ranks: u16, slots: u16, experts: u16) -> bool {
+        let base = Base::RoundRobin { layers, ranks, slots, experts };
+        let draft = Draft::Changed { base, changes: Vec::new(), digest: 0, checksum: None };
+        KnownMaps::default().decode(EPOCH, MapVersion(1), &draft).is_none()
+    }
+}
+
+/// Failure guarded against: as before, by layers that say another number of slots than they have.
+#[test]
+fn unsound_layers_rejected() {
+    let named = rmp_serde::to_vec_named(&Draft::Whole(Arc::new(first_map()))).unwrap();
+    let at = named
+        .windows(5)
+        .position(|w| w == b"ranks")
+        .expect("a layer names its ranks");
+    let mut bytes = named;
+    bytes[at + 5] = 100;
+    let draft: Draft = rmp_serde::from_slice(&bytes).unwrap();
+    let decoded = KnownMaps::default().decode(EPOCH, MapVersion(1), &draft);
+    assert_eq!(decoded, None);
+    let layers = u16::MAX;
+    let base = Base::RoundRobin {
+        layers,
+        ranks: u16::MAX,
+        slots: 8,
+        experts: 9,
+    };
+    let draft = Draft::Changed {
+        base,
+        changes: Vec::new(),
+        digest: 0,
+        checksum: Some(0),
+    };
+    let decoded = KnownMaps::default().decode(EPOCH, MapVersion(1), &draft);
+    assert_eq!(decoded, None);
+}
