Numbers of a model server or configuration that don't fit can't end a sidecar

Cause: from_rank and round_robin panicked where a rank is none of the group's ranks, a group of one rank lacks experts, or a configuration names more experts than places; the numbers were also cut to 16 bits. All tasks of a sidecar run in one executor, which a panic unwinds.

Change: from_rank returns None, and a base and a group's first map use fitting_round_robin, which returns None for what doesn't fit; the callers treat it as a rank that didn't answer, or a group whose map is not known, as before. held_map_complete asserts the same of the Some.

Tests: any_report_survived fails on ranks 0, held [[]], one expert, and any_configuration_survived on no ranks and one expert, with the checks taken out.

--- a/crates/groups/src/draft.rs
+++ b/crates/groups/src/draft.rs
@@ -18,9 +18,6 @@
 /// that was given up.
 const MAX_KNOWN: usize = 3;
 
-/// The most slots of a base: some 200 times as many as 192 ranks with 10 sets of experts have, and 8 MB.
-const MAX_SLOTS: u64 = 1 << 22;
-
 data! {
     /// The map that the changes of a draft start from.
     #[derive(Copy)]
@@ -149,12 +146,7 @@
                 ranks,
                 slots,
                 experts,
-            } => {
-                let held = u64::from(ranks) * u64::from(slots);
-                let sound = held * u64::from(layers) <= MAX_SLOTS;
-                let fits = sound && u64::from(experts) <= held;
-                fits.then(|| ExpertMap::round_robin(usize::from(layers), ranks, slots, experts))
-            }
+            } => ExpertMap::fitting_round_robin(layers, ranks, slots, experts),
             Base::Known(version) => {
                 let mut latest = self.0.iter().rev();
                 let known = latest.find(|(e, v, _)| (*e, *v) == (epoch, version));
--- a/crates/groups/src/map.rs
+++ b/crates/groups/src/map.rs
@@ -7,6 +7,10 @@
 /// Marks a slot that holds no expert.
 pub const EMPTY: u16 = u16::MAX;
 
+/// The most slots of a map whose shape another process names: some 200 times as many as 192 ranks with
+/// 10 sets of 384 experts have, and 8 MB.
+const MAX_SLOTS: u64 = 1 << 22;
+
 data! {
     /// One layer of an expert map, with the same number of slots on each rank.
     #[derive(Hash)]
@@ -83,17 +87,16 @@
     }
 
     /// Creates a layer in which one rank holds the given experts, and each other expert is on one
-    /// of the other ranks.
-    ///
-    /// # Panics
-    ///
-    /// Panics where there is no other rank and the one rank does not hold every expert.
-    pub fn from_rank(rank: u16, held: &[u16], ranks: u16, experts: u16) -> Self {
+    /// of the other ranks. Returns `None` where there is no such layer: the rank is none of the
+    /// ranks, or the experts don't fit.
+    pub fn from_rank(rank: u16, held: &[u16], ranks: u16, experts: u16) -> Option<Self> {
         let others: Vec<u16> = (0..ranks).filter(|r| *r != rank).collect();
         let rest: Vec<u16> = (0..experts).filter(|e| !held.contains(e)).collect();
-        assert!(rest.is_empty() || !others.is_empty());
+        if rank >= ranks || (others.is_empty() && !rest.is_empty()) {
+            return None;
+        }
         let slots = held.len().max(rest.len().div_ceil(others.len().max(1)));
-        let mut layer = Self::new(ranks, slots as u16);
+        let mut layer = Self::new(ranks, u16::try_from(slots).ok()?);
         for (slot, expert) in held.iter().enumerate() {
             layer.set(rank, slot as u16, *expert);
         }
@@ -101,7 +104,7 @@
             let (slot, other) = (number / others.len(), number % others.len());
             layer.set(others[other], slot as u16, expert);
         }
-        layer
+        Some(layer)
     }
 
     /// Returns the number of ranks.
@@ -197,19 +200,22 @@
         }
     }
 
+    /// Creates the map of [`round_robin`](Self::round_robin), or returns `None` where the experts
+    /// don't fit into the slots or no process could hold that many slots.
+    pub fn fitting_round_robin(layers: u16, ranks: u16, slots: u16, experts: u16) -> Option<Self> {
+        let held = u64::from(ranks) * u64::from(slots);
+        let fits = u64::from(experts) <= held && held * u64::from(layers) <= MAX_SLOTS;
+        fits.then(|| Self::round_robin(usize::from(layers), ranks, slots, experts))
+    }
+
     /// Creates a complete map in which one rank holds the given experts, by layer. The other
-    /// experts are assigned to the other ranks arbitrarily.
-    ///
-    /// # Panics
-    ///
-    /// Panics where there is no other rank and the one rank does not hold every expert.
-    pub fn from_rank(rank: u16, held: &[Vec<u16>], ranks: u16, experts: u16) -> Self {
+    /// experts are assigned to the other ranks arbitrarily. Returns `None` where there is no such
+    /// map.
+    pub fn from_rank(rank: u16, held: &[Vec<u16>], ranks: u16, experts: u16) -> Option<Self> {
         let layers = held.iter();
-        Self {
-            layers: layers
-                .map(|held| Layer::from_rank(rank, held, ranks, experts))
-                .collect(),
-        }
+        let layers = layers.map(|held| Layer::from_rank(rank, held, ranks, experts));
+        let layers = layers.collect::<Option<_>>()?;
+        Some(Self { layers })
     }
 
     /// Whether another map has the same number of layers, ranks and slots.
--- a/crates/groups/tests/delivery.rs
+++ b/crates/groups/tests/delivery.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use quickcheck::quickcheck;
+
 use snipemast_core::prelude::*;
 use snipemast_groups::delivery::{plan_deliveries, Delivery};
 use snipemast_groups::draft::{Base, Draft};
@@ -135,7 +137,7 @@
                 held.copied().filter(|e| *e < experts).collect()
             })
             .collect();
-        let kept = ExpertMap::from_rank(rank, &held, ranks, experts);
+        let kept = ExpertMap::from_rank(rank, &held, ranks, experts).expect("the experts fit");
         assert!(kept.is_whole(usize::from(experts)));
         for (layer, held) in kept.layers.iter().zip(&held) {
             assert!(held.iter().all(|e| layer.holds(rank, *e)));
@@ -143,3 +145,22 @@
         }
     }
 }
+
+quickcheck! {
+    /// Failure guarded against: a sidecar ends because its model server names a rank, a group size or experts that don't fit
+    /// together.
+    fn any_report_survived(rank: u16, held: Vec<Vec<u16>>, ranks: u8, experts: u16) -> bool {
+        let (rank, ranks) = (rank % 300, u16::from(ranks));
+        let map = ExpertMap::from_rank(rank, &held, ranks, experts);
+        let known = held.iter().flatten().all(|e| *e < experts);
+        map.is_none_or(|map| map.is_sound() && (!known || map.is_whole(usize::from(experts))))
+    }
+
+    /// Failure guarded against: a sidecar ends because an operator's configuration names more experts than a group has places
+    /// for, or more places than a process can hold.
+    fn any_configuration_survived(layers: u16, ranks: u16, slots: u8, experts: u16) -> bool {
+        let slots = u16::from(slots);
+        let map = ExpertMap::fitting_round_robin(layers, ranks, slots, experts);
+        map.is_none_or(|map| map.is_sound() && map.is_whole(usize::from(experts)))
+    }
+}
--- a/crates/sidecar/src/group.rs
+++ b/crates/sidecar/src/group.rs
@@ -158,7 +158,7 @@
 }
 
 /// Returns the map that a group has in force, and the base that its ranks share; nothing where they didn't report
-/// what they hold.
+/// what they hold, or the configuration names more experts than fit.
 pub(crate) fn map_in_force(
     experts: &Experts,
     seen: &[RankReport],
@@ -167,7 +167,7 @@
     if seen[0].state.map != MapVersion(0) {
         return Some((held?, None));
     }
-    let (base, first) = first_map(experts, seen.len());
+    let (base, first) = first_map(experts, seen.len())?;
     match held {
         // Where the same ranks hold the same experts, only the slots may differ from the first map.
         Some(held) if !first.has_same_holders(&held) => Some((held, None)),
@@ -176,22 +176,27 @@
 }
 
 /// Returns the map that a group begins with, which assigns experts to ranks round-robin.
-fn first_map(experts: &Experts, ranks: usize) -> (Base, ExpertMap) {
-    let (layers, ranks) = (experts.sets as u16, ranks as u16);
-    let (slots, experts) = (experts.places as u16, experts.count as u16);
+fn first_map(experts: &Experts, ranks: usize) -> Option<(Base, ExpertMap)> {
+    let (layers, ranks) = (number(experts.sets)?, u16::try_from(ranks).ok()?);
+    let (slots, experts) = (number(experts.places)?, number(experts.count)?);
     let base = Base::RoundRobin {
         layers,
         ranks,
         slots,
         experts,
     };
-    let map = ExpertMap::round_robin(usize::from(layers), ranks, slots, experts);
-    (base, map)
+    let map = ExpertMap::fitting_round_robin(layers, ranks, slots, experts)?;
+    Some((base, map))
+}
+
+/// Returns a number of the configuration, if maps can hold it.
+fn number(configured: u32) -> Option<u16> {
+    u16::try_from(configured).ok()
 }
 
 /// Builds the map from what each rank reports to hold; nothing where a rank didn't report it.
 fn held_map(experts: &Experts, seen: &[RankReport]) -> Option<ExpertMap> {
-    let (sets, places) = (experts.sets as usize, experts.places as u16);
+    let (sets, places) = (experts.sets as usize, number(experts.places)?);
     let valid = |held: &Vec<u16>| held.iter().all(|e| u32::from(*e) < experts.count);
     let whole = |s: &RankReport| s.experts.len() == sets && s.experts.iter().all(valid);
     if !seen.iter().all(whole) {
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -272,14 +272,14 @@
     }
 
     /// Returns a map in which the rank keeps the experts that it holds, and the other ranks' experts are
-    /// arbitrary; nothing where the rank doesn't answer.
+    /// arbitrary; nothing where the rank doesn't answer, or names numbers that don't fit together.
     async fn map_as_held(&self) -> Option<ExpertMap> {
         let rank = self.report().await?.rank?;
         let held = self.engine.experts().await.ok()?;
         let counted = self.engine.counts().await.ok()?;
-        let experts = counted.len() / held.len().max(1);
-        let (own, ranks) = (rank.rank as u16, rank.size as u16);
-        Some(ExpertMap::from_rank(own, &held, ranks, experts as u16))
+        let experts = u16::try_from(counted.len() / held.len().max(1)).ok()?;
+        let own = u16::try_from(rank.rank).ok()?;
+        ExpertMap::from_rank(own, &held, u16::try_from(rank.size).ok()?, experts)
     }
 
     /// Returns how many orders the rank has accepted, its state, and the highest lead that gave it orders.
