A gateway forgets the controllers that it no longer polls

Cause: Relays forgot a controller whose polls failed, but not one whose polls ended because the news no longer named it.

Change: news that name the controllers have the gateway forget the others, unless they are seeds of its settings; a late answer to a poll of a forgotten one is ignored. What a table has of others is called covered everywhere (it was merged, covered and Coverage); the messages stay as they were.

Test: unpolled_relay_replaced fails with the forgetting taken out, and with the late answer recorded. The call in the gateway has no test of its own. Tests of registry, gateway and controller pass.

--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -79,7 +79,7 @@
         journal: journal.clone(),
         epoch: rand::random(),
         table: Mutex::new(Table::new()),
-        merged: Mutex::default(),
+        covered: Mutex::default(),
         rank_updates: Mutex::default(),
         unknown_senders: UnknownSenders::default(),
         pollers: Mutex::new(Pollers::default()),
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -172,7 +172,7 @@
 impl FeedHandler for Peers {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let now = self.state.clock.now();
-        let cursor = self.state.merged.lock().get(&controller).copied();
+        let cursor = self.state.covered.lock().get(&controller).copied();
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
@@ -199,7 +199,7 @@
         drop(known);
         // After a missed change the next poll asks for everything.
         let cursor = if complete { cursor } else { Cursor::default() };
-        self.state.merged.lock().insert(controller, cursor);
+        self.state.covered.lock().insert(controller, cursor);
     }
 
     async fn wait_after_news(&self, _: SocketAddr) {
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -33,8 +33,8 @@
     pub(crate) epoch: u64,
     /// The known servers.
     pub(crate) table: Mutex<Table>,
-    /// How much of each other controller's table is merged into this one.
-    pub(crate) merged: Mutex<HashMap<SocketAddr, Cursor>>,
+    /// How much of each other controller's table this one covers.
+    pub(crate) covered: Mutex<HashMap<SocketAddr, Cursor>>,
     /// Updates from the processes beside ranks that are not yet merged into the table.
     pub(crate) rank_updates: Mutex<Vec<RankUpdate>>,
     /// The senders of announcements that are refused.
@@ -61,12 +61,12 @@
 
     /// Returns how much of each other controller's table this one includes.
     pub(crate) fn coverage(&self) -> Vec<Coverage> {
-        let merged = self.merged.lock();
-        let merged = merged.iter().map(|(controller, cursor)| Coverage {
+        let covered = self.covered.lock();
+        let covered = covered.iter().map(|(controller, cursor)| Coverage {
             controller: *controller,
             cursor: *cursor,
         });
-        merged.collect()
+        covered.collect()
     }
 
     /// Notifies all waiting tasks that something changed.
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -341,6 +341,12 @@
         entry.same_zone = answer.same_zone;
         entry.wants_document = false;
         known.relays.record(controller, answer);
+        if !news.controllers.is_empty() {
+            let seeds = self.state.settings.internal_seeds();
+            let is_polled = |c| news.controllers.contains(&c) || seeds.contains(&c);
+            known.controllers.retain(|c, _| is_polled(*c));
+            known.relays.retain_polled(is_polled);
+        }
         drop(known);
         self.relayed.notify(usize::MAX);
     }
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -116,7 +116,7 @@
         pub cursor: Cursor,
         /// What changed in the table.
         pub entries: Vec<Entry>,
-        /// How much of the other controllers' tables the entries include, for pollers of this
+        /// How much of the other controllers' tables the entries cover, for pollers of this
         /// controller's availability zone.
         #[serde(default)]
         pub covered: Vec<Coverage>,
--- a/crates/registry/src/relays.rs
+++ b/crates/registry/src/relays.rs
@@ -3,7 +3,7 @@
 //! Every controller has every change, and every gateway polls every controller, which sees by that that
 //! the gateway is connected and what it has. But only the controllers of the gateway's own availability
 //! zone (its relays) send it the changes, so that only controllers send these between zones. A relay
-//! says how much of each other controller's table it has merged; this is what the gateway has of that
+//! says how much of each other controller's table its own covers; this is what the gateway has of that
 //! table then. If the relays don't deliver in time what another controller has, the gateway asks that
 //! one.
 
@@ -15,7 +15,7 @@
 use crate::news::Cursor;
 
 data! {
-    /// How much of another controller's table a controller has merged into its own.
+    /// How much of another controller's table a controller's own covers.
     pub struct Coverage {
         /// The address at which that controller accepts polls.
         pub controller: SocketAddr,
@@ -33,7 +33,7 @@
     pub cursor: Cursor,
     /// Whether the answer carries changes; earlier releases send them unasked.
     pub has_entries: bool,
-    /// How much of other tables the controller has merged.
+    /// How much of other tables the controller's covers.
     pub covered: Vec<Coverage>,
 }
 
@@ -49,7 +49,7 @@
     cursor: Cursor,
     /// How much of the table there is, as the controller last said.
     reported: Cursor,
-    /// How much of other tables it has passed on.
+    /// How much of other tables its answers covered.
     covered: HashMap<SocketAddr, Cursor>,
     same_zone: bool,
     /// What the relays did not deliver; it is asked for changes until they have.
@@ -74,7 +74,10 @@
 
     /// Records an answer of a controller, after its entries were merged.
     pub fn record(&mut self, controller: SocketAddr, answer: RelayAnswer) {
-        let known = self.known.entry(controller).or_default();
+        // It may have been forgotten since the poll began.
+        let Some(known) = self.known.get_mut(&controller) else {
+            return;
+        };
         known.same_zone = answer.same_zone;
         known.reported = answer.cursor;
         if known.asked || answer.has_entries {
@@ -89,6 +92,14 @@
         self.known.remove(&controller);
     }
 
+    /// Forgets the controllers that are no longer polled.
+    ///
+    /// Failure guarded against: the last relay is no longer polled, and the gateway waits in vain for
+    /// it to pass on the changes of each other controller.
+    pub fn retain_polled(&mut self, is_polled: impl Fn(SocketAddr) -> bool) {
+        self.known.retain(|controller, _| is_polled(*controller));
+    }
+
     /// Whether a controller has changes that the gateway has not got yet.
     pub fn lags(&self, controller: SocketAddr) -> bool {
         let reported = self.known.get(&controller).map(|k| k.reported);
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -35,11 +35,11 @@
     }
 }
 
-/// A controller's table, and how much of the others' it has merged.
+/// A controller's table, and how much of the others' it covers.
 struct Controller {
     table: Table,
     epoch: u64,
-    merged: Vec<Cursor>,
+    covered: Vec<Cursor>,
 }
 
 /// Controllers that exchange their tables, and a gateway that polls them.
@@ -58,7 +58,7 @@
         let controller = |number: usize| Controller {
             table: Table::new(),
             epoch: number as u64 + 1,
-            merged: vec![Cursor::default(); count],
+            covered: vec![Cursor::default(); count],
         };
         Self {
             controllers: (0..count).map(controller).collect(),
@@ -80,7 +80,7 @@
     /// Has a controller merge what another one has.
     fn exchange(&mut self, now: Moment, asker: usize, other: usize) {
         let cursor = self.cursor(other);
-        let from = self.controllers[asker].merged[other];
+        let from = self.controllers[asker].covered[other];
         let after = if from.epoch == cursor.epoch {
             from.revision
         } else {
@@ -91,7 +91,7 @@
         for entry in entries {
             own.table.merge(now, entry);
         }
-        own.merged[other] = cursor;
+        own.covered[other] = cursor;
     }
 
     /// Has the gateway poll a controller; the answer may be lost.
@@ -109,7 +109,7 @@
             Vec::new()
         };
         let covered = known
-            .merged
+            .covered
             .iter()
             .enumerate()
             .map(|(other, cursor)| Coverage {
@@ -153,7 +153,7 @@
         let known = &mut self.controllers[controller];
         known.table = Table::new();
         known.epoch += 1_000;
-        known.merged = vec![Cursor::default(); count];
+        known.covered = vec![Cursor::default(); count];
     }
 }
 
@@ -219,6 +219,29 @@
     assert!(fleet.table.get(&id(1)).is_some());
 }
 
+/// Guards against a gateway that waits in vain for the only controller of its zone after the news no longer name it, and
+/// with that ends its polls: the changes of the others come at once, also if an answer to the last poll is late.
+#[test]
+fn unpolled_relay_replaced() {
+    let mut fleet = Fleet::new(3, 1);
+    fleet.settle(at(0));
+    fleet.relays.prepare(address(0));
+    fleet.relays.retain_polled(|c| c != address(0));
+    let late = RelayAnswer {
+        same_zone: true,
+        cursor: fleet.cursor(0),
+        has_entries: false,
+        covered: Vec::new(),
+    };
+    fleet.relays.record(address(0), late);
+    let table = &mut fleet.controllers[2].table;
+    table.record_heartbeat(at(1), heartbeat(1, 1, false));
+    fleet.poll(at(2), 2, false);
+    assert!(fleet.table.get(&id(1)).is_some());
+    assert!(!fleet.relays.lags(address(2)));
+    assert!(!fleet.relays.lags(address(0)));
+}
+
 /// Guards against the acknowledgement of a drain that waits for gateways which are not woken for it, and against
 /// gateways that every controller wakes for changes that it only heard of.
 #[test]
