No number that a peer names overflows an entry's membership

Cause: a verdict on an entry with the highest version had it raise its own version above it; a value under its own name with the highest sequence did the same to its next one. With overflow checks that is a panic; without them, as in a release build, the version fell to 0 and the others ignored it.

Change: versions and sequences stay at the highest number.

--- a/crates/membership/src/owned.rs
+++ b/crates/membership/src/owned.rs
@@ -105,12 +105,12 @@
 
     /// Raises the version above another one, without changing an agent.
     pub fn raise(&mut self, past: u64) {
-        self.version = self.version.max(past) + 1;
+        self.version = self.version.max(past).saturating_add(1);
     }
 
     /// Adds or replaces an agent.
     pub fn put(&mut self, card: AgentCard) {
-        self.version += 1;
+        self.version = self.version.saturating_add(1);
         let host = card.agent.host.clone();
         self.removed.remove(&host);
         self.cards.insert(host, (self.version, card));
@@ -121,7 +121,7 @@
         if self.cards.remove(host).is_none() {
             return false;
         }
-        self.version += 1;
+        self.version = self.version.saturating_add(1);
         self.removed.insert(host.clone(), self.version);
         self.trim_removals();
         true
--- a/crates/membership/src/piggyback.rs
+++ b/crates/membership/src/piggyback.rs
@@ -152,7 +152,7 @@
             .stored
             .get(&topic)
             .and_then(|values| values.get(&source.host));
-        let sequence = last.map_or(1, |k| k.item.sequence + 1);
+        let sequence = last.map_or(1, |k| k.item.sequence.saturating_add(1));
         let item = PiggybackValue {
             topic,
             source: source.clone(),
