--- a/crates/benches/src/placing/demand.rs
+++ b/crates/benches/src/placing/demand.rs
@@ -74,7 +74,7 @@
 }
 
 impl Demand {
-    /// Returns three kinds: an urgent one, a usual one, and one of long answers that may wait a second.
+    /// Returns three kinds: an urgent one, a usual one, and one that may wait a second.
     pub fn of_three(pieces: usize) -> Self {
         let kind = |share, priority, objective, pieces| Kind {
             share,
--- a/crates/benches/tests/overload.rs
+++ b/crates/benches/tests/overload.rs
@@ -31,7 +31,7 @@
     simulate_callers::<PickPolicy>(&setup.with_load(load))
 }
 
-/// Guards against urgent requests that come too late while requests with long answers fill every server and its
+/// Guards against urgent requests that come too late while requests that may wait fill every server and its
 /// queue, because servers take whoever comes. They come 2.4 times as often for five seconds.
 #[test]
 fn burst_below_urgent() {
