--- a/crates/benches/src/placing/admission.rs
+++ b/crates/benches/src/placing/admission.rs
@@ -2,7 +2,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::passes::PassTimes;
-use snipemast_placement::urgency::{LoadLimits, RequestPriority, Urgency};
+use snipemast_placement::{LoadLimits, RequestClass, RequestPriority, Urgency};
 
 use super::demand::Kind;
 
@@ -160,14 +160,17 @@
             Reach::All => LoadLimits {
                 full: ceiling,
                 late: ceiling.min(usual.late),
+                ..usual
             },
             Reach::Steps => LoadLimits {
                 full: ceiling,
                 late: ceiling * STEP_PERCENT / 100,
+                ..usual
             },
             Reach::Patient | Reach::LessUrgent => LoadLimits {
                 full: usual.full,
                 late: ceiling.min(usual.late),
+                ..usual
             },
         }
     }
@@ -180,9 +183,12 @@
 
     /// Returns the urgency by which a request is ordered.
     pub(super) fn urgency(kind: &Kind, waited: Span) -> Urgency {
-        let priority = Priority::new(kind.priority);
-        let priority = RequestPriority::new(None, priority);
-        Urgency::new(waited, kind.objective, priority)
+        let class = RequestClass {
+            objective: kind.objective,
+            priority: RequestPriority::new(None, Priority::new(kind.priority)),
+            least: false,
+        };
+        Urgency::new(waited, &class)
     }
 
     /// Returns the urgency by which a server is chosen. Whoever is kept below the ceiling counts as late.
