Servers that fail far more than others are left out by what all gateways saw

Cause: a gateway ejects a server after three failures in a row of its own. Before many gateways each sees a server a few times in half a minute, so a server that fails all or 4 in 10 of its requests is never noticed, and draws work because who has just failed has free places.

Change: `placement::outcomes` keeps decaying sums of good and failed answers by start of a server. Gateways report them with their polls of the leader, which names servers that two gateways saw fail and that fail far more than most of their service (`registry::outcomes`). These are left out, but for a trial each 2 s from all gateways together, and at most half of a service. A 504 of a server counts for its ejection as before, but not here: the time may have been short.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -38,6 +38,10 @@
         PollerKind::Gateway => state.grant(&poll.demands),
         PollerKind::Controller | PollerKind::Sidecar => None,
     };
+    let suspects = match poll.kind {
+        PollerKind::Gateway => state.suspects(now),
+        PollerKind::Controller | PollerKind::Sidecar => Vec::new(),
+    };
     let pollers = state.pollers.lock();
     let (in_flight, age) = match poll.kind {
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
@@ -60,6 +64,7 @@
             .map_or(0, |zone| pollers.local_gateway_count(now, &zone)),
         slow: pollers.slow_servers(now),
         silent: pollers.silent_servers(now),
+        suspects,
         grants,
         in_flight,
         age,
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -10,11 +10,13 @@
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::BootClock;
+use snipemast_placement::Suspect;
 use snipemast_platform::settings::Settings;
 use snipemast_registry::limit::limit_change_event;
+use snipemast_registry::outcomes::Placed;
 use snipemast_registry::relays::Coverage;
 use snipemast_registry::{
-    Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankUpdate, Table,
+    Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankUpdate, Standing, Table,
 };
 
 use crate::strangers::UnknownSenders;
@@ -159,6 +161,23 @@
         });
     }
 
+    /// Returns the servers that fail by the reports of several gateways.
+    pub(crate) fn suspects(&self, now: Moment) -> Vec<Suspect> {
+        let placed = || {
+            let table = self.table.lock();
+            let ready = table.iter().filter(|k| k.standing == Standing::Ready);
+            let placed = ready.map(|known| Placed {
+                server: known.announcement.id.clone(),
+                start: known.announcement.start,
+                service: known.announcement.service.clone(),
+                zone: known.announcement.zone.clone(),
+                group: table.rank(known).map(|rank| rank.group.clone()),
+            });
+            placed.collect()
+        };
+        self.pollers.lock().suspects(now, placed)
+    }
+
     /// Grants shares of limits to a gateway; `None` if this controller may not grant any.
     pub(crate) fn grant(&self, demands: &[Demand]) -> Option<Vec<Grant>> {
         let term = self.voter.leading_term()?;
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -193,6 +193,10 @@
     LeavingTold = 711;
     /// A backend server's answer has a header that this process does not know.
     HeaderUnknown = 712;
+    /// A backend server is left out, because several hosts saw it fail far more than others.
+    ServerLeftOut = 713;
+    /// A backend server that was left out takes requests again.
+    ServerTakenBack = 714;
 }
 
 impl Event {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,7 @@
 
 use async_channel::bounded;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response, StatusCode};
@@ -13,7 +13,7 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::choice::{Constraints, Unplaced};
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::{RequestPriority, Sends};
+use snipemast_placement::{Outcome, RequestPriority, Sends};
 use snipemast_platform::request::RequestHeaders;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
@@ -78,7 +78,7 @@
     let bound = routes.limits().body.as_bytes() as usize;
     let body = match within(patience, Limited::new(body, bound).collect()).await {
         Some(Ok(body)) => body.to_bytes(),
-        Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+        Some(Err(e)) if e.is::<LengthLimitError>() => {
             return local_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         Some(Err(_)) => return local_answer(StatusCode::BAD_REQUEST, "the body can't be read"),
@@ -373,7 +373,13 @@
     let read = within(job.left(), body).await;
     let bytes: Bytes = match read {
         Some(Ok(body)) => body.to_bytes(),
-        _ => {
+        lost => {
+            // An answer that is too large, or takes longer than its caller waits, is no failure of
+            // the server.
+            let broken = matches!(lost, Some(Err(e)) if !e.is::<LengthLimitError>());
+            if broken {
+                job.record_outcome(&run.choice, Outcome::Failed);
+            }
             let detail = format_args!("{}: broken off", run.choice.server);
             job.log_problem(Event::AnswerFailed, detail);
             return None;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,7 @@
     granted: Family<ServerLabel, Counter>,
     rests: Family<ServerLabel, Counter>,
     leaving: Family<ServerLabel, Counter>,
+    left_out: Family<ServerLabel, Counter>,
     unknown: Family<HeaderLabel, Counter>,
 }
 
@@ -127,6 +128,10 @@
             "leaving_sends",
             "Requests sent to servers that said that they leave",
         );
+        let left_out = by_server(
+            "left_out",
+            "Times that servers were left out because several hosts saw them fail",
+        );
         let unknown = Family::default();
         registry.register(
             "unknown_headers",
@@ -143,6 +148,7 @@
             granted,
             rests,
             leaving,
+            left_out,
             unknown,
         }
     }
@@ -167,6 +173,11 @@
         increment(&self.leaving, server, 1);
     }
 
+    /// Counts a server that is left out because several hosts saw it fail.
+    pub(crate) fn count_left_out(&self, server: &ServerId) {
+        increment(&self.left_out, server, 1);
+    }
+
     /// Counts an answer with an unknown header.
     pub(crate) fn count_unknown_header(&self, header: &str) {
         let header = header.to_owned();
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -132,7 +132,8 @@
     fn add_reports(&self, poll: Poll) -> Poll {
         let demands = self.state.limit_demands();
         let leaving = self.state.unreported_leaving();
-        let servers = self.state.servers.lock();
+        let mut servers = self.state.servers.lock();
+        let outcomes = servers.report_outcomes(self.state.clock.now());
         let in_flight = servers.in_flight();
         let in_flight = in_flight.map(|(server, count)| (server.clone(), count));
         Poll {
@@ -141,6 +142,7 @@
             silent: servers.frozen().cloned().collect(),
             demands,
             leaving,
+            outcomes,
             ..poll
         }
     }
@@ -327,7 +329,9 @@
             let mut servers = self.state.servers.lock();
             servers.set_other_counts(now, news.age, counts);
             servers.set_slow(slow.collect());
+            let outliers = servers.set_suspects(now, news.suspects);
             drop(servers);
+            self.state.log_outliers(&outliers);
             frozen::check_reported(&self.state, &news.silent);
             if let Some(grants) = news.grants {
                 let entry = known.controllers.entry(controller).or_default();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,7 +18,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
-use snipemast_placement::{Choice, Pool, RequestPriority, ServerFault, Urgency};
+use snipemast_placement::{Choice, Outcome, Pool, RequestPriority, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_routes::{Repeat, Route};
@@ -36,6 +36,10 @@
 /// first and then run without it.
 const FROZEN_CHECK_INTERVAL: Span = Span::from_millis(100);
 
+/// How long a stream may show nothing before this counts as a failure of its server: longer than the
+/// queue of a healthy one, and shorter than the 2 s after which callers give up.
+const MUTE_LIMIT: Span = Span::from_millis(1_500);
+
 /// How long beyond the deadline a server may take to report itself that the time is over.
 const DEADLINE_GRACE: Span = Span::from_millis(60);
 
@@ -73,6 +77,8 @@
     pub(crate) response: Response<Incoming>,
     connection: Connection,
     in_flight: InFlight,
+    /// Whether a part of the answer was recorded as a good answer.
+    shown: bool,
 }
 
 /// A request in flight at a server. Dropping it removes the request from the server's count.
@@ -218,6 +224,7 @@
         let since = self.state.clock.now();
         let (mut next_check, end) = (since + SILENCE_LIMIT, since + limit);
         let mut work = pin!(work);
+        let mut mute = !self.route.repeat.is_stream();
         loop {
             let ejected = self.state.frozen.listen();
             let now = self.state.clock.now();
@@ -233,6 +240,10 @@
                 return Ok(done);
             }
             let now = self.state.clock.now();
+            if !mute && now >= since + MUTE_LIMIT {
+                mute = true;
+                self.record_outcome(choice, Outcome::Failed);
+            }
             let due = now >= next_check;
             if due {
                 next_check = now + FROZEN_CHECK_INTERVAL;
@@ -262,13 +273,14 @@
             && servers.is_frozen(&choice.server, choice.start)
     }
 
-    /// Whether a server has shown nothing since a moment while others are running, and the request
-    /// may go elsewhere.
+    /// Whether a server has shown nothing since a moment while others are running or because it
+    /// fails often, and the request may go elsewhere.
     fn seems_frozen(&self, choice: &Choice, since: Moment) -> bool {
         let now = self.state.clock.now();
         let servers = self.state.servers.lock();
-        self.route.repeat == Repeat::ResumableStream
-            && servers.seems_frozen(now, &choice.server, since)
+        let unlikely =
+            servers.is_failing(&choice.server) || servers.seems_frozen(now, &choice.server, since);
+        self.route.repeat == Repeat::ResumableStream && unlikely
     }
 
     /// Whether the request may be sent on a pooled connection.
@@ -339,7 +351,11 @@
         self.mark_open(&choice.pool);
         self.record_accepted(&choice, sent);
         if status.is_server_error() {
-            self.record_fault(&choice, ServerFault::Failed, status.as_str());
+            let fault = match status {
+                StatusCode::GATEWAY_TIMEOUT => ServerFault::Late,
+                _ => ServerFault::Failed,
+            };
+            self.record_fault(&choice, fault, status.as_str());
         }
         Ok(Run {
             choice,
@@ -347,6 +363,7 @@
             response,
             connection,
             in_flight,
+            shown: false,
         })
     }
 
@@ -396,6 +413,13 @@
         }
     }
 
+    /// Records how an answer of a server ended, to compare it with the other servers.
+    pub(crate) fn record_outcome(&self, choice: &Choice, ended: Outcome) {
+        let now = self.state.clock.now();
+        let mut servers = self.state.servers.lock();
+        servers.record_outcome(now, &choice.server, choice.start, ended);
+    }
+
     pub(crate) fn record_fault(&self, choice: &Choice, fault: ServerFault, detail: &str) {
         let now = self.state.clock.now();
         let id = &choice.server;
@@ -463,8 +487,16 @@
         self.response.status().is_server_error()
     }
 
+    /// Records that the server began a good answer.
+    pub(crate) fn record_shown(&mut self, job: &Job) {
+        if !std::mem::replace(&mut self.shown, true) && !self.is_failure() {
+            job.record_outcome(&self.choice, Outcome::Good);
+        }
+    }
+
     /// Ends a run whose answer was read in full: its connection may carry the next request.
-    pub(crate) fn finish(self, job: &Job) {
+    pub(crate) fn finish(mut self, job: &Job) {
+        self.record_shown(job);
         let state = &job.state;
         let now = state.clock.now();
         if !self.is_failure() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
+use snipemast_placement::servers::OutlierChanges;
 use snipemast_placement::urgency::LoadLimits;
 use snipemast_placement::{
     CallerPatience, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers, Shutdown,
@@ -154,6 +155,19 @@
         self.journal.record(event, &pool.service, detail);
     }
 
+    /// Logs the servers that are left out, or no longer, by what all gateways saw.
+    pub(crate) fn log_outliers(&self, changes: &OutlierChanges) {
+        for (server, failed) in &changes.put_out {
+            self.metrics.count_left_out(server);
+            let detail = format_args!("{failed} of 100 answers failed, by several hosts");
+            self.journal.record(Event::ServerLeftOut, server, detail);
+        }
+        for server in &changes.taken_back {
+            let detail = "no longer an outlier, by several hosts";
+            self.journal.record(Event::ServerTakenBack, server, detail);
+        }
+    }
+
     /// Counts a request as in progress until the returned value is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> ActiveRequest {
         self.active.fetch_add(1, Ordering::Relaxed);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 
 use snipemast_core::prelude::*;
-use snipemast_placement::EventSplitter;
+use snipemast_placement::{EventSplitter, Outcome};
 use snipemast_platform::response::event_id;
 use snipemast_routes::Repeat;
 
@@ -30,7 +30,9 @@
     Complete,
     /// The caller is gone.
     CallerGone,
-    /// The server broke the stream off, or fell silent.
+    /// The server fell silent, or the time is over.
+    Silent,
+    /// The server broke the stream off.
     Broken(&'static str),
 }
 
@@ -67,7 +69,11 @@
                 journal.record(Event::CallerGone, &job.name, detail);
                 return;
             }
-            PartEnd::Broken(reason) => reason,
+            PartEnd::Silent => "silent",
+            PartEnd::Broken(reason) => {
+                job.record_outcome(&run.choice, Outcome::Failed);
+                reason
+            }
         };
         // Dropped first, so that the server stops work that it can't deliver.
         drop(run);
@@ -107,7 +113,7 @@
         let next = run.response.body_mut().frame();
         let next = job.wait_unless_frozen(&run.choice, attempt, events.last_id(), limit, next);
         let Ok(frame) = next.await else {
-            return PartEnd::Broken("silent");
+            return PartEnd::Silent;
         };
         let bytes = match frame {
             None if events.is_complete() => return PartEnd::Complete,
@@ -125,6 +131,7 @@
         if !complete.is_empty() {
             let now = job.state.clock.now();
             job.record_piece(&run.choice, now);
+            run.record_shown(job);
             match times {
                 Some(times) => job.record_pause(&run.choice, times.record_piece(now)),
                 None => *times = Some(job.record_begun()),
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`choice`]: the inputs and the result of a choice.
 //! - [`pick`]: the policies that pick one of the servers that may take a request.
 //! - [`pools`]: groups servers that run and stall together into pools.
+//! - [`outcomes`]: which servers fail far more of their requests than others.
 //! - [`urgency`]: how urgent a request is, and how full a server may be for it.
 //!
 //! What servers ask for:
@@ -37,6 +38,7 @@
 pub mod events;
 pub mod length;
 pub mod outage;
+pub mod outcomes;
 pub mod passes;
 pub mod pick;
 pub mod pools;
@@ -52,6 +54,7 @@
 pub use choice::Choice;
 pub use events::{EventSplitter, IdReader};
 pub use outage::Outages;
+pub use outcomes::{Outcome, OutcomeCount, Suspect};
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
 pub use rests::Rests;
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -7,6 +7,7 @@
 //! - `asked`: what servers ask of gateways: limits, rests, and leaving.
 //! - `evacuation`: evacuated availability zones, and servers that may be cold.
 //! - `health`: what requests show of servers' health.
+//! - `outliers`: servers that fail far more requests than others, and the few that try them again.
 //! - `open`: which servers may take a request now.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -22,12 +23,16 @@
 use crate::rests::Rests;
 use crate::urgency::{LoadLimits, Urgency};
 
+use outliers::Outliers;
+
 mod asked;
 mod evacuation;
 mod health;
 mod open;
+mod outliers;
 
 pub use health::{ServerFault, SILENCE_LIMIT};
+pub use outliers::OutlierChanges;
 
 /// The age up to which the other gateways' counts are used: four of their usual exchanges.
 const MAX_COUNT_AGE: Span = Span::from_millis(1_000);
@@ -54,6 +59,7 @@
     allowances: Allowances,
     rests: Rests,
     cold: ColdServers,
+    outliers: Outliers,
     /// The availability zones whose servers may be sent nothing.
     evacuated: BTreeSet<ZoneId>,
     /// How long a server that may have turned cold unnoticed is treated as cold: until its next
@@ -99,6 +105,7 @@
             allowances: Allowances::new(0),
             rests: Rests::default(),
             cold: ColdServers::default(),
+            outliers: Outliers::default(),
             evacuated: BTreeSet::new(),
             settle: Span::default(),
             drain: Span::default(),
@@ -118,6 +125,7 @@
         self.allowances = Allowances::new(seed);
         self.rests = Rests::new(seed);
         self.cold = ColdServers::new(seed);
+        self.outliers = Outliers::new(seed);
         self
     }
 
@@ -252,9 +260,11 @@
         urgency: Urgency,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
+        self.refresh_outliers(now);
         let freshness = self.freshness(now, constraints.service);
         let open = self.open_servers(now, constraints, urgency);
         let due = self.due_index(now, &open);
+        let due = due.or_else(|| self.due_probe(now, &open));
         let picked = due.or_else(|| self.pick.pick(&open.candidates, freshness, chance));
         let picked = picked.map(|index| (open.servers[index].clone(), open.candidates[index]));
         let (unplaced, skipped_limited, skipped_resting) =
@@ -271,6 +281,7 @@
         let start = server.announced.start;
         self.allowances.spend(now, &id);
         self.rests.spend(now, &id, start);
+        self.outliers.spend(now, &id);
         Ok(Choice {
             pool: server.announced.pool.clone(),
             start,
--- a/crates/placement/src/servers/asked.rs
+++ b/crates/placement/src/servers/asked.rs
@@ -18,6 +18,7 @@
     pub fn observe_gateways(&mut self, counts: GatewayCounts) {
         self.allowances.observe_gateways(counts.all);
         self.cold.observe_gateways(counts);
+        self.outliers.observe_gateways(counts.all);
     }
 
     /// Adds requests that the leader grants to this gateway.
--- a/crates/placement/src/servers/health.rs
+++ b/crates/placement/src/servers/health.rs
@@ -5,6 +5,7 @@
 use snipemast_core::prelude::*;
 
 use super::Servers;
+use crate::outcomes::Outcome;
 use crate::pick::Pick;
 
 /// How long a server is ejected after its first failure in a row, and at most. The first span is
@@ -39,6 +40,8 @@
     Broken,
     /// The server answered with an error of its own.
     Failed,
+    /// The server said that the time of a request was over, which may have been short.
+    Late,
     /// The server refused a request because it is full.
     Full,
     /// The server shows nothing while others of its service are running.
@@ -152,6 +155,10 @@
             return newly_frozen.then_some(MAX_EJECTION);
         }
         server.failures += 1;
+        if matches!(fault, ServerFault::Broken | ServerFault::Failed) {
+            self.outliers.record(now, id, start, Outcome::Failed);
+        }
+        let server = self.get(id, start)?;
         if fault != ServerFault::Unreachable && server.failures < MAX_FAILURES {
             return None;
         }
--- a/crates/placement/src/servers/open.rs
+++ b/crates/placement/src/servers/open.rs
@@ -66,6 +66,7 @@
         let load_limit = self.load_limits.limit_for(urgency);
         let mut open = OpenServers::default();
         let (mut limited, mut leaving) = (Vec::new(), Vec::new());
+        let mut outliers = Vec::new();
         for (id, server) in &self.known {
             if !constraints.allow(&server.announced) || self.is_slow_outlier(&server.announced) {
                 continue;
@@ -78,6 +79,17 @@
                 leaving.push((id, server));
                 continue;
             }
+            if let Some(failed) = self.outliers.failed_percent(id) {
+                let first = constraints.excluded.is_empty();
+                if first && self.outliers.is_probe_due(now, id) {
+                    if let Ok(candidate) = self.admit(now, server, load_limit) {
+                        open.add(id, candidate);
+                    }
+                } else {
+                    outliers.push((id, server, failed));
+                }
+                continue;
+            }
             let admitted = self.admit(now, server, load_limit);
             let wants_grant = matches!(admitted, Ok(_) | Err(Unplaced::AllLimited));
             if wants_grant && self.allowances.is_limited(id) {
@@ -102,6 +114,16 @@
                 }
             }
         }
+        // A request that failed at a server isn't sent to one that is known to fail.
+        if open.servers.is_empty() && constraints.excluded.is_empty() {
+            for (id, server, failed) in outliers {
+                let limit = load_limit * 100u32.saturating_sub(failed) / 100;
+                match self.admit(now, server, limit) {
+                    Ok(candidate) => open.add(id, candidate),
+                    Err(unplaced) => open.skip(unplaced),
+                }
+            }
+        }
         open
     }
 
@@ -136,6 +158,10 @@
                 && server.announced.leaving_since.is_none()
                 && !self.is_evacuated(&server.announced)
                 && !self.is_slow_outlier(&server.announced)
+                && self
+                    .outliers
+                    .failed_percent(&server.announced.server)
+                    .is_none()
                 && self.admit(now, server, load_limit).is_ok()
         })
     }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`relays`]: which controllers pass the changes of servers on to a gateway.
 //! - `report`: how reports of a server are ordered.
 //! - [`source`]: which controllers a gateway requests a configuration from.
+//! - [`outcomes`]: which servers fail far more of their requests than others.
 //! - [`pollers`]: which hosts poll a controller, and what each of them has.
 
 pub mod announcement;
@@ -19,6 +20,7 @@
 pub mod leaving;
 pub mod limit;
 pub mod news;
+pub mod outcomes;
 pub mod pollers;
 pub mod rank;
 pub mod relays;
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/news.rs
@@ -9,6 +9,7 @@
 use snipemast_core::data;
 use snipemast_core::hash::mix;
 use snipemast_core::prelude::*;
+use snipemast_placement::{OutcomeCount, Suspect};
 
 use crate::grants::{Demand, Grant};
 use crate::heard::HeardServer;
@@ -108,6 +109,10 @@
         /// The servers that told the poller that they are leaving, if this controller leads and
         /// hasn't reported them.
         pub leaving: Vec<LeavingServer>,
+        /// How requests of the poller ended lately at servers that failed some, if this controller
+        /// leads.
+        #[serde(default)]
+        pub outcomes: Vec<OutcomeCount>,
     }
 
     /// A controller's answer to a poll.
@@ -151,6 +156,9 @@
         /// The servers that don't answer some gateway.
         #[serde(rename = "still")]
         pub silent: Vec<ServerId>,
+        /// The servers that fail by the reports of several gateways.
+        #[serde(default)]
+        pub suspects: Vec<Suspect>,
         /// The requests that the poller may send to servers that name limits, or `None` if this
         /// controller can't tell.
         pub grants: Option<Vec<Grant>>,
@@ -218,6 +226,7 @@
             demands: Vec::new(),
             silent: Vec::new(),
             leaving: Vec::new(),
+            outcomes: Vec::new(),
         }
     }
 }
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -4,7 +4,10 @@
 
 use snipemast_core::prelude::*;
 
+use snipemast_placement::outcomes::{OutcomeCount, Suspect, MAX_REPORTED};
+
 use crate::news::{Cursor, InFlight, Poll, PollerKind, SlowServer};
+use crate::outcomes::{find_suspects, Placed};
 
 /// How long after its last poll a poller counts as connected.
 ///
@@ -15,10 +18,16 @@
 /// How long counts of requests in flight are valid: four of their usual exchanges.
 pub const IN_FLIGHT_TIMEOUT: Span = Span::from_millis(1_000);
 
+/// How often it is found anew which servers fail.
+const JUDGE_INTERVAL: Span = Span::from_millis(50);
+
 /// The hosts that poll a controller.
 #[derive(Debug, Default)]
 pub struct Pollers {
     known: HashMap<HostId, Poller>,
+    /// The servers that failed when this was last found, and when that was.
+    suspects: Vec<Suspect>,
+    judged: Option<Moment>,
 }
 
 #[derive(Debug)]
@@ -31,6 +40,7 @@
     in_flight: InFlight,
     slow: Vec<SlowServer>,
     silent: Vec<ServerId>,
+    outcomes: Vec<OutcomeCount>,
 }
 
 impl Pollers {
@@ -50,6 +60,7 @@
             in_flight: poll.in_flight.clone(),
             slow: poll.slow.clone(),
             silent: poll.silent.clone(),
+            outcomes: poll.outcomes.iter().take(MAX_REPORTED).cloned().collect(),
         };
         let before = self.known.insert(poll.host.clone(), poller);
         before.is_none_or(|b| b.version != poll.version || b.cursor != poll.cursor)
@@ -116,6 +127,28 @@
         silent.into_iter().cloned().collect()
     }
 
+    /// Returns the servers that fail by the reports of several gateways. `servers` returns those
+    /// that may be sent requests, and is called only if some gateway reports failures.
+    ///
+    /// Reports hold all that a gateway saw lately and replace the one before, so a poll that comes
+    /// twice counts once, and a controller that begins to lead needs no history.
+    pub fn suspects(&mut self, now: Moment, servers: impl FnOnce() -> Vec<Placed>) -> Vec<Suspect> {
+        if self.judged.is_some_and(|at| now < at + JUDGE_INTERVAL) {
+            return self.suspects.clone();
+        }
+        let known = self.known.values();
+        let fresh = |p: &&Poller| p.kind == PollerKind::Gateway && now < p.last + IN_FLIGHT_TIMEOUT;
+        let reports = known.filter(fresh).map(|p| p.outcomes.as_slice());
+        let reports: Vec<&[OutcomeCount]> = reports.collect();
+        self.suspects = if reports.iter().all(|report| report.is_empty()) {
+            Vec::new()
+        } else {
+            find_suspects(&servers(), &self.suspects, reports.into_iter())
+        };
+        self.judged = Some(now);
+        self.suspects.clone()
+    }
+
     /// Forgets the hosts that have not polled for a long time.
     pub fn expire(&mut self, now: Moment) {
         self.known
