Merge failing servers left out by what all gateways saw

Gateways report how servers' answers ended, the leader adds them up and names outliers, which get few requests for as long as they fail.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`choice`]: the inputs and the result of a choice.
 //! - [`pick`]: the policies that pick one of the servers that may take a request.
 //! - [`pools`]: groups servers that run and stall together into pools.
+//! - [`outcomes`]: which servers fail far more of their requests than others.
 //! - [`urgency`]: how urgent a request is.
 //! - [`reserve`]: how full a server may be for a request, by its urgency.
 //!
@@ -39,6 +40,7 @@
 pub mod events;
 pub mod length;
 pub mod outage;
+pub mod outcomes;
 pub mod passes;
 pub mod pick;
 pub mod pools;
@@ -56,6 +58,7 @@
 pub use choice::Choice;
 pub use events::{EventSplitter, IdReader};
 pub use outage::Outages;
+pub use outcomes::{Outcome, OutcomeCount, Suspect};
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
 pub use queue::PlaceQueue;
