Count newcomers' places for the oldest waiting stream's turn

Cause: where two kinds compete, a stream that yields or is late may fill servers to 60 of 100 only. While those that can be on time keep all servers fuller, each newcomer is more urgent than all that wait and is placed at once; the count of places of the queue never moved, and each look of the first one was in vain.

Change: a newcomer that is placed while others wait counts as a place. The count is of places since the oldest request had one, and is reset when it has one. After seven, the oldest has the turn, at once if a newcomer got the seventh, and looks with the urgency of a request that can be on time: at most one place in eight, never above the full limit.

Shown with parts taken out: newcomers_starve_none fails without the count of newcomers (no place in 49) and without the full limit (the same); overtaken_looks_at_once without the wake; oldest_counted_once with the former count of all places modulo eight.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -258,7 +258,7 @@
                 servers.release(&choice.server, choice.start);
                 return give_up(Unplaced::Spent);
             }
-            self.waiting.end();
+            self.waiting.end(job, self.sends.is_empty());
             let server = choice.server.clone();
             job.record_routed(&choice, !self.sends.is_empty());
             self.sends.begin();
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Notes that a newcomer found a place without waiting.
+    pub(crate) fn overtake(&self, now: Moment, service: &ServiceId) {
+        if self.count.load(Ordering::Acquire) > 0 {
+            self.update(service, |queue| queue.overtake(now));
+        }
+    }
+
     /// Lets the first request of each service look for a place.
     pub(crate) fn wake_all(&self, now: Moment) {
         if self.count.load(Ordering::Acquire) == 0 {
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -36,11 +36,14 @@
         self.turn
     }
 
-    /// Ends the wait, because the request found a place.
-    pub(crate) fn end(&mut self) {
+    /// Ends the wait, because the request found a place. A `newcomer` was sent to no server before.
+    pub(crate) fn end(&mut self, job: &Job, newcomer: bool) {
         self.turn = None;
         if let Some(place) = self.place.take() {
             place.found();
+        } else if newcomer {
+            let now = job.state.clock.now();
+            job.state.waiting.overtake(now, &job.service);
         }
     }
 
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -19,8 +19,9 @@
 /// within the longest wait.
 pub const MAX_WAITING: usize = 512;
 
-/// Once in this many places, the oldest request that waits gets one, whatever its urgency.
-const OLDEST_FIRST_EVERY: u64 = 8;
+/// After this many places of others, the next one is for the oldest request that waits, whatever
+/// its urgency.
+const PLACES_BEFORE_OLDEST: u64 = 7;
 
 /// How long a request that has no retry left lets others go first. Retries are earned by other
 /// requests, not by places that become free.
@@ -75,8 +76,9 @@
 pub struct Turn {
     /// The request that has the turn.
     pub ticket: Ticket,
-    /// The urgency with which it looks: that of the first request, so that the oldest one gets the
-    /// place that the first one would have taken.
+    /// The urgency with which it looks: that of the first request, or in the oldest one's turn that
+    /// of a request that can be on time, because others that go ahead of it fill servers up to
+    /// their limit.
     pub urgency: Urgency,
 }
 
@@ -96,8 +98,8 @@
 pub struct PlaceQueue {
     waiting: BTreeMap<Ticket, Entry>,
     shares: HashMap<Option<String>, Share>,
-    /// The number of places that were given.
-    given: u64,
+    /// The number of places that others got since the oldest request had one.
+    since_oldest: u64,
     /// The places that the workspace of the last one had been given before. A workspace that begins
     /// to wait starts from here, so that it has no credit for the time before.
     level: u64,
@@ -136,7 +138,7 @@
         Self {
             waiting: BTreeMap::new(),
             shares: HashMap::new(),
-            given: 0,
+            since_oldest: 0,
             level: 0,
             holder: None,
             woken: false,
@@ -207,10 +209,25 @@
         self.next_turn(now)
     }
 
+    /// Notes that a newcomer found a place without waiting, while others wait. Returns who has the
+    /// turn now, if the next place is for the oldest request because of that.
+    pub fn overtake(&mut self, now: Moment) -> Option<Turn> {
+        if self.is_empty() {
+            return None;
+        }
+        self.since_oldest += 1;
+        if self.since_oldest == PLACES_BEFORE_OLDEST {
+            self.wake(now)
+        } else {
+            None
+        }
+    }
+
     /// Removes a request that found a place. Returns who has the turn next.
     pub fn place(&mut self, now: Moment, ticket: Ticket) -> Option<Turn> {
+        let is_oldest = self.oldest(now) == Some(ticket);
         let entry = self.remove(now, ticket)?;
-        self.given += 1;
+        self.since_oldest = if is_oldest { 0 } else { self.since_oldest + 1 };
         if let Some(share) = self.shares.get_mut(&entry.request.workspace) {
             self.level = self.level.max(share.given);
             share.given += 1;
@@ -266,18 +283,35 @@
         if self.holder.is_some() {
             return None;
         }
-        let is_open = |e: &Entry| e.passed_until.is_none_or(|until| now >= until);
-        let open = || self.waiting.iter().filter(|(_, e)| is_open(e));
-        let (urgency, .., first) = open().map(|(t, e)| self.rank(now, *t, e)).min()?;
-        let oldest_first = self.given % OLDEST_FIRST_EVERY == OLDEST_FIRST_EVERY - 1;
-        let oldest = open().map(|(t, e)| (e.request.arrival, *t)).min();
-        let ticket = match oldest {
-            Some((_, oldest)) if oldest_first => oldest,
-            _ => first,
+        let ranks = self.open(now).map(|(t, e)| self.rank(now, t, e));
+        let (urgency, .., first) = ranks.min()?;
+        let turn = if self.since_oldest >= PLACES_BEFORE_OLDEST {
+            Turn {
+                ticket: self.oldest(now)?,
+                urgency: in_time(urgency),
+            }
+        } else {
+            Turn {
+                ticket: first,
+                urgency,
+            }
         };
-        self.holder = Some(ticket);
+        self.holder = Some(turn.ticket);
         self.woken = false;
-        Some(Turn { ticket, urgency })
+        Some(turn)
+    }
+
+    /// Returns the requests that don't let others go first.
+    fn open(&self, now: Moment) -> impl Iterator<Item = (Ticket, &Entry)> {
+        let is_open = move |e: &Entry| e.passed_until.is_none_or(|until| now >= until);
+        let open = self.waiting.iter().filter(move |(_, e)| is_open(e));
+        open.map(|(t, e)| (*t, e))
+    }
+
+    /// Returns the oldest of the requests that don't let others go first.
+    fn oldest(&self, now: Moment) -> Option<Ticket> {
+        let ages = self.open(now).map(|(t, e)| (e.request.arrival, t));
+        ages.min().map(|(_, ticket)| ticket)
     }
 
     /// Returns the rank of a request; the least one is first. Among equals, the workspace that was
@@ -323,3 +357,11 @@
         Some(entry)
     }
 }
+
+/// Returns the urgency of a request of the same priority that can be on time.
+const fn in_time(urgency: Urgency) -> Urgency {
+    match urgency {
+        Urgency::Yielding(priority) | Urgency::Late(priority) => Urgency::InTime(priority),
+        Urgency::Resumed | Urgency::InTime(_) => urgency,
+    }
+}
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -7,6 +7,7 @@
 use snipemast_placement::queue::{
     Joined, PlaceQueue, Ranking, Ticket, Turn, WaitingRequest, MAX_WAITING,
 };
+use snipemast_placement::reserve::{LoadLimits, Reserve};
 use snipemast_placement::{RequestClass, RequestPriority, Urgency};
 
 const OBJECTIVE: Span = Span::from_millis(500);
@@ -148,6 +149,85 @@
     assert_eq!(places.iter().position(|t| *t == 0), Some(7), "{places:?}");
 }
 
+/// Returns the limit of the load, in hundredths, that a request of this urgency has where two kinds
+/// of request compete for a service.
+fn competing_limit(urgency: Urgency) -> u32 {
+    let service = ServiceId::new("lector").unwrap();
+    let mut reserve = Reserve::new(LoadLimits::default());
+    for number in [0, 2] {
+        let class = RequestClass {
+            objective: OBJECTIVE,
+            priority: priority(number),
+            least: false,
+        };
+        reserve.record_request(at(1), &service, &class);
+    }
+    reserve.limit_for(&service, urgency)
+}
+
+/// Requests that can be on time keep servers fuller than those may fill them that yield. Each of
+/// them is placed at its arrival, and no place is for the less urgent ones that wait.
+#[test]
+fn newcomers_starve_none() {
+    let mut queue = PlaceQueue::new();
+    let yielding = |arrival| WaitingRequest {
+        ranking: Ranking::Fixed(Urgency::Yielding(priority(2))),
+        ..request("a", 2, arrival)
+    };
+    for n in 0..3 {
+        queue.join(at(n), Ticket(n), yielding(at(n)));
+    }
+    let load = 100;
+    let (mut placed, mut newcomers) = (Vec::new(), 0);
+    for now in (10..500).step_by(10).map(at) {
+        let newcomer = Urgency::InTime(priority(0));
+        assert_eq!(queue.blocks(now, newcomer), None);
+        newcomers += 1;
+        let mut turn = queue.overtake(now);
+        turn = turn.or_else(|| queue.wake(now));
+        while let Some(Turn { ticket, urgency }) = turn {
+            turn = if load < competing_limit(urgency) {
+                placed.push((newcomers, ticket.0));
+                queue.place(now, ticket)
+            } else {
+                queue.put_back(now, ticket, Unplaced::AllFull)
+            };
+        }
+    }
+    assert_eq!(placed, [(7, 0), (14, 1), (21, 2)]);
+}
+
+/// Newcomers have got all places that may go ahead of the oldest request, and it looks for one only
+/// when the next one becomes free.
+#[test]
+fn overtaken_looks_at_once() {
+    let mut queue = queue_of(&[("a", 2), ("a", 0)]);
+    let now = at(10);
+    for _ in 0..6 {
+        assert_eq!(queue.overtake(now), None);
+    }
+    let turn = queue.overtake(now).unwrap();
+    assert_eq!(turn.ticket, Ticket(0));
+    // One look is enough for what is free now.
+    assert_eq!(queue.put_back(now, Ticket(0), Unplaced::AllFull), None);
+    assert_eq!(queue.overtake(now), None);
+    // The turn remains with the oldest until it has a place.
+    assert_eq!(queue.wake(now).unwrap().ticket, Ticket(0));
+    assert_eq!(queue.place(now, Ticket(0)).unwrap().ticket, Ticket(1));
+}
+
+/// The first in the queue is the oldest as well, and soon after its place the next oldest one has
+/// another one ahead of urgent requests.
+#[test]
+fn oldest_counted_once() {
+    let mut queue = queue_of(&[("a", 0), ("a", 2)]);
+    for n in 2..10 {
+        queue.join(at(n), Ticket(n), request("a", 0, at(n)));
+    }
+    let order = [0, 2, 3, 4, 5, 6, 7, 8, 1, 9];
+    assert_eq!(served(&mut queue, at(10), 10), order);
+}
+
 /// The oldest request has its turn, but may fill a server less than the urgent ones before it, and
 /// finds no place.
 #[test]
