Find the class of a waiting stream as that of its looks

Cause: with `order = "lateness"`, the urgency of a look came from a class without a priority and without the least urgent route, that of the waiting stream from its own class. The queue and the looks disagreed on who yields.

Change: one function, Job::ordered_class, for both. With the default order nothing changes.

No test of its own: the function is private to the gateway, and no test site runs with this order.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -132,17 +132,7 @@
     /// Returns the urgency if requests are ordered by it. Only requests to engines are, because
     /// their queues are long.
     pub(crate) fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
-        let order = self.state.decisions.order;
-        if order == QueueOrder::Arrival || self.route.gap.is_none() {
-            return None;
-        }
-        let class = match order {
-            QueueOrder::Priority => self.class,
-            _ => RequestClass {
-                objective: self.route.objective,
-                ..RequestClass::default()
-            },
-        };
+        let class = self.ordered_class()?;
         if last.is_some() && last != self.ask.last_event {
             return Some(Urgency::Resumed);
         }
@@ -151,6 +141,19 @@
         Some(Urgency::new(spent, &class))
     }
 
+    /// Returns what decides the urgency apart from the time, if requests are ordered by it.
+    pub(crate) fn ordered_class(&self) -> Option<RequestClass> {
+        self.route.gap?;
+        match self.state.decisions.order {
+            QueueOrder::Arrival => None,
+            QueueOrder::Lateness => Some(RequestClass {
+                objective: self.route.objective,
+                ..RequestClass::default()
+            }),
+            QueueOrder::Priority => Some(self.class),
+        }
+    }
+
     /// Sends the request to a server and waits for the head of its answer.
     pub(crate) async fn send(
         &self,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -8,7 +8,7 @@
 };
 use snipemast_placement::queue::{Ranking, WaitingRequest};
 use snipemast_placement::returns::HeldRequest;
-use snipemast_placement::{RequestClass, Urgency};
+use snipemast_placement::Urgency;
 
 use crate::answer::{refusal, Answer};
 use crate::metrics::Ended;
@@ -69,15 +69,13 @@
 
 impl Job {
     fn waiting_request(&self, unplaced: Unplaced) -> WaitingRequest {
-        let ranking = match self.ordered_urgency(self.ask.last_event) {
-            Some(Urgency::InTime(priority) | Urgency::Yielding(priority)) => Ranking::Aging {
+        let urgency = self.urgency(self.ask.last_event);
+        let ranking = match self.ordered_class() {
+            Some(class) if !urgency.is_late() => Ranking::Aging {
                 asked: self.started - self.spent,
-                class: RequestClass {
-                    priority,
-                    ..self.class
-                },
+                class,
             },
-            urgency => Ranking::Fixed(urgency.unwrap_or_default()),
+            _ => Ranking::Fixed(urgency),
         };
         WaitingRequest {
             workspace: self.workspace.clone(),
