Give back a probe that its request can't send

Cause: a request without a retry left got the probe of a pool that is out, found a server, and passed for want of a retry. The probe was used up, all others found no pool for 500 ms, and the same request could get the next one as well.

Change: Outages::return_probe makes the pool due as before; the gateway calls it where the retry is not granted.

unsent_probe_returned fails if return_probe does nothing.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -256,6 +256,10 @@
             if !self.try_spend_retry(job) {
                 let mut servers = job.state.servers.lock();
                 servers.release(&choice.server, choice.start);
+                drop(servers);
+                if let AllowedPools::Probe(pool) = &allowed {
+                    job.state.outages.lock().return_probe(pool);
+                }
                 return give_up(Unplaced::Spent);
             }
             self.waiting.end(job, self.sends.is_empty());
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -83,6 +83,8 @@
 struct PoolOutage {
     /// When the pool is probed next.
     next_probe: Moment,
+    /// When the last probe was due.
+    last_due: Moment,
     /// The epoch of the group that refused a request; none if the pool is out because its ranks
     /// reported a stall.
     refused_epoch: Option<GroupIncarnation>,
@@ -90,8 +92,10 @@
 
 impl PoolOutage {
     fn new(now: Moment, refused_epoch: Option<GroupIncarnation>) -> Self {
+        let next_probe = now + PROBE_INTERVAL;
         Self {
-            next_probe: now + PROBE_INTERVAL,
+            next_probe,
+            last_due: next_probe,
             refused_epoch,
         }
     }
@@ -166,7 +170,7 @@
             out.is_some_and(|out| now >= out.next_probe + delay)
         });
         if let Some((pool, out)) = due.and_then(|pool| Some((pool, self.out.get_mut(pool)?))) {
-            out.next_probe = now + PROBE_INTERVAL;
+            out.last_due = std::mem::replace(&mut out.next_probe, now + PROBE_INTERVAL);
             return AllowedPools::Probe(pool.clone());
         }
         if all_out {
@@ -175,6 +179,13 @@
             AllowedPools::AllExcept(out)
         }
     }
+
+    /// Gives back a probe that was not sent, so that the next request is the probe.
+    pub fn return_probe(&mut self, pool: &Pool) {
+        if let Some(out) = self.out.get_mut(pool) {
+            out.next_probe = out.last_due;
+        }
+    }
 }
 
 /// How a report changed the state of a pool.
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -147,6 +147,35 @@
     assert_eq!(outages.allowed_pools(later, &pools), open());
 }
 
+/// A request without a retry left is let through as the probe and can't be sent, and all others
+/// wait half a second for the next probe, which the same request gets again.
+#[test]
+fn unsent_probe_returned() {
+    let mut outages = Outages::new();
+    let (pools, now) = (
+        [pool(Some("g0")), pool(Some("g1"))],
+        Moment::from_millis(10_000),
+    );
+    let probe = AllowedPools::Probe(pools[0].clone());
+    outages.mark_out(now, &pools[0]);
+    // With and without another pool that is open.
+    let later = now + Span::from_secs(6);
+    for asked in [&pools[..], &pools[..1]] {
+        for _ in 0..2 {
+            assert_eq!(outages.allowed_pools(later, asked), probe);
+            outages.return_probe(&pools[0]);
+        }
+    }
+    assert_eq!(outages.allowed_pools(later, &pools[..1]), probe);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+    // A pool that refused again meanwhile is not probed sooner.
+    outages.mark_out(later, &pools[0]);
+    outages.return_probe(&pools[0]);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+}
+
 /// A request waits for a group that lost a rank although another group of its service is open.
 /// Requests must go to the open group, an answer from it opens only that group, and the other one
 /// is probed now and then.
