Look again if the probed pool takes nothing

Cause: a request that was let through as the probe of a pool without a free server was refused ("no server can be reached") or waited for a place, although another pool had room.

Change: the probe counts as used, and the request looks again: at the next pool that is due, at those that are open, or it waits because all are out. No loop: each pool that is out gives one probe in 500 ms, and only a request that ends its look (without a retry) gives one back.

vain_probes_end holds the condition on which the loop ends; it passes without this change too. The gateway's second look has no test of its own.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -250,6 +250,8 @@
             };
             let choice = match chosen {
                 Ok(choice) => choice,
+                // The probe is used up, so the next round finds the pools that are open, or none.
+                Err(_) if matches!(allowed, AllowedPools::Probe(_)) => continue,
                 Err(unplaced) => return give_up(unplaced),
             };
             // Checked last, so that no retry is spent if there is no server to send to.
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -176,6 +176,29 @@
     assert_eq!(next, AllowedPools::NoPool);
 }
 
+/// No server of the probed pool takes a request, and it looks for the same pool again without an
+/// end. Each pool that is out is probed once, and then the request goes where one is open.
+#[test]
+fn vain_probes_end() {
+    let mut outages = Outages::new();
+    let pools = ["g0", "g1", "g2"].map(|group| pool(Some(group)));
+    let now = Moment::from_millis(10_000);
+    outages.mark_out(now, &pools[0]);
+    outages.mark_out(now, &pools[1]);
+    let later = now + Span::from_secs(6);
+    let mut looks = || outages.allowed_pools(later, &pools);
+    assert_eq!(looks(), AllowedPools::Probe(pools[0].clone()));
+    assert_eq!(looks(), AllowedPools::Probe(pools[1].clone()));
+    let others = AllowedPools::AllExcept(pools[..2].to_vec());
+    assert_eq!(looks(), others);
+    outages.mark_out(later, &pools[2]);
+    let mut looks = || outages.allowed_pools(later + PROBE_INTERVAL, &pools);
+    for pool in &pools {
+        assert_eq!(looks(), AllowedPools::Probe(pool.clone()));
+    }
+    assert_eq!(looks(), AllowedPools::NoPool);
+}
+
 /// A request waits for a group that lost a rank although another group of its service is open.
 /// Requests must go to the open group, an answer from it opens only that group, and the other one
 /// is probed now and then.
