Start a workspace at the least served one that waits

Cause: a workspace that began to wait started at the most places that any had been given, also for requests of another urgency. Its requests went behind as many places of those that were given none.

Change: it starts at the fewest places of a workspace whose requests wait, and at the former level only if none waits.

--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -100,8 +100,8 @@
     shares: HashMap<Option<String>, Share>,
     /// The number of places that others got since the oldest request had one.
     since_oldest: u64,
-    /// The places that the workspace of the last one had been given before. A workspace that begins
-    /// to wait starts from here, so that it has no credit for the time before.
+    /// The most places that a workspace had been given before its last one. A workspace that begins
+    /// to wait while none does starts from here, so that it has no credit for the time before.
     level: u64,
     holder: Option<Ticket>,
     /// Whether a place may have become free since the holder got the turn.
@@ -179,7 +179,7 @@
             self.remove(now, last);
             joined = Joined::Replaces(last);
         }
-        let level = self.level;
+        let level = self.start_level();
         let share = self.shares.entry(request.workspace.clone());
         let share = share.or_insert(Share {
             waiting: 0,
@@ -301,6 +301,13 @@
         Some(turn)
     }
 
+    /// Returns the places from which a workspace that begins to wait starts: the fewest that one was
+    /// given whose requests wait. What others got whose urgency differs is not held against it.
+    fn start_level(&self) -> u64 {
+        let waiting = self.shares.values().filter(|s| s.waiting > 0);
+        waiting.map(|s| s.given).min().unwrap_or(self.level)
+    }
+
     /// Returns the requests that don't let others go first.
     fn open(&self, now: Moment) -> impl Iterator<Item = (Ticket, &Entry)> {
         let is_open = move |e: &Entry| e.passed_until.is_none_or(|until| now >= until);
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -134,6 +134,24 @@
     assert!((3..=5).contains(&of_busy), "{places:?}");
 }
 
+/// A workspace with urgent requests was given many places. Another one that begins to wait with
+/// requests that are less urgent is charged for them, and gets no place before those that were given
+/// none.
+#[test]
+fn charged_for_waiting_only() {
+    let mut requests = vec![("low", 2); 20];
+    requests.extend([("urgent", 0); 40]);
+    let mut queue = queue_of(&requests);
+    let places = served(&mut queue, at(40), 45);
+    assert_eq!(places.iter().filter(|t| **t >= 20).count(), 40);
+    for n in 0..10 {
+        queue.join(at(50), Ticket(100 + n), request("new", 2, at(50)));
+    }
+    let places = served(&mut queue, at(60), 8);
+    let of_new = places.iter().filter(|t| **t >= 100).count();
+    assert!((3..=5).contains(&of_new), "{places:?}");
+}
+
 /// Urgent requests come as fast as places become free, and a less urgent one waits until its caller
 /// gives up.
 #[test]
