Look again when a stream joins its queue

Cause: a place that became free between a newcomer's look and its joining woke a queue in which it was not yet. Nobody looked before the check of all queues, up to 60 ms later.

Change: joining wakes the queue: one look a join, since a look in vain gives nobody the turn.

one_look_a_join holds that the looks end; it passes without the wake, which is in the gateway's shell and has no test of its own.

--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -120,6 +120,8 @@
             }
         }
         waiting.callers.insert(ticket, sender);
+        // A place may have become free since the request looked for one.
+        waiting.update(|queue| queue.wake(now));
         drop(services);
         self.begun.notify(1);
         Some(calls)
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -327,6 +327,24 @@
     assert_eq!(queue.put_back(now, turn.ticket, Unplaced::AllFull), None);
 }
 
+/// Each request that joins lets one look, as a place may have become free since it looked itself. If
+/// a look in vain led to the next one, they would never end.
+#[test]
+fn one_look_a_join() {
+    let mut queue = PlaceQueue::new();
+    let mut looks = 0;
+    for n in 0..10 {
+        let now = at(n);
+        queue.join(now, Ticket(n), request("a", 1, now));
+        let mut turn = queue.wake(now);
+        while let Some(Turn { ticket, .. }) = turn {
+            looks += 1;
+            turn = queue.put_back(now, ticket, Unplaced::AllFull);
+        }
+    }
+    assert_eq!((looks, queue.len()), (10, 10));
+}
+
 /// A request whose retries are used up is first in the queue, and no other looks for a place, or it
 /// looks again for each place that becomes free.
 #[test]
