Refuse from a full queue by the rule of all refusals

Cause: a full queue told each caller to come back after a third of its time, also one that had come back already, which is too late to be answered.

Change: the second half of `defer` is `decline`, which the gateway asks for a request that the queue refuses. One that came back already is told the usual time of its reason.

declined_by_attempt fails if each request counts as a first attempt, as it did in a full queue.

--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -4,7 +4,7 @@
 use snipemast_net::exec::{pause, within};
 use snipemast_placement::choice::Unplaced;
 use snipemast_placement::outage::{
-    defer, longest_wait, BlockedRequest, Deferral, DEFAULT_STREAM_TIME, RETRY_DIVISOR,
+    decline, defer, longest_wait, BlockedRequest, Deferral, DEFAULT_STREAM_TIME,
 };
 use snipemast_placement::queue::{Ranking, WaitingRequest};
 use snipemast_placement::returns::HeldRequest;
@@ -141,8 +141,11 @@
         match waiting.next_call(job, unplaced, span).await {
             Some(Call::Look(_)) => return None,
             Some(Call::Refuse) => {
-                let part = job.left().as_micros() / RETRY_DIVISOR;
-                return Some(refuse(job, unplaced, Span::from_micros(part)));
+                let after = match decline(&job.blocked_request()) {
+                    Deferral::RetryLater(span) => span,
+                    _ => retry_after(unplaced),
+                };
+                return Some(refuse(job, unplaced, after));
             }
             // The next round refuses the request.
             None => {}
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -36,7 +36,7 @@
 const FIRST_TOKEN_TIME: Span = Span::from_millis(400);
 
 /// A caller comes back after at most its remaining time divided by this.
-pub const RETRY_DIVISOR: u64 = 3;
+pub(crate) const RETRY_DIVISOR: u64 = 3;
 
 /// The pools of a service that a request may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -231,16 +231,21 @@
 /// total: 1.6 s here, a third of what is left, and 1.6 s again. It would be 4.3 s if the first
 /// attempt were sent back at once.
 pub fn defer(blocked: &BlockedRequest) -> Deferral {
-    /// A first attempt has at least this part of its route's timeout left, in hundredths.
-    const FIRST_ATTEMPT_PERCENT: u64 = 80;
-    let left_at_first = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
-    let first = left_at_first.times(100) >= blocked.timeout.times(FIRST_ATTEMPT_PERCENT);
     let spare = subtract(blocked.left, blocked.answer_time)
         .min(subtract(blocked.longest_wait, blocked.waited));
     if spare > Span::default() {
         return Deferral::Queue(spare);
     }
-    if first {
+    decline(blocked)
+}
+
+/// Decides what happens to a request that may not wait: a first attempt is told to come back later,
+/// and one that came back already is refused.
+pub fn decline(blocked: &BlockedRequest) -> Deferral {
+    /// A first attempt has at least this part of its route's timeout left, in hundredths.
+    const FIRST_ATTEMPT_PERCENT: u64 = 80;
+    let left_at_first = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
+    if left_at_first.times(100) >= blocked.timeout.times(FIRST_ATTEMPT_PERCENT) {
         let part = blocked.left.as_micros() / RETRY_DIVISOR;
         return Deferral::RetryLater(Span::from_micros(part));
     }
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -2,7 +2,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::{
-    defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
+    decline, defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
     DEFAULT_STREAM_TIME, PROBE_INTERVAL,
 };
 use snipemast_placement::pools::{GroupState, Pool};
@@ -128,6 +128,22 @@
     assert!(matches!(defer(&waited), Deferral::RetryLater(_)));
 }
 
+/// A full queue refuses a request that came back already, and its caller is told to come back after a
+/// third of its time, when it can't be answered any more; or a first attempt is told to come back at
+/// once, while the queue is full.
+#[test]
+fn declined_by_attempt() {
+    let ms = Span::from_millis;
+    let first = blocked(ms(7_500), ms(300));
+    assert_eq!(decline(&first), Deferral::RetryLater(ms(2_500)));
+    let again = blocked(ms(4_500), ms(300));
+    assert_eq!(decline(&again), Deferral::Refuse);
+    // Both could wait if the queue had room.
+    for request in [first, again] {
+        assert!(matches!(defer(&request), Deferral::Queue(_)));
+    }
+}
+
 /// Many requests probe a service that is out at the same time.
 #[test]
 fn one_probe() {
