--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -250,15 +250,21 @@
             };
             let choice = match chosen {
                 Ok(choice) => choice,
+                // The probe is used up, so the next round finds the pools that are open, or none.
+                Err(_) if matches!(allowed, AllowedPools::Probe(_)) => continue,
                 Err(unplaced) => return give_up(unplaced),
             };
             // Checked last, so that no retry is spent if there is no server to send to.
             if !self.try_spend_retry(job) {
                 let mut servers = job.state.servers.lock();
                 servers.release(&choice.server, choice.start);
+                drop(servers);
+                if let AllowedPools::Probe(pool) = &allowed {
+                    job.state.outages.lock().return_probe(pool);
+                }
                 return give_up(Unplaced::Spent);
             }
-            self.waiting.end();
+            self.waiting.end(job, self.sends.is_empty());
             let server = choice.server.clone();
             job.record_routed(&choice, !self.sends.is_empty());
             self.sends.begin();
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -4,11 +4,11 @@
 use snipemast_net::exec::{pause, within};
 use snipemast_placement::choice::Unplaced;
 use snipemast_placement::outage::{
-    defer, longest_wait, BlockedRequest, Deferral, DEFAULT_STREAM_TIME, RETRY_DIVISOR,
+    decline, defer, longest_wait, BlockedRequest, Deferral, DEFAULT_STREAM_TIME,
 };
 use snipemast_placement::queue::{Ranking, WaitingRequest};
 use snipemast_placement::returns::HeldRequest;
-use snipemast_placement::{RequestClass, Urgency};
+use snipemast_placement::Urgency;
 
 use crate::answer::{refusal, Answer};
 use crate::metrics::Ended;
@@ -36,11 +36,14 @@
         self.turn
     }
 
-    /// Ends the wait, because the request found a place.
-    pub(crate) fn end(&mut self) {
+    /// Ends the wait, because the request found a place. A `newcomer` was sent to no server before.
+    pub(crate) fn end(&mut self, job: &Job, newcomer: bool) {
         self.turn = None;
         if let Some(place) = self.place.take() {
             place.found();
+        } else if newcomer {
+            let now = job.state.clock.now();
+            job.state.waiting.overtake(now, &job.service);
         }
     }
 
@@ -66,15 +69,13 @@
 
 impl Job {
     fn waiting_request(&self, unplaced: Unplaced) -> WaitingRequest {
-        let ranking = match self.ordered_urgency(self.ask.last_event) {
-            Some(Urgency::InTime(priority) | Urgency::Yielding(priority)) => Ranking::Aging {
+        let urgency = self.urgency(self.ask.last_event);
+        let ranking = match self.ordered_class() {
+            Some(class) if !urgency.is_late() => Ranking::Aging {
                 asked: self.started - self.spent,
-                class: RequestClass {
-                    priority,
-                    ..self.class
-                },
+                class,
             },
-            urgency => Ranking::Fixed(urgency.unwrap_or_default()),
+            _ => Ranking::Fixed(urgency),
         };
         WaitingRequest {
             workspace: self.workspace.clone(),
@@ -140,8 +141,11 @@
         match waiting.next_call(job, unplaced, span).await {
             Some(Call::Look(_)) => return None,
             Some(Call::Refuse) => {
-                let part = job.left().as_micros() / RETRY_DIVISOR;
-                return Some(refuse(job, unplaced, Span::from_micros(part)));
+                let after = match decline(&job.blocked_request()) {
+                    Deferral::RetryLater(span) => span,
+                    _ => retry_after(unplaced),
+                };
+                return Some(refuse(job, unplaced, after));
             }
             // The next round refuses the request.
             None => {}
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -36,7 +36,7 @@
 const FIRST_TOKEN_TIME: Span = Span::from_millis(400);
 
 /// A caller comes back after at most its remaining time divided by this.
-pub const RETRY_DIVISOR: u64 = 3;
+pub(crate) const RETRY_DIVISOR: u64 = 3;
 
 /// The pools of a service that a request may be sent to.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -83,6 +83,8 @@
 struct PoolOutage {
     /// When the pool is probed next.
     next_probe: Moment,
+    /// When the last probe was due.
+    last_due: Moment,
     /// The epoch of the group that refused a request; none if the pool is out because its ranks
     /// reported a stall.
     refused_epoch: Option<GroupIncarnation>,
@@ -90,8 +92,10 @@
 
 impl PoolOutage {
     fn new(now: Moment, refused_epoch: Option<GroupIncarnation>) -> Self {
+        let next_probe = now + PROBE_INTERVAL;
         Self {
-            next_probe: now + PROBE_INTERVAL,
+            next_probe,
+            last_due: next_probe,
             refused_epoch,
         }
     }
@@ -166,7 +170,7 @@
             out.is_some_and(|out| now >= out.next_probe + delay)
         });
         if let Some((pool, out)) = due.and_then(|pool| Some((pool, self.out.get_mut(pool)?))) {
-            out.next_probe = now + PROBE_INTERVAL;
+            out.last_due = std::mem::replace(&mut out.next_probe, now + PROBE_INTERVAL);
             return AllowedPools::Probe(pool.clone());
         }
         if all_out {
@@ -175,6 +179,13 @@
             AllowedPools::AllExcept(out)
         }
     }
+
+    /// Gives back a probe that was not sent, so that the next request is the probe.
+    pub fn return_probe(&mut self, pool: &Pool) {
+        if let Some(out) = self.out.get_mut(pool) {
+            out.next_probe = out.last_due;
+        }
+    }
 }
 
 /// How a report changed the state of a pool.
@@ -220,16 +231,21 @@
 /// total: 1.6 s here, a third of what is left, and 1.6 s again. It would be 4.3 s if the first
 /// attempt were sent back at once.
 pub fn defer(blocked: &BlockedRequest) -> Deferral {
-    /// A first attempt has at least this part of its route's timeout left, in hundredths.
-    const FIRST_ATTEMPT_PERCENT: u64 = 80;
-    let left_at_first = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
-    let first = left_at_first.times(100) >= blocked.timeout.times(FIRST_ATTEMPT_PERCENT);
     let spare = subtract(blocked.left, blocked.answer_time)
         .min(subtract(blocked.longest_wait, blocked.waited));
     if spare > Span::default() {
         return Deferral::Queue(spare);
     }
-    if first {
+    decline(blocked)
+}
+
+/// Decides what happens to a request that may not wait: a first attempt is told to come back later,
+/// and one that came back already is refused.
+pub fn decline(blocked: &BlockedRequest) -> Deferral {
+    /// A first attempt has at least this part of its route's timeout left, in hundredths.
+    const FIRST_ATTEMPT_PERCENT: u64 = 80;
+    let left_at_first = Span::from_micros(blocked.left.as_micros() + blocked.waited.as_micros());
+    if left_at_first.times(100) >= blocked.timeout.times(FIRST_ATTEMPT_PERCENT) {
         let part = blocked.left.as_micros() / RETRY_DIVISOR;
         return Deferral::RetryLater(Span::from_micros(part));
     }
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -2,7 +2,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::{
-    defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
+    decline, defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
     DEFAULT_STREAM_TIME, PROBE_INTERVAL,
 };
 use snipemast_placement::pools::{GroupState, Pool};
@@ -128,6 +128,22 @@
     assert!(matches!(defer(&waited), Deferral::RetryLater(_)));
 }
 
+/// A full queue refuses a request that came back already, and its caller is told to come back after a
+/// third of its time, when it can't be answered any more; or a first attempt is told to come back at
+/// once, while the queue is full.
+#[test]
+fn declined_by_attempt() {
+    let ms = Span::from_millis;
+    let first = blocked(ms(7_500), ms(300));
+    assert_eq!(decline(&first), Deferral::RetryLater(ms(2_500)));
+    let again = blocked(ms(4_500), ms(300));
+    assert_eq!(decline(&again), Deferral::Refuse);
+    // Both could wait if the queue had room.
+    for request in [first, again] {
+        assert!(matches!(defer(&request), Deferral::Queue(_)));
+    }
+}
+
 /// Many requests probe a service that is out at the same time.
 #[test]
 fn one_probe() {
@@ -147,6 +163,58 @@
     assert_eq!(outages.allowed_pools(later, &pools), open());
 }
 
+/// A request without a retry left is let through as the probe and can't be sent, and all others
+/// wait half a second for the next probe, which the same request gets again.
+#[test]
+fn unsent_probe_returned() {
+    let mut outages = Outages::new();
+    let (pools, now) = (
+        [pool(Some("g0")), pool(Some("g1"))],
+        Moment::from_millis(10_000),
+    );
+    let probe = AllowedPools::Probe(pools[0].clone());
+    outages.mark_out(now, &pools[0]);
+    // With and without another pool that is open.
+    let later = now + Span::from_secs(6);
+    for asked in [&pools[..], &pools[..1]] {
+        for _ in 0..2 {
+            assert_eq!(outages.allowed_pools(later, asked), probe);
+            outages.return_probe(&pools[0]);
+        }
+    }
+    assert_eq!(outages.allowed_pools(later, &pools[..1]), probe);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+    // A pool that refused again meanwhile is not probed sooner.
+    outages.mark_out(later, &pools[0]);
+    outages.return_probe(&pools[0]);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+}
+
+/// No server of the probed pool takes a request, and it looks for the same pool again without an
+/// end. Each pool that is out is probed once, and then the request goes where one is open.
+#[test]
+fn vain_probes_end() {
+    let mut outages = Outages::new();
+    let pools = ["g0", "g1", "g2"].map(|group| pool(Some(group)));
+    let now = Moment::from_millis(10_000);
+    outages.mark_out(now, &pools[0]);
+    outages.mark_out(now, &pools[1]);
+    let later = now + Span::from_secs(6);
+    let mut looks = || outages.allowed_pools(later, &pools);
+    assert_eq!(looks(), AllowedPools::Probe(pools[0].clone()));
+    assert_eq!(looks(), AllowedPools::Probe(pools[1].clone()));
+    let others = AllowedPools::AllExcept(pools[..2].to_vec());
+    assert_eq!(looks(), others);
+    outages.mark_out(later, &pools[2]);
+    let mut looks = || outages.allowed_pools(later + PROBE_INTERVAL, &pools);
+    for pool in &pools {
+        assert_eq!(looks(), AllowedPools::Probe(pool.clone()));
+    }
+    assert_eq!(looks(), AllowedPools::NoPool);
+}
+
 /// A request waits for a group that lost a rank although another group of its service is open.
 /// Requests must go to the open group, an answer from it opens only that group, and the other one
 /// is probed now and then.
