Gateways tell by urgency what got places, waited and was refused

Cause: /metrics and log lines of a gateway said neither how urgent a request was nor whose requests waited or were refused, so an operator could not see what priorities did.

Change: gateway::order counts placements, waits (histogram), refusals by reason and what waits now, by service, urgency and the priorities of workspace and route. Priorities above 9 count as 9, services beyond 256 as others.

Measured: labels_bounded failed without the bound of priorities (256 series instead of 10) and without that of services (1,000 instead of 256). waits_counted failed where the end of a wait does not lower the gauge. wait_explained and as_urgent_counted guard what is printed and counted.

--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -185,3 +185,49 @@
         assert!(text.contains(row), "{row:?} in {text}");
     }
 }
+
+/// Guards against a request that waited whose explanation doesn't say how urgent it was, how long it waited and
+/// behind how many, or whose lines the summary no longer reads.
+#[test]
+fn wait_explained() {
+    let gateway = log(
+        "wait",
+        &[
+            line(
+                "05.0",
+                "gw-1",
+                "RequestQueued",
+                "r1",
+                "AllFull, for 1600000us at most, behind 3, yielding, priority 0/2",
+            ),
+            line(
+                "05.9",
+                "gw-1",
+                "RequestRouted",
+                "r1",
+                "i-7 of lector: 3 in flight; 900000us after its arrival, late, priority 0/2, waited 899000us behind 3",
+            ),
+            line(
+                "06.0",
+                "gw-1",
+                "RequestRefused",
+                "r2",
+                "AllFull, 7s left, back after 2s; 1600000us after its arrival, late, priority 0/2",
+            ),
+        ]
+        .concat(),
+    );
+    let output = explain("r1", std::slice::from_ref(&gateway));
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(text.contains("behind 3, yielding, priority 0/2"), "{text}");
+    assert!(
+        text.contains("late, priority 0/2, waited 899000us behind 3"),
+        "{text}"
+    );
+    let mut command = Command::new(env!("CARGO_BIN_EXE_snipemast"));
+    let output = command.args(["explain", "--summary"]).arg(gateway).output();
+    let text = String::from_utf8(output.expect("the program runs").stdout).expect("it is text");
+    for row in ["     1  refused: AllFull\n", "     1  waited: AllFull\n"] {
+        assert!(text.contains(row), "{row:?} in {text}");
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -258,9 +258,9 @@
                 servers.release(&choice.server, choice.start);
                 return give_up(Unplaced::Spent);
             }
-            self.waiting.end();
+            let wait = self.waiting.end();
             let server = choice.server.clone();
-            job.record_routed(&choice, !self.sends.is_empty());
+            job.record_routed(&choice, !self.sends.is_empty(), last, wait.as_ref());
             self.sends.begin();
             match job.send(choice, self, last).await {
                 Ok(run) => return Placement::Run(Box::new(run)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,9 +17,11 @@
 //! - `rests`: rests that servers ask for, and servers that are leaving.
 //! - `unknown`: unknown headers in servers' answers.
 //! - `metrics`: the gateway's metrics.
+//! - [`order`]: the metrics of who is served first.
 //! - `connections`: the pool of idle connections to servers.
 //! - `answer`: the gateway's own answers, and the body of every answer.
 
+pub mod order;
 pub mod process;
 pub mod state;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 
 use snipemast_core::prelude::*;
 
+use crate::order::OrderMetrics;
+
 /// The bounds of the buckets, in seconds: from a call within an availability zone to the longest
 /// that callers wait.
 const BUCKETS: [f64; 13] = [
@@ -89,6 +91,8 @@
     rests: Family<ServerLabel, Counter>,
     leaving: Family<ServerLabel, Counter>,
     unknown: Family<HeaderLabel, Counter>,
+    /// The metrics of who is served first.
+    pub(crate) order: OrderMetrics,
 }
 
 impl Metrics {
@@ -133,6 +137,7 @@
             "Answers of servers with a header that this process does not know",
             Family::clone(&unknown),
         );
+        let order = OrderMetrics::new(&mut registry);
         Self {
             registry: Mutex::new(registry),
             phases,
@@ -144,6 +149,7 @@
             rests,
             leaving,
             unknown,
+            order,
         }
     }
 
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -62,6 +62,14 @@
         services.get(service)?.queue.blocks(now, urgency)
     }
 
+    /// Returns how many requests of a service that wait are at least this urgent.
+    pub(crate) fn count_ahead(&self, now: Moment, service: &ServiceId, urgency: Urgency) -> usize {
+        let services = self.services.lock();
+        services
+            .get(service)
+            .map_or(0, |s| s.queue.count_ahead(now, urgency))
+    }
+
     /// Lets the first request of a service look for a place, because one may have become free.
     pub(crate) fn wake(&self, now: Moment, service: &ServiceId) {
         if self.count.load(Ordering::Acquire) > 0 {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -1,18 +1,31 @@
 //! What is logged and measured of one request.
 
+use std::sync::Arc;
+
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
 use snipemast_placement::Choice;
 
 use crate::metrics::{Ended, Phase};
+use crate::order::{OrderedRequest, WaitCount};
 use crate::send::Job;
+use crate::state::State;
 
 /// Log lines that were left out because the log was full. They are logged if the request runs into
 /// a problem.
 #[derive(Debug, Default)]
 pub(crate) struct UnloggedLines(Mutex<Vec<String>>);
 
+/// A wait for a place. Dropping it ends and measures the wait.
+#[derive(Debug)]
+pub(crate) struct Wait {
+    state: Arc<State>,
+    since: Moment,
+    ahead: usize,
+    count: WaitCount,
+}
+
 /// The times of an answer as it is passed on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AnswerTimes {
@@ -27,10 +40,41 @@
         self.state.clock.now().since(self.started)
     }
 
-    /// Records that a server was chosen.
-    pub(crate) fn record_routed(&self, choice: &Choice, retry: bool) {
-        let (state, age) = (&self.state, self.age());
+    /// Returns the request as it is ordered among others. `last` is the last event that its caller
+    /// has got.
+    pub(crate) fn ordered(&self, last: Option<u64>) -> OrderedRequest<'_> {
+        OrderedRequest {
+            service: &self.service,
+            urgency: self.urgency(last),
+            priority: self.class.priority,
+        }
+    }
+
+    /// Records that the request begins to wait for a place.
+    pub(crate) fn begin_wait(&self) -> Wait {
+        let (state, order) = (&self.state, self.ordered(self.ask.last_event));
+        let since = state.clock.now();
+        let waiting = &state.waiting;
+        Wait {
+            state: Arc::clone(state),
+            since,
+            ahead: waiting.count_ahead(since, &self.service, order.urgency),
+            count: state.metrics.order.begin_wait(order),
+        }
+    }
+
+    /// Records that a server was chosen, perhaps after a wait. `last` is the last event that the
+    /// caller has got.
+    pub(crate) fn record_routed(
+        &self,
+        choice: &Choice,
+        retry: bool,
+        last: Option<u64>,
+        wait: Option<&Wait>,
+    ) {
+        let (state, age, order) = (&self.state, self.age(), self.ordered(last));
         state.metrics.count_send(retry);
+        state.metrics.order.count_placement(order);
         if choice.limited {
             state.metrics.count_limited_send(&choice.server);
         }
@@ -40,8 +84,11 @@
         if !retry {
             state.metrics.observe(Phase::Placed, age);
         }
+        let waited = wait.map_or_else(String::new, |wait| {
+            format!(", waited {} behind {}", wait.span(), wait.ahead())
+        });
         let detail = format!(
-            "{} of {} by {}, version {}: {} in flight, told {} ago, {} passed at their limits, {} at rest; {age} after its arrival",
+            "{} of {} by {}, version {}: {} in flight, told {} ago, {} passed at their limits, {} at rest; {age} after its arrival, {order}{waited}",
             choice.server,
             self.service,
             self.route.name,
@@ -129,6 +176,24 @@
     }
 }
 
+impl Wait {
+    /// Returns how long the request has waited.
+    fn span(&self) -> Span {
+        self.state.clock.now().since(self.since)
+    }
+
+    /// Returns how many requests that were at least as urgent waited when this one began to.
+    pub(crate) const fn ahead(&self) -> usize {
+        self.ahead
+    }
+}
+
+impl Drop for Wait {
+    fn drop(&mut self) {
+        self.count.observe(self.span());
+    }
+}
+
 impl AnswerTimes {
     /// Records a piece of the answer. Returns the pause since the one before it.
     pub(crate) fn record_piece(&mut self, now: Moment) -> Span {
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -13,6 +13,7 @@
 use crate::answer::{refusal, Answer};
 use crate::metrics::Ended;
 use crate::queue::{Call, QueuePlace};
+use crate::request_log::Wait;
 use crate::send::Job;
 
 /// When a caller may come back after a refusal: after a forward pass of the engine, or after a
@@ -28,6 +29,8 @@
     turn: Option<Urgency>,
     /// Whether it was logged that the request waits.
     logged: bool,
+    /// The wait in the metrics, while it lasts.
+    wait: Option<Wait>,
 }
 
 impl Waiting {
@@ -36,12 +39,13 @@
         self.turn
     }
 
-    /// Ends the wait, because the request found a place.
-    pub(crate) fn end(&mut self) {
+    /// Ends the wait, because the request found a place. Returns the wait, if there was one.
+    pub(crate) fn end(&mut self) -> Option<Wait> {
         self.turn = None;
         if let Some(place) = self.place.take() {
             place.found();
         }
+        self.wait.take()
     }
 
     /// Waits until the request may look for a place. Returns nothing if it may not within this
@@ -124,7 +128,7 @@
     ];
     if scheduled.contains(&unplaced) {
         (waiting.place, waiting.turn) = (None, None);
-        return wait_for_schedule(job, unplaced, &mut waiting.logged).await;
+        return wait_for_schedule(job, unplaced, waiting).await;
     }
     let may_queue = [Unplaced::Out, Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
     if !may_queue || !job.route.repeat.is_stream() {
@@ -136,7 +140,7 @@
             Deferral::RetryLater(span) => return Some(refuse(job, unplaced, span)),
             Deferral::Refuse => return Some(refuse(job, unplaced, retry_after(unplaced))),
         };
-        log_queued(job, unplaced, span, &mut waiting.logged);
+        log_queued(job, unplaced, span, waiting);
         match waiting.next_call(job, unplaced, span).await {
             Some(Call::Look(_)) => return None,
             Some(Call::Refuse) => {
@@ -151,7 +155,7 @@
 
 /// Waits until the scheduled time of a request whose servers are all limited, resting or cold, if the
 /// request can still be on time after that. Returns the refusal otherwise.
-async fn wait_for_schedule(job: &Job, unplaced: Unplaced, queued: &mut bool) -> Option<Answer> {
+async fn wait_for_schedule(job: &Job, unplaced: Unplaced, waiting: &mut Waiting) -> Option<Answer> {
     let now = job.state.clock.now();
     let (opens_at, limit) = {
         let servers = job.state.servers.lock();
@@ -182,7 +186,7 @@
         .schedule(now, &job.service, held);
     match deferral {
         Deferral::Queue(span) => {
-            log_queued(job, unplaced, span, queued);
+            log_queued(job, unplaced, span, waiting);
             pause(span).await;
             None
         }
@@ -191,10 +195,13 @@
     }
 }
 
-/// Logs once that a request waits.
-fn log_queued(job: &Job, unplaced: Unplaced, span: Span, queued: &mut bool) {
-    if !std::mem::replace(queued, true) {
-        let detail = format!("{unplaced:?}, for {span} at most");
+/// Counts that a request waits, and logs it once.
+fn log_queued(job: &Job, unplaced: Unplaced, span: Span, waiting: &mut Waiting) {
+    let wait = waiting.wait.get_or_insert_with(|| job.begin_wait());
+    if !std::mem::replace(&mut waiting.logged, true) {
+        let order = job.ordered(job.ask.last_event);
+        let ahead = wait.ahead();
+        let detail = format!("{unplaced:?}, for {span} at most, behind {ahead}, {order}");
         job.log_problem(Event::RequestQueued, detail);
     }
 }
@@ -208,8 +215,12 @@
 }
 
 fn refuse(job: &Job, unplaced: Unplaced, after: Span) -> Answer {
-    let detail = format_args!("{unplaced:?}, {} left, back after {after}", job.left());
+    let (left, age, order) = (job.left(), job.age(), job.ordered(job.ask.last_event));
+    let detail = format_args!(
+        "{unplaced:?}, {left} left, back after {after}; {age} after its arrival, {order}"
+    );
     job.log_problem(Event::RequestRefused, detail);
+    job.state.metrics.order.count_refusal(order, unplaced);
     job.state.metrics.count_end(Ended::Refused);
     let reason = match unplaced {
         Unplaced::AllFull => "every server is full",
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -167,6 +167,13 @@
         blocked.then_some(self.blocked)
     }
 
+    /// Returns how many of the requests that wait are at least this urgent.
+    pub fn count_ahead(&self, now: Moment, urgency: Urgency) -> usize {
+        let waiting = self.waiting.values();
+        let ahead = waiting.filter(|e| e.request.ranking.urgency(now) <= urgency);
+        ahead.count()
+    }
+
     /// Adds a request, which does not look for a place before it has the turn.
     pub fn join(&mut self, now: Moment, ticket: Ticket, request: WaitingRequest) -> Joined {
         let mut joined = Joined::Waits;
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Returns the name in log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Resumed => "resumed",
+            Self::InTime(_) => "in_time",
+            Self::Yielding(_) => "yielding",
+            Self::Late(_) => "late",
+        }
+    }
+
     /// Whether the request is late whenever it begins.
     pub const fn is_late(self) -> bool {
         matches!(self, Self::Late(_))
