--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -264,9 +264,9 @@
                 }
                 return give_up(Unplaced::Spent);
             }
-            self.waiting.end(job, self.sends.is_empty());
+            let wait = self.waiting.end(job, self.sends.is_empty());
             let server = choice.server.clone();
-            job.record_routed(&choice, !self.sends.is_empty());
+            job.record_routed(&choice, !self.sends.is_empty(), last, wait.as_ref());
             self.sends.begin();
             match job.send(choice, self, last).await {
                 Ok(run) => return Placement::Run(Box::new(run)),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -73,6 +73,7 @@
         let servers = Servers::new(settings.zone.clone())
             .with_pick(decisions.placing)
             .with_seed(rand::random())
+            .with_failing(decisions.failing)
             .with_drain(settings.bounds.drain)
             .with_heartbeat(settings.heartbeat)
             .with_load_limits(LoadLimits {
--- a/crates/placement/src/reserve.rs
+++ b/crates/placement/src/reserve.rs
@@ -59,6 +59,14 @@
     patient: bool,
 }
 
+impl Kind {
+    /// Whether this is of the least urgent route among several.
+    fn is_least(&self, seen: &BTreeMap<Kind, Moment>) -> bool {
+        let priorities = || seen.keys().map(|kind| kind.priority);
+        priorities().min() < priorities().max() && priorities().max() == Some(self.priority)
+    }
+}
+
 impl Reserve {
     /// Creates a reserve with these limits.
     pub fn new(limits: LoadLimits) -> Self {
@@ -87,8 +95,7 @@
         };
         seen.insert(kind, now);
         seen.retain(|_, last| now < *last + KIND_AGE);
-        let priorities = || seen.keys().map(|kind| kind.priority);
-        priorities().min() < priorities().max() && priorities().max() == Some(kind.priority)
+        kind.is_least(seen)
     }
 
     /// Forgets the services for which `keep` is false.
@@ -96,6 +103,15 @@
         self.seen.retain(|service, _| keep(service));
     }
 
+    /// Whether some kinds of request of a service yield and others don't.
+    fn is_contended(&self, service: &ServiceId) -> bool {
+        let Some(seen) = self.seen.get(service) else {
+            return false;
+        };
+        let yields = |kind: &Kind| kind.patient || kind.is_least(seen);
+        seen.keys().any(yields) && !seen.keys().all(yields)
+    }
+
     /// Returns the load up to which servers are sent a request of this urgency, in hundredths of
     /// their slots.
     pub fn limit_for(&self, service: &ServiceId, urgency: Urgency) -> u32 {
@@ -104,7 +120,7 @@
             late,
             yielding,
         } = self.limits;
-        let competing = self.seen.get(service).is_some_and(|seen| seen.len() > 1);
+        let competing = self.is_contended(service);
         match urgency {
             Urgency::Resumed | Urgency::InTime(_) => full,
             Urgency::Yielding(_) if competing => full.min(yielding),
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -33,7 +33,7 @@
 mod outliers;
 
 pub use health::{ServerFault, SILENCE_LIMIT};
-pub use outliers::OutlierChanges;
+pub use outliers::{FailingServers, OutlierChanges};
 
 /// The age up to which the other gateways' counts are used: four of their usual exchanges.
 const MAX_COUNT_AGE: Span = Span::from_millis(1_000);
@@ -125,7 +125,7 @@
         self.allowances = Allowances::new(seed);
         self.rests = Rests::new(seed);
         self.cold = ColdServers::new(seed);
-        self.outliers = Outliers::new(seed);
+        self.outliers.set_seed(seed);
         self
     }
 
@@ -137,6 +137,12 @@
         self
     }
 
+    /// Sets how servers that fail more often than others are treated.
+    pub fn with_failing(mut self, failing: FailingServers) -> Self {
+        self.outliers.set_way(failing);
+        self
+    }
+
     /// Sets how long a server that is leaving still serves.
     pub fn with_drain(mut self, drain: Span) -> Self {
         self.drain = drain;
--- a/crates/placement/src/servers/outliers.rs
+++ b/crates/placement/src/servers/outliers.rs
@@ -21,6 +21,20 @@
 /// fail, and one in two seconds is enough to see that it goes on.
 const PROBE_INTERVAL: Span = Span::from_millis(2_000);
 
+data! {
+    /// The ways to treat servers that fail more often than others.
+    #[derive(Copy, Default)]
+    #[serde(rename_all = "lowercase")]
+    pub enum FailingServers {
+        /// Each gateway ejects the servers that fail several of its own requests in a row.
+        #[default]
+        Alone,
+        /// Gateways also tell each other how servers' answers end, and leave out those that fail far
+        /// more of them than others.
+        Shared,
+    }
+}
+
 /// What the leader's news changed.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct OutlierChanges {
@@ -33,6 +47,7 @@
 /// The servers that fail far more than others.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Outliers {
+    way: FailingServers,
     seed: u64,
     gateways: u32,
     outcomes: Outcomes,
@@ -47,11 +62,12 @@
 }
 
 impl Outliers {
-    pub(super) fn new(seed: u64) -> Self {
-        Self {
-            seed,
-            ..Self::default()
-        }
+    pub(super) fn set_seed(&mut self, seed: u64) {
+        self.seed = seed;
+    }
+
+    pub(super) fn set_way(&mut self, way: FailingServers) {
+        self.way = way;
     }
 
     pub(super) fn observe_gateways(&mut self, count: u32) {
@@ -65,7 +81,9 @@
         start: Incarnation,
         ended: Outcome,
     ) {
-        self.outcomes.record(now, server, start, ended);
+        if self.way == FailingServers::Shared {
+            self.outcomes.record(now, server, start, ended);
+        }
     }
 
     /// Returns the percentage of answers that failed, if the server is left out.
@@ -139,6 +157,9 @@
 
     /// Sets the servers that fail by what all gateways saw, as the leader tells.
     pub fn set_suspects(&mut self, now: Moment, suspects: Vec<Suspect>) -> OutlierChanges {
+        if self.outliers.way == FailingServers::Alone {
+            return OutlierChanges::default();
+        }
         let named = |s: &[Suspect]| -> BTreeMap<ServerId, u32> {
             let outliers = s
                 .iter()
@@ -166,7 +187,8 @@
 
     /// Updates the servers that are left out, if that is due.
     pub(super) fn refresh_outliers(&mut self, now: Moment) {
-        if now >= self.outliers.refreshed + REFRESH_INTERVAL {
+        let is_due = now >= self.outliers.refreshed + REFRESH_INTERVAL;
+        if is_due && self.outliers.way == FailingServers::Shared {
             self.update_outliers(now);
         }
     }
--- a/crates/placement/tests/outcomes.rs
+++ b/crates/placement/tests/outcomes.rs
@@ -11,12 +11,15 @@
 use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::outcomes::{Outcomes, MAX_REPORTED};
+use snipemast_placement::servers::FailingServers;
 use snipemast_placement::{Outcome, ServerFault, Servers, Suspect, Urgency};
 
 const START: Incarnation = Incarnation(1);
 
 fn servers(all: Vec<AnnouncedServer>) -> Servers {
-    let mut servers = Servers::new(ZoneId::new("a").unwrap()).with_seed(3);
+    let mut servers = Servers::new(ZoneId::new("a").unwrap())
+        .with_failing(FailingServers::Shared)
+        .with_seed(3);
     servers.set_announced(Moment::ZERO, all);
     servers
 }
@@ -167,7 +170,9 @@
 fn trials_are_few() {
     let mut trials = Vec::new();
     for seed in 0..40 {
-        let mut servers = Servers::new(ZoneId::new("a").unwrap()).with_seed(seed);
+        let mut servers = Servers::new(ZoneId::new("a").unwrap())
+            .with_failing(FailingServers::Shared)
+            .with_seed(seed);
         servers.set_announced(Moment::ZERO, (1..=4).map(announced).collect());
         servers.observe_gateways(GatewayCounts { all: 40, local: 40 });
         for step in 0..200 {
@@ -275,3 +280,17 @@
         found && 2 * left_out <= 9
     }
 }
+
+/// The leader's news of failing servers keep requests from them, although the gateway's settings
+/// say that each gateway judges alone.
+#[test]
+fn alone_ignores_news() {
+    let all = (1..=4).map(announced).collect();
+    let mut servers: Servers = Servers::new(ZoneId::new("a").unwrap());
+    servers.set_announced(Moment::ZERO, all);
+    let changes = servers.set_suspects(at(0), vec![suspect(1, Some(90))]);
+    assert_eq!(changes, Default::default());
+    assert!(!servers.is_failing(&id(1)));
+    servers.record_outcome(at(0), &id(1), START, Outcome::Failed);
+    assert!(servers.report_outcomes(at(10)).is_empty());
+}
--- a/crates/placement/tests/reserve.rs
+++ b/crates/placement/tests/reserve.rs
@@ -115,6 +115,21 @@
     }
 }
 
+/// Two kinds of request that can both wait keep room at servers for nobody, and wait themselves.
+#[test]
+fn no_room_for_nobody() {
+    let mut reserve = Reserve::default();
+    let limits = LoadLimits::default();
+    for route in [0, 2] {
+        new_request(&mut reserve, at(0), class(route, LONG));
+    }
+    let request = new_request(&mut reserve, at(10), class(2, LONG));
+    assert_eq!(reserve.limit_for(&service(), request), limits.full);
+    let urgent = new_request(&mut reserve, at(20), class(1, SHORT));
+    assert_eq!(reserve.limit_for(&service(), urgent), limits.full);
+    assert_eq!(reserve.limit_for(&service(), request), limits.yielding);
+}
+
 /// A route that is no longer used makes the requests of all others yield for good.
 #[test]
 fn unused_kind_forgotten() {
--- a/crates/registry/tests/outcomes.rs
+++ b/crates/registry/tests/outcomes.rs
@@ -5,6 +5,7 @@
 use snipemast_placement::choice::{AnnouncedServer, Constraints};
 use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::AllowedPools;
+use snipemast_placement::servers::FailingServers;
 use snipemast_placement::{Outcome, OutcomeCount, Pool, ServerFault, Servers, Suspect, Urgency};
 use snipemast_registry::outcomes::{Placed, MAX_SUSPECTS};
 use snipemast_registry::{Poll, PollerKind, Pollers};
@@ -209,7 +210,9 @@
 impl Play {
     fn new() -> Self {
         let gateway = |number: usize| {
-            let mut servers = Servers::new(zone(number)).with_seed(number as u64);
+            let mut servers = Servers::new(zone(number))
+                .with_failing(FailingServers::Shared)
+                .with_seed(number as u64);
             servers.set_announced(Moment::ZERO, (0..SERVERS).map(announced).collect());
             let (all, local) = (GATEWAYS as u32, 7);
             servers.observe_gateways(GatewayCounts { all, local });
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -2,6 +2,7 @@
 
 use snipemast_core::data;
 use snipemast_placement::pick::PickPolicy;
+use snipemast_placement::servers::FailingServers;
 use snipemast_placement::urgency::QueueOrder;
 use snipemast_placement::LoadLimits;
 
@@ -22,6 +23,8 @@
         pub order: QueueOrder,
         /// Whether prompts wait while the passes of an engine are temporarily long.
         pub holding: bool,
+        /// How servers that fail more often than others are treated.
+        pub failing: FailingServers,
         /// The number of requests in flight from which on a server counts as full, in percent of
         /// its slots.
         pub full: u32,
@@ -41,6 +44,7 @@
             polls: 600,
             order: QueueOrder::default(),
             holding: true,
+            failing: FailingServers::default(),
             full: LoadLimits::default().full,
             late: LoadLimits::default().late,
             yielding: LoadLimits::default().yielding,
