Merge the parts on hard load

Order by priority, room at servers for requests that can't wait, an ordered queue in the gateway, what an operator sees of them, failing servers by shared evidence (off by default), the hold distance of groups, faults seen while reading, and the model of admission.

--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -38,6 +38,10 @@
         PollerKind::Gateway => state.grant(&poll.demands),
         PollerKind::Controller | PollerKind::Sidecar => None,
     };
+    let suspects = match poll.kind {
+        PollerKind::Gateway => state.suspects(now),
+        PollerKind::Controller | PollerKind::Sidecar => Vec::new(),
+    };
     let pollers = state.pollers.lock();
     let (in_flight, age) = match poll.kind {
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
@@ -60,6 +64,7 @@
             .map_or(0, |zone| pollers.local_gateway_count(now, &zone)),
         slow: pollers.slow_servers(now),
         silent: pollers.silent_servers(now),
+        suspects,
         grants,
         in_flight,
         age,
@@ -172,7 +177,7 @@
 impl FeedHandler for Peers {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let now = self.state.clock.now();
-        let cursor = self.state.merged.lock().get(&controller).copied();
+        let cursor = self.state.covered.lock().get(&controller).copied();
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
@@ -199,7 +204,7 @@
         drop(known);
         // After a missed change the next poll asks for everything.
         let cursor = if complete { cursor } else { Cursor::default() };
-        self.state.merged.lock().insert(controller, cursor);
+        self.state.covered.lock().insert(controller, cursor);
     }
 
     async fn wait_after_news(&self, _: SocketAddr) {
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -10,11 +10,13 @@
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::BootClock;
+use snipemast_placement::Suspect;
 use snipemast_platform::settings::Settings;
 use snipemast_registry::limit::limit_change_event;
+use snipemast_registry::outcomes::Placed;
 use snipemast_registry::relays::Coverage;
 use snipemast_registry::{
-    Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankUpdate, Table,
+    Cursor, Demand, Grant, Grants, LeavingServer, Pollers, RankUpdate, Standing, Table,
 };
 
 use crate::strangers::UnknownSenders;
@@ -33,8 +35,8 @@
     pub(crate) epoch: u64,
     /// The known servers.
     pub(crate) table: Mutex<Table>,
-    /// How much of each other controller's table is merged into this one.
-    pub(crate) merged: Mutex<HashMap<SocketAddr, Cursor>>,
+    /// How much of each other controller's table this one covers.
+    pub(crate) covered: Mutex<HashMap<SocketAddr, Cursor>>,
     /// Updates from the processes beside ranks that are not yet merged into the table.
     pub(crate) rank_updates: Mutex<Vec<RankUpdate>>,
     /// The senders of announcements that are refused.
@@ -61,12 +63,12 @@
 
     /// Returns how much of each other controller's table this one includes.
     pub(crate) fn coverage(&self) -> Vec<Coverage> {
-        let merged = self.merged.lock();
-        let merged = merged.iter().map(|(controller, cursor)| Coverage {
+        let covered = self.covered.lock();
+        let covered = covered.iter().map(|(controller, cursor)| Coverage {
             controller: *controller,
             cursor: *cursor,
         });
-        merged.collect()
+        covered.collect()
     }
 
     /// Notifies all waiting tasks that something changed.
@@ -159,6 +161,23 @@
         });
     }
 
+    /// Returns the servers that fail by the reports of several gateways.
+    pub(crate) fn suspects(&self, now: Moment) -> Vec<Suspect> {
+        let placed = || {
+            let table = self.table.lock();
+            let ready = table.iter().filter(|k| k.standing == Standing::Ready);
+            let placed = ready.map(|known| Placed {
+                server: known.announcement.id.clone(),
+                start: known.announcement.start,
+                service: known.announcement.service.clone(),
+                zone: known.announcement.zone.clone(),
+                group: table.rank(known).map(|rank| rank.group.clone()),
+            });
+            placed.collect()
+        };
+        self.pollers.lock().suspects(now, placed)
+    }
+
     /// Grants shares of limits to a gateway; `None` if this controller may not grant any.
     pub(crate) fn grant(&self, demands: &[Demand]) -> Option<Vec<Grant>> {
         let term = self.voter.leading_term()?;
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -147,6 +147,8 @@
     ClockIgnored = 505;
     /// A server's words can't be read or name nothing that is known, and are ignored.
     AnnouncementIgnored = 506;
+    /// A value that processes exchange was dropped, because it is too long or too many processes publish one.
+    ValueDropped = 507;
     /// A new expert map was proposed.
     MapProposed = 600;
     /// A rank promised to enter no step without a verdict.
@@ -193,6 +195,10 @@
     LeavingTold = 711;
     /// A backend server's answer has a header that this process does not know.
     HeaderUnknown = 712;
+    /// A backend server is left out, because several hosts saw it fail far more than others.
+    ServerLeftOut = 713;
+    /// A backend server that was left out takes requests again.
+    ServerTakenBack = 714;
 }
 
 impl Event {
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,7 @@
 
 use async_channel::bounded;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response, StatusCode};
@@ -13,7 +13,7 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::choice::{Constraints, Unplaced};
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::{RequestPriority, Sends};
+use snipemast_placement::{Outcome, RequestClass, RequestPriority, Sends};
 use snipemast_platform::request::RequestHeaders;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
@@ -24,7 +24,7 @@
 use crate::send::{Failure, Job, Run};
 use crate::state::{ActiveRequest, State};
 use crate::stream;
-use crate::waiting::{wait_for_server, RETRY_AFTER_OUT};
+use crate::waiting::{wait_for_server, Waiting, RETRY_AFTER_OUT};
 
 /// The largest answer that is buffered before it is passed on, so that the request can be sent
 /// again if the answer breaks off.
@@ -78,7 +78,7 @@
     let bound = routes.limits().body.as_bytes() as usize;
     let body = match within(patience, Limited::new(body, bound).collect()).await {
         Some(Ok(body)) => body.to_bytes(),
-        Some(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+        Some(Err(e)) if e.is::<LengthLimitError>() => {
             return local_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
         Some(Err(_)) => return local_answer(StatusCode::BAD_REQUEST, "the body can't be read"),
@@ -91,6 +91,15 @@
         known.time_spent(started, &route.name, patience)
     };
     let service = choose_service(&route, rand::random());
+    let mut class = RequestClass {
+        objective: route.objective,
+        priority,
+        least: false,
+    };
+    if route.gap.is_some() {
+        let mut servers = state.servers.lock();
+        class.least = servers.record_request(started, &service, &class);
+    }
     let pieces = estimate_pieces(&routes, &service, &ask);
     let job = Job {
         state: Arc::clone(state),
@@ -100,7 +109,7 @@
         body,
         service,
         workspace: workspace.map(|w| w.name.clone()),
-        priority,
+        class,
         started,
         spent,
         deadline: started + patience,
@@ -153,6 +162,7 @@
     sends: Sends,
     /// Whether the retry budget already covers the next send.
     move_granted: bool,
+    waiting: Waiting,
 }
 
 /// What became of a request that was sent to servers.
@@ -228,8 +238,9 @@
                 return give_up(Unplaced::Out);
             }
             let chosen = {
+                let urgency = self.waiting.turn_urgency();
+                let urgency = urgency.unwrap_or_else(|| job.urgency(last));
                 let mut servers = job.state.servers.lock();
-                let urgency = job.urgency(last);
                 let constraints = Constraints {
                     service: &job.service,
                     allowed: &allowed,
@@ -239,16 +250,23 @@
             };
             let choice = match chosen {
                 Ok(choice) => choice,
+                // The probe is used up, so the next round finds the pools that are open, or none.
+                Err(_) if matches!(allowed, AllowedPools::Probe(_)) => continue,
                 Err(unplaced) => return give_up(unplaced),
             };
             // Checked last, so that no retry is spent if there is no server to send to.
             if !self.try_spend_retry(job) {
                 let mut servers = job.state.servers.lock();
                 servers.release(&choice.server, choice.start);
+                drop(servers);
+                if let AllowedPools::Probe(pool) = &allowed {
+                    job.state.outages.lock().return_probe(pool);
+                }
                 return give_up(Unplaced::Spent);
             }
+            let wait = self.waiting.end(job, self.sends.is_empty());
             let server = choice.server.clone();
-            job.record_routed(&choice, !self.sends.is_empty());
+            job.record_routed(&choice, !self.sends.is_empty(), last, wait.as_ref());
             self.sends.begin();
             match job.send(choice, self, last).await {
                 Ok(run) => return Placement::Run(Box::new(run)),
@@ -294,14 +312,18 @@
 async fn place_request(job: Arc<Job>, active: ActiveRequest) -> Answer {
     let mut attempt = Attempt::default();
     let mut last_failure = None;
-    let mut queued = false;
     await_short_passes(&job).await;
+    let mut blocked = job.blocked_at_arrival();
     loop {
-        let run = match attempt.send_until_answered(&job, job.ask.last_event).await {
+        let placement = match blocked.take() {
+            Some(unplaced) => Placement::Unplaced(unplaced),
+            None => attempt.send_until_answered(&job, job.ask.last_event).await,
+        };
+        let run = match placement {
             Placement::Run(run) => *run,
             Placement::Unplaced(unplaced) => match last_failure {
                 Some(answer) => return answer,
-                None => match wait_for_server(&job, unplaced, &mut queued).await {
+                None => match wait_for_server(&job, unplaced, &mut attempt.waiting).await {
                     Some(refused) => return refused,
                     None => {
                         attempt.excluded.clear();
@@ -373,7 +395,13 @@
     let read = within(job.left(), body).await;
     let bytes: Bytes = match read {
         Some(Ok(body)) => body.to_bytes(),
-        _ => {
+        lost => {
+            // An answer that is too large, or takes longer than its caller waits, is no failure of
+            // the server.
+            let broken = matches!(lost, Some(Err(e)) if !e.is::<LengthLimitError>());
+            if broken {
+                job.record_outcome(&run.choice, Outcome::Failed);
+            }
             let detail = format_args!("{}: broken off", run.choice.server);
             job.log_problem(Event::AnswerFailed, detail);
             return None;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,8 @@
 
 use snipemast_core::prelude::*;
 
+use crate::order::OrderMetrics;
+
 /// The bounds of the buckets, in seconds: from a call within an availability zone to the longest
 /// that callers wait.
 const BUCKETS: [f64; 13] = [
@@ -88,7 +90,10 @@
     granted: Family<ServerLabel, Counter>,
     rests: Family<ServerLabel, Counter>,
     leaving: Family<ServerLabel, Counter>,
+    left_out: Family<ServerLabel, Counter>,
     unknown: Family<HeaderLabel, Counter>,
+    /// The metrics of who is served first.
+    pub(crate) order: OrderMetrics,
 }
 
 impl Metrics {
@@ -127,12 +132,17 @@
             "leaving_sends",
             "Requests sent to servers that said that they leave",
         );
+        let left_out = by_server(
+            "left_out",
+            "Times that servers were left out because several hosts saw them fail",
+        );
         let unknown = Family::default();
         registry.register(
             "unknown_headers",
             "Answers of servers with a header that this process does not know",
             Family::clone(&unknown),
         );
+        let order = OrderMetrics::new(&mut registry);
         Self {
             registry: Mutex::new(registry),
             phases,
@@ -143,7 +153,9 @@
             granted,
             rests,
             leaving,
+            left_out,
             unknown,
+            order,
         }
     }
 
@@ -167,6 +179,11 @@
         increment(&self.leaving, server, 1);
     }
 
+    /// Counts a server that is left out because several hosts saw it fail.
+    pub(crate) fn count_left_out(&self, server: &ServerId) {
+        increment(&self.left_out, server, 1);
+    }
+
     /// Counts an answer with an unknown header.
     pub(crate) fn count_unknown_header(&self, header: &str) {
         let header = header.to_owned();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,7 +18,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
-use snipemast_placement::{Choice, Pool, RequestPriority, ServerFault, Urgency};
+use snipemast_placement::{Choice, Outcome, Pool, RequestClass, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_routes::{Repeat, Route};
@@ -36,6 +36,10 @@
 /// first and then run without it.
 const FROZEN_CHECK_INTERVAL: Span = Span::from_millis(100);
 
+/// How long a stream may show nothing before this counts as a failure of its server: longer than the
+/// queue of a healthy one, and shorter than the 2 s after which callers give up.
+const MUTE_LIMIT: Span = Span::from_millis(1_500);
+
 /// How long beyond the deadline a server may take to report itself that the time is over.
 const DEADLINE_GRACE: Span = Span::from_millis(60);
 
@@ -51,7 +55,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) workspace: Option<String>,
-    pub(crate) priority: RequestPriority,
+    pub(crate) class: RequestClass,
     pub(crate) started: Moment,
     /// How much of its time the caller had spent before it asked here.
     pub(crate) spent: Span,
@@ -73,12 +77,15 @@
     pub(crate) response: Response<Incoming>,
     connection: Connection,
     in_flight: InFlight,
+    /// Whether a part of the answer was recorded as a good answer.
+    shown: bool,
 }
 
 /// A request in flight at a server. Dropping it removes the request from the server's count.
 #[derive(Debug)]
 struct InFlight {
     state: Arc<State>,
+    service: ServiceId,
     server: ServerId,
     start: Incarnation,
     begun: Moment,
@@ -87,6 +94,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.state.servers.lock().release(&self.server, self.start);
+        let now = self.state.clock.now();
+        self.state.waiting.wake(now, &self.service);
     }
 }
 
@@ -128,21 +137,27 @@
 
     /// Returns the urgency if requests are ordered by it. Only requests to engines are, because
     /// their queues are long.
-    fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
-        let order = self.state.decisions.order;
-        if order == QueueOrder::Arrival || self.route.gap.is_none() {
-            return None;
-        }
-        let priority = match order {
-            QueueOrder::Priority => self.priority,
-            _ => RequestPriority::default(),
-        };
+    pub(crate) fn ordered_urgency(&self, last: Option<u64>) -> Option<Urgency> {
+        let class = self.ordered_class()?;
         if last.is_some() && last != self.ask.last_event {
             return Some(Urgency::Resumed);
         }
         let waited = self.age().as_micros();
         let spent = Span::from_micros(self.spent.as_micros() + waited);
-        Some(Urgency::new(spent, self.route.objective, priority))
+        Some(Urgency::new(spent, &class))
+    }
+
+    /// Returns what decides the urgency apart from the time, if requests are ordered by it.
+    pub(crate) fn ordered_class(&self) -> Option<RequestClass> {
+        self.route.gap?;
+        match self.state.decisions.order {
+            QueueOrder::Arrival => None,
+            QueueOrder::Lateness => Some(RequestClass {
+                objective: self.route.objective,
+                ..RequestClass::default()
+            }),
+            QueueOrder::Priority => Some(self.class),
+        }
     }
 
     /// Sends the request to a server and waits for the head of its answer.
@@ -154,6 +169,7 @@
     ) -> Result<Run, Failure> {
         let in_flight = InFlight {
             state: Arc::clone(&self.state),
+            service: self.service.clone(),
             server: choice.server.clone(),
             start: choice.start,
             begun: self.state.clock.now(),
@@ -218,6 +234,7 @@
         let since = self.state.clock.now();
         let (mut next_check, end) = (since + SILENCE_LIMIT, since + limit);
         let mut work = pin!(work);
+        let mut mute = !self.route.repeat.is_stream();
         loop {
             let ejected = self.state.frozen.listen();
             let now = self.state.clock.now();
@@ -233,6 +250,10 @@
                 return Ok(done);
             }
             let now = self.state.clock.now();
+            if !mute && now >= since + MUTE_LIMIT {
+                mute = true;
+                self.record_outcome(choice, Outcome::Failed);
+            }
             let due = now >= next_check;
             if due {
                 next_check = now + FROZEN_CHECK_INTERVAL;
@@ -262,13 +283,14 @@
             && servers.is_frozen(&choice.server, choice.start)
     }
 
-    /// Whether a server has shown nothing since a moment while others are running, and the request
-    /// may go elsewhere.
+    /// Whether a server has shown nothing since a moment while others are running or because it
+    /// fails often, and the request may go elsewhere.
     fn seems_frozen(&self, choice: &Choice, since: Moment) -> bool {
         let now = self.state.clock.now();
         let servers = self.state.servers.lock();
-        self.route.repeat == Repeat::ResumableStream
-            && servers.seems_frozen(now, &choice.server, since)
+        let unlikely =
+            servers.is_failing(&choice.server) || servers.seems_frozen(now, &choice.server, since);
+        self.route.repeat == Repeat::ResumableStream && unlikely
     }
 
     /// Whether the request may be sent on a pooled connection.
@@ -339,7 +361,11 @@
         self.mark_open(&choice.pool);
         self.record_accepted(&choice, sent);
         if status.is_server_error() {
-            self.record_fault(&choice, ServerFault::Failed, status.as_str());
+            let fault = match status {
+                StatusCode::GATEWAY_TIMEOUT => ServerFault::Late,
+                _ => ServerFault::Failed,
+            };
+            self.record_fault(&choice, fault, status.as_str());
         }
         Ok(Run {
             choice,
@@ -347,6 +373,7 @@
             response,
             connection,
             in_flight,
+            shown: false,
         })
     }
 
@@ -396,6 +423,13 @@
         }
     }
 
+    /// Records how an answer of a server ended, to compare it with the other servers.
+    pub(crate) fn record_outcome(&self, choice: &Choice, ended: Outcome) {
+        let now = self.state.clock.now();
+        let mut servers = self.state.servers.lock();
+        servers.record_outcome(now, &choice.server, choice.start, ended);
+    }
+
     pub(crate) fn record_fault(&self, choice: &Choice, fault: ServerFault, detail: &str) {
         let now = self.state.clock.now();
         let id = &choice.server;
@@ -463,8 +497,16 @@
         self.response.status().is_server_error()
     }
 
+    /// Records that the server began a good answer.
+    pub(crate) fn record_shown(&mut self, job: &Job) {
+        if !std::mem::replace(&mut self.shown, true) && !self.is_failure() {
+            job.record_outcome(&self.choice, Outcome::Good);
+        }
+    }
+
     /// Ends a run whose answer was read in full: its connection may carry the next request.
-    pub(crate) fn finish(self, job: &Job) {
+    pub(crate) fn finish(mut self, job: &Job) {
+        self.record_shown(job);
         let state = &job.state;
         let now = state.clock.now();
         if !self.is_failure() {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,9 +8,10 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
-use snipemast_placement::urgency::LoadLimits;
+use snipemast_placement::servers::OutlierChanges;
 use snipemast_placement::{
-    CallerPatience, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers, Shutdown,
+    CallerPatience, LoadLimits, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers,
+    Shutdown,
 };
 use snipemast_platform::settings::Settings;
 use snipemast_registry::Table as Registry;
@@ -19,6 +20,7 @@
 
 use crate::connections::ConnectionPool;
 use crate::metrics::Metrics;
+use crate::queue::WaitingRequests;
 use crate::unknown::UnknownHeaders;
 
 /// The state that the parts of a gateway share. Each part of it has its own lock.
@@ -42,8 +44,8 @@
     pub(crate) patience: Mutex<CallerPatience>,
     /// Wakes requests whose server was found to be frozen.
     pub(crate) frozen: Signal,
-    /// Wakes requests that wait for a service.
-    pub(crate) reopened: Signal,
+    /// The requests that wait for a place at a server.
+    pub(crate) waiting: WaitingRequests,
     pub(crate) retry_schedule: Mutex<RetrySchedule>,
     pub(crate) passes: Mutex<PassTimes>,
     /// Wakes requests that wait for short forward passes.
@@ -71,11 +73,13 @@
         let servers = Servers::new(settings.zone.clone())
             .with_pick(decisions.placing)
             .with_seed(rand::random())
+            .with_failing(decisions.failing)
             .with_drain(settings.bounds.drain)
             .with_heartbeat(settings.heartbeat)
             .with_load_limits(LoadLimits {
                 full: decisions.full,
                 late: decisions.late,
+                yielding: decisions.yielding,
             });
         let bounds = snipemast_placement::budget::RetryBounds {
             ratio: settings.bounds.retry_ratio,
@@ -95,7 +99,7 @@
             outages: Mutex::new(Outages::new()),
             patience: Mutex::default(),
             frozen: Signal::new(),
-            reopened: Signal::new(),
+            waiting: WaitingRequests::default(),
             retry_schedule: Mutex::default(),
             passes: Mutex::new(PassTimes::new()),
             shortened: Signal::new(),
@@ -144,16 +148,29 @@
     }
 
     /// Logs that a pool is out or open again. If it is open again, waiting requests look for a
-    /// server again.
+    /// place again.
     pub(crate) fn log_outage(&self, pool: &Pool, event: Event, detail: &str) {
         if event == Event::ServiceReopened {
-            self.reopened.notify(usize::MAX);
+            self.waiting.wake(self.clock.now(), &pool.service);
         }
         let group = pool.group.as_ref().map_or("", GroupId::as_str);
         let detail = format_args!("{group}: {detail}");
         self.journal.record(event, &pool.service, detail);
     }
 
+    /// Logs the servers that are left out, or no longer, by what all gateways saw.
+    pub(crate) fn log_outliers(&self, changes: &OutlierChanges) {
+        for (server, failed) in &changes.put_out {
+            self.metrics.count_left_out(server);
+            let detail = format_args!("{failed} of 100 answers failed, by several hosts");
+            self.journal.record(Event::ServerLeftOut, server, detail);
+        }
+        for server in &changes.taken_back {
+            let detail = "no longer an outlier, by several hosts";
+            self.journal.record(Event::ServerTakenBack, server, detail);
+        }
+    }
+
     /// Counts a request as in progress until the returned value is dropped.
     pub(crate) fn begin_request(self: &Arc<Self>) -> ActiveRequest {
         self.active.fetch_add(1, Ordering::Relaxed);
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -8,7 +8,9 @@
 //! - [`choice`]: the inputs and the result of a choice.
 //! - [`pick`]: the policies that pick one of the servers that may take a request.
 //! - [`pools`]: groups servers that run and stall together into pools.
-//! - [`urgency`]: how urgent a request is, and how full a server may be for it.
+//! - [`outcomes`]: which servers fail far more of their requests than others.
+//! - [`urgency`]: how urgent a request is.
+//! - [`reserve`]: how full a server may be for a request, by its urgency.
 //!
 //! What servers ask for:
 //!
@@ -19,6 +21,7 @@
 //! When a request can't be sent at once, or fails:
 //!
 //! - [`outage`]: which pools are out, and whether blocked requests wait, come back or are refused.
+//! - [`queue`]: which of the requests that wait for a place may try next.
 //! - [`returns`]: when blocked requests come back if all servers are limited or resting.
 //! - [`passes`]: whether new prompts are held back while an engine's forward passes are long.
 //! - [`length`]: estimates how long a stream takes.
@@ -37,9 +40,12 @@
 pub mod events;
 pub mod length;
 pub mod outage;
+pub mod outcomes;
 pub mod passes;
 pub mod pick;
 pub mod pools;
+pub mod queue;
+pub mod reserve;
 pub mod rests;
 pub mod returns;
 pub mod sends;
@@ -52,11 +58,14 @@
 pub use choice::Choice;
 pub use events::{EventSplitter, IdReader};
 pub use outage::Outages;
+pub use outcomes::{Outcome, OutcomeCount, Suspect};
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
+pub use queue::PlaceQueue;
+pub use reserve::{LoadLimits, Reserve};
 pub use rests::Rests;
 pub use returns::RetrySchedule;
 pub use sends::Sends;
 pub use servers::{ServerFault, Servers};
 pub use shutdown::Shutdown;
-pub use urgency::{CallerPatience, RequestPriority, Urgency};
+pub use urgency::{CallerPatience, RequestClass, RequestPriority, Urgency};
--- a/crates/placement/src/servers.rs
+++ b/crates/placement/src/servers.rs
@@ -7,6 +7,7 @@
 //! - `asked`: what servers ask of gateways: limits, rests, and leaving.
 //! - `evacuation`: evacuated availability zones, and servers that may be cold.
 //! - `health`: what requests show of servers' health.
+//! - `outliers`: servers that fail far more requests than others, and the few that try them again.
 //! - `open`: which servers may take a request now.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -19,15 +20,20 @@
 use crate::cold::ColdServers;
 use crate::pick::{Candidate, Freshness, Pick, PickPolicy};
 use crate::pools::Pool;
+use crate::reserve::{LoadLimits, Reserve};
 use crate::rests::Rests;
-use crate::urgency::{LoadLimits, Urgency};
+use crate::urgency::{RequestClass, Urgency};
+
+use outliers::Outliers;
 
 mod asked;
 mod evacuation;
 mod health;
 mod open;
+mod outliers;
 
 pub use health::{ServerFault, SILENCE_LIMIT};
+pub use outliers::{FailingServers, OutlierChanges};
 
 /// The age up to which the other gateways' counts are used: four of their usual exchanges.
 const MAX_COUNT_AGE: Span = Span::from_millis(1_000);
@@ -44,8 +50,7 @@
 #[derive(Debug)]
 pub struct Servers<P = PickPolicy> {
     pick: P,
-    /// How many requests a server may have in flight.
-    load_limits: LoadLimits,
+    reserve: Reserve,
     zone: ZoneId,
     known: BTreeMap<ServerId, Server>,
     /// The pools of each service's servers.
@@ -54,6 +59,7 @@
     allowances: Allowances,
     rests: Rests,
     cold: ColdServers,
+    outliers: Outliers,
     /// The availability zones whose servers may be sent nothing.
     evacuated: BTreeSet<ZoneId>,
     /// How long a server that may have turned cold unnoticed is treated as cold: until its next
@@ -91,7 +97,7 @@
     pub fn new(zone: ZoneId) -> Self {
         Self {
             pick: P::default(),
-            load_limits: LoadLimits::default(),
+            reserve: Reserve::default(),
             zone,
             known: BTreeMap::new(),
             pools: HashMap::new(),
@@ -99,6 +105,7 @@
             allowances: Allowances::new(0),
             rests: Rests::default(),
             cold: ColdServers::default(),
+            outliers: Outliers::default(),
             evacuated: BTreeSet::new(),
             settle: Span::default(),
             drain: Span::default(),
@@ -118,6 +125,7 @@
         self.allowances = Allowances::new(seed);
         self.rests = Rests::new(seed);
         self.cold = ColdServers::new(seed);
+        self.outliers.set_seed(seed);
         self
     }
 
@@ -129,6 +137,12 @@
         self
     }
 
+    /// Sets how servers that fail more often than others are treated.
+    pub fn with_failing(mut self, failing: FailingServers) -> Self {
+        self.outliers.set_way(failing);
+        self
+    }
+
     /// Sets how long a server that is leaving still serves.
     pub fn with_drain(mut self, drain: Span) -> Self {
         self.drain = drain;
@@ -137,10 +151,21 @@
 
     /// Sets how many requests a server may have in flight before it counts as full.
     pub fn with_load_limits(mut self, load_limits: LoadLimits) -> Self {
-        self.load_limits = load_limits;
+        self.reserve = Reserve::new(load_limits);
         self
     }
 
+    /// Records a caller's request for a service. Returns whether it is of the least urgent route
+    /// among several.
+    pub fn record_request(
+        &mut self,
+        now: Moment,
+        service: &ServiceId,
+        class: &RequestClass,
+    ) -> bool {
+        self.reserve.record_request(now, service, class)
+    }
+
     /// Sets the servers that may be sent requests, and keeps what is known of those that stay.
     /// Returns the addresses of the servers that are gone or have started again.
     ///
@@ -182,6 +207,8 @@
             let service = self.pools.entry(pool.service.clone()).or_default();
             service.push(pool.clone());
         }
+        let pools = &self.pools;
+        self.reserve.retain(|service| pools.contains_key(service));
     }
 
     /// Sets the number of requests that the other gateways reported in flight, and the average age
@@ -252,9 +279,11 @@
         urgency: Urgency,
         chance: u64,
     ) -> Result<Choice, Unplaced> {
+        self.refresh_outliers(now);
         let freshness = self.freshness(now, constraints.service);
         let open = self.open_servers(now, constraints, urgency);
         let due = self.due_index(now, &open);
+        let due = due.or_else(|| self.due_probe(now, &open));
         let picked = due.or_else(|| self.pick.pick(&open.candidates, freshness, chance));
         let picked = picked.map(|index| (open.servers[index].clone(), open.candidates[index]));
         let (unplaced, skipped_limited, skipped_resting) =
@@ -271,6 +300,7 @@
         let start = server.announced.start;
         self.allowances.spend(now, &id);
         self.rests.spend(now, &id, start);
+        self.outliers.spend(now, &id);
         Ok(Choice {
             pool: server.announced.pool.clone(),
             start,
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -10,10 +10,16 @@
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+use crate::outage::subtract;
+
 /// The part of the objective that may be spent before a request counts as late, in hundredths. The
 /// prompt and the first token take the rest.
 const LATE_PERCENT: u64 = 60;
 
+/// The time that a request can wait without being late from which on it counts as patient: long
+/// enough for a group to follow a shift of the demand for experts.
+const PATIENT_SLACK: Span = Span::from_millis(350);
+
 /// How long the longest patience of a route's callers is remembered. It falls when the
 /// configuration changes it.
 const PATIENCE_RETENTION: Span = Span::from_secs(30);
@@ -52,6 +58,31 @@
     }
 }
 
+/// What decides how urgent a request is, apart from the time that it has waited.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RequestClass {
+    /// The time within which the answer should begin.
+    pub objective: Span,
+    /// The priority of the request.
+    pub priority: RequestPriority,
+    /// Whether the request is of the least urgent route among several.
+    pub least: bool,
+}
+
+impl RequestClass {
+    /// Whether a new request can wait for a while without being late.
+    pub fn is_patient(&self) -> bool {
+        self.slack(Span::default()) >= PATIENT_SLACK
+    }
+
+    /// Returns how much longer a request can wait without being late. `spent` is the time since its
+    /// caller first asked.
+    fn slack(&self, spent: Span) -> Span {
+        let latest = Span::from_micros(self.objective.as_micros() * LATE_PERCENT / 100);
+        subtract(latest, spent)
+    }
+}
+
 /// How urgent a request is compared with others of its service. The least one goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Urgency {
@@ -59,17 +90,33 @@
     Resumed,
     /// A request that can still be on time.
     InTime(RequestPriority),
+    /// A request that can still be on time and yields to others: it can wait for a while without
+    /// being late, or is of the least urgent route among several.
+    Yielding(RequestPriority),
     /// A request that is late whenever it begins.
     Late(RequestPriority),
 }
 
 impl Urgency {
     /// Returns the urgency of a request. `spent` is the time since its caller first asked.
-    pub fn new(spent: Span, objective: Span, priority: RequestPriority) -> Self {
-        if spent.times(100) < objective.times(LATE_PERCENT) {
-            Self::InTime(priority)
-        } else {
+    pub fn new(spent: Span, class: &RequestClass) -> Self {
+        let (slack, priority) = (class.slack(spent), class.priority);
+        if slack == Span::default() {
             Self::Late(priority)
+        } else if class.least || slack >= PATIENT_SLACK {
+            Self::Yielding(priority)
+        } else {
+            Self::InTime(priority)
+        }
+    }
+
+    /// Returns the name in log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Resumed => "resumed",
+            Self::InTime(_) => "in_time",
+            Self::Yielding(_) => "yielding",
+            Self::Late(_) => "late",
         }
     }
 
@@ -86,37 +133,6 @@
     }
 }
 
-/// How many requests a server may have in flight to be sent another one, in hundredths of its
-/// slots.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadLimits {
-    /// The limit for a request that can be on time.
-    pub full: u32,
-    /// The limit for a late request. What lies above is left to those that can be on time.
-    pub late: u32,
-}
-
-impl LoadLimits {
-    /// Returns the limit for a request of this urgency.
-    pub fn limit_for(self, urgency: Urgency) -> u32 {
-        match urgency {
-            Urgency::Resumed | Urgency::InTime(_) => self.full,
-            Urgency::Late(_) => self.full.min(self.late),
-        }
-    }
-}
-
-impl Default for LoadLimits {
-    /// A request in a server's own queue begins without a round-trip, and the server refuses what
-    /// is beyond that. Late requests get no place in the queue.
-    fn default() -> Self {
-        Self {
-            full: 150,
-            late: 100,
-        }
-    }
-}
-
 /// How long the callers of each route wait, which shows whether a caller asks again.
 #[derive(Debug, Clone, Default)]
 pub struct CallerPatience {
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -2,13 +2,16 @@
 
 use snipemast_core::prelude::*;
 use snipemast_placement::outage::{
-    defer, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange, DEFAULT_STREAM_TIME,
-    MAX_QUEUE_TIME, PROBE_INTERVAL,
+    decline, defer, longest_wait, AllowedPools, BlockedRequest, Deferral, Outages, ReportedChange,
+    DEFAULT_STREAM_TIME, PROBE_INTERVAL,
 };
 use snipemast_placement::pools::{GroupState, Pool};
 
 const TIMEOUT: Span = Span::from_secs(8);
 
+/// The longest wait of a route with an objective of 400 ms and a promised pause of 120 ms.
+const MAX_QUEUE_TIME: Span = Span::from_millis(1_600);
+
 fn pool(group: Option<&str>) -> Pool {
     Pool {
         service: ServiceId::new("lector").unwrap(),
@@ -29,6 +32,7 @@
         waited,
         timeout: TIMEOUT,
         answer_time: DEFAULT_STREAM_TIME,
+        longest_wait: longest_wait(Span::from_millis(400), Some(Span::from_millis(120))),
     }
 }
 
@@ -99,6 +103,22 @@
     assert_eq!(defer(&blocked(after, MAX_QUEUE_TIME)), Deferral::Refuse);
 }
 
+/// The callers of a route whose answers may begin after a second wait for 4 s. They are refused
+/// after 1.6 s, although a place would have become free in time.
+#[test]
+fn patient_callers_wait() {
+    let ms = Span::from_millis;
+    assert_eq!(longest_wait(ms(1_000), None), ms(3_600));
+    assert_eq!(longest_wait(ms(400), Some(ms(400))), ms(2_800));
+    assert_eq!(longest_wait(ms(500), Some(ms(250))), MAX_QUEUE_TIME);
+    assert_eq!(longest_wait(Span::default(), None), MAX_QUEUE_TIME);
+    let patient = BlockedRequest {
+        longest_wait: longest_wait(ms(1_000), Some(ms(120))),
+        ..blocked(ms(6_400), MAX_QUEUE_TIME)
+    };
+    assert_eq!(defer(&patient), Deferral::Queue(ms(2_000)));
+}
+
 /// A first attempt is refused without waiting, or does not come back after waiting.
 #[test]
 fn first_attempt_waits() {
@@ -108,6 +128,22 @@
     assert!(matches!(defer(&waited), Deferral::RetryLater(_)));
 }
 
+/// A full queue refuses a request that came back already, and its caller is told to come back after a
+/// third of its time, when it can't be answered any more; or a first attempt is told to come back at
+/// once, while the queue is full.
+#[test]
+fn declined_by_attempt() {
+    let ms = Span::from_millis;
+    let first = blocked(ms(7_500), ms(300));
+    assert_eq!(decline(&first), Deferral::RetryLater(ms(2_500)));
+    let again = blocked(ms(4_500), ms(300));
+    assert_eq!(decline(&again), Deferral::Refuse);
+    // Both could wait if the queue had room.
+    for request in [first, again] {
+        assert!(matches!(defer(&request), Deferral::Queue(_)));
+    }
+}
+
 /// Many requests probe a service that is out at the same time.
 #[test]
 fn one_probe() {
@@ -127,6 +163,58 @@
     assert_eq!(outages.allowed_pools(later, &pools), open());
 }
 
+/// A request without a retry left is let through as the probe and can't be sent, and all others
+/// wait half a second for the next probe, which the same request gets again.
+#[test]
+fn unsent_probe_returned() {
+    let mut outages = Outages::new();
+    let (pools, now) = (
+        [pool(Some("g0")), pool(Some("g1"))],
+        Moment::from_millis(10_000),
+    );
+    let probe = AllowedPools::Probe(pools[0].clone());
+    outages.mark_out(now, &pools[0]);
+    // With and without another pool that is open.
+    let later = now + Span::from_secs(6);
+    for asked in [&pools[..], &pools[..1]] {
+        for _ in 0..2 {
+            assert_eq!(outages.allowed_pools(later, asked), probe);
+            outages.return_probe(&pools[0]);
+        }
+    }
+    assert_eq!(outages.allowed_pools(later, &pools[..1]), probe);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+    // A pool that refused again meanwhile is not probed sooner.
+    outages.mark_out(later, &pools[0]);
+    outages.return_probe(&pools[0]);
+    let next = outages.allowed_pools(later, &pools[..1]);
+    assert_eq!(next, AllowedPools::NoPool);
+}
+
+/// No server of the probed pool takes a request, and it looks for the same pool again without an
+/// end. Each pool that is out is probed once, and then the request goes where one is open.
+#[test]
+fn vain_probes_end() {
+    let mut outages = Outages::new();
+    let pools = ["g0", "g1", "g2"].map(|group| pool(Some(group)));
+    let now = Moment::from_millis(10_000);
+    outages.mark_out(now, &pools[0]);
+    outages.mark_out(now, &pools[1]);
+    let later = now + Span::from_secs(6);
+    let mut looks = || outages.allowed_pools(later, &pools);
+    assert_eq!(looks(), AllowedPools::Probe(pools[0].clone()));
+    assert_eq!(looks(), AllowedPools::Probe(pools[1].clone()));
+    let others = AllowedPools::AllExcept(pools[..2].to_vec());
+    assert_eq!(looks(), others);
+    outages.mark_out(later, &pools[2]);
+    let mut looks = || outages.allowed_pools(later + PROBE_INTERVAL, &pools);
+    for pool in &pools {
+        assert_eq!(looks(), AllowedPools::Probe(pool.clone()));
+    }
+    assert_eq!(looks(), AllowedPools::NoPool);
+}
+
 /// A request waits for a group that lost a rank although another group of its service is open.
 /// Requests must go to the open group, an answer from it opens only that group, and the other one
 /// is probed now and then.
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -2,7 +2,9 @@
 
 use snipemast_core::data;
 use snipemast_placement::pick::PickPolicy;
-use snipemast_placement::urgency::{LoadLimits, QueueOrder};
+use snipemast_placement::servers::FailingServers;
+use snipemast_placement::urgency::QueueOrder;
+use snipemast_placement::LoadLimits;
 
 use crate::check::Settings;
 use crate::fault::{Fault, FaultKind};
@@ -21,12 +23,17 @@
         pub order: QueueOrder,
         /// Whether prompts wait while the passes of an engine are temporarily long.
         pub holding: bool,
+        /// How servers that fail more often than others are treated.
+        pub failing: FailingServers,
         /// The number of requests in flight from which on a server counts as full, in percent of
         /// its slots.
         pub full: u32,
         /// The same bound for requests that are already late, if requests that can still be on time
         /// go first.
         pub late: u32,
+        /// The same bound for requests that yield to others: those that can wait without being late,
+        /// and those of the least urgent route among several.
+        pub yielding: u32,
     }
 }
 
@@ -37,8 +44,10 @@
             polls: 600,
             order: QueueOrder::default(),
             holding: true,
+            failing: FailingServers::default(),
             full: LoadLimits::default().full,
             late: LoadLimits::default().late,
+            yielding: LoadLimits::default().yielding,
         }
     }
 }
