--- a/crates/benches/src/placing/admission.rs
+++ b/crates/benches/src/placing/admission.rs
@@ -186,7 +186,7 @@
         let class = RequestClass {
             objective: kind.objective,
             priority: RequestPriority::new(None, Priority::new(kind.priority)),
-            least: false,
+            least_urgent: false,
         };
         Urgency::new(waited, &class)
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -13,7 +13,8 @@
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_placement::choice::{Constraints, Unplaced};
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::{Outcome, RequestClass, RequestPriority, Sends};
+use snipemast_placement::urgency::QueueOrder;
+use snipemast_placement::{AnswerResult, RequestClass, RequestPriority, Sends};
 use snipemast_platform::request::RequestHeaders;
 use snipemast_platform::response;
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
@@ -94,11 +95,11 @@
     let mut class = RequestClass {
         objective: route.objective,
         priority,
-        least: false,
+        least_urgent: false,
     };
-    if route.gap.is_some() {
+    if route.gap.is_some() && state.decisions.order == QueueOrder::Priority {
         let mut servers = state.servers.lock();
-        class.least = servers.record_request(started, &service, &class);
+        class.least_urgent = servers.record_request(started, &service, &class);
     }
     let pieces = estimate_pieces(&routes, &service, &ask);
     let job = Job {
@@ -400,7 +401,7 @@
             // the server.
             let broken = matches!(lost, Some(Err(e)) if !e.is::<LengthLimitError>());
             if broken {
-                job.record_outcome(&run.choice, Outcome::Failed);
+                job.record_outcome(&run.choice, AnswerResult::Failed);
             }
             let detail = format_args!("{}: broken off", run.choice.server);
             job.log_problem(Event::AnswerFailed, detail);
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -43,7 +43,7 @@
 pub(crate) enum Call {
     /// It has the turn, and looks for a place with this urgency.
     Look(Urgency),
-    /// It is refused, because more urgent requests fill the queue.
+    /// It is refused, because the queue is full and it is last in the order.
     Refuse,
 }
 
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,7 +18,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
-use snipemast_placement::{Choice, Outcome, Pool, RequestClass, ServerFault, Urgency};
+use snipemast_placement::{AnswerResult, Choice, Pool, RequestClass, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_routes::{Repeat, Route};
@@ -234,7 +234,7 @@
         let since = self.state.clock.now();
         let (mut next_check, end) = (since + SILENCE_LIMIT, since + limit);
         let mut work = pin!(work);
-        let mut mute = !self.route.repeat.is_stream();
+        let mut recorded = !self.route.repeat.is_stream();
         loop {
             let ejected = self.state.frozen.listen();
             let now = self.state.clock.now();
@@ -250,9 +250,9 @@
                 return Ok(done);
             }
             let now = self.state.clock.now();
-            if !mute && now >= since + MUTE_LIMIT {
-                mute = true;
-                self.record_outcome(choice, Outcome::Failed);
+            if !recorded && now >= since + MUTE_LIMIT {
+                recorded = true;
+                self.record_outcome(choice, AnswerResult::Failed);
             }
             let due = now >= next_check;
             if due {
@@ -283,14 +283,14 @@
             && servers.is_frozen(&choice.server, choice.start)
     }
 
-    /// Whether a server has shown nothing since a moment while others are running or because it
-    /// fails often, and the request may go elsewhere.
+    /// Whether a request that has seen nothing for a while should move: its server is left out, or
+    /// shows nothing while others run.
     fn seems_frozen(&self, choice: &Choice, since: Moment) -> bool {
         let now = self.state.clock.now();
         let servers = self.state.servers.lock();
-        let unlikely =
+        let is_suspicious =
             servers.is_failing(&choice.server) || servers.seems_frozen(now, &choice.server, since);
-        self.route.repeat == Repeat::ResumableStream && unlikely
+        self.route.repeat == Repeat::ResumableStream && is_suspicious
     }
 
     /// Whether the request may be sent on a pooled connection.
@@ -424,7 +424,7 @@
     }
 
     /// Records how an answer of a server ended, to compare it with the other servers.
-    pub(crate) fn record_outcome(&self, choice: &Choice, ended: Outcome) {
+    pub(crate) fn record_outcome(&self, choice: &Choice, ended: AnswerResult) {
         let now = self.state.clock.now();
         let mut servers = self.state.servers.lock();
         servers.record_outcome(now, &choice.server, choice.start, ended);
@@ -500,7 +500,7 @@
     /// Records that the server began a good answer.
     pub(crate) fn record_shown(&mut self, job: &Job) {
         if !std::mem::replace(&mut self.shown, true) && !self.is_failure() {
-            job.record_outcome(&self.choice, Outcome::Good);
+            job.record_outcome(&self.choice, AnswerResult::Good);
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 
 use snipemast_core::prelude::*;
-use snipemast_placement::{EventSplitter, Outcome};
+use snipemast_placement::{AnswerResult, EventSplitter};
 use snipemast_platform::response::event_id;
 use snipemast_routes::Repeat;
 
@@ -71,7 +71,7 @@
             }
             PartEnd::Silent => "silent",
             PartEnd::Broken(reason) => {
-                job.record_outcome(&run.choice, Outcome::Failed);
+                job.record_outcome(&run.choice, AnswerResult::Failed);
                 reason
             }
         };
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -58,7 +58,7 @@
 pub use choice::Choice;
 pub use events::{EventSplitter, IdReader};
 pub use outage::Outages;
-pub use outcomes::{Outcome, OutcomeCount, Suspect};
+pub use outcomes::{AnswerResult, OutcomeCount, Suspect};
 pub use passes::PassTimes;
 pub use pools::{Pool, Pools};
 pub use queue::PlaceQueue;
--- a/crates/placement/src/outcomes.rs
+++ b/crates/placement/src/outcomes.rs
@@ -52,7 +52,7 @@
 
 /// How an answer of a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
+pub enum AnswerResult {
     /// It was complete, or its stream began.
     Good,
     /// It was an error of the server's own, was broken, or nothing came.
@@ -137,11 +137,17 @@
 
 impl Outcomes {
     /// Records an answer of a start of a server.
-    pub fn record(&mut self, now: Moment, server: &ServerId, start: Incarnation, ended: Outcome) {
+    pub fn record(
+        &mut self,
+        now: Moment,
+        server: &ServerId,
+        start: Incarnation,
+        ended: AnswerResult,
+    ) {
         let mut tally = self.tally(now, server, start);
         match ended {
-            Outcome::Good => tally.good += 1.0,
-            Outcome::Failed => {
+            AnswerResult::Good => tally.good += 1.0,
+            AnswerResult::Failed => {
                 tally.failed += 1.0;
                 tally.quiet = Some(Span::default());
             }
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -27,8 +27,8 @@
 /// requests, not by places that become free.
 const SPENT_PAUSE: Span = Span::from_millis(60);
 
-/// How long the share of a workspace is remembered after the last of its requests has left.
-const SHARE_RETENTION: Span = Span::from_secs(5);
+/// How long the usage of a workspace is remembered after the last of its requests has left.
+const USAGE_RETENTION: Span = Span::from_secs(5);
 
 /// The number of a waiting request, which no other request of the process has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -76,9 +76,9 @@
 pub struct Turn {
     /// The request that has the turn.
     pub ticket: Ticket,
-    /// The urgency with which it looks: that of the first request, or in the oldest one's turn that
-    /// of a request that can be on time, because others that go ahead of it fill servers up to
-    /// their limit.
+    /// The urgency that decides how full a server may be. In the oldest request's turn it is at
+    /// least that of a request that can be on time: with a lower limit it would find nothing while
+    /// others fill servers.
     pub urgency: Urgency,
 }
 
@@ -97,12 +97,12 @@
 #[derive(Debug)]
 pub struct PlaceQueue {
     waiting: BTreeMap<Ticket, Entry>,
-    shares: HashMap<Option<String>, Share>,
+    usages: HashMap<Option<String>, WorkspaceUsage>,
     /// The number of places that others got since the oldest request had one.
     since_oldest: u64,
-    /// The most places that a workspace had been given before its last one. A workspace that begins
-    /// to wait while none does starts from here, so that it has no credit for the time before.
-    level: u64,
+    /// The most places that a workspace had been given before its last one, where a workspace
+    /// starts that begins to wait while no other does.
+    virtual_time: u64,
     holder: Option<Ticket>,
     /// Whether a place may have become free since the holder got the turn.
     woken: bool,
@@ -119,9 +119,9 @@
 
 /// What a workspace was given.
 #[derive(Debug)]
-struct Share {
+struct WorkspaceUsage {
     waiting: usize,
-    given: u64,
+    served: u64,
     /// When the last of its requests left.
     idle_since: Moment,
 }
@@ -137,9 +137,9 @@
     pub fn new() -> Self {
         Self {
             waiting: BTreeMap::new(),
-            shares: HashMap::new(),
+            usages: HashMap::new(),
             since_oldest: 0,
-            level: 0,
+            virtual_time: 0,
             holder: None,
             woken: false,
             blocked: Unplaced::AllFull,
@@ -158,10 +158,11 @@
 
     /// Whether nothing is left to remember.
     pub fn is_idle(&self) -> bool {
-        self.waiting.is_empty() && self.shares.is_empty()
+        self.waiting.is_empty() && self.usages.is_empty()
     }
 
-    /// Returns why a new request has to wait: one that is at least as urgent waits for a place.
+    /// Returns why the last look failed, if a request that is at least as urgent waits. Requests
+    /// that passed their turn on hold back nobody.
     pub fn blocks(&self, now: Moment, urgency: Urgency) -> Option<Unplaced> {
         let mut waiting = self.waiting.values();
         let blocked =
@@ -186,17 +187,17 @@
             self.remove(now, last);
             joined = Joined::Replaces(last);
         }
-        let level = self.start_level();
-        let share = self.shares.entry(request.workspace.clone());
-        let share = share.or_insert(Share {
+        let start = self.start_usage();
+        let usage = self.usages.entry(request.workspace.clone());
+        let usage = usage.or_insert(WorkspaceUsage {
             waiting: 0,
-            given: level,
+            served: start,
             idle_since: now,
         });
-        if share.waiting == 0 {
-            share.given = share.given.max(level);
+        if usage.waiting == 0 {
+            usage.served = usage.served.max(start);
         }
-        share.waiting += 1;
+        usage.waiting += 1;
         let spent = request.unplaced == Unplaced::Spent;
         if !spent {
             self.blocked = request.unplaced;
@@ -235,9 +236,9 @@
         let is_oldest = self.oldest(now) == Some(ticket);
         let entry = self.remove(now, ticket)?;
         self.since_oldest = if is_oldest { 0 } else { self.since_oldest + 1 };
-        if let Some(share) = self.shares.get_mut(&entry.request.workspace) {
-            self.level = self.level.max(share.given);
-            share.given += 1;
+        if let Some(usage) = self.usages.get_mut(&entry.request.workspace) {
+            self.virtual_time = self.virtual_time.max(usage.served);
+            usage.served += 1;
         }
         self.next_turn(now)
     }
@@ -281,8 +282,8 @@
 
     /// Forgets the workspaces of which nothing has waited for some seconds.
     pub fn forget(&mut self, now: Moment) {
-        self.shares
-            .retain(|_, s| s.waiting > 0 || now < s.idle_since + SHARE_RETENTION);
+        self.usages
+            .retain(|_, s| s.waiting > 0 || now < s.idle_since + USAGE_RETENTION);
     }
 
     /// Gives the turn to the next request, unless somebody has it already.
@@ -308,11 +309,11 @@
         Some(turn)
     }
 
-    /// Returns the places from which a workspace that begins to wait starts: the fewest that one was
-    /// given whose requests wait. What others got whose urgency differs is not held against it.
-    fn start_level(&self) -> u64 {
-        let waiting = self.shares.values().filter(|s| s.waiting > 0);
-        waiting.map(|s| s.given).min().unwrap_or(self.level)
+    /// Returns the count from which a workspace that begins to wait starts: the lowest of those that
+    /// wait, so that it has no credit from before and isn't charged for places of another urgency.
+    fn start_usage(&self) -> u64 {
+        let waiting = self.usages.values().filter(|s| s.waiting > 0);
+        waiting.map(|s| s.served).min().unwrap_or(self.virtual_time)
     }
 
     /// Returns the requests that don't let others go first.
@@ -332,18 +333,18 @@
     /// given the fewest places is first.
     fn rank(&self, now: Moment, ticket: Ticket, entry: &Entry) -> (Urgency, u64, Moment, Ticket) {
         let request = &entry.request;
-        let share = self.shares.get(&request.workspace);
-        let given = share.map_or(0, |s| s.given);
+        let usage = self.usages.get(&request.workspace);
+        let served = usage.map_or(0, |s| s.served);
         let urgency = request.ranking.urgency(now);
-        (urgency, given, request.arrival, ticket)
+        (urgency, served, request.arrival, ticket)
     }
 
     /// Returns the request that is refused if one more joins a full queue, or nothing if that is
     /// the new one: the least urgent, and among equals one of the workspace with the most.
     fn last(&self, now: Moment, new: Ticket, request: &WaitingRequest) -> Option<Ticket> {
         let rank = |ticket: Ticket, request: &WaitingRequest, extra: usize| {
-            let share = self.shares.get(&request.workspace);
-            let waiting = share.map_or(0, |s| s.waiting) + extra;
+            let usage = self.usages.get(&request.workspace);
+            let waiting = usage.map_or(0, |s| s.waiting) + extra;
             let urgency = request.ranking.urgency(now);
             (urgency, waiting, request.arrival, ticket)
         };
@@ -364,9 +365,9 @@
     fn remove(&mut self, now: Moment, ticket: Ticket) -> Option<Entry> {
         self.end_turn(ticket);
         let entry = self.waiting.remove(&ticket)?;
-        if let Some(share) = self.shares.get_mut(&entry.request.workspace) {
-            share.waiting -= 1;
-            share.idle_since = now;
+        if let Some(usage) = self.usages.get_mut(&entry.request.workspace) {
+            usage.waiting -= 1;
+            usage.idle_since = now;
         }
         Some(entry)
     }
--- a/crates/placement/src/reserve.rs
+++ b/crates/placement/src/reserve.rs
@@ -56,7 +56,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Kind {
     priority: Priority,
-    patient: bool,
+    can_wait: bool,
 }
 
 impl Kind {
@@ -86,7 +86,7 @@
     ) -> bool {
         let kind = Kind {
             priority: class.priority.route,
-            patient: class.is_patient(),
+            can_wait: class.can_wait(),
         };
         let Some(seen) = self.seen.get_mut(service) else {
             let seen = BTreeMap::from([(kind, now)]);
@@ -108,7 +108,7 @@
         let Some(seen) = self.seen.get(service) else {
             return false;
         };
-        let yields = |kind: &Kind| kind.patient || kind.is_least(seen);
+        let yields = |kind: &Kind| kind.can_wait || kind.is_least(seen);
         seen.keys().any(yields) && !seen.keys().all(yields)
     }
 
--- a/crates/placement/src/servers/health.rs
+++ b/crates/placement/src/servers/health.rs
@@ -5,7 +5,7 @@
 use snipemast_core::prelude::*;
 
 use super::Servers;
-use crate::outcomes::Outcome;
+use crate::outcomes::AnswerResult;
 use crate::pick::Pick;
 
 /// How long a server is ejected after its first failure in a row, and at most. The first span is
@@ -156,7 +156,7 @@
         }
         server.failures += 1;
         if matches!(fault, ServerFault::Broken | ServerFault::Failed) {
-            self.outliers.record(now, id, start, Outcome::Failed);
+            self.outliers.record(now, id, start, AnswerResult::Failed);
         }
         let server = self.get(id, start)?;
         if fault != ServerFault::Unreachable && server.failures < MAX_FAILURES {
--- a/crates/placement/src/servers/outliers.rs
+++ b/crates/placement/src/servers/outliers.rs
@@ -8,7 +8,7 @@
 
 use super::open::OpenServers;
 use super::Servers;
-use crate::outcomes::{find_outliers, Outcome, OutcomeCount, Outcomes, Seen, Suspect};
+use crate::outcomes::{find_outliers, AnswerResult, OutcomeCount, Outcomes, Seen, Suspect};
 use crate::pick::Pick;
 
 /// How long the leader's news of failing servers hold: twice the longest interval between polls.
@@ -79,7 +79,7 @@
         now: Moment,
         server: &ServerId,
         start: Incarnation,
-        ended: Outcome,
+        ended: AnswerResult,
     ) {
         if self.way == FailingServers::Shared {
             self.outcomes.record(now, server, start, ended);
@@ -99,14 +99,14 @@
 
     /// Records that a request is sent to a server.
     pub(super) fn spend(&mut self, now: Moment, server: &ServerId) {
-        let turn = self.turn();
+        let interval = self.probe_interval();
         if let Some(next) = self.next_probes.get_mut(server) {
-            *next = now + turn;
+            *next = now + interval;
         }
     }
 
     /// Returns the time between two of this gateway's turns.
-    fn turn(&self) -> Span {
+    fn probe_interval(&self) -> Span {
         PROBE_INTERVAL.times(self.gateways.max(1).into())
     }
 
@@ -114,7 +114,7 @@
     /// turns are spread.
     fn set_left_out(&mut self, now: Moment, left_out: BTreeMap<ServerId, u32>) {
         self.next_probes.retain(|id, _| left_out.contains_key(id));
-        let turn = self.turn().as_micros() as f64;
+        let interval = self.probe_interval().as_micros() as f64;
         for id in left_out.keys() {
             let salt = id
                 .as_str()
@@ -122,7 +122,7 @@
                 .fold(self.seed, |s, b| mix(s ^ u64::from(b)));
             let first = now
                 + Span::from_micros(
-                    (turn * fraction(mix(salt ^ now.since(Moment::ZERO).as_micros()))) as u64,
+                    (interval * fraction(mix(salt ^ now.since(Moment::ZERO).as_micros()))) as u64,
                 );
             self.next_probes.entry(id.clone()).or_insert(first);
         }
@@ -137,7 +137,7 @@
         now: Moment,
         server: &ServerId,
         start: Incarnation,
-        ended: Outcome,
+        ended: AnswerResult,
     ) {
         if self.knows_start(server, start) {
             self.outliers.record(now, server, start, ended);
--- a/crates/placement/src/urgency.rs
+++ b/crates/placement/src/urgency.rs
@@ -1,4 +1,5 @@
-//! Decides which requests begin first at servers that have more than they run.
+//! Decides how urgent a request is. The gateway's queue and the servers' own queues take the most
+//! urgent requests first.
 //!
 //! After an outage, the requests that waited for its end, or came back, are late whenever they
 //! begin, and fill every slot for seconds. In order of arrival, they would make all new requests
@@ -16,9 +17,9 @@
 /// prompt and the first token take the rest.
 const LATE_PERCENT: u64 = 60;
 
-/// The time that a request can wait without being late from which on it counts as patient: long
-/// enough for a group to follow a shift of the demand for experts.
-const PATIENT_SLACK: Span = Span::from_millis(350);
+/// A request that can wait for this long without being late yields: long enough for a group to
+/// follow a shift of the demand for experts.
+const YIELD_SLACK: Span = Span::from_millis(350);
 
 /// How long the longest patience of a route's callers is remembered. It falls when the
 /// configuration changes it.
@@ -33,7 +34,7 @@
         Arrival,
         /// Requests that can still be on time go first.
         Lateness,
-        /// The same, and among them those of higher priority.
+        /// The same, and among them those with the lower priority number.
         #[default]
         Priority,
     }
@@ -66,13 +67,13 @@
     /// The priority of the request.
     pub priority: RequestPriority,
     /// Whether the request is of the least urgent route among several.
-    pub least: bool,
+    pub least_urgent: bool,
 }
 
 impl RequestClass {
     /// Whether a new request can wait for a while without being late.
-    pub fn is_patient(&self) -> bool {
-        self.slack(Span::default()) >= PATIENT_SLACK
+    pub fn can_wait(&self) -> bool {
+        self.slack(Span::default()) >= YIELD_SLACK
     }
 
     /// Returns how much longer a request can wait without being late. `spent` is the time since its
@@ -83,7 +84,8 @@
     }
 }
 
-/// How urgent a request is compared with others of its service. The least one goes first.
+/// How urgent a request is compared with others of its service. Ordered so that
+/// the most urgent one is the smallest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Urgency {
     /// A stream that is resumed: its caller has a part of the answer.
@@ -103,7 +105,7 @@
         let (slack, priority) = (class.slack(spent), class.priority);
         if slack == Span::default() {
             Self::Late(priority)
-        } else if class.least || slack >= PATIENT_SLACK {
+        } else if class.least_urgent || slack >= YIELD_SLACK {
             Self::Yielding(priority)
         } else {
             Self::InTime(priority)
--- a/crates/placement/tests/outcomes.rs
+++ b/crates/placement/tests/outcomes.rs
@@ -12,7 +12,7 @@
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::outcomes::{Outcomes, MAX_REPORTED};
 use snipemast_placement::servers::FailingServers;
-use snipemast_placement::{Outcome, ServerFault, Servers, Suspect, Urgency};
+use snipemast_placement::{AnswerResult, ServerFault, Servers, Suspect, Urgency};
 
 const START: Incarnation = Incarnation(1);
 
@@ -51,7 +51,7 @@
     for n in 0..20 {
         let now = at(100 * n);
         for server in 1..=6 {
-            servers.record_outcome(now, &id(server), START, Outcome::Good);
+            servers.record_outcome(now, &id(server), START, AnswerResult::Good);
         }
         if n % 3 != 0 {
             servers.record_fault(now, &id(2), START, ServerFault::Failed);
@@ -69,9 +69,9 @@
     let mut servers = servers((1..=3).map(announced).collect());
     for n in 0..=500 {
         let now = at(10 * n);
-        servers.record_outcome(now, &id(1), START, Outcome::Good);
+        servers.record_outcome(now, &id(1), START, AnswerResult::Good);
         if n % 100 == 0 {
-            servers.record_outcome(now, &id(1), START, Outcome::Failed);
+            servers.record_outcome(now, &id(1), START, AnswerResult::Failed);
         }
     }
     let counts = spread(&mut servers, at(5_010));
@@ -123,14 +123,14 @@
     ] {
         let mut servers = servers(all);
         for server in [1, 2, 3, 1, 2, 3, 1, 2, 3] {
-            servers.record_outcome(at(0), &id(server), START, Outcome::Failed);
+            servers.record_outcome(at(0), &id(server), START, AnswerResult::Failed);
         }
         spread(&mut servers, at(10));
         assert!((1..=9).all(|n| !servers.is_failing(&id(n))));
         // A single server of the part fails: the rest of it is well.
         let later = at(30_000);
         for server in [2, 2, 2] {
-            servers.record_outcome(later, &id(server), START, Outcome::Failed);
+            servers.record_outcome(later, &id(server), START, AnswerResult::Failed);
         }
         spread(&mut servers, later);
         assert!(servers.is_failing(&id(2)));
@@ -142,7 +142,7 @@
 fn well_server_returns() {
     let mut servers = servers((1..=4).map(announced).collect());
     for _ in 0..10 {
-        servers.record_outcome(at(0), &id(1), START, Outcome::Failed);
+        servers.record_outcome(at(0), &id(1), START, AnswerResult::Failed);
     }
     spread(&mut servers, at(100));
     assert!(servers.is_failing(&id(1)));
@@ -151,7 +151,7 @@
         let now = at(100 + 100 * step);
         let choice = choose_by(&mut servers, now, step).unwrap();
         servers.release(&choice.server, START);
-        servers.record_outcome(now, &choice.server, START, Outcome::Good);
+        servers.record_outcome(now, &choice.server, START, AnswerResult::Good);
         if !servers.is_failing(&id(1)) {
             back = Some(step);
             break;
@@ -249,15 +249,15 @@
 fn reports_are_bounded() {
     let mut outcomes = Outcomes::default();
     for server in 0..600 {
-        outcomes.record(at(0), &id(server), START, Outcome::Failed);
+        outcomes.record(at(0), &id(server), START, AnswerResult::Failed);
     }
     assert!(outcomes.report(at(10), &[]).is_empty());
     let asked = outcomes.report(at(10), &[suspect(1, None)]);
     assert_eq!((asked.len(), asked[0].failed), (1, 0));
     for server in 600..1_300 {
-        outcomes.record(at(0), &id(server), START, Outcome::Good);
+        outcomes.record(at(0), &id(server), START, AnswerResult::Good);
     }
-    outcomes.record(at(0), &id(77), START, Outcome::Failed);
+    outcomes.record(at(0), &id(77), START, AnswerResult::Failed);
     let report = outcomes.report(at(10), &[]);
     assert_eq!((report.len(), &report[0].server), (MAX_REPORTED, &id(77)));
     outcomes.forget(at(60_000));
@@ -270,7 +270,7 @@
     fn half_stays(failures: Vec<(u8, bool)>, told: Vec<u8>) -> bool {
         let mut servers = servers((0..9).map(announced).collect());
         for (server, good) in failures {
-            let ended = if good { Outcome::Good } else { Outcome::Failed };
+            let ended = if good { AnswerResult::Good } else { AnswerResult::Failed };
             servers.record_outcome(at(0), &id(usize::from(server % 9)), START, ended);
         }
         let told = told.into_iter().map(|n| suspect(usize::from(n % 9), Some(100)));
@@ -291,6 +291,6 @@
     let changes = servers.set_suspects(at(0), vec![suspect(1, Some(90))]);
     assert_eq!(changes, Default::default());
     assert!(!servers.is_failing(&id(1)));
-    servers.record_outcome(at(0), &id(1), START, Outcome::Failed);
+    servers.record_outcome(at(0), &id(1), START, AnswerResult::Failed);
     assert!(servers.report_outcomes(at(10)).is_empty());
 }
--- a/crates/placement/tests/queue.rs
+++ b/crates/placement/tests/queue.rs
@@ -29,7 +29,7 @@
             class: RequestClass {
                 objective: OBJECTIVE,
                 priority: priority(number),
-                least: false,
+                least_urgent: false,
             },
         },
         arrival,
@@ -176,7 +176,7 @@
         let class = RequestClass {
             objective: OBJECTIVE,
             priority: priority(number),
-            least: false,
+            least_urgent: false,
         };
         reserve.record_request(at(1), &service, &class);
     }
--- a/crates/placement/tests/reserve.rs
+++ b/crates/placement/tests/reserve.rs
@@ -25,14 +25,20 @@
     RequestClass {
         objective,
         priority: RequestPriority::new(Some(Priority::new(1)), Priority::new(route)),
-        least: false,
+        least_urgent: false,
     }
 }
 
 /// Returns a new request of this class, as it is looked at.
 fn new_request(reserve: &mut Reserve, now: Moment, class: RequestClass) -> Urgency {
-    let least = reserve.record_request(now, &service(), &class);
-    Urgency::new(Span::default(), &RequestClass { least, ..class })
+    let least_urgent = reserve.record_request(now, &service(), &class);
+    Urgency::new(
+        Span::default(),
+        &RequestClass {
+            least_urgent,
+            ..class
+        },
+    )
 }
 
 /// Returns the view of four servers with ten slots each.
@@ -76,7 +82,7 @@
     let mut servers = servers();
     let mut burst = class(2, SHORT);
     servers.record_request(at(0), &service(), &class(0, SHORT));
-    burst.least = servers.record_request(at(0), &service(), &burst);
+    burst.least_urgent = servers.record_request(at(0), &service(), &burst);
     let in_time = Urgency::new(Span::default(), &burst);
     assert_eq!(admitted(&mut servers, in_time), 24);
     let late = Urgency::new(SHORT, &burst);
@@ -156,7 +162,7 @@
     for (workspace, route, patient) in kinds {
         let mut class = class(route % 4, if patient { LONG } else { SHORT });
         class.priority.workspace = Priority::new(workspace % 3);
-        class.least = reserve.record_request(at(0), &service(), &class);
+        class.least_urgent = reserve.record_request(at(0), &service(), &class);
         let spent = spent
             .iter()
             .map(|millis| Span::from_millis((*millis).into()));
--- a/crates/placement/tests/turn.rs
+++ b/crates/placement/tests/turn.rs
@@ -24,7 +24,7 @@
     let class = RequestClass {
         objective: OBJECTIVE,
         priority: usual,
-        least: false,
+        least_urgent: false,
     };
     let urgency = |spent| Urgency::new(spent, &class);
     assert_eq!(urgency(back), Urgency::Late(usual));
--- a/crates/registry/tests/outcomes.rs
+++ b/crates/registry/tests/outcomes.rs
@@ -6,7 +6,9 @@
 use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::FailingServers;
-use snipemast_placement::{Outcome, OutcomeCount, Pool, ServerFault, Servers, Suspect, Urgency};
+use snipemast_placement::{
+    AnswerResult, OutcomeCount, Pool, ServerFault, Servers, Suspect, Urgency,
+};
 use snipemast_registry::outcomes::{Placed, MAX_SUSPECTS};
 use snipemast_registry::{Poll, PollerKind, Pollers};
 
@@ -255,7 +257,7 @@
             let servers = &mut self.gateways[gateway];
             servers.release(&server, START);
             servers.record_success(&server, START);
-            servers.record_outcome(at(millis), &server, START, Outcome::Good);
+            servers.record_outcome(at(millis), &server, START, AnswerResult::Good);
         }
     }
 
--- a/crates/settings/src/decisions.rs
+++ b/crates/settings/src/decisions.rs
@@ -10,8 +10,7 @@
 use crate::fault::{Fault, FaultKind};
 
 data! {
-    /// The policies by which a gateway decides. Each default is the best over many kinds of
-    /// deployments.
+    /// The policies by which a gateway decides. The defaults hold for gateways without a file.
     #[serde(deny_unknown_fields, default)]
     pub struct Decisions {
         /// The policy by which a server is picked.
@@ -19,7 +18,8 @@
         /// The number of polls per second for the requests in flight at others that the leading
         /// controller answers. All gateways share it.
         pub polls: u32,
-        /// The order in which requests start at a server that has more than it can run at once.
+        /// Which requests go first, in the gateway's queue and at a server that has more than it can
+        /// run at once.
         pub order: QueueOrder,
         /// Whether prompts wait while the passes of an engine are temporarily long.
         pub holding: bool,
@@ -65,6 +65,12 @@
             let kind = FaultKind::TooSmall("100".into(), "servers would stand idle");
             faults.push(Fault::new("full", kind));
         }
+        for (key, limit) in [("late", self.late), ("yielding", self.yielding)] {
+            if limit == 0 {
+                let kind = FaultKind::TooSmall("1".into(), "no server would ever take them");
+                faults.push(Fault::new(key, kind));
+            }
+        }
         faults
     }
 }
--- a/crates/settings/tests/decisions.rs
+++ b/crates/settings/tests/decisions.rs
@@ -15,10 +15,11 @@
 /// An operator who mistypes a policy, a key and numbers must learn of every fault at once.
 #[test]
 fn faults_named() {
-    let faulty = "placing = \"leest\"\nholdin = true\npolls = 0\nfull = 50\n";
+    let faulty =
+        "placing = \"leest\"\nholdin = true\npolls = 0\nfull = 50\nyielding = 0\nlate = 0\n";
     let report = parse::<Decisions>(faulty).unwrap_err();
     let message = report.current_context().to_string();
-    for key in ["placing", "holdin", "polls", "full"] {
+    for key in ["placing", "holdin", "polls", "full", "yielding", "late"] {
         assert!(message.contains(key), "{message}");
     }
 }
