Name the shared parts of requests whose servers ended

The lines of the incident name whole requests by their fingerprints, so they can't tell whether something that several requests share was counted, or whether there is such a thing at all. Each request whose server ended is now logged with the shared parts of its prompt, and with the age of its first event, which says whether it had begun to write.

No decision reads them.

--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -54,6 +54,8 @@
     OperatorId;
     /// A caller's key for one non-idempotent request.
     RequestKey;
+    /// A part of a prompt, which several requests may share.
+    PartId;
 }
 
 crate::number_ids! {
--- a/crates/core/src/prelude.rs
+++ b/crates/core/src/prelude.rs
@@ -6,8 +6,8 @@
 pub use crate::hlc::{HybridClock, Stamp};
 pub use crate::ids::{
     AdapterId, Ballot, DispatchId, Fence, GroupId, GroupIncarnation, HostId, Incarnation, Index,
-    MapVersion, ModelId, OperatorId, PatchId, ProcessId, RegionId, RequestId, RequestKey, ServerId,
-    ServiceId, Step, Term, Version, WorkspaceId, ZoneId,
+    MapVersion, ModelId, OperatorId, PartId, PatchId, ProcessId, RegionId, RequestId, RequestKey,
+    ServerId, ServiceId, Step, Term, Version, WorkspaceId, ZoneId,
 };
 pub use crate::logs::{Journal, LogLevel, LogOutput};
 pub use crate::outcome::Outcome;
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -38,12 +38,29 @@
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenRun {
     pub(crate) request: Fingerprint,
+    /// The parts of its prompt that other requests may share.
+    pub(crate) parts: Vec<PartId>,
     /// The name of the request in logs.
     pub(crate) name: String,
     pub(crate) sent: Moment,
+    /// When the first part of its answer came, if one did.
+    pub(crate) shown: Option<Moment>,
     pub(crate) broke: Moment,
 }
 
+impl fmt::Display for BrokenRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let parts: Vec<&str> = self.parts.iter().map(PartId::as_str).collect();
+        let after = self.broke.since(self.sent);
+        write!(f, "{} with the parts {}, ", self.request, parts.join(" "))?;
+        write!(f, "broken {after} after it was sent, ")?;
+        match self.shown {
+            Some(at) => write!(f, "{} after its first event", self.broke.since(at)),
+            None => f.write_str("without an event"),
+        }
+    }
+}
+
 /// The broken runs whose cause is not known yet, by the start of their server.
 #[derive(Debug, Default)]
 pub(crate) struct BrokenRuns(Mutex<HashMap<(ServerId, Incarnation), Vec<BrokenRun>>>);
@@ -199,11 +216,13 @@
 
     /// Records that the connection broke on which a request was sent to a server, and begins to find
     /// out whether that server ended.
-    pub(crate) fn record_broken_run(&self, choice: &Choice, sent: Moment) {
+    pub(crate) fn record_broken_run(&self, choice: &Choice, sent: Moment, shown: Option<Moment>) {
         let run = BrokenRun {
             request: self.fingerprint(),
+            parts: self.ask.shared_parts.clone(),
             name: self.name.clone(),
             sent,
+            shown,
             broke: self.state.clock.now(),
         };
         if self.state.broken_runs.add(choice, run) {
@@ -235,12 +254,7 @@
 
 /// Records that a server ended under a run of a request.
 fn record_crash(state: &State, choice: &Choice, run: &BrokenRun) {
-    let detail = format_args!(
-        "{} at {}, which ended {} after the request was sent",
-        run.request,
-        choice.server,
-        run.broke.since(run.sent),
-    );
+    let detail = format_args!("at {}, which ended: {run}", choice.server);
     let journal = &state.journal;
     journal.record(Event::RequestSuspected, &run.name, detail);
     let times = RunTimes {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -80,8 +80,8 @@
     pub(crate) response: Response<Incoming>,
     connection: Connection,
     in_flight: InFlight,
-    /// Whether a part of the answer was recorded as a good answer.
-    shown: bool,
+    /// When the first part of the answer came that can be passed on.
+    shown: Option<Moment>,
 }
 
 /// A request in flight at a server. Dropping it removes the request from the server's count.
@@ -214,7 +214,7 @@
                 }
                 Err(SendError::Unknown(e)) => {
                     self.state.connections.close_idle(choice.address);
-                    self.record_broken_run(&choice, sent);
+                    self.record_broken_run(&choice, sent, None);
                     self.record_fault(&choice, ServerFault::Broken, &e.to_string());
                     return Err(Failure::Unknown);
                 }
@@ -377,7 +377,7 @@
             response,
             connection,
             in_flight,
-            shown: false,
+            shown: None,
         })
     }
 
@@ -498,7 +498,7 @@
 impl Run {
     /// Records that the connection broke before the answer was whole.
     pub(crate) fn record_broken(&self, job: &Job) {
-        job.record_broken_run(&self.choice, self.in_flight.begun);
+        job.record_broken_run(&self.choice, self.in_flight.begun, self.shown);
     }
 
     /// Whether the answer is an error that another server may not return.
@@ -508,7 +508,8 @@
 
     /// Records that the server began a good answer.
     pub(crate) fn record_shown(&mut self, job: &Job) {
-        if !std::mem::replace(&mut self.shown, true) && !self.is_failure() {
+        let now = job.state.clock.now();
+        if self.shown.replace(self.shown.unwrap_or(now)).is_none() && !self.is_failure() {
             job.record_outcome(&self.choice, AnswerResult::Good);
         }
     }
