--- a/crates/controller/src/crashes.rs
+++ b/crates/controller/src/crashes.rs
@@ -25,19 +25,19 @@
         let mut crashes = self.crashes.lock();
         let told = crashes.told_revision();
         for record in &news.records {
-            let before = crashes.verdict(&record.request);
+            let before = crashes.verdict(&record.cause);
             crashes.merge(now, record.clone());
-            let verdict = crashes.verdict(&record.request);
+            let verdict = crashes.verdict(&record.cause);
             if verdict == before {
                 continue;
             }
             let event = match verdict {
                 CrashVerdict::Quarantined => Event::RequestQuarantined,
-                CrashVerdict::Suspect => Event::RequestSuspected,
+                CrashVerdict::Suspect | CrashVerdict::Undecided => Event::RequestSuspected,
                 CrashVerdict::Clear => Event::RequestCleared,
             };
             let detail = format_args!("told by {host}: {record}");
-            self.journal.record(event, record.request, detail);
+            self.journal.record(event, record.cause, detail);
         }
         let is_news = crashes.told_revision() != told;
         drop(crashes);
@@ -50,12 +50,13 @@
     fn quarantined(&self) -> Vec<CrashRecord> {
         let now = self.clock.now();
         let crashes = self.crashes.lock();
-        let quarantined = crashes.quarantined().map(|request| {
-            let record = crashes.record(now, request);
+        // Those that are quarantined soon change no more before that.
+        let quarantined = crashes.at_least(CrashVerdict::Undecided).map(|cause| {
+            let record = crashes.record(now, cause);
             // The time for which the process will be down is unknown, and an older completion would
             // then look like one after the ends of the servers.
             record.map(|r| CrashRecord {
-                completed: None,
+                survived: None,
                 ..r
             })
         });
@@ -107,7 +108,7 @@
         let detail = format_args!("from disk: {record}");
         state
             .journal
-            .record(Event::RequestQuarantined, record.request, detail);
+            .record(Event::RequestQuarantined, record.cause, detail);
         crashes.merge(now, record);
     }
     let loaded = crashes.told_revision();
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -16,8 +16,8 @@
 use snipemast_net::{connect, ConnectError};
 use snipemast_placement::Choice;
 use snipemast_registry::{CrashExchange, CrashNews, StartState};
-use snipemast_requests::crashes::RunTimes;
-use snipemast_requests::{CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::crashes::EndedRun;
+use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
 
 use crate::metrics::BreakCause;
 use crate::send::{Job, CONNECT_TIMEOUT};
@@ -34,17 +34,54 @@
     Span::from_millis(4_000),
 ];
 
+/// How long an answer goes on after its first event until it counts as shown that the request doesn't crash
+/// servers. Those that crash end theirs within a forward pass or two of beginning to write.
+const SURVIVAL_TIME: Span = Span::from_millis(250);
+
+/// What was seen of the beginning of a server's answer.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Beginning {
+    /// When the first part came that can be passed on.
+    shown: Option<Moment>,
+    /// Whether it was recorded that the server went on.
+    survived: bool,
+}
+
+impl Beginning {
+    /// Records that a part came that can be passed on. Returns whether it is the first one.
+    pub(crate) fn show(&mut self, now: Moment) -> bool {
+        let is_first = self.shown.is_none();
+        self.shown.get_or_insert(now);
+        is_first
+    }
+
+    /// Returns when the answer will have gone on for long enough, if that is still to come.
+    pub(crate) fn survival_due(&self) -> Option<Moment> {
+        let shown = self.shown.filter(|_| !self.survived)?;
+        Some(shown + SURVIVAL_TIME)
+    }
+
+    /// Records that the server went on after the answer had begun.
+    pub(crate) fn record_survival(&mut self, job: &Job) {
+        let Some(shown) = self.shown else {
+            return;
+        };
+        if !std::mem::replace(&mut self.survived, true) {
+            job.record_survival(shown);
+        }
+    }
+}
+
 /// A run of a request whose connection broke.
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenRun {
-    pub(crate) request: Fingerprint,
+    pub(crate) causes: Causes,
     /// The parts of its prompt that other requests may share.
     pub(crate) parts: Vec<PartId>,
     /// The name of the request in logs.
     pub(crate) name: String,
     pub(crate) sent: Moment,
-    /// When the first part of its answer came, if one did.
-    pub(crate) shown: Option<Moment>,
+    pub(crate) beginning: Beginning,
     pub(crate) broke: Moment,
 }
 
@@ -52,9 +89,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let parts: Vec<&str> = self.parts.iter().map(PartId::as_str).collect();
         let after = self.broke.since(self.sent);
-        write!(f, "{} with the parts {}, ", self.request, parts.join(" "))?;
+        let request = self.causes.request;
+        write!(f, "{request} with the parts {}, ", parts.join(" "))?;
         write!(f, "broken {after} after it was sent, ")?;
-        match self.shown {
+        match self.beginning.shown {
             Some(at) => write!(f, "{} after its first event", self.broke.since(at)),
             None => f.write_str("without an event"),
         }
@@ -94,9 +132,12 @@
         exchange.next_poll(now, &self.table.lock())
     }
 
-    /// Returns the number of requests that may be sent to no server any more.
-    pub(crate) fn quarantined(&self) -> usize {
-        self.table.lock().quarantined().count()
+    /// Returns the numbers of requests and of parts of prompts that may be sent to no server any more.
+    pub(crate) fn quarantined(&self) -> (usize, usize) {
+        let table = self.table.lock();
+        let all = table.quarantined().count();
+        let parts = table.quarantined().filter(|c| table.is_part(c)).count();
+        (all - parts, parts)
     }
 
     /// Forgets requests whose servers ended long ago.
@@ -120,30 +161,30 @@
         let merged = exchange.handle_answer(now, epoch, &mut table, news);
         drop(table);
         for record in merged {
-            self.log_verdict(&record.request, format_args!("told by {controller}"));
+            self.log_verdict(&record.cause, format_args!("told by {controller}"));
         }
     }
 
-    /// Logs what is known of a request whose record changed, and wakes requests that wait if it is
-    /// quarantined.
-    fn log_verdict(&self, request: &Fingerprint, source: impl fmt::Display) {
+    /// Logs what is known of a request or part whose record changed, and wakes requests that wait, because one of
+    /// them may be quarantined now.
+    fn log_verdict(&self, cause: &Fingerprint, source: impl fmt::Display) {
+        self.crashes.changed.notify(usize::MAX);
         let now = self.clock.now();
         let table = self.crashes.table.lock();
-        let (verdict, record) = (table.verdict(request), table.record(now, request));
+        let (verdict, record) = (table.verdict(cause), table.record(now, cause));
         drop(table);
         let Some(record) = record else {
             return;
         };
         let event = match verdict {
-            CrashVerdict::Clear if record.completed.is_some() => Event::RequestCleared,
-            CrashVerdict::Clear | CrashVerdict::Suspect => Event::RequestSuspected,
+            CrashVerdict::Clear if record.survived.is_some() => Event::RequestCleared,
+            CrashVerdict::Clear | CrashVerdict::Suspect | CrashVerdict::Undecided => {
+                Event::RequestSuspected
+            }
             CrashVerdict::Quarantined => Event::RequestQuarantined,
         };
         let detail = format_args!("{source}: {record}");
-        self.journal.record(event, request, detail);
-        if verdict == CrashVerdict::Quarantined {
-            self.crashes.changed.notify(usize::MAX);
-        }
+        self.journal.record(event, cause, detail);
     }
 }
 
@@ -152,24 +193,30 @@
 }
 
 impl Job {
-    /// Returns the fingerprint of the request, which is the same each time that its caller sends it.
-    pub(crate) fn fingerprint(&self) -> Fingerprint {
-        *self.fingerprint.get_or_init(|| {
+    /// Returns the fingerprints of the request, which are the same each time that its caller sends it, and of the
+    /// parts that it shares with others.
+    pub(crate) fn causes(&self) -> &Causes {
+        self.causes.get_or_init(|| {
             let host = self.headers.get(hyper::header::HOST);
             let host = host.and_then(|h| h.to_str().ok()).unwrap_or("");
             let place = format!("{}{}", host.to_ascii_lowercase(), self.uri);
             let workspace = self.workspace.as_deref().unwrap_or("");
-            Fingerprint::for_request(workspace, self.method.as_str(), &place, &self.body)
+            let method = self.method.as_str();
+            let request = Fingerprint::for_request(workspace, method, &place, &self.body);
+            let parts = self.ask.shared_parts.iter();
+            let parts = parts.map(|part| Fingerprint::for_part(&self.service, part));
+            Causes::new(request).with_parts(parts.collect())
         })
     }
 
     /// Returns whether the request may be sent to servers.
     pub(crate) fn crash_verdict(&self) -> CrashVerdict {
-        let table = self.state.crashes.table.lock();
+        let mut table = self.state.crashes.table.lock();
         if table.is_empty() {
             return CrashVerdict::Clear;
         }
-        table.verdict(&self.fingerprint())
+        table.refresh(self.state.clock.now());
+        table.verdict_for(self.causes())
     }
 
     /// Whether the request may be sent to no server any more.
@@ -179,30 +226,53 @@
 
     /// Waits until the request may be sent to no server any more.
     pub(crate) async fn await_quarantine(&self) {
+        self.await_verdict(|verdict| verdict == CrashVerdict::Quarantined)
+            .await;
+    }
+
+    /// Waits until it is decided whether the request may be sent to servers.
+    pub(crate) async fn await_decision(&self) {
+        self.await_verdict(|verdict| verdict != CrashVerdict::Undecided)
+            .await;
+    }
+
+    async fn await_verdict(&self, holds: impl Fn(CrashVerdict) -> bool) {
         loop {
             let changed = self.state.crashes.changed.listen();
-            if self.is_quarantined() {
+            if holds(self.crash_verdict()) {
                 return;
             }
-            changed.await;
+            let next = self.state.crashes.table.lock().next_change();
+            let due = async {
+                match next {
+                    Some(at) => pause(self.state.clock.now().until(at)).await,
+                    None => std::future::pending().await,
+                }
+            };
+            futures_lite::future::or(changed, due).await;
         }
     }
 
-    /// Returns what is known of the request's ended servers, and how much longer that is remembered.
+    /// Returns what is known of the servers that ended under the request or a part of it, and how much longer that is
+    /// remembered.
     pub(crate) fn describe_crashes(&self) -> (String, Span) {
-        let (now, request) = (self.state.clock.now(), self.fingerprint());
+        let (now, causes) = (self.state.clock.now(), self.causes());
         let table = self.state.crashes.table.lock();
-        let record = table.record(now, &request);
+        let cause = table.deciding_cause(causes);
+        let record = table.record(now, &cause);
         let record = record.map_or_else(String::new, |record| record.to_string());
+        let place = causes.parts.iter().position(|part| *part == cause);
+        let part = place.and_then(|place| self.ask.shared_parts.get(place));
+        let part = part.map_or_else(String::new, |part| format!("its part {part}, "));
         (
-            format!("{request}: {record}"),
-            table.time_left(now, &request),
+            format!("{part}{cause}: {record}"),
+            table.time_left(now, &cause),
         )
     }
 
     /// Records that the request completed, so that it crashes no servers.
     pub(crate) fn record_complete(&self) {
-        let (now, request) = (self.state.clock.now(), self.fingerprint());
+        let (now, request) = (self.state.clock.now(), self.causes().request);
         let cleared = self
             .state
             .crashes
@@ -214,15 +284,30 @@
         }
     }
 
+    /// Records that a server went on after an answer to the request had begun, so that no part of its prompt crashes
+    /// servers.
+    fn record_survival(&self, begun: Moment) {
+        if self.ask.shared_parts.is_empty() {
+            return;
+        }
+        let now = self.state.clock.now();
+        let mut table = self.state.crashes.table.lock();
+        let cleared = table.record_survival(now, self.causes(), begun);
+        drop(table);
+        for part in cleared {
+            self.state.log_verdict(&part, "survived here");
+        }
+    }
+
     /// Records that the connection broke on which a request was sent to a server, and begins to find
     /// out whether that server ended.
-    pub(crate) fn record_broken_run(&self, choice: &Choice, sent: Moment, shown: Option<Moment>) {
+    pub(crate) fn record_broken_run(&self, choice: &Choice, sent: Moment, beginning: Beginning) {
         let run = BrokenRun {
-            request: self.fingerprint(),
+            causes: self.causes().clone(),
             parts: self.ask.shared_parts.clone(),
             name: self.name.clone(),
             sent,
-            shown,
+            beginning,
             broke: self.state.clock.now(),
         };
         if self.state.broken_runs.add(choice, run) {
@@ -257,15 +342,19 @@
     let detail = format_args!("at {}, which ended: {run}", choice.server);
     let journal = &state.journal;
     journal.record(Event::RequestSuspected, &run.name, detail);
-    let times = RunTimes {
+    let due = run.beginning.shown.map(|at| at + SURVIVAL_TIME);
+    let ended = EndedRun {
+        start: choice.start,
         sent: run.sent,
         ended: run.broke,
+        went_on: due.is_some_and(|due| due <= run.broke),
     };
+    let now = state.clock.now();
     let mut table = state.crashes.table.lock();
-    let is_news = table.record_end(run.request, &choice.server, choice.start, times);
+    let news = table.record_end(now, &run.causes, &choice.server, ended);
     drop(table);
-    if is_news {
-        state.log_verdict(&run.request, "seen here");
+    for cause in news {
+        state.log_verdict(&cause, "seen here");
     }
 }
 
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -119,7 +119,7 @@
         ask,
         route,
         name,
-        fingerprint: OnceLock::new(),
+        causes: OnceLock::new(),
         unlogged: UnloggedLines::default(),
     };
     state.budget.lock().record_request(started, &job.service);
@@ -235,6 +235,7 @@
             }
             match job.crash_verdict() {
                 CrashVerdict::Quarantined => return give_up(Unplaced::Quarantined),
+                CrashVerdict::Undecided => return give_up(Unplaced::Undecided),
                 CrashVerdict::Suspect if self.sends.may_have_run() => {
                     return give_up(Unplaced::Spent)
                 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -130,8 +130,9 @@
     ));
     let servers = state.servers.lock().count();
     text.push_str(&format!("snipemast_servers {servers}\n"));
-    let quarantined = state.crashes.quarantined();
-    text.push_str(&format!("snipemast_quarantined_requests {quarantined}\n"));
+    let (requests, parts) = state.crashes.quarantined();
+    text.push_str(&format!("snipemast_quarantined_requests {requests}\n"));
+    text.push_str(&format!("snipemast_quarantined_parts {parts}\n"));
     let evacuated = state.evacuations.lock().zones.len();
     text.push_str(&format!("snipemast_evacuated_zones {evacuated}\n"));
     text.push_str(&state.metrics.render());
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -21,9 +21,10 @@
 use snipemast_placement::{AnswerResult, Choice, Pool, RequestClass, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
-use snipemast_requests::Fingerprint;
+use snipemast_requests::Causes;
 use snipemast_routes::{Repeat, Route};
 
+use crate::crashes::Beginning;
 use crate::frozen::FrozenServer;
 use crate::handle::Attempt;
 use crate::request_log::UnloggedLines;
@@ -66,8 +67,8 @@
     pub(crate) pieces: Option<u64>,
     /// The name of the request in logs.
     pub(crate) name: String,
-    /// The request's fingerprint, once it was asked for.
-    pub(crate) fingerprint: OnceLock<Fingerprint>,
+    /// The request's fingerprints, once they were asked for.
+    pub(crate) causes: OnceLock<Causes>,
     /// Lines that were not logged yet.
     pub(crate) unlogged: UnloggedLines,
 }
@@ -80,8 +81,8 @@
     pub(crate) response: Response<Incoming>,
     connection: Connection,
     in_flight: InFlight,
-    /// When the first part of the answer came that can be passed on.
-    shown: Option<Moment>,
+    /// What was seen of the beginning of the answer.
+    pub(crate) beginning: Beginning,
 }
 
 /// A request in flight at a server. Dropping it removes the request from the server's count.
@@ -214,7 +215,7 @@
                 }
                 Err(SendError::Unknown(e)) => {
                     self.state.connections.close_idle(choice.address);
-                    self.record_broken_run(&choice, sent, None);
+                    self.record_broken_run(&choice, sent, Beginning::default());
                     self.record_fault(&choice, ServerFault::Broken, &e.to_string());
                     return Err(Failure::Unknown);
                 }
@@ -377,7 +378,7 @@
             response,
             connection,
             in_flight,
-            shown: None,
+            beginning: Beginning::default(),
         })
     }
 
@@ -498,7 +499,7 @@
 impl Run {
     /// Records that the connection broke before the answer was whole.
     pub(crate) fn record_broken(&self, job: &Job) {
-        job.record_broken_run(&self.choice, self.in_flight.begun, self.shown);
+        job.record_broken_run(&self.choice, self.in_flight.begun, self.beginning);
     }
 
     /// Whether the answer is an error that another server may not return.
@@ -508,8 +509,7 @@
 
     /// Records that the server began a good answer.
     pub(crate) fn record_shown(&mut self, job: &Job) {
-        let now = job.state.clock.now();
-        if self.shown.replace(self.shown.unwrap_or(now)).is_none() && !self.is_failure() {
+        if self.beginning.show(job.state.clock.now()) && !self.is_failure() {
             job.record_outcome(&self.choice, AnswerResult::Good);
         }
     }
@@ -517,6 +517,7 @@
     /// Ends a run whose answer was read in full: its connection may carry the next request.
     pub(crate) fn finish(mut self, job: &Job) {
         self.record_shown(job);
+        self.beginning.record_survival(job);
         let state = &job.state;
         let now = state.clock.now();
         if !self.is_failure() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,13 +5,17 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+use hyper::Response;
 
 use snipemast_core::prelude::*;
+use snipemast_net::exec::within;
 use snipemast_placement::{AnswerResult, EventSplitter};
 use snipemast_platform::response::event_id;
 use snipemast_routes::Repeat;
 
 use crate::answer::IncompleteAnswer;
+use crate::crashes::Beginning;
 use crate::handle::Attempt;
 use crate::metrics::Ended;
 use crate::request_log::AnswerTimes;
@@ -100,6 +104,25 @@
     }
 }
 
+/// Waits for the next frame of an answer, and records meanwhile that the server goes on.
+async fn next_frame(
+    job: &Job,
+    response: &mut Response<Incoming>,
+    beginning: &mut Beginning,
+) -> Option<hyper::Result<Frame<Bytes>>> {
+    if let Some(due) = beginning.survival_due() {
+        let now = job.state.clock.now();
+        if now < due {
+            let early = within(now.until(due), response.body_mut().frame());
+            if let Some(frame) = early.await {
+                return frame;
+            }
+        }
+        beginning.record_survival(job);
+    }
+    response.body_mut().frame().await
+}
+
 /// Passes on what one server sends.
 async fn pass_part(
     job: &Job,
@@ -111,7 +134,7 @@
 ) -> PartEnd {
     loop {
         let limit = SILENCE_TIMEOUT.min(job.left());
-        let next = run.response.body_mut().frame();
+        let next = next_frame(job, &mut run.response, &mut run.beginning);
         let next = job.wait_unless_frozen(&run.choice, attempt, events.last_id(), limit, next);
         let Ok(frame) = next.await else {
             return PartEnd::Silent;
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -135,6 +135,14 @@
     if unplaced == Unplaced::Quarantined {
         return Some(refuse_quarantined(job));
     }
+    if unplaced == Unplaced::Undecided {
+        // It is no longer in others' way while it waits.
+        (waiting.place, waiting.turn) = (None, None);
+        log_queued(job, unplaced, job.left(), waiting);
+        // The next round finds whether there is time left.
+        let _ = within(job.left(), job.await_decision()).await;
+        return None;
+    }
     let may_queue = [Unplaced::Out, Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
     if !may_queue || !job.route.repeat.is_stream() {
         return Some(refuse(job, unplaced, retry_after(unplaced)));
@@ -256,7 +264,8 @@
         Unplaced::Nobody => "the service has no server",
         Unplaced::Out => "the service is out",
         Unplaced::TooLong => "the answer could not end in time",
-        Unplaced::Quarantined => "servers ended whenever they ran this request",
+        Unplaced::Undecided => "servers ended that ran this request or others like it",
+        Unplaced::Quarantined => "servers ended whenever they ran this request or a part of it",
     };
     refusal(reason, after)
 }
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -76,7 +76,10 @@
     Out,
     /// The answer could no longer end in time.
     TooLong,
-    /// Several servers ended while they ran the request.
+    /// Servers ended while they ran the request or others with a part of it, and it is decided soon whether it
+    /// crashes them.
+    Undecided,
+    /// Several servers ended while they ran the request, or others with a part of it.
     Quarantined,
 }
 
--- a/crates/registry/tests/crashes.rs
+++ b/crates/registry/tests/crashes.rs
@@ -3,8 +3,8 @@
 use snipemast_core::prelude::*;
 use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
 use snipemast_registry::CrashExchange;
-use snipemast_requests::crashes::RunTimes;
-use snipemast_requests::{CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::crashes::EndedRun;
+use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
 
 /// Gateways that poll all controllers.
 struct Fleet {
@@ -76,12 +76,14 @@
         self.now = self.now + Span::from_secs(4);
         self.ends += 1;
         let server = ServerId::new(format!("i-{}", self.ends)).expect("the id is valid");
-        let times = RunTimes {
+        let run = EndedRun {
+            start: Incarnation(1),
             sent: self.now - Span::from_millis(70),
             ended: self.now,
+            went_on: false,
         };
         let table = &mut self.gateways[gateway].table;
-        table.record_end(crashing(), &server, Incarnation(1), times);
+        table.record_end(self.now, &Causes::new(crashing()), &server, run);
     }
 
     fn poll(&mut self, gateway: usize, controller: usize, fate: Fate) {
--- /dev/null
+++ b/crates/registry/tests/parts.rs
@@ -0,0 +1,517 @@
+//! A model of a fleet under requests with parts in common that crash servers: what all gateways together send.
+
+use std::collections::{HashMap, HashSet};
+
+use snipemast_core::prelude::*;
+use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
+use snipemast_registry::CrashExchange;
+use snipemast_requests::crashes::EndedRun;
+use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+
+/// A step of the model, in ms.
+const STEP: u64 = 50;
+/// How long a prompt is read before its answer begins, how long an answer lasts, and after which part of it its part
+/// counts as survived, in ms.
+const READING: u64 = 250;
+const ANSWER: u64 = 2_000;
+const PROVEN: u64 = 250;
+/// How long a group is out after the end of one of its servers, and after which part of it its other streams break
+/// off, in ms.
+const OUTAGE: u64 = 3_500;
+const STALL: u64 = 1_500;
+/// How long a request waits for a server, in ms.
+const PATIENCE: u64 = 3_000;
+/// Requests a second for each server, and how many it runs at once.
+const RATE: f64 = 4.7;
+const SLOTS: usize = 12;
+/// The crashes after which requests with a part must not go on, how long that may take to be known, in ms, and how
+/// many sends are allowed after that.
+const CRASHES: usize = 5;
+const KNOWN: u64 = 3_000;
+const LATE_SENDS: usize = 3;
+/// When requests with crashing parts come, and the end, in ms.
+const BEGIN: u64 = 5_000;
+const END: u64 = 45_000;
+
+/// A pseudo-random sequence.
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    fn below(&mut self, bound: usize) -> usize {
+        (self.next() % bound.max(1) as u64) as usize
+    }
+
+    fn share(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// The size of a fleet, and what goes wrong in it.
+#[derive(Debug, Clone, Copy)]
+struct Scene {
+    seed: u64,
+    gateways: usize,
+    servers: usize,
+    /// The number of servers of a group, which all stall with one.
+    group: usize,
+    /// The number of parts that crash servers, and the share of requests with one.
+    culprits: usize,
+    share: f64,
+    /// Whether a third of the servers end twice for another reason.
+    other_ends: bool,
+    /// Whether gateways start anew by and by, a few each second.
+    restarts: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    gateway: usize,
+    causes: Causes,
+    /// The crashing part, if it has one.
+    culprit: Option<usize>,
+    arrived: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    request: Request,
+    sent: u64,
+    survived: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Server {
+    start: u64,
+    ended: Option<u64>,
+    runs: Vec<Run>,
+}
+
+struct Gateway {
+    table: CrashTable,
+    exchanges: Vec<CrashExchange>,
+    waiting: Vec<Request>,
+}
+
+struct Controller {
+    epoch: u64,
+    table: CrashTable,
+}
+
+/// What happened in a scene.
+#[derive(Debug, Default)]
+struct Outcome {
+    /// When servers ended under requests with each crashing part.
+    crashes: HashMap<usize, Vec<u64>>,
+    /// When requests with each crashing part reached servers.
+    arrivals: HashMap<usize, Vec<u64>>,
+    /// Sound parts that some gateway refused at the end, and all that came.
+    refused: HashSet<Fingerprint>,
+    sound: HashSet<Fingerprint>,
+    first_refused: bool,
+}
+
+impl Outcome {
+    fn late_sends(&self) -> usize {
+        let late = self.crashes.iter().map(|(culprit, crashes)| {
+            let Some(fifth) = crashes.get(CRASHES - 1) else {
+                return 0;
+            };
+            let arrivals = &self.arrivals[culprit];
+            arrivals.iter().filter(|at| **at > fifth + KNOWN).count()
+        });
+        late.max().unwrap_or(0)
+    }
+
+    fn most_crashes(&self) -> usize {
+        self.crashes.values().map(Vec::len).max().unwrap_or(0)
+    }
+}
+
+struct Fleet {
+    scene: Scene,
+    random: Random,
+    now: u64,
+    servers: Vec<Server>,
+    gateways: Vec<Gateway>,
+    controllers: Vec<Controller>,
+    /// Until when each group is out, and when its streams break off.
+    out: Vec<(u64, u64)>,
+    numbers: u32,
+    outcome: Outcome,
+}
+
+fn part(name: &str) -> Fingerprint {
+    let service = ServiceId::new("lector").unwrap();
+    Fingerprint::for_part(&service, &PartId::new(name).unwrap())
+}
+
+fn moment(millis: u64) -> Moment {
+    Moment::from_millis(millis + 1_000_000)
+}
+
+impl Fleet {
+    fn new(scene: Scene) -> Self {
+        let controllers = (0..3).map(|n| Controller {
+            epoch: n + 1,
+            table: CrashTable::new(),
+        });
+        let server = Server {
+            start: 1,
+            ended: None,
+            runs: Vec::new(),
+        };
+        Self {
+            scene,
+            random: Random(scene.seed),
+            now: 0,
+            servers: vec![server; scene.servers],
+            gateways: (0..scene.gateways).map(|_| Self::gateway()).collect(),
+            controllers: controllers.collect(),
+            out: vec![(0, 0); scene.servers.div_ceil(scene.group)],
+            numbers: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn gateway() -> Gateway {
+        Gateway {
+            table: CrashTable::new(),
+            exchanges: vec![CrashExchange::default(); 3],
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Draws a request: its first part is one of few, and its second one of many, a few of which are in most requests.
+    fn draw(&mut self) -> Request {
+        self.numbers += 1;
+        let first = part(&format!("first{}", self.random.below(3)));
+        let subjects = 12 * self.scene.servers;
+        // New subjects come all the time.
+        let newest = subjects + self.now as usize / 500;
+        let rank = (self.random.share().powi(3) * subjects as f64) as usize;
+        let subject = part(&format!("subject{}", newest - rank));
+        let active = self.now >= BEGIN;
+        let culprit = active && self.random.share() < self.scene.share;
+        let culprit = culprit.then(|| self.random.below(self.scene.culprits));
+        let mut parts = vec![first, subject];
+        if let Some(culprit) = culprit {
+            parts.insert(1, part(&format!("dead{culprit}")));
+        } else {
+            self.outcome.sound.insert(subject);
+        }
+        let body = self.numbers.to_be_bytes();
+        let request = Fingerprint::for_request("andes", "POST", "/x", &body);
+        Request {
+            gateway: self.random.below(self.scene.gateways),
+            causes: Causes::new(request).with_parts(parts),
+            culprit,
+            arrived: self.now,
+        }
+    }
+
+    fn arrive(&mut self) {
+        let mean = RATE * self.scene.servers as f64 * STEP as f64 / 1_000.0;
+        let count = mean as usize + usize::from(self.random.share() < mean.fract());
+        for _ in 0..count {
+            let request = self.draw();
+            self.gateways[request.gateway].waiting.push(request);
+        }
+    }
+
+    /// Sends what waits to servers with free slots.
+    fn send(&mut self) {
+        let now = self.now;
+        for gateway in 0..self.gateways.len() {
+            for request in std::mem::take(&mut self.gateways[gateway].waiting) {
+                if now - request.arrived > PATIENCE {
+                    continue;
+                }
+                let table = &mut self.gateways[gateway].table;
+                table.refresh(moment(now));
+                let placed = match table.verdict_for(&request.causes) {
+                    CrashVerdict::Quarantined => continue,
+                    CrashVerdict::Undecided => None,
+                    CrashVerdict::Suspect | CrashVerdict::Clear => self.choose(),
+                };
+                let Some(server) = placed else {
+                    self.gateways[gateway].waiting.push(request);
+                    continue;
+                };
+                if let Some(culprit) = request.culprit {
+                    let arrivals = self.outcome.arrivals.entry(culprit).or_default();
+                    arrivals.push(now);
+                }
+                self.servers[server].runs.push(Run {
+                    request,
+                    sent: now,
+                    survived: false,
+                });
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Option<usize> {
+        // Ten draws find a free server unless nearly all are busy.
+        for _ in 0..10 {
+            let server = self.random.below(self.servers.len());
+            let open = self.out[server / self.scene.group].0 <= self.now;
+            let found = &self.servers[server];
+            if open && found.ended.is_none() && found.runs.len() < SLOTS {
+                return Some(server);
+            }
+        }
+        None
+    }
+
+    fn run(&mut self) {
+        let now = self.now;
+        for at in 0..self.servers.len() {
+            let stalled = self.out[at / self.scene.group].0 > now;
+            if stalled && now >= self.out[at / self.scene.group].1 {
+                self.servers[at].runs.clear();
+            }
+            let mut crashed = false;
+            for number in 0..self.servers[at].runs.len() {
+                let run = &mut self.servers[at].runs[number];
+                let begun = run.sent + READING;
+                if run.request.culprit.is_some() && now >= begun && !stalled {
+                    crashed = true;
+                }
+                if run.request.culprit.is_none() && !run.survived && now >= begun + PROVEN {
+                    run.survived = true;
+                    let request = run.request.clone();
+                    let table = &mut self.gateways[request.gateway].table;
+                    table.record_survival(moment(now), &request.causes, moment(begun));
+                }
+            }
+            if crashed {
+                self.end(at);
+            } else {
+                let runs = &mut self.servers[at].runs;
+                runs.retain(|run| now < run.sent + READING + ANSWER);
+            }
+        }
+    }
+
+    /// A server ends, and its group stalls.
+    fn end(&mut self, at: usize) {
+        let now = self.now;
+        let server = &mut self.servers[at];
+        if server.ended.is_some() {
+            return;
+        }
+        server.ended = Some(now);
+        let (start, runs) = (server.start, std::mem::take(&mut server.runs));
+        let id = ServerId::new(format!("i-{at}")).unwrap();
+        let crashing = runs.iter().filter(|r| now >= r.sent + READING);
+        let culprits: HashSet<usize> = crashing.filter_map(|r| r.request.culprit).collect();
+        for culprit in culprits {
+            self.outcome.crashes.entry(culprit).or_default().push(now);
+        }
+        for run in runs {
+            let ended = EndedRun {
+                start: Incarnation(start),
+                sent: moment(run.sent),
+                ended: moment(now),
+                went_on: run.survived,
+            };
+            let table = &mut self.gateways[run.request.gateway].table;
+            table.record_end(moment(now), &run.request.causes, &id, ended);
+        }
+        self.out[at / self.scene.group] = (now + OUTAGE, now + STALL);
+    }
+
+    fn restart_servers(&mut self) {
+        for server in &mut self.servers {
+            if server.ended.is_some_and(|at| self.now >= at + OUTAGE) {
+                server.ended = None;
+                server.start += 1;
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        let now = moment(self.now);
+        let wait = (20 * self.scene.gateways as u64 / 9).clamp(50, 500);
+        for number in 0..self.gateways.len() {
+            for at in 0..self.controllers.len() {
+                let interval = if at == 0 { wait } else { 1_000 };
+                let due = (self.now / STEP + number as u64).is_multiple_of(interval / STEP);
+                let Gateway {
+                    table, exchanges, ..
+                } = &mut self.gateways[number];
+                let Controller {
+                    epoch,
+                    table: theirs,
+                } = &mut self.controllers[at];
+                let exchange = &mut exchanges[at];
+                let poll = due.then(|| exchange.next_poll(now, table)).flatten();
+                if !due && !has_crash_news(*epoch, theirs, exchange.next_poll(now, table).as_ref())
+                {
+                    continue;
+                }
+                for record in poll.iter().flat_map(|news| &news.records) {
+                    theirs.merge(now, record.clone());
+                }
+                let answer = answer_crash_poll(now, *epoch, theirs, poll.as_ref());
+                exchange.handle_answer(now, *epoch, table, answer);
+            }
+        }
+    }
+
+    fn disturb(&mut self) {
+        let now = self.now;
+        if self.scene.other_ends && [12_000, 21_000].contains(&now) {
+            for _ in 0..self.servers.len() / 3 {
+                let server = self.random.below(self.servers.len());
+                self.end(server);
+            }
+        }
+        if self.scene.restarts && now.is_multiple_of(1_000) {
+            for _ in 0..self.gateways.len().div_ceil(9) {
+                let gateway = self.random.below(self.gateways.len());
+                self.gateways[gateway] = Self::gateway();
+            }
+        }
+    }
+
+    fn play(mut self) -> Outcome {
+        while self.now < END {
+            self.disturb();
+            self.arrive();
+            self.restart_servers();
+            self.send();
+            self.run();
+            self.poll();
+            self.now += STEP;
+        }
+        let first: Vec<Fingerprint> = (0..3).map(|n| part(&format!("first{n}"))).collect();
+        for gateway in &self.gateways {
+            let quarantined: HashSet<_> = gateway.table.quarantined().copied().collect();
+            self.outcome.first_refused |= first.iter().any(|p| quarantined.contains(p));
+            let sound = quarantined.intersection(&self.outcome.sound);
+            self.outcome.refused.extend(sound.copied());
+        }
+        self.outcome
+    }
+}
+
+/// Plays a scene with several seeds, and checks what all gateways together sent.
+fn check(scene: Scene, seeds: u64) {
+    for seed in 0..seeds {
+        let scene = Scene { seed, ..scene };
+        let outcome = Fleet::new(scene).play();
+        let (late, crashes) = (outcome.late_sends(), outcome.most_crashes());
+        let (refused, sound) = (outcome.refused.len(), outcome.sound.len());
+        assert!(
+            late <= LATE_SENDS,
+            "{scene:?}: {late} late sends, {crashes} crashes"
+        );
+        assert!(!outcome.first_refused, "{scene:?}: a first part is refused");
+        // Of the parts that are asked for, 4 in 100 may starve.
+        assert!(
+            refused * 100 <= sound * 4,
+            "{scene:?}: {refused} of {sound} refused"
+        );
+    }
+}
+
+const FLEET: Scene = Scene {
+    seed: 0,
+    gateways: 9,
+    servers: 16,
+    group: 16,
+    culprits: 1,
+    share: 0.03,
+    other_ends: false,
+    restarts: false,
+};
+
+/// Guards against requests with a crashing part that go on at some gateways, in fleets of each size.
+#[test]
+fn each_size() {
+    for (gateways, servers, group) in [(3, 6, 6), (9, 16, 16), (40, 72, 72), (149, 192, 96)] {
+        let scene = Scene {
+            gateways,
+            servers,
+            group,
+            ..FLEET
+        };
+        check(scene, if gateways > 9 { 1 } else { 8 });
+    }
+}
+
+/// Guards against parts that crash servers by turns, or a few at once, and are never told apart.
+#[test]
+fn several_parts() {
+    for culprits in [2, 4] {
+        let scene = Scene {
+            culprits,
+            share: 0.06,
+            ..FLEET
+        };
+        check(scene, 10);
+    }
+}
+
+/// Guards against a crashing part that goes on, and sound ones that are refused, while a third of the servers end twice
+/// for another reason.
+#[test]
+fn beside_other_ends() {
+    for (servers, group) in [(16, 16), (24, 1)] {
+        let scene = Scene {
+            servers,
+            group,
+            other_ends: true,
+            ..FLEET
+        };
+        check(scene, 10);
+    }
+}
+
+/// Guards against what gateways that start anew no longer know.
+#[test]
+fn beside_restarts() {
+    for group in [1, 16] {
+        let scene = Scene {
+            group,
+            restarts: true,
+            ..FLEET
+        };
+        check(scene, 10);
+    }
+}
+
+/// Guards against a crashing part that ends many servers before it is known, as each is a group of its own.
+#[test]
+fn plain_servers() {
+    let scene = Scene { group: 1, ..FLEET };
+    check(scene, 10);
+    let scene = Scene {
+        gateways: 40,
+        servers: 72,
+        share: 0.1,
+        ..scene
+    };
+    check(scene, 2);
+}
+
+/// Guards against what grows with the fleet.
+#[test]
+fn largest_fleet() {
+    let scene = Scene {
+        gateways: 431,
+        servers: 576,
+        group: 192,
+        ..FLEET
+    };
+    check(scene, 1);
+}
--- /dev/null
+++ b/crates/requests/src/attribution.rs
@@ -0,0 +1,184 @@
+//! Finds the parts of prompts that crash servers among those that were on servers that ended.
+//!
+//! Each end of a server implicates all that began there and was not seen to go on. What crashes servers
+//! is told from its companions by three signs: it never survives, it is there at end after end, and the
+//! ends that it explains need no other cause.
+
+use std::collections::{HashMap, HashSet};
+
+use snipemast_core::prelude::*;
+
+use crate::claim::Fingerprint;
+use crate::crash_record::{CrashVerdict, End, Scope};
+
+/// The number of ends in succession that decide about a part that never survived, if nothing else was at all of
+/// them and the part was at all ends of that time.
+const FEW_ENDS: usize = 2;
+
+/// The number of ends in succession that decide in any case.
+const MANY_ENDS: usize = 3;
+
+/// The number of ends at one moment that decide about a part that never survived and was at all ends of that time.
+const SIMULTANEOUS_ENDS: usize = 5;
+
+/// How long after the deciding end a part is quarantined, so that a process that saw it survive can tell.
+const SETTLE_TIME: Span = Span::from_secs(1);
+
+/// The ends this long before a part's first one count as of the same time.
+const SAME_TIME: Span = Span::from_secs(1);
+
+/// The largest number of places by which a part's place in prompts counts for it.
+const MAX_NARROWNESS: usize = 2;
+
+/// What may crash servers, with the ends since it last survived.
+#[derive(Debug, Clone)]
+pub(crate) struct Candidate<'a> {
+    pub(crate) cause: Fingerprint,
+    pub(crate) scope: Scope,
+    /// Whether it survived at some time, before these ends.
+    pub(crate) survived: bool,
+    /// The ends, in order.
+    pub(crate) ends: Vec<&'a End>,
+}
+
+/// All that is known of servers that ended.
+#[derive(Debug)]
+pub(crate) struct Evidence<'a> {
+    /// The parts that were at several ends.
+    pub(crate) parts: Vec<Candidate<'a>>,
+    /// The requests that were.
+    pub(crate) requests: Vec<Candidate<'a>>,
+    /// The ends of all servers.
+    pub(crate) servers: Vec<&'a End>,
+}
+
+/// The verdicts on parts of prompts.
+#[derive(Debug, Default)]
+pub(crate) struct Attribution {
+    verdicts: HashMap<Fingerprint, CrashVerdict>,
+    /// When a verdict changes without news.
+    pub(crate) next_change: Option<Moment>,
+}
+
+/// The identity of an end: a start of a server.
+type EndId<'a> = (&'a ServerId, Incarnation);
+
+impl Attribution {
+    /// Decides about all parts. `explained` are the ends whose cause is known.
+    pub(crate) fn new<'a>(
+        now: Moment,
+        mut evidence: Evidence<'a>,
+        mut explained: HashSet<EndId<'a>>,
+    ) -> Self {
+        let mut attribution = Self::default();
+        loop {
+            evidence.parts.retain_mut(|part| {
+                part.ends.retain(|end| !explained.contains(&end.id()));
+                part.ends.len() >= FEW_ENDS
+            });
+            let servers = &mut evidence.servers;
+            servers.retain(|end| !explained.contains(&end.id()));
+            let Some((position, decided)) = evidence.find_culprit() else {
+                break;
+            };
+            let culprit = evidence.parts.swap_remove(position);
+            explained.extend(culprit.ends.iter().map(|end| end.id()));
+            attribution.convict(now, culprit.cause, decided + SETTLE_TIME);
+        }
+        let suspects = evidence.parts.iter();
+        let suspects = suspects.map(|part| (part.cause, CrashVerdict::Suspect));
+        attribution.verdicts.extend(suspects);
+        attribution
+    }
+
+    /// Returns the verdict on a part.
+    pub(crate) fn verdict(&self, part: &Fingerprint) -> CrashVerdict {
+        let verdict = self.verdicts.get(part);
+        verdict.copied().unwrap_or(CrashVerdict::Clear)
+    }
+
+    fn convict(&mut self, now: Moment, part: Fingerprint, settled: Moment) {
+        let verdict = if now < settled {
+            let next = self.next_change.map_or(settled, |next| next.min(settled));
+            self.next_change = Some(next);
+            CrashVerdict::Undecided
+        } else {
+            CrashVerdict::Quarantined
+        };
+        self.verdicts.insert(part, verdict);
+    }
+}
+
+impl Evidence<'_> {
+    /// Returns the position of the part that most likely crashes servers, if one certainly does, and when that was
+    /// decided. Parts that never survived go first.
+    fn find_culprit(&self) -> Option<(usize, Moment)> {
+        let decided = self.parts.iter().enumerate();
+        let decided = decided.filter_map(|(at, part)| Some((at, self.decided_at(part)?)));
+        decided.max_by_key(|(at, _)| {
+            let part = &self.parts[*at];
+            (!part.survived, part.weight(), part.scope, part.cause)
+        })
+    }
+
+    /// Returns when the end came that decides that a part crashes servers, if there are enough.
+    fn decided_at(&self, part: &Candidate<'_>) -> Option<Moment> {
+        let successive = part.successive_ends();
+        if let Some(end) = successive.get(MANY_ENDS - 1) {
+            return Some(end.ended);
+        }
+        if part.survived || !self.was_at_all(part) {
+            return None;
+        }
+        let few = successive.get(FEW_ENDS - 1);
+        let few = few.filter(|_| !self.has_rival(part));
+        let deciding = few.or_else(|| part.ends.get(SIMULTANEOUS_ENDS - 1));
+        deciding.map(|end| end.ended)
+    }
+
+    /// Whether another cause was at all ends of a part.
+    fn has_rival(&self, part: &Candidate<'_>) -> bool {
+        let fresh = self.parts.iter().filter(|other| !other.survived);
+        let others = fresh.chain(&self.requests);
+        let mut others = others.filter(|other| other.cause != part.cause);
+        others.any(|other| part.ends.iter().all(|end| other.was_at(end)))
+    }
+
+    /// Whether a part was at all ends of servers since its first one. If it was not, something else ends servers too.
+    fn was_at_all(&self, part: &Candidate<'_>) -> bool {
+        let Some(first) = part.ends.first() else {
+            return false;
+        };
+        let ends = self.servers.iter();
+        let mut ends = ends.filter(|end| end.ended + SAME_TIME >= first.ended);
+        ends.all(|end| part.was_at(end))
+    }
+}
+
+impl<'a> Candidate<'a> {
+    fn was_at(&self, end: &End) -> bool {
+        self.ends.iter().any(|e| e.id() == end.id())
+    }
+
+    /// Returns the ends that followed one another: the cause was sent to each of these servers after the one before
+    /// it had ended.
+    fn successive_ends(&self) -> Vec<&'a End> {
+        let mut successive: Vec<&End> = Vec::new();
+        for end in &self.ends {
+            if successive.last().is_none_or(|last| end.sent >= last.ended) {
+                successive.push(end);
+            }
+        }
+        successive
+    }
+
+    /// Returns the number of ends, and more for a part that is narrower: a broad part is in the requests of many
+    /// callers, so it needs more ends than a narrow one that was at nearly all of them.
+    fn weight(&self) -> usize {
+        let place = match self.scope {
+            Scope::Part(place) => usize::from(place),
+            Scope::Request | Scope::Servers => 0,
+        };
+        self.ends.len() + place.min(MAX_NARROWNESS)
+    }
+}
--- a/crates/requests/src/claim.rs
+++ b/crates/requests/src/claim.rs
@@ -12,8 +12,8 @@
 use crate::suspicion::Crash;
 
 data! {
-    /// A hash of a request's workspace, method, path and body.
-    #[derive(Copy, PartialOrd, Ord, Hash)]
+    /// A hash of a request's workspace, method, path and body, or of a part of its prompt.
+    #[derive(Copy, Default, PartialOrd, Ord, Hash)]
     #[serde(transparent)]
     pub struct Fingerprint([u8; 16]);
 
@@ -172,6 +172,22 @@
             hash.update(part);
         }
         hash.update(body);
+        Self::shorten(&hash)
+    }
+
+    /// Returns the fingerprint of a part of the prompts of requests to a service.
+    pub fn for_part(service: &ServiceId, part: &PartId) -> Self {
+        /// Tells parts from requests, which begin with a length.
+        const DOMAIN: &[u8] = b"part of a prompt";
+        let mut hash = blake3::Hasher::new();
+        hash.update(DOMAIN);
+        hash.update(&(service.as_str().len() as u64).to_be_bytes());
+        hash.update(service.as_str().as_bytes());
+        hash.update(part.as_str().as_bytes());
+        Self::shorten(&hash)
+    }
+
+    fn shorten(hash: &blake3::Hasher) -> Self {
         let mut short = [0; 16];
         short.copy_from_slice(&hash.finalize().as_bytes()[..16]);
         Self(short)
--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -3,140 +3,96 @@
 //! A request that crashes servers is recognized by the number of servers that ended under it. Other
 //! requests that ran on the same servers are recognized by two signs: they complete at times, and
 //! their servers ended all at the same moment.
+//!
+//! A part of prompts that crashes servers is found in the same records, one for each part that requests
+//! share: see [`attribution`](crate::attribution).
 
-use std::collections::HashMap;
-use std::fmt;
+use std::collections::{HashMap, HashSet};
 
-use snipemast_core::data;
 use snipemast_core::prelude::*;
 
+use crate::attribution::{Attribution, Candidate, Evidence};
 use crate::claim::Fingerprint;
+use crate::crash_record::{CrashRecord, CrashVerdict, End, Record, Scope, MAX_ENDS};
+use crate::survivals::Survivals;
 
-/// The number of ended servers from which a request is quarantined.
-const QUARANTINE_ENDS: usize = 3;
-
-/// The number of ended servers from which a request is suspect, and told to all processes.
-const SUSPECT_ENDS: usize = 2;
-
-/// The largest number of ended servers that are kept of one request: those that ended last.
-const MAX_ENDS: usize = 8;
-
-/// The largest number of requests that are kept.
+/// The largest number of requests and parts that are kept.
 pub const MAX_RECORDS: usize = 4_096;
 
 /// The largest number of records in one message.
 pub const MAX_TOLD: usize = 64;
 
-/// How long a request that is not quarantined is remembered after its last server ended.
-const SUSPECT_RETENTION: Span = Span::from_secs(600);
-
-/// How long a quarantined request is remembered after its last server ended.
-const QUARANTINE_RETENTION: Span = Span::from_secs(86_400);
-
 /// Added to all times, because a process learns of servers that ended before its clock started.
 const PAST: Span = Span::from_secs(30 * 86_400);
 
-/// The number of completed requests after which the older half of them is forgotten.
-const MAX_COMPLETED: usize = 4_096;
-
-data! {
-    /// A server that ended while it ran a request. Times are ages at the moment of sending.
-    pub struct ServerEnd {
-        /// The server.
-        pub server: ServerId,
-        /// The start of the server that ended.
-        pub start: Incarnation,
-        /// How long ago the request was sent to the server.
-        pub sent: Span,
-        /// How long ago the server ended.
-        pub ended: Span,
-    }
-
-    /// What one process tells another about a request.
-    pub struct CrashRecord {
-        /// The fingerprint of the request.
-        pub request: Fingerprint,
-        /// The servers that ended under it.
-        pub ends: Vec<ServerEnd>,
-        /// How long ago the request last completed, if it did.
-        pub completed: Option<Span>,
-    }
+/// What of a request may crash the servers that run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Causes {
+    /// The whole request.
+    pub request: Fingerprint,
+    /// The parts of its prompt that other requests may share, in order.
+    pub parts: Vec<Fingerprint>,
 }
 
-impl fmt::Display for CrashRecord {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("under it ended")?;
-        for ServerEnd { server, ended, .. } in &self.ends {
-            write!(f, " {server} {ended} ago,")?;
-        }
-        match self.completed {
-            Some(ago) => write!(f, " and it completed {ago} ago"),
-            None => f.write_str(" and it never completed"),
+impl Causes {
+    /// Returns the causes of a request whose prompt has no shared parts.
+    pub fn new(request: Fingerprint) -> Self {
+        Self {
+            request,
+            parts: Vec::new(),
         }
     }
-}
 
-/// Whether a request may be sent to servers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum CrashVerdict {
-    /// It may.
-    Clear,
-    /// It may be sent once each time that it comes.
-    Suspect,
-    /// It may not.
-    Quarantined,
+    /// Adds the shared parts of the prompt, in order.
+    pub fn with_parts(self, parts: Vec<Fingerprint>) -> Self {
+        Self { parts, ..self }
+    }
 }
 
-/// The requests whose servers ended, as one process knows them.
+/// The requests whose servers ended and the parts that they share, as one process knows them.
 ///
 /// Processes that exchange their records agree in the end, in whichever order they do: merging adds
-/// the servers that ended and takes the later completion.
-#[derive(Debug, Default)]
+/// the servers that ended and takes the later survival.
+#[derive(Debug)]
 pub struct CrashTable {
     records: HashMap<Fingerprint, Record>,
+    /// The servers that ended last, under whichever requests.
+    servers: Record,
     revision: u64,
-    /// The revision at the last change of a request that other processes are told of.
+    /// The revision at the last change of a record that other processes are told of.
     told_revision: u64,
-    completed: Completions,
+    /// The requests that completed lately, and the parts that survived.
+    completed: Survivals,
+    survived: Survivals,
+    attribution: Attribution,
 }
 
-/// What is known of a request. All times are shifted by [`PAST`].
-#[derive(Debug, Clone, Default)]
-struct Record {
-    ends: Vec<End>,
-    completed: Option<Moment>,
-    /// The table's revision at the last change.
-    changed: u64,
-}
-
-/// The end of one start of a server.
-#[derive(Debug, Clone)]
-struct End {
-    server: ServerId,
-    start: Incarnation,
-    sent: Moment,
-    ended: Moment,
-}
-
-/// When requests completed lately, in two generations.
-#[derive(Debug, Default)]
-struct Completions {
-    newer: HashMap<Fingerprint, Moment>,
-    older: HashMap<Fingerprint, Moment>,
+impl Default for CrashTable {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 impl CrashTable {
     /// Creates an empty table.
     pub fn new() -> Self {
-        Self::default()
+        Self {
+            records: HashMap::new(),
+            servers: Record::new(Scope::Servers),
+            revision: 0,
+            told_revision: 0,
+            completed: Survivals::default(),
+            survived: Survivals::default(),
+            attribution: Attribution::default(),
+        }
     }
 
-    /// Whether no request is known. This is the usual case, which must be cheap.
+    /// Whether nothing is known. This is the usual case, which must be cheap.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
 
-    /// Returns the number of known requests.
+    /// Returns the number of known requests and parts.
     pub fn len(&self) -> usize {
         self.records.len()
     }
@@ -146,61 +102,156 @@
         self.revision
     }
 
-    /// Returns the revision at the last change of a request that other processes are told of.
+    /// Returns the revision at the last change of a record that other processes are told of.
     pub fn told_revision(&self) -> u64 {
         self.told_revision
     }
 
+    /// Returns the verdict on a request or part by itself.
+    pub fn verdict(&self, cause: &Fingerprint) -> CrashVerdict {
+        let record = self.records.get(cause);
+        record.map_or(CrashVerdict::Clear, |r| self.verdict_on(cause, r))
+    }
+
     /// Returns whether a request may be sent to servers.
-    pub fn verdict(&self, request: &Fingerprint) -> CrashVerdict {
-        let record = self.records.get(request);
-        record.map_or(CrashVerdict::Clear, Record::verdict)
+    pub fn verdict_for(&self, causes: &Causes) -> CrashVerdict {
+        let parts = causes.parts.iter().map(|part| self.verdict(part));
+        let worst = parts.max().unwrap_or(CrashVerdict::Clear);
+        worst.max(self.verdict(&causes.request))
+    }
+
+    /// Returns which of the causes decides whether a request may be sent to servers.
+    pub fn deciding_cause(&self, causes: &Causes) -> Fingerprint {
+        let all = causes.parts.iter().chain([&causes.request]);
+        let worst = all.max_by_key(|cause| self.verdict(cause));
+        worst.copied().unwrap_or(causes.request)
+    }
+
+    /// Whether a cause is known as a part of prompts.
+    pub fn is_part(&self, cause: &Fingerprint) -> bool {
+        let scope = self.records.get(cause).map(|record| record.scope);
+        matches!(scope, Some(Scope::Part(_)))
     }
 
-    /// Returns the quarantined requests.
+    /// Returns the quarantined requests and parts.
     pub fn quarantined(&self) -> impl Iterator<Item = &Fingerprint> {
-        let is_quarantined = |r: &Record| r.verdict() == CrashVerdict::Quarantined;
-        let quarantined = self.records.iter().filter(move |(_, r)| is_quarantined(r));
-        quarantined.map(|(request, _)| request)
+        self.at_least(CrashVerdict::Quarantined)
     }
 
-    /// Returns how much longer a request is remembered.
-    pub fn time_left(&self, now: Moment, request: &Fingerprint) -> Span {
-        let record = self.records.get(request);
-        record.map_or_else(Span::default, |r| (now + PAST).until(r.expiry()))
+    /// Returns the requests and parts on which the verdict is this one or a worse one.
+    pub fn at_least(&self, verdict: CrashVerdict) -> impl Iterator<Item = &Fingerprint> {
+        let records = self.records.iter();
+        let found = records.filter(move |(c, r)| self.verdict_on(c, r) >= verdict);
+        found.map(|(cause, _)| cause)
     }
 
-    /// Returns what is known of a request.
-    pub fn record(&self, now: Moment, request: &Fingerprint) -> Option<CrashRecord> {
-        let record = self.records.get(request)?;
-        Some(record.to_told(now + PAST, *request))
+    /// Returns when a verdict changes without news, if one does.
+    pub fn next_change(&self) -> Option<Moment> {
+        self.attribution
+            .next_change
+            .map(|at| Moment::ZERO + at.since(Moment::ZERO + PAST))
     }
 
-    /// Records that a start of a server ended under a request that was sent to it. Returns whether
+    /// Brings the verdicts up to date if some change without news.
+    pub fn refresh(&mut self, now: Moment) {
+        if self
+            .attribution
+            .next_change
+            .is_some_and(|at| at <= now + PAST)
+        {
+            self.attribute(now);
+        }
+    }
+
+    /// Returns how much longer a request or part is remembered.
+    pub fn time_left(&self, now: Moment, cause: &Fingerprint) -> Span {
+        let record = self.records.get(cause);
+        record.map_or_else(Span::default, |r| {
+            (now + PAST).until(r.expiry(self.verdict_on(cause, r)))
+        })
+    }
+
+    /// Returns what is known of a request or part.
+    pub fn record(&self, now: Moment, cause: &Fingerprint) -> Option<CrashRecord> {
+        let record = self.records.get(cause)?;
+        Some(record.to_told(now + PAST, *cause))
+    }
+
+    /// Records that a start of a server ended under a request that was sent to it. Returns the causes of which
     /// that is news.
+    ///
+    /// The shared parts count only if the request was not seen to go on: what crashes servers does so when an answer
+    /// begins.
     pub fn record_end(
         &mut self,
-        request: Fingerprint,
+        now: Moment,
+        causes: &Causes,
         server: &ServerId,
-        start: Incarnation,
-        times: RunTimes,
-    ) -> bool {
+        run: EndedRun,
+    ) -> Vec<Fingerprint> {
+        let request = causes.request;
         let end = End {
             server: server.clone(),
-            start,
-            sent: times.sent + PAST,
-            ended: times.ended + PAST,
+            start: run.start,
+            sent: run.sent + PAST,
+            ended: run.ended + PAST,
         };
         let completed = self.completed.get(&request);
-        self.update(request, vec![end], completed)
+        let mut news = Vec::new();
+        self.update(
+            Fingerprint::default(),
+            Scope::Servers,
+            vec![end.clone()],
+            None,
+        );
+        if self.update(request, Scope::Request, vec![end.clone()], completed) {
+            news.push(request);
+        }
+        let parts: &[Fingerprint] = if run.went_on { &[] } else { &causes.parts };
+        for (place, part) in parts.iter().enumerate() {
+            let scope = Scope::Part(u8::try_from(place).unwrap_or(u8::MAX));
+            let survived = self.survived.get(part);
+            if self.update(*part, scope, vec![end.clone()], survived) {
+                news.push(*part);
+            }
+        }
+        self.attribute(now);
+        news
     }
 
     /// Records that a request completed, which no request does that crashes servers. Returns whether
     /// that is news of a request that is known here.
     pub fn record_completion(&mut self, now: Moment, request: Fingerprint) -> bool {
-        let now = now + PAST;
-        self.completed.insert(now, request);
-        self.records.contains_key(&request) && self.update(request, Vec::new(), Some(now))
+        let at = now + PAST;
+        self.completed.insert(at, request);
+        let news = self.update(request, Scope::Request, Vec::new(), Some(at));
+        if news {
+            self.attribute(now);
+        }
+        news
+    }
+
+    /// Records that a server went on after an answer to a request had begun, so that no part of its prompt crashes
+    /// servers. Returns the parts that are known here and of which that is news.
+    pub fn record_survival(
+        &mut self,
+        now: Moment,
+        causes: &Causes,
+        begun: Moment,
+    ) -> Vec<Fingerprint> {
+        let begun = begun + PAST;
+        let mut news = Vec::new();
+        for (place, part) in causes.parts.iter().enumerate() {
+            self.survived.insert(begun, *part);
+            let scope = Scope::Part(u8::try_from(place).unwrap_or(u8::MAX));
+            if self.update(*part, scope, Vec::new(), Some(begun)) {
+                news.push(*part);
+            }
+        }
+        if !news.is_empty() {
+            self.attribute(now);
+        }
+        news
     }
 
     /// Returns the records that changed after a revision, the earliest changes first, and the
@@ -222,7 +273,8 @@
         last: u64,
         include: impl Fn(&Record) -> bool,
     ) -> (Vec<CrashRecord>, u64) {
-        let changed = self.records.iter();
+        let nothing = Fingerprint::default();
+        let changed = self.records.iter().chain([(&nothing, &self.servers)]);
         let changed = changed.filter(|(_, r)| r.changed > after && include(r));
         let mut changed: Vec<_> = changed.collect();
         changed.sort_by_key(|(_, r)| r.changed);
@@ -237,34 +289,88 @@
 
     /// Merges what another process told. Returns whether that is news.
     pub fn merge(&mut self, now: Moment, told: CrashRecord) -> bool {
-        let now = now + PAST;
+        let news = self.merge_record(now + PAST, told);
+        if news {
+            self.attribute(now);
+        }
+        news
+    }
+
+    fn merge_record(&mut self, now: Moment, told: CrashRecord) -> bool {
         let ends = told.ends.into_iter().take(MAX_ENDS).map(|end| End {
             server: end.server,
             start: end.start,
             sent: now - end.sent.max(end.ended),
             ended: now - end.ended,
         });
-        let completed = told.completed.map(|ago| now - ago);
-        let completed = completed.max(self.completed.get(&told.request));
-        self.update(told.request, ends.collect(), completed)
+        let known = match told.scope {
+            Scope::Request => self.completed.get(&told.cause),
+            Scope::Part(_) => self.survived.get(&told.cause),
+            Scope::Servers => None,
+        };
+        let survived = told.survived.map(|ago| now - ago).max(known);
+        self.update(told.cause, told.scope, ends.collect(), survived)
     }
 
-    /// Forgets requests whose last server ended long ago.
+    /// Forgets requests and parts whose last server ended long ago, and brings the verdicts up to date.
     pub fn forget(&mut self, now: Moment) {
-        let now = now + PAST;
-        self.records.retain(|_, record| now < record.expiry());
+        let verdicts = &self.attribution;
+        self.records
+            .retain(|cause, record| now + PAST < record.expiry(verdict(verdicts, cause, record)));
+        self.refresh(now);
+    }
+
+    fn verdict_on(&self, cause: &Fingerprint, record: &Record) -> CrashVerdict {
+        verdict(&self.attribution, cause, record)
     }
 
-    fn update(&mut self, request: Fingerprint, ends: Vec<End>, completed: Option<Moment>) -> bool {
-        if ends.is_empty() && !self.records.contains_key(&request) {
-            return false;
+    /// Decides again which parts crash servers.
+    fn attribute(&mut self, now: Moment) {
+        let candidates = self.records.iter().filter(|(_, r)| r.is_told());
+        let candidates = candidates.map(|(cause, record)| Candidate {
+            cause: *cause,
+            scope: record.scope,
+            survived: record.survived.is_some(),
+            ends: record.open_ends().collect(),
+        });
+        let (requests, parts) = candidates.partition(|c| c.scope == Scope::Request);
+        let evidence = Evidence {
+            parts,
+            requests,
+            servers: self.servers.open_ends().collect(),
+        };
+        if evidence.parts.is_empty() {
+            self.attribution = Attribution::default();
+            return;
         }
-        let record = self.records.entry(request).or_default();
+        let requests = self.records.values().filter(|r| r.scope == Scope::Request);
+        let crashing = requests.filter(|r| r.verdict() == CrashVerdict::Quarantined);
+        let explained: HashSet<_> = crashing.flat_map(Record::open_ends).map(End::id).collect();
+        self.attribution = Attribution::new(now + PAST, evidence, explained);
+    }
+
+    fn update(
+        &mut self,
+        cause: Fingerprint,
+        scope: Scope,
+        ends: Vec<End>,
+        survived: Option<Moment>,
+    ) -> bool {
+        let record = match scope {
+            Scope::Servers => &mut self.servers,
+            Scope::Part(_) | Scope::Request => {
+                if ends.is_empty() && !self.records.contains_key(&cause) {
+                    return false;
+                }
+                let record = self.records.entry(cause);
+                record.or_insert_with(|| Record::new(scope))
+            }
+        };
         let mut changed = false;
         for end in ends {
             changed |= record.add_end(end);
         }
-        changed |= record.complete(completed);
+        changed |= record.survive(survived);
         if changed {
             self.revision += 1;
             record.changed = self.revision;
@@ -280,9 +386,9 @@
     /// others doesn't push a quarantined one out.
     fn evict(&mut self) {
         while self.records.len() > MAX_RECORDS {
-            let rank = |r: &Record| (r.verdict(), r.ends.len(), r.last_end());
-            let lowest = self.records.iter().min_by_key(|(_, r)| rank(r));
-            let Some(lowest) = lowest.map(|(request, _)| *request) else {
+            let rank = |c, r: &Record| (self.verdict_on(c, r), r.ends.len(), r.last_end());
+            let lowest = self.records.iter().min_by_key(|(c, r)| rank(c, r));
+            let Some(lowest) = lowest.map(|(cause, _)| *cause) else {
                 return;
             };
             self.records.remove(&lowest);
@@ -290,119 +396,23 @@
     }
 }
 
-/// When a request was sent to a server, and when the server ended.
+/// A run of a request whose server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RunTimes {
+pub struct EndedRun {
+    /// The start of the server.
+    pub start: Incarnation,
     /// When the request was sent.
     pub sent: Moment,
     /// When the server ended.
     pub ended: Moment,
+    /// Whether the server went on for a while after the answer had begun.
+    pub went_on: bool,
 }
 
-impl Record {
-    /// Adds an end; returns whether it was not known, and is among the last ones.
-    fn add_end(&mut self, end: End) -> bool {
-        let is_known = |e: &End| e.server == end.server && e.start == end.start;
-        if self.ends.iter().any(is_known) {
-            return false;
-        }
-        let at = self.ends.partition_point(|e| e.ended <= end.ended);
-        self.ends.insert(at, end);
-        if self.ends.len() <= MAX_ENDS {
-            return true;
-        }
-        self.ends.remove(0);
-        at > 0
-    }
-
-    /// Notes a completion; returns whether it changes what counts.
-    fn complete(&mut self, completed: Option<Moment>) -> bool {
-        let Some(at) = completed else {
-            return false;
-        };
-        let is_news = self.completed.is_none() || self.open_ends().any(|end| end.ended <= at);
-        if is_news {
-            self.completed = self.completed.max(Some(at));
-        }
-        is_news
-    }
-
-    /// Returns the ends since the last completion.
-    fn open_ends(&self) -> impl Iterator<Item = &End> {
-        let completed = self.completed;
-        let is_open = move |e: &&End| completed.is_none_or(|at| e.ended > at);
-        self.ends.iter().filter(is_open)
-    }
-
-    /// Returns how many ends followed one another: the request was sent to each of these servers
-    /// after the one before it had ended.
-    fn successive_ends(&self) -> usize {
-        let mut last = None;
-        let mut count = 0;
-        for end in self.open_ends() {
-            if last.is_none_or(|at| end.sent >= at) {
-                last = Some(end.ended);
-                count += 1;
-            }
-        }
-        count
-    }
-
-    /// Whether other processes are told of the request.
-    fn is_told(&self) -> bool {
-        self.ends.len() >= SUSPECT_ENDS
-    }
-
-    fn verdict(&self) -> CrashVerdict {
-        let open = self.open_ends().count();
-        // Copies of one request that completes may run on many servers that end at the same moment.
-        let proven = self.successive_ends() >= 2 || self.completed.is_none();
-        if open >= QUARANTINE_ENDS && proven {
-            CrashVerdict::Quarantined
-        } else if open >= SUSPECT_ENDS {
-            CrashVerdict::Suspect
-        } else {
-            CrashVerdict::Clear
-        }
-    }
-
-    fn last_end(&self) -> Moment {
-        self.ends.last().map_or(Moment::ZERO, |end| end.ended)
-    }
-
-    fn expiry(&self) -> Moment {
-        let retention = match self.verdict() {
-            CrashVerdict::Quarantined => QUARANTINE_RETENTION,
-            CrashVerdict::Clear | CrashVerdict::Suspect => SUSPECT_RETENTION,
-        };
-        self.last_end() + retention
-    }
-
-    fn to_told(&self, now: Moment, request: Fingerprint) -> CrashRecord {
-        let ends = self.ends.iter().map(|end| ServerEnd {
-            server: end.server.clone(),
-            start: end.start,
-            sent: now.since(end.sent),
-            ended: now.since(end.ended),
-        });
-        CrashRecord {
-            request,
-            ends: ends.collect(),
-            completed: self.completed.map(|at| now.since(at)),
-        }
-    }
-}
-
-impl Completions {
-    fn get(&self, request: &Fingerprint) -> Option<Moment> {
-        let newer = self.newer.get(request);
-        newer.or_else(|| self.older.get(request)).copied()
-    }
-
-    fn insert(&mut self, now: Moment, request: Fingerprint) {
-        if self.newer.len() >= MAX_COMPLETED {
-            self.older = std::mem::take(&mut self.newer);
-        }
-        self.newer.insert(request, now);
+fn verdict(attribution: &Attribution, cause: &Fingerprint, record: &Record) -> CrashVerdict {
+    match record.scope {
+        Scope::Request => record.verdict(),
+        Scope::Part(_) => attribution.verdict(cause),
+        Scope::Servers => CrashVerdict::Clear,
     }
 }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -16,19 +16,25 @@
 //! - [`keeper`]: one of the three processes that remember the attempt claimed for a key.
 //! - [`suspicion`]: the requests that are suspected of crashing backend servers.
 //! - [`crashes`]: the requests whose servers ended, merged from what all processes saw.
+//! - [`crash_record`]: what is known of one of them, and the verdict on it.
+//! - `attribution`: finds the parts of prompts that crash servers.
+//! - `survivals`: what lately showed that it does not crash servers.
 //! - [`budget`]: bounds the share of traffic that may be retries.
 
 pub mod answer;
 pub mod assembler;
+mod attribution;
 pub mod budget;
 pub mod claim;
 pub mod claimer;
+pub mod crash_record;
 pub mod crashes;
 pub mod keeper;
 pub mod kept;
 pub mod ledger;
 pub mod plan;
 pub mod request;
+mod survivals;
 pub mod suspicion;
 pub mod verdict;
 
@@ -37,7 +43,8 @@
 pub use budget::RetryBudget;
 pub use claim::{ClaimKey, ClaimValue, Fingerprint, KeeperAnswer, KeeperAsk};
 pub use claimer::{ClaimStep, Claimer};
-pub use crashes::{CrashRecord, CrashTable, CrashVerdict};
+pub use crash_record::{CrashRecord, CrashVerdict, Scope};
+pub use crashes::{Causes, CrashTable};
 pub use keeper::{Keeper, KeeperTable};
 pub use kept::KeptAnswer;
 pub use ledger::{Arrival, ArrivalOutcome, Ledger, LedgerLimits, ReadOutcome};
--- a/crates/requests/tests/crashes.rs
+++ b/crates/requests/tests/crashes.rs
@@ -3,8 +3,8 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 
 use snipemast_core::prelude::*;
-use snipemast_requests::crashes::{RunTimes, MAX_RECORDS, MAX_TOLD};
-use snipemast_requests::{CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::crashes::{EndedRun, MAX_RECORDS, MAX_TOLD};
+use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
 
 fn request(number: u32) -> Fingerprint {
     Fingerprint::for_request("andes", "POST", "/x", &number.to_be_bytes())
@@ -17,11 +17,15 @@
 /// Records that a server ended under a request, both in ms.
 fn end(table: &mut CrashTable, number: u32, server: u32, sent: u64, ended: u64) -> bool {
     let id = ServerId::new(format!("i-{server}")).expect("the id is valid");
-    let times = RunTimes {
+    let run = EndedRun {
+        start: Incarnation(1),
         sent: at(sent),
         ended: at(ended),
+        went_on: false,
     };
-    table.record_end(request(number), &id, Incarnation(1), times)
+    let causes = Causes::new(request(number));
+    let news = table.record_end(at(ended), &causes, &id, run);
+    news.contains(&request(number))
 }
 
 /// Tells one table all that another one knows.
