Count ends of servers that break their streams off first

What callers saw: requests that crash servers went on for as long as they came, if the server broke its streams off some time before it ended.

Cause: after a break the server was tried once, at once, and counted as alive if it accepted the connection. An engine that cleans up before it ends still accepts then.

Change: the accepted connection is kept open for 500 ms; the server counts as alive only if it still is, and is tried again otherwise. It costs no further connection to a server that goes on. An answer with an error of the server acquits no part of the prompt.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -34,6 +34,10 @@
     Span::from_millis(4_000),
 ];
 
+/// How long a connection to a server stays open after others broke until the server counts as alive: longer than an
+/// engine cleans up before it ends.
+const ALIVE_TIME: Span = Span::from_millis(500);
+
 /// How long an answer goes on after its first event until it counts as shown that the request doesn't crash
 /// servers. Those that crash end theirs within a forward pass or two of beginning to write.
 const SURVIVAL_TIME: Span = Span::from_millis(250);
@@ -365,7 +369,14 @@
 async fn find_cause(state: &State, choice: &Choice) -> BreakCause {
     for span in TRY_PAUSES {
         pause(span).await;
-        let tried = connect(choice.address, CONNECT_TIMEOUT).await;
+        let mut tried = connect(choice.address, CONNECT_TIMEOUT).await;
+        if let Ok(accepted) = &tried {
+            // A server may break its streams off some time before it ends.
+            pause(ALIVE_TIME).await;
+            if !accepted.is_ready() {
+                tried = connect(choice.address, CONNECT_TIMEOUT).await;
+            }
+        }
         let refused = tried.as_ref().is_err_and(is_refused);
         let registry = state.registry.lock();
         match registry.start_state(&choice.server, choice.start) {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -517,10 +517,10 @@
     /// Ends a run whose answer was read in full: its connection may carry the next request.
     pub(crate) fn finish(mut self, job: &Job) {
         self.record_shown(job);
-        self.beginning.record_survival(job);
         let state = &job.state;
         let now = state.clock.now();
         if !self.is_failure() {
+            self.beginning.record_survival(job);
             job.record_complete();
             let mut servers = state.servers.lock();
             servers.record_success(&self.choice.server, self.choice.start);
