Soak: a part of prompts that crashes servers, beside all other faults

Requests with the part come to some gateway each second or so, no two alike, beside the request that crashes servers. All streams of sound callers share their other parts. Once no fault is left and five servers ended under it, it must be known at every gateway, and everything else be served there.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -29,7 +29,7 @@
 use snipemast_site::{calls, document, start_executor};
 
 use fleet::Fleet;
-use load::Versions;
+use load::{Culprit, Versions};
 use plan::{plan, Fault, FleetSize, PlannedFault};
 use servers::Servers;
 use verdict::{Cause, End, Kind, Record, Target, Violation};
@@ -47,12 +47,13 @@
 /// How long a server is down that a request crashed.
 const CRASH_TIME: Span = Span::from_millis(700);
 
-/// The number of crashes after which a request must not go on, how long that may take to be known everywhere, and the
-/// maximum number of sends after that.
-const CRASHES: usize = 3;
+/// How long it may take until it is known everywhere what crashes servers, and the maximum number of sends after that.
 const CRASHES_KNOWN: Span = Span::from_secs(3);
 const CRASHING_SENDS: usize = 3;
 
+/// What crashes servers, while all else goes on.
+const CULPRITS: [Culprit; 2] = [Culprit::Request, Culprit::Part];
+
 /// The number of crashing requests that are sent at the end, and the number of the first one, which no caller reaches.
 const LAST_ASKED: usize = 6;
 const LAST_CRASHING: u64 = 1 << 32;
@@ -254,8 +255,10 @@
                 seed,
             )));
         }
-        let crashing = load::run_crashing_caller(Arc::clone(fleet), seed.wrapping_add(3_000));
-        tasks.push(spawn(crashing));
+        for (culprit, seed) in CULPRITS.into_iter().zip(seed.wrapping_add(3_000)..) {
+            let crashing = load::run_crashing_caller(Arc::clone(fleet), culprit, seed);
+            tasks.push(spawn(crashing));
+        }
         let (fleet, record) = (Arc::clone(fleet), Arc::clone(record));
         tasks.push(spawn(load::run_reader(fleet, record, seed)));
         tasks
@@ -283,7 +286,6 @@
                 continue;
             };
             let soak = Arc::clone(&self);
-            soak.record.lock().crashes += 1;
             spawn(async move {
                 let begun = soak.begin_cause(Target::Server(place));
                 soak.servers.crash_for(place, CRASH_TIME).await;
@@ -293,23 +295,23 @@
         }
     }
 
-    /// Checks that a request under which several servers ended is known at every gateway, once no fault is left.
-    async fn check_crashing(&self) -> Option<Violation> {
-        if self.record.lock().crashes < CRASHES {
+    /// Checks that what several servers ended under is known at every gateway, once no fault is left.
+    async fn check_crashing(&self, culprit: Culprit) -> Option<Violation> {
+        if self.servers.crashes(culprit) < culprit.crashes() {
             return None;
         }
         pause(CRASHES_KNOWN).await;
-        let before = self.servers.crashing_sends();
+        let before = self.servers.crashing_sends(culprit);
         let gateways: Vec<u8> = self.fleet.gateways().collect();
         for (number, gateway) in
             (LAST_CRASHING..).zip(gateways.into_iter().cycle().take(LAST_ASKED))
         {
-            load::ask_crashing(&self.fleet, gateway, number).await;
+            load::ask_crashing(&self.fleet, culprit, gateway, number).await;
             // A server that it crashed is back by then, so that the next one finds one too.
             pause(CRASH_TIME.times(2)).await;
         }
-        let sends = self.servers.crashing_sends() - before;
-        let text = format!("a request that crashes servers was sent {sends} times more");
+        let sends = self.servers.crashing_sends(culprit) - before;
+        let text = format!("what crashes servers ({culprit:?}) was sent {sends} times more");
         (sends > CRASHING_SENDS).then_some(Violation(text))
     }
 
@@ -319,7 +321,15 @@
         if !self.serves_everywhere().await {
             violations.push(Violation("not served again after the last fault".into()));
         }
-        violations.extend(self.check_crashing().await);
+        for culprit in CULPRITS {
+            violations.extend(self.check_crashing(culprit).await);
+        }
+        // Not with what shares a caller and other parts with it.
+        if !self.serves_everywhere().await {
+            violations.push(Violation(
+                "sound requests are refused with crashing ones".into(),
+            ));
+        }
         let acked = self.record.lock().acked.iter().map(|(v, _)| *v).max();
         for host in self.fleet.controllers() {
             let read = || async { load::read_configuration(&self.fleet, host).await.is_some() };
--- a/tests/src/soak/load.rs
+++ b/tests/src/soak/load.rs
@@ -13,7 +13,7 @@
 use snipemast_net::{connect, Connection};
 use snipemast_site::calls;
 use snipemast_site::document::{self, SITE_KEY};
-use snipemast_site::CRASHING_BODY;
+use snipemast_site::{ServedRequest, CRASHING_BODY, CRASHING_PART};
 
 use super::fleet::Fleet;
 use super::verdict::{CallerRequest, End, Kind, ReadBack, Record};
@@ -25,6 +25,9 @@
 /// The longest pause between two requests that crash servers.
 const CRASHING_PAUSE: Span = Span::from_millis(2_000);
 
+/// The parts that the prompts of all streams share, those that crash servers too.
+const SHARED_PARTS: &str = "f1:40,c2:200";
+
 /// The time limits of a caller for a whole answer, and of every client for a connection or a
 /// configuration call.
 const ANSWER_TIMEOUT: Span = Span::from_secs(7);
@@ -81,25 +84,63 @@
     }
 }
 
-/// Sends the request that crashes servers to randomly chosen gateways, each time in a connection of its own.
-pub async fn run_crashing_caller(fleet: Arc<Fleet>, seed: u64) {
+/// What crashes each server that runs it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Culprit {
+    /// A request, which is always the same.
+    Request,
+    /// A part of prompts, in requests no two of which are alike.
+    Part,
+}
+
+impl Culprit {
+    /// Returns the number of crashes after which it must not go on.
+    pub fn crashes(self) -> usize {
+        match self {
+            Self::Request => 3,
+            Self::Part => 5,
+        }
+    }
+
+    /// Whether a request is the culprit, or has it.
+    pub fn is_in(self, request: &ServedRequest) -> bool {
+        match self {
+            Self::Request => request.body == CRASHING_BODY,
+            Self::Part => request.crashing_part,
+        }
+    }
+}
+
+/// Sends requests that crash servers to randomly chosen gateways, each time in a connection of its own.
+pub async fn run_crashing_caller(fleet: Arc<Fleet>, culprit: Culprit, seed: u64) {
     let mut random = SplitMix64::new(seed);
     let gateways: Vec<u8> = fleet.gateways().collect();
     for number in 0_u64.. {
         pause(random.span_below(CRASHING_PAUSE)).await;
         let gateway = gateways[random.below(gateways.len() as u64) as usize];
-        ask_crashing(&fleet, gateway, number).await;
+        ask_crashing(&fleet, culprit, gateway, number).await;
     }
 }
 
-/// Sends the request that crashes servers once.
-pub async fn ask_crashing(fleet: &Fleet, gateway: u8, number: u64) {
+/// Sends a request that crashes servers once.
+pub async fn ask_crashing(fleet: &Fleet, culprit: Culprit, gateway: u8, number: u64) {
     let to = fleet.external_address(gateway);
-    if let Ok(mut open) = connect(to, CONNECT_TIMEOUT).await {
-        let (attempt, body) = (format!("crash-{number}"), CRASHING_BODY.to_owned());
-        let sent = calls::send_body(&mut open, "/stream/read", &attempt, SITE_KEY, body);
-        // Nothing is owed to it, so no answer is a fault.
-        let _ = within(ANSWER_TIMEOUT, sent).await;
+    let Ok(mut open) = connect(to, CONNECT_TIMEOUT).await else {
+        return;
+    };
+    let (path, attempt) = ("/stream/read", format!("crash-{culprit:?}-{number}"));
+    // Nothing is owed to it, so no answer is a fault.
+    match culprit {
+        Culprit::Request => {
+            let body = CRASHING_BODY.to_owned();
+            let sent = calls::send_body(&mut open, path, &attempt, SITE_KEY, body);
+            let _ = within(ANSWER_TIMEOUT, sent).await;
+        }
+        Culprit::Part => {
+            let prompt = format!("{SHARED_PARTS},{CRASHING_PART}:90,{number:x}:300");
+            let sent = calls::send_prompt(&mut open, path, &attempt, SITE_KEY, &prompt);
+            let _ = within(ANSWER_TIMEOUT, sent).await;
+        }
     }
 }
 
@@ -115,7 +156,15 @@
         Kind::Stream if yields(attempt) => "/patient/read",
         Kind::Stream => "/stream/read",
     };
-    let work = calls::send_request(&mut connection, path, attempt, SITE_KEY);
+    let prompt = format!("{SHARED_PARTS},{attempt}:300");
+    let work = async {
+        match kind {
+            Kind::Stream => {
+                calls::send_prompt(&mut connection, path, attempt, SITE_KEY, &prompt).await
+            }
+            _ => calls::send_request(&mut connection, path, attempt, SITE_KEY).await,
+        }
+    };
     let end = match within(ANSWER_TIMEOUT, work).await {
         None => End::Silent,
         Some(None) => End::Closed,
--- a/tests/src/soak/servers.rs
+++ b/tests/src/soak/servers.rs
@@ -12,9 +12,10 @@
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_site::hosts::free_port;
-use snipemast_site::{calls, Behavior, ModelServer, ServedRequest, CRASHING_BODY};
+use snipemast_site::{calls, Behavior, ModelServer, ServedRequest};
 
 use super::fleet::Fleet;
+use super::load::Culprit;
 use super::plan::Disturbance;
 use super::proxy::Proxy;
 use super::verdict::{DrainedServer, LeavingServer, LimitedServer, RestedServer};
@@ -96,11 +97,19 @@
         all
     }
 
-    /// Returns how often a request that crashes servers reached one.
-    pub fn crashing_sends(&self) -> usize {
+    /// Returns how often requests that crash servers reached one.
+    pub fn crashing_sends(&self, culprit: Culprit) -> usize {
         let served = self.served_requests();
         let requests = served.values().flatten();
-        requests.filter(|r| r.body == CRASHING_BODY).count()
+        requests.filter(|r| culprit.is_in(r)).count()
+    }
+
+    /// Returns how many servers ran requests that crash them.
+    pub fn crashes(&self, culprit: Culprit) -> usize {
+        let served = self.served_requests();
+        let served = served.into_values();
+        let ran = |requests: Vec<ServedRequest>| requests.iter().any(|r| culprit.is_in(r));
+        served.filter(|r| ran(r.clone())).count()
     }
 
     /// Starts a disturbance of the connections to a server, or ends it with `None`.
--- a/tests/src/soak/verdict.rs
+++ b/tests/src/soak/verdict.rs
@@ -183,8 +183,6 @@
     pub rested: Vec<RestedServer>,
     /// The servers that announced in their answers that they leave.
     pub leaving: Vec<LeavingServer>,
-    /// How often a request crashed a server.
-    pub crashes: usize,
     /// The processes that ended by themselves.
     pub ended: Vec<Violation>,
 }
