Judge parts again only when something changed that matters

Each end of a server under a request made the table compare all its records, also those with one end, which no verdict depends on. With thousands of ends at one moment, as when a third of 600 servers crash, that is thousands of passes over some thousand records at a controller with a small share of a processor. Now a pass is made only after a change of a record with several ends, of the ends of all servers, or when a verdict is due.

--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -65,6 +65,8 @@
     completed: Survivals,
     survived: Survivals,
     attribution: Attribution,
+    /// Whether something changed that the attribution depends on.
+    stale: bool,
 }
 
 impl Default for CrashTable {
@@ -84,6 +86,7 @@
             completed: Survivals::default(),
             survived: Survivals::default(),
             attribution: Attribution::default(),
+            stale: false,
         }
     }
 
@@ -154,13 +157,9 @@
 
     /// Brings the verdicts up to date if some change without news.
     pub fn refresh(&mut self, now: Moment) {
-        if self
-            .attribution
-            .next_change
-            .is_some_and(|at| at <= now + PAST)
-        {
-            self.attribute(now);
-        }
+        let next = self.attribution.next_change;
+        self.stale |= next.is_some_and(|at| at <= now + PAST);
+        self.attribute(now);
     }
 
     /// Returns how much longer a request or part is remembered.
@@ -225,9 +224,7 @@
         let at = now + PAST;
         self.completed.insert(at, request);
         let news = self.update(request, Scope::Request, Vec::new(), Some(at));
-        if news {
-            self.attribute(now);
-        }
+        self.attribute(now);
         news
     }
 
@@ -248,9 +245,7 @@
                 news.push(*part);
             }
         }
-        if !news.is_empty() {
-            self.attribute(now);
-        }
+        self.attribute(now);
         news
     }
 
@@ -290,9 +285,7 @@
     /// Merges what another process told. Returns whether that is news.
     pub fn merge(&mut self, now: Moment, told: CrashRecord) -> bool {
         let news = self.merge_record(now + PAST, told);
-        if news {
-            self.attribute(now);
-        }
+        self.attribute(now);
         news
     }
 
@@ -315,8 +308,10 @@
     /// Forgets requests and parts whose last server ended long ago, and brings the verdicts up to date.
     pub fn forget(&mut self, now: Moment) {
         let verdicts = &self.attribution;
+        let before = self.records.len();
         self.records
             .retain(|cause, record| now + PAST < record.expiry(verdict(verdicts, cause, record)));
+        self.stale |= self.records.len() != before;
         self.refresh(now);
     }
 
@@ -324,8 +319,11 @@
         verdict(&self.attribution, cause, record)
     }
 
-    /// Decides again which parts crash servers.
+    /// Decides again which parts crash servers, if something changed that matters.
     fn attribute(&mut self, now: Moment) {
+        if !std::mem::take(&mut self.stale) {
+            return;
+        }
         let candidates = self.records.iter().filter(|(_, r)| r.is_told());
         let candidates = candidates.map(|(cause, record)| Candidate {
             cause: *cause,
@@ -376,6 +374,7 @@
             record.changed = self.revision;
             if record.is_told() {
                 self.told_revision = self.revision;
+                self.stale = true;
             }
             self.evict();
         }
