Read no more of new connections than the process gets done

What callers would see: for some seconds the load balancer hands most new connections of a zone to one gateway, which reads every request and serves them late or not at all, while the other gateways are idle.

Cause: the listener accepted and read whatever came. A gateway of a quarter of a core gets some 200 requests a second done; a zone of a large fleet brings more than twice that.

Change: before a connection is read, a turn of all ready tasks is measured, at most each 25 ms. After half a second of turns over 150 ms the process counts as overloaded, and reads only as fast as turns stay below 50 ms; other new connections are closed unread, so that their callers come back at another gateway at once. Callers' connections use at most six tenths of the descriptors. Counted, logged (716, 717), and without a wake-up while nobody comes.

Ruled out: readiness (the whole load would go round the gateways), a queue in the listener (a second lost for each caller), a bound on connections or requests a second (which would have to know the processor's share).

Over sockets overloaded_closes_unread fails without the gate; one_gateway_serves_all and one_gateway_granted_all hold, also before.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -203,6 +203,10 @@
     ServerTakenBack = 714;
     /// Why connections to a backend server broke is known, and it had not died.
     BreakExplained = 715;
+    /// This process is overloaded and closes new connections unread, or has too many.
+    IntakeClosed = 716;
+    /// This process reads all new connections again.
+    IntakeOpened = 717;
 }
 
 impl Event {
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,69 @@
+//! Reads no more of new connections than this process gets done.
+
+use std::sync::Arc;
+
+use snipemast_core::prelude::*;
+use snipemast_net::Gate;
+use snipemast_placement::intake::{Admission, Intake};
+
+use crate::metrics::ConnectionEnd;
+use crate::state::State;
+
+/// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
+const CALLER_FILES: f64 = 0.6;
+
+/// The gate of the listener for callers.
+#[derive(Debug)]
+pub(crate) struct CallerGate {
+    state: Arc<State>,
+    intake: Intake,
+    /// Whether it was logged that connections are closed.
+    closing: bool,
+}
+
+impl CallerGate {
+    pub(crate) fn new(state: Arc<State>) -> Self {
+        let max_connections = f64::from(state.settings.max_files) * CALLER_FILES;
+        Self {
+            state,
+            intake: Intake::new(max_connections as usize),
+            closing: false,
+        }
+    }
+
+    /// Logs when connections begin to be closed, and when all are read again.
+    fn log(&mut self, admission: Admission, open: usize) {
+        let closed = admission != Admission::Read;
+        if closed == self.closing || !closed && self.intake.is_overloaded() {
+            return;
+        }
+        self.closing = closed;
+        let event = match closed {
+            true => Event::IntakeClosed,
+            false => Event::IntakeOpened,
+        };
+        let detail = format_args!("{admission:?}, beside {open} open connections");
+        self.state.journal.record(event, "callers", detail);
+    }
+}
+
+impl Gate for CallerGate {
+    fn needs_measure(&self) -> bool {
+        self.intake.needs_measure(self.state.clock.now())
+    }
+
+    fn record_turn(&mut self, delay: Span) {
+        self.intake.record_turn(self.state.clock.now(), delay);
+    }
+
+    fn admits(&mut self, open: usize) -> bool {
+        let admission = self.intake.decide(self.state.clock.now(), open);
+        self.log(admission, open);
+        self.state.metrics.count_connection(match admission {
+            Admission::Read => ConnectionEnd::Read,
+            Admission::Overloaded(_) => ConnectionEnd::Overloaded,
+            Admission::Full => ConnectionEnd::Full,
+        });
+        admission == Admission::Read
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //!   cutting   off answers.
 //! - [`state`]: the state that all parts share.
 //! - `news`: polls controllers and applies their news.
+//! - `intake`: which new connections are read.
 //! - `handle`: the path of a request from its caller to an answer.
 //! - `send`: one send of a request to one server.
 //! - `crashes`: finds out whether servers ended under requests.
@@ -31,6 +32,7 @@
 mod crashes;
 mod frozen;
 mod handle;
+mod intake;
 mod limits;
 mod metrics;
 mod news;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,22 @@
     cause: BreakCause,
 }
 
+/// What became of a new connection of a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub(crate) enum ConnectionEnd {
+    /// Its requests are read.
+    Read,
+    /// It was closed unread, because this process is overloaded.
+    Overloaded,
+    /// It was closed unread, because there are too many connections.
+    Full,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabel {
+    end: ConnectionEnd,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PhaseLabel {
     phase: Phase,
@@ -111,6 +127,7 @@
     left_out: Family<ServerLabel, Counter>,
     unknown: Family<HeaderLabel, Counter>,
     breaks: Family<BreakLabel, Counter>,
+    connections: Family<ConnectionLabel, Counter>,
     /// The metrics of who is served first.
     pub(crate) order: OrderMetrics,
 }
@@ -167,6 +184,12 @@
             "Breaks of connections to a server, by their cause",
             Family::clone(&breaks),
         );
+        let connections = Family::default();
+        registry.register(
+            "connections",
+            "New connections of callers, by what became of them",
+            Family::clone(&connections),
+        );
         let order = OrderMetrics::new(&mut registry);
         Self {
             registry: Mutex::new(registry),
@@ -181,6 +204,7 @@
             left_out,
             unknown,
             breaks,
+            connections,
             order,
         }
     }
@@ -221,6 +245,13 @@
         self.breaks.get_or_create(&BreakLabel { cause }).inc();
     }
 
+    /// Counts a new connection of a caller.
+    pub(crate) fn count_connection(&self, end: ConnectionEnd) {
+        self.connections
+            .get_or_create(&ConnectionLabel { end })
+            .inc();
+    }
+
     /// Records the duration of a part of a request.
     pub(crate) fn observe(&self, phase: Phase, span: Span) {
         let histogram = self.phases.get_or_create(&PhaseLabel { phase });
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -11,13 +11,14 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Feed;
 use snipemast_net::exec::{pause, spawn};
-use snipemast_net::{serve, socket};
+use snipemast_net::{serve, serve_gated, socket};
 use snipemast_platform::calls::{METRICS, READY};
 use snipemast_platform::settings::Settings;
 use snipemast_settings::Decisions;
 
 use crate::answer::{local_answer, Answer};
 use crate::handle::handle;
+use crate::intake::CallerGate;
 use crate::news::NewsReader;
 use crate::queue::check_queues;
 use crate::state::State;
@@ -67,9 +68,10 @@
     let state = State::new(settings.clone(), decisions, journal.clone());
     let reader = NewsReader::new(Arc::clone(&state));
     let feed = Feed::new(reader, journal.clone(), None);
+    let gate = CallerGate::new(Arc::clone(&state));
     let (for_callers, for_balancer) = (Arc::clone(&state), Arc::clone(&state));
     let tasks = [
-        spawn(serve(callers, move |r, _| {
+        spawn(serve_gated(callers, gate, move |r, _| {
             handle(Arc::clone(&for_callers), r)
         })),
         spawn(serve(balancer, move |r, _| {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -21,4 +21,4 @@
 pub use exec::{spawn, within};
 pub use kept::PersistentConnection;
 pub use rpc::{RpcClient, RpcError};
-pub use serve::serve;
+pub use serve::{serve, serve_gated, Gate};
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -29,6 +29,10 @@
 //! - [`sends`]: counts how often one attempt is sent to servers.
 //! - [`events`]: splits a stream into complete events, so that it can be resumed at another server.
 //!
+//! Taking requests:
+//!
+//! - [`intake`]: which new connections are read, by what the process gets done.
+//!
 //! Shutting down:
 //!
 //! - [`shutdown`]: when a process that shuts down refuses requests, and when it may end.
@@ -38,6 +42,7 @@
 pub mod choice;
 pub mod cold;
 pub mod events;
+pub mod intake;
 pub mod length;
 pub mod outage;
 pub mod outcomes;
