Queue requests that every server refused, as when all are full

What callers saw: a stream that all servers had refused without running it, or whose service's last server was leaving and full, was refused as if the service had no server, although a place came free within the time that it may wait.

Cause: a server that the request excluded, or that leaves and is not admitted, gave no reason, and without a reason the choice says that there is no server.

Change: both give theirs. A request that all servers refused waits like one without a repeat left: it does not keep others from looking.

--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -213,10 +213,10 @@
     pub(crate) fn put_back(&self, unplaced: Unplaced) {
         let now = self.state.clock.now();
         let waiting = &self.state.waiting;
-        waiting.update(&self.service, |queue| match unplaced {
-            // No retry is left to this request, but others may be sent for the first time.
-            Unplaced::Spent => queue.pass(now, self.ticket),
-            _ => queue.put_back(now, self.ticket, unplaced),
+        waiting.update(&self.service, |queue| match unplaced.is_own() {
+            // Others may be sent, for the first time.
+            true => queue.pass(now, self.ticket),
+            false => queue.put_back(now, self.ticket, unplaced),
         });
     }
 
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -143,8 +143,13 @@
         let _ = within(job.left(), job.await_decision()).await;
         return None;
     }
-    let may_queue = [Unplaced::Out, Unplaced::AllFull, Unplaced::Spent].contains(&unplaced);
-    if !may_queue || !job.route.repeat.is_stream() {
+    let queued = [
+        Unplaced::Out,
+        Unplaced::AllFull,
+        Unplaced::AllExcluded,
+        Unplaced::Spent,
+    ];
+    if !queued.contains(&unplaced) || !job.route.repeat.is_stream() {
         return Some(refuse(job, unplaced, retry_after(unplaced)));
     }
     loop {
@@ -233,7 +238,7 @@
 /// Returns when a caller may come back.
 fn retry_after(unplaced: Unplaced) -> Span {
     match unplaced {
-        Unplaced::AllFull | Unplaced::Spent => RETRY_AFTER_FULL,
+        Unplaced::AllFull | Unplaced::AllExcluded | Unplaced::Spent => RETRY_AFTER_FULL,
         _ => RETRY_AFTER_OUT,
     }
 }
@@ -262,6 +267,7 @@
         Unplaced::Evacuated => "every server is in an evacuated zone",
         Unplaced::AllOut => "no server can be reached",
         Unplaced::Nobody => "the service has no server",
+        Unplaced::AllExcluded => "every server refused the request",
         Unplaced::Out => "the service is out",
         Unplaced::TooLong => "the answer could not end in time",
         Unplaced::Undecided => "servers ended that ran this request or others like it",
--- a/crates/placement/src/choice.rs
+++ b/crates/placement/src/choice.rs
@@ -45,9 +45,12 @@
 
 impl Constraints<'_> {
     pub(crate) fn allow(&self, announced: &AnnouncedServer) -> bool {
-        announced.pool.service == *self.service
-            && self.allowed.allows(&announced.pool)
-            && !self.excluded.contains(&announced.server)
+        self.concern(announced) && !self.excluded.contains(&announced.server)
+    }
+
+    /// Whether a server's service and pool are allowed.
+    pub(crate) fn concern(&self, announced: &AnnouncedServer) -> bool {
+        announced.pool.service == *self.service && self.allowed.allows(&announced.pool)
     }
 }
 
@@ -58,6 +61,8 @@
 pub enum Unplaced {
     /// No server is known.
     Nobody,
+    /// All servers refused the request before, without running it.
+    AllExcluded,
     /// All servers are in evacuated availability zones.
     Evacuated,
     /// All servers are ejected after failures.
@@ -83,6 +88,13 @@
     Quarantined,
 }
 
+impl Unplaced {
+    /// Whether the reason lies in what the request has been through, so that other requests may find a server.
+    pub fn is_own(self) -> bool {
+        matches!(self, Self::AllExcluded | Self::Spent)
+    }
+}
+
 /// A server that may be sent requests, as it announced itself.
 #[derive(Debug, Clone)]
 pub struct AnnouncedServer {
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -198,13 +198,13 @@
             usage.served = usage.served.max(start);
         }
         usage.waiting += 1;
-        let spent = request.unplaced == Unplaced::Spent;
-        if !spent {
+        let passes = request.unplaced.is_own();
+        if !passes {
             self.blocked = request.unplaced;
         }
         let entry = Entry {
             request,
-            passed_until: spent.then_some(now + SPENT_PAUSE),
+            passed_until: passes.then_some(now + SPENT_PAUSE),
         };
         self.waiting.insert(ticket, entry);
         joined
--- a/crates/placement/src/servers/open.rs
+++ b/crates/placement/src/servers/open.rs
@@ -68,7 +68,11 @@
         let (mut limited, mut leaving) = (Vec::new(), Vec::new());
         let mut outliers = Vec::new();
         for (id, server) in &self.known {
-            if !constraints.allow(&server.announced) || self.is_slow_outlier(&server.announced) {
+            if !constraints.concern(&server.announced) || self.is_slow_outlier(&server.announced) {
+                continue;
+            }
+            if constraints.excluded.contains(id) {
+                open.skip(Unplaced::AllExcluded);
                 continue;
             }
             if self.is_evacuated(&server.announced) {
@@ -109,8 +113,9 @@
                 .into_iter()
                 .filter(|(_, server)| self.still_serves(now, server));
             for (id, server) in serving {
-                if let Ok(candidate) = self.admit(now, server, load_limit) {
-                    open.add(id, candidate);
+                match self.admit(now, server, load_limit) {
+                    Ok(candidate) => open.add(id, candidate),
+                    Err(unplaced) => open.skip(unplaced),
                 }
             }
         }
