Ask callers to leave their open connections if turns stay long

An overloaded gateway closes new connections, but the callers that it took on keep theirs open and may come more often. No request is cut or refused for it.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -43,7 +43,7 @@
 pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Answer {
     let active = state.begin_request();
     let mut answer = process_request(&state, request, active).await;
-    if state.is_shutting_down() {
+    if state.closes_connections() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -54,6 +54,7 @@
 
     fn record_turn(&mut self, delay: Span) {
         self.intake.record_turn(self.state.clock.now(), delay);
+        self.state.set_shedding(self.intake.sheds_kept());
     }
 
     fn admits(&mut self, open: usize) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that the parts of a gateway share.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::Arc;
 
 use event_listener::Event as Signal;
@@ -56,6 +56,8 @@
     pub(crate) broken_runs: BrokenRuns,
     pub(crate) crashes: Crashes,
     pub(crate) shutdown: Mutex<Shutdown>,
+    /// Whether callers should leave the connections that they keep open.
+    shedding: AtomicBool,
     /// The number of requests in progress.
     active: AtomicU32,
     request_counter: AtomicU64,
@@ -111,6 +113,7 @@
             broken_runs: BrokenRuns::default(),
             crashes: Crashes::default(),
             shutdown: Mutex::new(Shutdown::new()),
+            shedding: AtomicBool::new(false),
             active: AtomicU32::new(0),
             request_counter: AtomicU64::new(0),
             settings,
@@ -187,6 +190,17 @@
         self.active.load(Ordering::Relaxed)
     }
 
+    /// Sets whether callers should leave the connections that they keep open.
+    pub(crate) fn set_shedding(&self, shedding: bool) {
+        self.shedding.store(shedding, Ordering::Relaxed);
+    }
+
+    /// Whether callers should leave the connections that they keep open, because the process is overloaded or
+    /// shutting down.
+    pub(crate) fn closes_connections(&self) -> bool {
+        self.shedding.load(Ordering::Relaxed) || self.is_shutting_down()
+    }
+
     /// Whether the process is shutting down.
     pub(crate) fn is_shutting_down(&self) -> bool {
         self.shutdown.lock().has_begun()
--- a/crates/placement/src/intake.rs
+++ b/crates/placement/src/intake.rs
@@ -92,6 +92,12 @@
         self.overloaded.is_some()
     }
 
+    /// Whether callers should leave the connections that they keep open, because turns are long although new
+    /// connections are closed.
+    pub fn sheds_kept(&self) -> bool {
+        self.is_overloaded() && self.delay > MAX_DELAY
+    }
+
     /// Decides about a new connection, beside this many open ones.
     pub fn decide(&mut self, now: Moment, open: usize) -> Admission {
         if open >= self.max_connections {
