Resume streams of popular parts after ends at one moment

What callers would see: when several servers end at one moment, broken streams were not resumed at other servers, as the first part of their prompts, which all share, was at several ends and therefore suspect; suspect requests are sent once only.

Change: a part that survived before is suspect only after ends in succession.

Measured: popular_part_goes_on fails without the change (Suspect, not Clear) and passes.

--- a/crates/requests/src/attribution.rs
+++ b/crates/requests/src/attribution.rs
@@ -85,7 +85,7 @@
             explained.extend(culprit.ends.iter().map(|end| end.id()));
             attribution.convict(now, culprit.cause, decided + SETTLE_TIME);
         }
-        let suspects = evidence.parts.iter();
+        let suspects = evidence.parts.iter().filter(|part| part.is_suspect());
         let suspects = suspects.map(|part| (part.cause, CrashVerdict::Suspect));
         attribution.verdicts.extend(suspects);
         attribution
@@ -156,6 +156,12 @@
 }
 
 impl<'a> Candidate<'a> {
+    /// Whether requests with the part are sent only once. A part that survived before may have been at several ends
+    /// of one moment because many requests have it, and these go on at other servers.
+    fn is_suspect(&self) -> bool {
+        !self.survived || self.successive_ends().len() >= FEW_ENDS
+    }
+
     fn was_at(&self, end: &End) -> bool {
         self.ends.iter().any(|e| e.id() == end.id())
     }
--- a/crates/requests/tests/attribution.rs
+++ b/crates/requests/tests/attribution.rs
@@ -232,6 +232,20 @@
     assert!(!scene.is_quarantined(4_000, "first"));
 }
 
+/// Guards against broken streams that are not resumed at other servers because several servers end at one moment, all
+/// with requests that share their first part.
+#[test]
+fn popular_part_goes_on() {
+    let mut scene = Scene::new();
+    scene.survive(1_900, &["first"]);
+    for server in 0..6 {
+        scene.end(server, 2_000 + u64::from(server), &[&["first"]]);
+    }
+    assert_eq!(scene.verdict(2_100, "first"), CrashVerdict::Clear);
+    scene.end(7, 6_000, &[&["first"]]);
+    assert_eq!(scene.verdict(6_100, "first"), CrashVerdict::Suspect);
+}
+
 /// Guards against a part that is refused for good although another process saw it survive: that news comes later
 /// than the ends.
 #[test]
