--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -5,7 +5,7 @@
 //! their servers ended all at the same moment.
 //!
 //! A part of prompts that crashes servers is found in the same records, one for each part that requests
-//! share: see [`attribution`](crate::attribution).
+//! share; `attribution` has the verdict on it.
 
 use std::collections::{HashMap, HashSet};
 
