--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -65,6 +65,12 @@
         Some(shown + SURVIVAL_TIME)
     }
 
+    /// Whether the answer went on for long enough until a moment.
+    fn went_on(&self, until: Moment) -> bool {
+        let due = self.shown.map(|at| at + SURVIVAL_TIME);
+        due.is_some_and(|due| due <= until)
+    }
+
     /// Records that the server went on after the answer had begun.
     pub(crate) fn record_survival(&mut self, job: &Job) {
         let Some(shown) = self.shown else {
@@ -79,12 +85,14 @@
 /// A run of a request whose connection broke.
 #[derive(Debug, Clone)]
 pub(crate) struct BrokenRun {
+    /// What may have ended its server.
     pub(crate) causes: Causes,
     /// The parts of its prompt that other requests may share.
     pub(crate) parts: Vec<PartId>,
     /// The name of the request in logs.
     pub(crate) name: String,
     pub(crate) sent: Moment,
+    /// What was seen of the beginning of its answer.
     pub(crate) beginning: Beginning,
     pub(crate) broke: Moment,
 }
@@ -346,12 +354,11 @@
     let detail = format_args!("at {}, which ended: {run}", choice.server);
     let journal = &state.journal;
     journal.record(Event::RequestSuspected, &run.name, detail);
-    let due = run.beginning.shown.map(|at| at + SURVIVAL_TIME);
     let ended = EndedRun {
         start: choice.start,
         sent: run.sent,
         ended: run.broke,
-        went_on: due.is_some_and(|due| due <= run.broke),
+        went_on: run.beginning.went_on(run.broke),
     };
     let now = state.clock.now();
     let mut table = state.crashes.table.lock();
--- a/crates/requests/src/attribution.rs
+++ b/crates/requests/src/attribution.rs
@@ -78,12 +78,12 @@
             });
             let servers = &mut evidence.servers;
             servers.retain(|end| !explained.contains(&end.id()));
-            let Some((position, decided)) = evidence.find_culprit() else {
+            let Some((position, decided)) = evidence.find_cause() else {
                 break;
             };
-            let culprit = evidence.parts.swap_remove(position);
-            explained.extend(culprit.ends.iter().map(|end| end.id()));
-            attribution.convict(now, culprit.cause, decided + SETTLE_TIME);
+            let part = evidence.parts.swap_remove(position);
+            explained.extend(part.ends.iter().map(|end| end.id()));
+            attribution.quarantine(now, part.cause, decided + SETTLE_TIME);
         }
         let suspects = evidence.parts.iter().filter(|part| part.is_suspect());
         let suspects = suspects.map(|part| (part.cause, CrashVerdict::Suspect));
@@ -97,7 +97,8 @@
         verdict.copied().unwrap_or(CrashVerdict::Clear)
     }
 
-    fn convict(&mut self, now: Moment, part: Fingerprint, settled: Moment) {
+    /// Quarantines a part, from the moment on at which that is settled.
+    fn quarantine(&mut self, now: Moment, part: Fingerprint, settled: Moment) {
         let verdict = if now < settled {
             let next = self.next_change.map_or(settled, |next| next.min(settled));
             self.next_change = Some(next);
@@ -112,7 +113,7 @@
 impl Evidence<'_> {
     /// Returns the position of the part that most likely crashes servers, if one certainly does, and when that was
     /// decided. Parts that never survived go first.
-    fn find_culprit(&self) -> Option<(usize, Moment)> {
+    fn find_cause(&self) -> Option<(usize, Moment)> {
         let decided = self.parts.iter().enumerate();
         let decided = decided.filter_map(|(at, part)| Some((at, self.decided_at(part)?)));
         decided.max_by_key(|(at, _)| {
