--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -279,6 +279,8 @@
             let wait = self.waiting.end(job, self.sends.is_empty());
             let server = choice.server.clone();
             job.record_routed(&choice, !self.sends.is_empty(), last, wait.as_ref());
+            // The wait is over before the server answers.
+            drop(wait);
             self.sends.begin();
             match job.send(choice, self, last).await {
                 Ok(run) => return Placement::Run(Box::new(run)),
