Quarantine a request in copies under which two servers ended in succession

What callers saw: a request that crashes servers puts the whole group out three times, some 4.5 s each, before it is refused. Each end costs every caller of the group as much as the one before.

Cause: two ends alone don't tell a crashing request from a sound one that was sent again and met a second server that ended for another reason. What does: a sound request of a single caller is under way once at a time, while the crashing one comes again and again and waits in several copies for the reopening.

Change: each end of a record carries attempts, by hash, that were under way at the end and 1, 2 and 3 s after it; gateways add theirs.

Tests: copies_decide, later_copies_decide, broken_copy_counted, copies_tried_again, next_try_no_copy, successive_tries_no_copies, sound_copies_spared, later_ends_undo_nothing, two_ends_of_copies, copies_beside_other_ends.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -17,7 +17,7 @@
 use snipemast_placement::Choice;
 use snipemast_registry::{CrashExchange, CrashNews, StartState};
 use snipemast_requests::crashes::EndedRun;
-use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 use crate::metrics::BreakCause;
 use crate::send::{Job, CONNECT_TIMEOUT};
@@ -91,6 +91,8 @@
     pub(crate) parts: Vec<PartId>,
     /// The name of the request in logs.
     pub(crate) name: String,
+    /// When the request arrived here.
+    pub(crate) arrived: Moment,
     pub(crate) sent: Moment,
     /// What was seen of the beginning of its answer.
     pub(crate) beginning: Beginning,
@@ -181,6 +183,8 @@
     /// them may be quarantined now.
     fn log_verdict(&self, cause: &Fingerprint, source: impl fmt::Display) {
         self.crashes.changed.notify(usize::MAX);
+        // Requests in flight look whether they are copies of the request.
+        self.frozen.notify(usize::MAX);
         let now = self.clock.now();
         let table = self.crashes.table.lock();
         let (verdict, record) = (table.verdict(cause), table.record(now, cause));
@@ -231,6 +235,22 @@
         table.verdict_for(self.causes())
     }
 
+    /// Records that this attempt is under way, if servers ended under the request.
+    pub(crate) fn record_copy(&self) {
+        let mut table = self.state.crashes.table.lock();
+        if table.is_empty() {
+            return;
+        }
+        let (now, request) = (self.state.clock.now(), self.causes().request);
+        let attempt = AttemptHash::new(&self.name);
+        let is_news = table.record_copy(now, &request, attempt, self.started);
+        drop(table);
+        if is_news {
+            let detail = format_args!("{} is under way here", self.name);
+            self.state.log_verdict(&request, detail);
+        }
+    }
+
     /// Whether the request may be sent to no server any more.
     pub(crate) fn is_quarantined(&self) -> bool {
         self.crash_verdict() == CrashVerdict::Quarantined
@@ -251,6 +271,7 @@
     async fn await_verdict(&self, holds: impl Fn(CrashVerdict) -> bool) {
         loop {
             let changed = self.state.crashes.changed.listen();
+            self.record_copy();
             if holds(self.crash_verdict()) {
                 return;
             }
@@ -318,6 +339,7 @@
             causes: self.causes().clone(),
             parts: self.ask.shared_parts.clone(),
             name: self.name.clone(),
+            arrived: self.started,
             sent,
             beginning,
             broke: self.state.clock.now(),
@@ -356,6 +378,8 @@
     journal.record(Event::RequestSuspected, &run.name, detail);
     let ended = EndedRun {
         start: choice.start,
+        attempt: AttemptHash::new(&run.name),
+        arrived: run.arrived,
         sent: run.sent,
         ended: run.broke,
         went_on: run.beginning.went_on(run.broke),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -254,6 +254,7 @@
             if let Some(done) = futures_lite::future::or(done, ejected).await {
                 return Ok(done);
             }
+            self.record_copy();
             let now = self.state.clock.now();
             if !recorded && now >= since + MUTE_LIMIT {
                 recorded = true;
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -251,6 +251,8 @@
 }
 
 fn refuse(job: &Job, unplaced: Unplaced, after: Span) -> Answer {
+    // It was under way until now.
+    job.record_copy();
     let (left, age, order) = (job.left(), job.age(), job.ordered(job.ask.last_event));
     let detail = format_args!(
         "{unplaced:?}, {left} left, back after {after}; {age} after its arrival, {order}"
--- a/crates/registry/tests/crashes.rs
+++ b/crates/registry/tests/crashes.rs
@@ -4,7 +4,7 @@
 use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
 use snipemast_registry::CrashExchange;
 use snipemast_requests::crashes::EndedRun;
-use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 /// Gateways that poll all controllers.
 struct Fleet {
@@ -78,6 +78,8 @@
         let server = ServerId::new(format!("i-{}", self.ends)).expect("the id is valid");
         let run = EndedRun {
             start: Incarnation(1),
+            attempt: AttemptHash::new("a"),
+            arrived: self.now - Span::from_millis(70),
             sent: self.now - Span::from_millis(70),
             ended: self.now,
             went_on: false,
--- a/crates/registry/tests/parts.rs
+++ b/crates/registry/tests/parts.rs
@@ -1,4 +1,4 @@
-//! A model of a fleet under requests with parts in common that crash servers: what all gateways together send.
+//! A model of a fleet under requests that crash servers, or parts of prompts that do: what all gateways together send.
 
 use std::collections::{HashMap, HashSet};
 
@@ -6,7 +6,7 @@
 use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
 use snipemast_registry::CrashExchange;
 use snipemast_requests::crashes::EndedRun;
-use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 /// A step of the model, in ms.
 const STEP: u64 = 50;
@@ -27,8 +27,14 @@
 /// The crashes after which requests with a part must not go on, how long that may take to be known, in ms, and how
 /// many sends are allowed after that.
 const CRASHES: usize = 5;
+const WHOLE_CRASHES: usize = 3;
 const KNOWN: u64 = 3_000;
 const LATE_SENDS: usize = 3;
+/// Of so many sound requests one is the same as others, and how many of these there are.
+const POPULAR: usize = 20;
+const POPULAR_REQUESTS: usize = 40;
+/// How long after a break a caller tries again, in ms.
+const CALLER_PAUSE: u64 = 50;
 /// When requests with crashing parts come, and the end, in ms.
 const BEGIN: u64 = 5_000;
 const END: u64 = 45_000;
@@ -65,17 +71,32 @@
     /// The number of parts that crash servers, and the share of requests with one.
     culprits: usize,
     share: f64,
+    /// What of a request crashes servers.
+    culprit: Culprit,
     /// Whether a third of the servers end twice for another reason.
     other_ends: bool,
     /// Whether gateways start anew by and by, a few each second.
     restarts: bool,
 }
 
+/// What of a request crashes servers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Culprit {
+    /// A part of its prompt.
+    Part,
+    /// The whole request, which comes in copies.
+    Request,
+    /// The same, while gateways don't tell each other of copies.
+    UntoldRequest,
+}
+
 #[derive(Debug, Clone)]
 struct Request {
     gateway: usize,
+    /// The number of the caller's attempt.
+    attempt: u32,
     causes: Causes,
-    /// The crashing part, if it has one.
+    /// What of it crashes servers, if anything does.
     culprit: Option<usize>,
     arrived: u64,
 }
@@ -116,20 +137,32 @@
     refused: HashSet<Fingerprint>,
     sound: HashSet<Fingerprint>,
     first_refused: bool,
+    /// Sound requests that some gateway refused.
+    refused_requests: HashSet<Fingerprint>,
 }
 
 impl Outcome {
-    fn late_sends(&self) -> usize {
+    /// Returns the number of sends that come too late after this number of crashes, of the culprit with most of them.
+    fn late_sends(&self, allowed: usize) -> usize {
         let late = self.crashes.iter().map(|(culprit, crashes)| {
-            let Some(fifth) = crashes.get(CRASHES - 1) else {
+            let Some(last) = crashes.get(allowed - 1) else {
                 return 0;
             };
             let arrivals = &self.arrivals[culprit];
-            arrivals.iter().filter(|at| **at > fifth + KNOWN).count()
+            arrivals.iter().filter(|at| **at > last + KNOWN).count()
         });
         late.max().unwrap_or(0)
     }
 
+    /// Returns the largest number of moments at which one culprit crashed servers: each puts its group out.
+    fn most_moments(&self) -> usize {
+        let moments = self.crashes.values().map(|crashes| {
+            let gaps = crashes.windows(2).filter(|pair| pair[1] - pair[0] > STALL);
+            1 + gaps.count()
+        });
+        moments.max().unwrap_or(0)
+    }
+
     fn most_crashes(&self) -> usize {
         self.crashes.values().map(Vec::len).max().unwrap_or(0)
     }
@@ -202,15 +235,22 @@
         let culprit = active && self.random.share() < self.scene.share;
         let culprit = culprit.then(|| self.random.below(self.scene.culprits));
         let mut parts = vec![first, subject];
-        if let Some(culprit) = culprit {
-            parts.insert(1, part(&format!("dead{culprit}")));
-        } else {
-            self.outcome.sound.insert(subject);
+        let mut body = self.numbers.to_string();
+        let whole = self.scene.culprit != Culprit::Part;
+        match culprit {
+            Some(culprit) if whole => body = format!("dead{culprit}"),
+            Some(culprit) => parts.insert(1, part(&format!("dead{culprit}"))),
+            None => {
+                self.outcome.sound.insert(subject);
+                if whole && self.random.below(POPULAR) == 0 {
+                    body = format!("popular{}", self.random.below(POPULAR_REQUESTS));
+                }
+            }
         }
-        let body = self.numbers.to_be_bytes();
-        let request = Fingerprint::for_request("andes", "POST", "/x", &body);
+        let request = Fingerprint::for_request("andes", "POST", "/x", body.as_bytes());
         Request {
             gateway: self.random.below(self.scene.gateways),
+            attempt: self.numbers,
             causes: Causes::new(request).with_parts(parts),
             culprit,
             arrived: self.now,
@@ -231,13 +271,28 @@
         let now = self.now;
         for gateway in 0..self.gateways.len() {
             for request in std::mem::take(&mut self.gateways[gateway].waiting) {
-                if now - request.arrived > PATIENCE {
+                if now > request.arrived + PATIENCE {
+                    continue;
+                }
+                if request.arrived > now {
+                    self.gateways[gateway].waiting.push(request);
                     continue;
                 }
                 let table = &mut self.gateways[gateway].table;
+                if self.scene.culprit == Culprit::Request {
+                    let attempt = AttemptHash::new(&request.attempt.to_string());
+                    let arrived = moment(request.arrived);
+                    table.record_copy(moment(now), &request.causes.request, attempt, arrived);
+                }
                 table.refresh(moment(now));
                 let placed = match table.verdict_for(&request.causes) {
-                    CrashVerdict::Quarantined => continue,
+                    CrashVerdict::Quarantined => {
+                        if request.culprit.is_none() {
+                            let refused = &mut self.outcome.refused_requests;
+                            refused.insert(request.causes.request);
+                        }
+                        continue;
+                    }
                     CrashVerdict::Undecided => None,
                     CrashVerdict::Suspect | CrashVerdict::Clear => self.choose(),
                 };
@@ -276,7 +331,8 @@
         for at in 0..self.servers.len() {
             let stalled = self.out[at / self.scene.group].0 > now;
             if stalled && now >= self.out[at / self.scene.group].1 {
-                self.servers[at].runs.clear();
+                let broken = std::mem::take(&mut self.servers[at].runs);
+                self.try_again(broken);
             }
             let mut crashed = false;
             for number in 0..self.servers[at].runs.len() {
@@ -296,8 +352,43 @@
                 self.end(at);
             } else {
                 let runs = &mut self.servers[at].runs;
-                runs.retain(|run| now < run.sent + READING + ANSWER);
+                let (done, running) = std::mem::take(runs)
+                    .into_iter()
+                    .partition(|run| now >= run.sent + READING + ANSWER);
+                *runs = running;
+                self.complete(done);
+            }
+        }
+    }
+
+    fn complete(&mut self, done: Vec<Run>) {
+        if self.scene.culprit == Culprit::Part {
+            return;
+        }
+        for Run { request, .. } in done {
+            let table = &mut self.gateways[request.gateway].table;
+            table.record_completion(moment(self.now), request.causes.request);
+        }
+    }
+
+    /// Gateways send requests again that had not begun, and callers whose answers broke off try again at some gateway.
+    fn try_again(&mut self, broken: Vec<Run>) {
+        if self.scene.culprit == Culprit::Part {
+            return;
+        }
+        for Run { request, sent, .. } in broken {
+            if self.now < sent + READING + STALL {
+                self.gateways[request.gateway].waiting.push(request);
+                continue;
             }
+            self.numbers += 1;
+            let gateway = self.random.below(self.scene.gateways);
+            self.gateways[gateway].waiting.push(Request {
+                gateway,
+                attempt: self.numbers,
+                arrived: self.now + CALLER_PAUSE,
+                ..request
+            });
         }
     }
 
@@ -316,9 +407,14 @@
         for culprit in culprits {
             self.outcome.crashes.entry(culprit).or_default().push(now);
         }
-        for run in runs {
+        for run in &runs {
             let ended = EndedRun {
                 start: Incarnation(start),
+                attempt: AttemptHash::new(&run.request.attempt.to_string()),
+                arrived: match self.scene.culprit {
+                    Culprit::UntoldRequest => moment(now),
+                    Culprit::Part | Culprit::Request => moment(run.request.arrived),
+                },
                 sent: moment(run.sent),
                 ended: moment(now),
                 went_on: run.survived,
@@ -326,6 +422,7 @@
             let table = &mut self.gateways[run.request.gateway].table;
             table.record_end(moment(now), &run.request.causes, &id, ended);
         }
+        self.try_again(runs);
         self.out[at / self.scene.group] = (now + OUTAGE, now + STALL);
     }
 
@@ -409,7 +506,11 @@
     for seed in 0..seeds {
         let scene = Scene { seed, ..scene };
         let outcome = Fleet::new(scene).play();
-        let (late, crashes) = (outcome.late_sends(), outcome.most_crashes());
+        let allowed = match scene.culprit {
+            Culprit::Part => CRASHES,
+            Culprit::Request | Culprit::UntoldRequest => WHOLE_CRASHES,
+        };
+        let (late, crashes) = (outcome.late_sends(allowed), outcome.most_crashes());
         let (refused, sound) = (outcome.refused.len(), outcome.sound.len());
         assert!(
             late <= LATE_SENDS,
@@ -431,6 +532,7 @@
     group: 16,
     culprits: 1,
     share: 0.03,
+    culprit: Culprit::Part,
     other_ends: false,
     restarts: false,
 };
@@ -515,3 +617,93 @@
     };
     check(scene, 1);
 }
+
+/// What a request that comes in copies did in all plays of a scene.
+#[derive(Debug, PartialEq, Eq)]
+struct Played {
+    /// The moments at which it crashed servers.
+    moments: usize,
+    /// The sound requests that some gateway refused, by seed.
+    refused: Vec<HashSet<Fingerprint>>,
+}
+
+/// Plays a scene with a request that comes in copies, and checks that it isn't sent too late.
+fn play_request(scene: Scene, seeds: u64) -> Played {
+    let mut played = Played {
+        moments: 0,
+        refused: Vec::new(),
+    };
+    for seed in 0..seeds {
+        let scene = Scene { seed, ..scene };
+        let outcome = Fleet::new(scene).play();
+        let late = outcome.late_sends(WHOLE_CRASHES);
+        assert!(late <= LATE_SENDS, "{scene:?}: {late} late sends");
+        played.moments += outcome.most_moments();
+        played.refused.push(outcome.refused_requests);
+    }
+    played
+}
+
+/// Guards against a third outage of a group under a request that comes in copies.
+#[test]
+fn two_ends_of_copies() {
+    let sizes = [
+        (3, 6, 6),
+        (9, 16, 16),
+        (40, 72, 72),
+        (149, 192, 96),
+        (431, 576, 192),
+    ];
+    for (gateways, servers, group) in sizes {
+        let seeds = if gateways > 40 { 1 } else { 10 };
+        let scene = Scene {
+            gateways,
+            servers,
+            group,
+            culprit: Culprit::Request,
+            ..FLEET
+        };
+        let Played { moments, refused } = play_request(scene, seeds);
+        let culprit = Culprit::UntoldRequest;
+        let before = play_request(Scene { culprit, ..scene }, seeds).moments;
+        println!("{gateways} gateways, {servers} servers: {moments} moments in {seeds} plays, by three ends {before}");
+        assert!(
+            refused.iter().all(HashSet::is_empty),
+            "{scene:?}: {refused:?}"
+        );
+        assert!(
+            moments <= 2 * seeds as usize,
+            "{scene:?}: {moments} moments"
+        );
+    }
+}
+
+/// Guards against sound requests that are refused because they came in copies and were at two ends, while a third of the
+/// servers end twice for another reason.
+#[test]
+fn copies_beside_other_ends() {
+    for (servers, group) in [(16, 16), (24, 1)] {
+        let scene = Scene {
+            servers,
+            group,
+            culprit: Culprit::Request,
+            share: 0.0,
+            other_ends: true,
+            ..FLEET
+        };
+        let culprit = Culprit::UntoldRequest;
+        let by_three = play_request(Scene { culprit, ..scene }, 20);
+        assert_eq!(play_request(scene, 20), by_three, "{scene:?}");
+        let refused: usize = by_three.refused.iter().map(HashSet::len).sum();
+        println!(
+            "{servers} servers in groups of {group}: {refused} sound requests refused in 20 plays"
+        );
+        play_request(
+            Scene {
+                share: 0.03,
+                ..scene
+            },
+            20,
+        );
+    }
+}
--- a/crates/requests/src/attribution.rs
+++ b/crates/requests/src/attribution.rs
@@ -1,4 +1,4 @@
-//! Finds the parts of prompts that crash servers among those that were on servers that ended.
+//! Finds what crashes servers among the requests and parts of prompts that were on servers that ended.
 //!
 //! Each end of a server implicates all that began there and was not seen to go on. What crashes servers
 //! is told from its companions by three signs: it never survives, it is there at end after end, and the
@@ -21,6 +21,10 @@
 /// The number of ends at one moment that decide about a part that never survived and was at all ends of that time.
 const SIMULTANEOUS_ENDS: usize = 5;
 
+/// How long after its last end a request is quarantined that was decided on at two ends. After that it is suspect, so
+/// that one that was there by chance can complete.
+const FEW_ENDS_QUARANTINE: Span = Span::from_secs(600);
+
 /// How long after the deciding end a part is quarantined, so that a process that saw it survive can tell.
 const SETTLE_TIME: Span = Span::from_secs(1);
 
@@ -52,7 +56,7 @@
     pub(crate) servers: Vec<&'a End>,
 }
 
-/// The verdicts on parts of prompts.
+/// The verdicts on parts of prompts, and on requests at two ends.
 #[derive(Debug, Default)]
 pub(crate) struct Attribution {
     verdicts: HashMap<Fingerprint, CrashVerdict>,
@@ -64,13 +68,28 @@
 type EndId<'a> = (&'a ServerId, Incarnation);
 
 impl Attribution {
-    /// Decides about all parts. `explained` are the ends whose cause is known.
+    /// Decides about all parts, and requests at two ends. `explained` are the ends whose cause is known.
     pub(crate) fn new<'a>(
         now: Moment,
         mut evidence: Evidence<'a>,
         mut explained: HashSet<EndId<'a>>,
     ) -> Self {
         let mut attribution = Self::default();
+        for request in &evidence.requests {
+            let Some(decided) = evidence.request_decided_at(request) else {
+                continue;
+            };
+            let lapses = request
+                .ends
+                .last()
+                .map(|end| end.ended + FEW_ENDS_QUARANTINE);
+            if lapses.is_some_and(|at| at <= now) {
+                continue;
+            }
+            explained.extend(request.ends.iter().map(|end| end.id()));
+            attribution.quarantine(now, request.cause, decided + SETTLE_TIME);
+            attribution.change_at(lapses);
+        }
         loop {
             evidence.parts.retain_mut(|part| {
                 part.ends.retain(|end| !explained.contains(&end.id()));
@@ -97,16 +116,21 @@
         verdict.copied().unwrap_or(CrashVerdict::Clear)
     }
 
-    /// Quarantines a part, from the moment on at which that is settled.
-    fn quarantine(&mut self, now: Moment, part: Fingerprint, settled: Moment) {
+    /// Quarantines a request or part, from the moment on at which that is settled.
+    fn quarantine(&mut self, now: Moment, cause: Fingerprint, settled: Moment) {
         let verdict = if now < settled {
-            let next = self.next_change.map_or(settled, |next| next.min(settled));
-            self.next_change = Some(next);
+            self.change_at(Some(settled));
             CrashVerdict::Undecided
         } else {
             CrashVerdict::Quarantined
         };
-        self.verdicts.insert(part, verdict);
+        self.verdicts.insert(cause, verdict);
+    }
+
+    /// Records that a verdict changes at some moment without news.
+    fn change_at(&mut self, moment: Option<Moment>) {
+        let changes = self.next_change.into_iter().chain(moment);
+        self.next_change = changes.min();
     }
 }
 
@@ -134,6 +158,20 @@
         (!part.survived && self.was_at_all(part, deciding)).then_some(deciding)
     }
 
+    /// Returns when the end came that decides that a request crashes servers, if its second one does: it never
+    /// completed, several copies of it were under way at an end, it was at all ends of servers since its first one, and
+    /// no other such request was at all of its ends.
+    fn request_decided_at(&self, request: &Candidate<'_>) -> Option<Moment> {
+        let deciding = request.successive_ends().get(FEW_ENDS - 1)?.ended;
+        if request.survived || !request.has_copies() || !self.was_at_all(request, deciding) {
+            return None;
+        }
+        let others = self.requests.iter().filter(|o| o.cause != request.cause);
+        let mut rivals = others.filter(|other| !other.survived && other.has_copies());
+        let has_rival = rivals.any(|rival| request.ends.iter().all(|end| rival.was_at(end)));
+        (!has_rival).then_some(deciding)
+    }
+
     /// Whether another cause was at all ends of a part.
     fn has_rival(&self, part: &Candidate<'_>) -> bool {
         let fresh = self.parts.iter().filter(|other| !other.survived);
@@ -142,17 +180,17 @@
         others.any(|other| part.ends.iter().all(|end| other.was_at(end)))
     }
 
-    /// Whether a part was at all ends of servers from its first one until it was decided on. If it was not, something
+    /// Whether a cause was at all ends of servers from its first one until it was decided on. If it was not, something
     /// else ended servers too. What ends servers later says nothing about it.
-    fn was_at_all(&self, part: &Candidate<'_>, decided: Moment) -> bool {
-        let Some(first) = part.ends.first() else {
+    fn was_at_all(&self, cause: &Candidate<'_>, decided: Moment) -> bool {
+        let Some(first) = cause.ends.first() else {
             return false;
         };
         let ends = self.servers.iter();
         let mut ends = ends.filter(|end| {
             end.ended + SAME_TIME >= first.ended && end.ended <= decided + SETTLE_TIME
         });
-        ends.all(|end| part.was_at(end))
+        ends.all(|end| cause.was_at(end))
     }
 }
 
@@ -163,6 +201,11 @@
         !self.survived || self.successive_ends().len() >= FEW_ENDS
     }
 
+    /// Whether several attempts at the request were under way at one of its ends.
+    fn has_copies(&self) -> bool {
+        self.ends.iter().any(|end| end.has_copies())
+    }
+
     fn was_at(&self, end: &End) -> bool {
         self.ends.iter().any(|e| e.id() == end.id())
     }
--- a/crates/requests/src/crash_record.rs
+++ b/crates/requests/src/crash_record.rs
@@ -1,7 +1,10 @@
 //! What is known of a request, or of a part that requests share, whose servers ended.
 
+use std::collections::BTreeSet;
 use std::fmt;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 
@@ -16,13 +19,42 @@
 /// The largest number of ended servers that are kept of one request or part: those that ended last.
 pub(crate) const MAX_ENDS: usize = 8;
 
+/// The number of attempts at one request that make it one in copies.
+const MIN_COPIES: usize = 2;
+
+/// The moments at which attempts at a request are compared: a server's end, and so long after one another from then on.
+/// Together they last as long as a server takes to start again.
+const COPY_CHECKS: u8 = 4;
+const COPY_CHECK_INTERVAL: Span = Span::from_secs(1);
+
+/// The largest number of copies of one request at one end.
+const MAX_COPIES: usize = MIN_COPIES * COPY_CHECKS as usize;
+
+/// How long before a moment an attempt must have arrived to count as under way then: longer than records travel, so that
+/// a caller's next attempt doesn't count beside the one that broke.
+const COPY_MARGIN: Span = Span::from_millis(250);
+
 /// How long a request or part that is not quarantined is remembered after its last server ended.
 const SUSPECT_RETENTION: Span = Span::from_secs(600);
 
-/// How long a quarantined request or part is remembered after its last server ended.
+/// How long a quarantined request or part, or one that came in copies, is remembered after its last server ended.
 const QUARANTINE_RETENTION: Span = Span::from_secs(86_400);
 
 data! {
+    /// A hash of a caller's id of one attempt at a request.
+    #[derive(Copy, PartialOrd, Ord, Hash)]
+    #[serde(transparent)]
+    pub struct AttemptHash(u64);
+
+    /// That an attempt at a request was under way at one of the moments at which they are compared.
+    #[derive(Copy, PartialOrd, Ord, Hash)]
+    pub struct AttemptAt {
+        /// The number of the moment, from 0 for the end of the server.
+        pub check: u8,
+        /// The attempt.
+        pub attempt: AttemptHash,
+    }
+
     /// What may crash the servers that run a request; the narrower one is greater.
     #[derive(Copy, PartialOrd, Ord, Hash)]
     pub enum Scope {
@@ -44,6 +76,9 @@
         pub sent: Span,
         /// How long ago the server ended.
         pub ended: Span,
+        /// Some of the attempts at the request that were under way then or in the seconds after, at any server or none.
+        #[serde(default)]
+        pub copies: Vec<AttemptAt>,
     }
 
     /// What one process tells another about a request, about a part that requests share, or about all ends of
@@ -61,11 +96,22 @@
     }
 }
 
+impl AttemptHash {
+    /// Returns the hash of an attempt's id.
+    pub fn new(id: &str) -> Self {
+        Self(xxh3_64(id.as_bytes()))
+    }
+}
+
 impl fmt::Display for CrashRecord {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("under it ended")?;
-        for ServerEnd { server, ended, .. } in &self.ends {
-            write!(f, " {server} {ended} ago,")?;
+        for end in &self.ends {
+            write!(f, " {} {} ago", end.server, end.ended)?;
+            if has_copies(&end.copies) {
+                f.write_str(" with several attempts under way")?;
+            }
+            f.write_str(",")?;
         }
         let done = match self.scope {
             Scope::Request => "completed",
@@ -108,13 +154,70 @@
     pub(crate) start: Incarnation,
     pub(crate) sent: Moment,
     pub(crate) ended: Moment,
+    /// The attempts with the smallest hashes that were under way at each check, in order.
+    pub(crate) copies: Vec<AttemptAt>,
+}
+
+/// Whether several attempts at a request were under way at once, so that it is no single caller's next try.
+fn has_copies(copies: &[AttemptAt]) -> bool {
+    let pairs = copies.windows(MIN_COPIES);
+    pairs.into_iter().any(|pair| pair[0].check == pair[1].check)
 }
 
 impl End {
+    /// Returns an end as another process tells it.
+    pub(crate) fn from_told(now: Moment, told: ServerEnd) -> Self {
+        let mut end = Self {
+            server: told.server,
+            start: told.start,
+            sent: now - told.sent.max(told.ended),
+            ended: now - told.ended,
+            copies: Vec::new(),
+        };
+        end.add_copies(&told.copies);
+        end
+    }
+
     /// Returns what identifies the end: a start of a server ends once.
     pub(crate) fn id(&self) -> (&ServerId, Incarnation) {
         (&self.server, self.start)
     }
+
+    /// Whether several attempts at the request were under way at once.
+    pub(crate) fn has_copies(&self) -> bool {
+        has_copies(&self.copies)
+    }
+
+    /// Adds an attempt that arrived at some time and is under way; returns whether that changes anything.
+    pub(crate) fn add_attempt(
+        &mut self,
+        now: Moment,
+        attempt: AttemptHash,
+        arrived: Moment,
+    ) -> bool {
+        let checks = (0..COPY_CHECKS).filter(|check| {
+            let at = self.ended + COPY_CHECK_INTERVAL.times(u64::from(*check));
+            arrived + COPY_MARGIN <= at && at <= now
+        });
+        let copies: Vec<AttemptAt> = checks.map(|check| AttemptAt { check, attempt }).collect();
+        !self.has_copies() && self.add_copies(&copies)
+    }
+
+    /// Adds attempts that were under way; returns whether that changes anything. Processes that add the same ones in
+    /// any order agree.
+    fn add_copies(&mut self, copies: &[AttemptAt]) -> bool {
+        let all: BTreeSet<AttemptAt> = self.copies.iter().chain(copies).copied().collect();
+        let mut kept: Vec<AttemptAt> = Vec::new();
+        for copy in all {
+            let same = kept.iter().filter(|k| k.check == copy.check).count();
+            if same < MIN_COPIES && kept.len() < MAX_COPIES {
+                kept.push(copy);
+            }
+        }
+        let changed = kept != self.copies;
+        self.copies = kept;
+        changed
+    }
 }
 
 impl Record {
@@ -127,10 +230,10 @@
         }
     }
 
-    /// Adds an end; returns whether it was not known, and is among the last ones.
+    /// Adds an end; returns whether it or one of its attempts was not known, and it is among the last ones.
     pub(crate) fn add_end(&mut self, end: End) -> bool {
-        if self.ends.iter().any(|known| known.id() == end.id()) {
-            return false;
+        if let Some(known) = self.ends.iter_mut().find(|known| known.id() == end.id()) {
+            return known.add_copies(&end.copies);
         }
         let at = self.ends.partition_point(|e| e.ended <= end.ended);
         self.ends.insert(at, end);
@@ -141,6 +244,20 @@
         at > 0
     }
 
+    /// Notes that an attempt at the request is under way; returns whether that is news of some end.
+    pub(crate) fn add_attempt(
+        &mut self,
+        now: Moment,
+        attempt: AttemptHash,
+        arrived: Moment,
+    ) -> bool {
+        let mut changed = false;
+        for end in &mut self.ends {
+            changed |= end.add_attempt(now, attempt, arrived);
+        }
+        changed
+    }
+
     /// Notes a survival; returns whether it changes what counts.
     pub(crate) fn survive(&mut self, survived: Option<Moment>) -> bool {
         let Some(at) = survived else {
@@ -198,11 +315,11 @@
     }
 
     pub(crate) fn expiry(&self, verdict: CrashVerdict) -> Moment {
-        let retention = match verdict {
-            CrashVerdict::Quarantined => QUARANTINE_RETENTION,
-            CrashVerdict::Clear | CrashVerdict::Suspect | CrashVerdict::Undecided => {
-                SUSPECT_RETENTION
-            }
+        // A request that came in copies is tried again at times, and must not begin anew then.
+        let is_long = verdict == CrashVerdict::Quarantined || self.ends.iter().any(End::has_copies);
+        let retention = match is_long {
+            true => QUARANTINE_RETENTION,
+            false => SUSPECT_RETENTION,
         };
         self.last_end() + retention
     }
@@ -213,6 +330,7 @@
             start: end.start,
             sent: now.since(end.sent),
             ended: now.since(end.ended),
+            copies: end.copies.clone(),
         });
         CrashRecord {
             cause,
--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -13,7 +13,7 @@
 
 use crate::attribution::{Attribution, Candidate, Evidence};
 use crate::claim::Fingerprint;
-use crate::crash_record::{CrashRecord, CrashVerdict, End, Record, Scope, MAX_ENDS};
+use crate::crash_record::{AttemptHash, CrashRecord, CrashVerdict, End, Record, Scope, MAX_ENDS};
 use crate::survivals::Survivals;
 
 /// The largest number of requests and parts that are kept.
@@ -194,7 +194,10 @@
             start: run.start,
             sent: run.sent + PAST,
             ended: run.ended + PAST,
+            copies: Vec::new(),
         };
+        let mut own = end.clone();
+        own.add_attempt(now + PAST, run.attempt, run.arrived + PAST);
         let completed = self.completed.get(&request);
         let mut news = Vec::new();
         self.update(
@@ -203,7 +206,7 @@
             vec![end.clone()],
             None,
         );
-        if self.update(request, Scope::Request, vec![end.clone()], completed) {
+        if self.update(request, Scope::Request, vec![own], completed) {
             news.push(request);
         }
         let parts: &[Fingerprint] = if run.went_on { &[] } else { &causes.parts };
@@ -218,6 +221,31 @@
         news
     }
 
+    /// Records that an attempt at a request is under way which arrived at some time. Returns whether that is news of a
+    /// request under which several servers ended.
+    ///
+    /// A request that comes in several copies at once is no single caller's, who tries again only after a break.
+    pub fn record_copy(
+        &mut self,
+        now: Moment,
+        request: &Fingerprint,
+        attempt: AttemptHash,
+        arrived: Moment,
+    ) -> bool {
+        let Some(record) = self.records.get_mut(request).filter(|r| r.is_told()) else {
+            return false;
+        };
+        if !record.add_attempt(now + PAST, attempt, arrived + PAST) {
+            return false;
+        }
+        self.revision += 1;
+        record.changed = self.revision;
+        self.told_revision = self.revision;
+        self.stale = true;
+        self.attribute(now);
+        true
+    }
+
     /// Records that a request completed, which no request does that crashes servers. Returns whether
     /// that is news of a request that is known here.
     pub fn record_completion(&mut self, now: Moment, request: Fingerprint) -> bool {
@@ -290,12 +318,8 @@
     }
 
     fn merge_record(&mut self, now: Moment, told: CrashRecord) -> bool {
-        let ends = told.ends.into_iter().take(MAX_ENDS).map(|end| End {
-            server: end.server,
-            start: end.start,
-            sent: now - end.sent.max(end.ended),
-            ended: now - end.ended,
-        });
+        let ends = told.ends.into_iter().take(MAX_ENDS);
+        let ends = ends.map(|end| End::from_told(now, end));
         let known = match told.scope {
             Scope::Request => self.completed.get(&told.cause),
             Scope::Part(_) => self.survived.get(&told.cause),
@@ -337,7 +361,7 @@
             requests,
             servers: self.servers.open_ends().collect(),
         };
-        if evidence.parts.is_empty() {
+        if evidence.parts.is_empty() && evidence.requests.is_empty() {
             self.attribution = Attribution::default();
             return;
         }
@@ -400,6 +424,10 @@
 pub struct EndedRun {
     /// The start of the server.
     pub start: Incarnation,
+    /// The attempt at the request.
+    pub attempt: AttemptHash,
+    /// When the attempt arrived.
+    pub arrived: Moment,
     /// When the request was sent.
     pub sent: Moment,
     /// When the server ended.
@@ -410,7 +438,7 @@
 
 fn verdict(attribution: &Attribution, cause: &Fingerprint, record: &Record) -> CrashVerdict {
     match record.scope {
-        Scope::Request => record.verdict(),
+        Scope::Request => record.verdict().max(attribution.verdict(cause)),
         Scope::Part(_) => attribution.verdict(cause),
         Scope::Servers => CrashVerdict::Clear,
     }
--- a/crates/requests/src/lib.rs
+++ b/crates/requests/src/lib.rs
@@ -17,7 +17,7 @@
 //! - [`suspicion`]: the requests that are suspected of crashing backend servers.
 //! - [`crashes`]: the requests whose servers ended, merged from what all processes saw.
 //! - [`crash_record`]: what is known of one of them, and the verdict on it.
-//! - `attribution`: finds the parts of prompts that crash servers.
+//! - `attribution`: finds what crashes servers among all that was on servers that ended.
 //! - `survivals`: what lately showed that it does not crash servers.
 //! - [`budget`]: bounds the share of traffic that may be retries.
 
@@ -43,7 +43,7 @@
 pub use budget::RetryBudget;
 pub use claim::{ClaimKey, ClaimValue, Fingerprint, KeeperAnswer, KeeperAsk};
 pub use claimer::{ClaimStep, Claimer};
-pub use crash_record::{CrashRecord, CrashVerdict, Scope};
+pub use crash_record::{AttemptHash, CrashRecord, CrashVerdict, Scope};
 pub use crashes::{Causes, CrashTable};
 pub use keeper::{Keeper, KeeperTable};
 pub use kept::KeptAnswer;
--- a/crates/requests/tests/attribution.rs
+++ b/crates/requests/tests/attribution.rs
@@ -2,7 +2,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_requests::crashes::EndedRun;
-use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 /// The pause between the deciding end and the verdict, in ms, and a little more.
 const SETTLED: u64 = 1_100;
@@ -48,6 +48,8 @@
     fn end_under(&mut self, number: u32, server: u32, ended: u64, parts: &[&str]) {
         let run = EndedRun {
             start: Incarnation(1),
+            attempt: AttemptHash::new("a"),
+            arrived: at(ended - 300),
             sent: at(ended - 300),
             ended: at(ended),
             went_on: false,
@@ -280,6 +282,8 @@
         let ended = 2_000 + u64::from(round) * 4_000;
         let run = EndedRun {
             start: Incarnation(1),
+            attempt: AttemptHash::new("a"),
+            arrived: at(ended - 900),
             sent: at(ended - 900),
             ended: at(ended),
             went_on: true,
--- a/crates/requests/tests/crashes.rs
+++ b/crates/requests/tests/crashes.rs
@@ -4,7 +4,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_requests::crashes::{EndedRun, MAX_RECORDS, MAX_TOLD};
-use snipemast_requests::{Causes, CrashTable, CrashVerdict, Fingerprint};
+use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 fn request(number: u32) -> Fingerprint {
     Fingerprint::for_request("andes", "POST", "/x", &number.to_be_bytes())
@@ -19,6 +19,8 @@
     let id = ServerId::new(format!("i-{server}")).expect("the id is valid");
     let run = EndedRun {
         start: Incarnation(1),
+        attempt: AttemptHash::new("first"),
+        arrived: at(sent),
         sent: at(sent),
         ended: at(ended),
         went_on: false,
@@ -60,6 +62,141 @@
     assert_eq!(table.verdict(&request(2)), clear, "another body");
 }
 
+/// Records that attempts at a request are under way, all of which arrived at a time in ms.
+fn copies(table: &mut CrashTable, now: u64, number: u32, attempts: &[&str], arrived: u64) {
+    for attempt in attempts {
+        let attempt = AttemptHash::new(attempt);
+        table.record_copy(at(now), &request(number), attempt, at(arrived));
+    }
+}
+
+/// Two servers end under request 1, in succession.
+fn two_ends() -> CrashTable {
+    let mut table = CrashTable::new();
+    end(&mut table, 1, 1, 1_000, 1_070);
+    end(&mut table, 1, 2, 5_000, 5_070);
+    table
+}
+
+/// Guards against a third outage under a request of which several copies wait for the reopening.
+#[test]
+fn copies_decide() {
+    let mut table = two_ends();
+    copies(&mut table, 5_100, 1, &["a"], 3_000);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+    copies(&mut table, 5_100, 1, &["b"], 3_500);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Undecided);
+    table.refresh(at(6_100));
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Quarantined);
+    let mut other = CrashTable::new();
+    tell(at(6_200), &table, &mut other);
+    assert_eq!(other.verdict(&request(1)), CrashVerdict::Quarantined);
+}
+
+/// Guards against a copy that isn't counted because its own server ended, so that nothing of it is left to count.
+#[test]
+fn broken_copy_counted() {
+    let mut table = CrashTable::new();
+    let run = EndedRun {
+        start: Incarnation(1),
+        attempt: AttemptHash::new("a"),
+        arrived: at(8_000),
+        sent: at(9_000),
+        ended: at(9_070),
+        went_on: false,
+    };
+    let (causes, id) = (Causes::new(request(2)), ServerId::new("i-7").unwrap());
+    table.record_end(at(9_070), &causes, &id, run);
+    end(&mut table, 2, 8, 13_000, 13_070);
+    copies(&mut table, 9_100, 2, &["b"], 8_000);
+    assert_eq!(table.verdict(&request(2)), CrashVerdict::Undecided);
+}
+
+/// Guards against a crashing request that is sent on because servers end later for another reason.
+#[test]
+fn later_ends_undo_nothing() {
+    let mut table = two_ends();
+    copies(&mut table, 5_100, 1, &["a", "b"], 3_000);
+    for server in 3..9 {
+        end(&mut table, server, server, 7_000, 7_500);
+    }
+    table.refresh(at(8_000));
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Quarantined);
+}
+
+/// Guards against a request that is refused for a day, and one that is sent on and on, because two ends were decided on:
+/// after ten minutes it is sent once each time it comes, until one more server ends.
+#[test]
+fn copies_tried_again() {
+    let mut table = two_ends();
+    copies(&mut table, 5_100, 1, &["a", "b"], 3_000);
+    table.refresh(at(600_000));
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Quarantined);
+    for now in [606_000, 3_600_000] {
+        table.forget(at(now));
+        assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+    }
+    end(&mut table, 1, 3, 3_601_000, 3_601_070);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Quarantined);
+}
+
+/// Guards against copies that aren't counted because the first ones came after the second end.
+#[test]
+fn later_copies_decide() {
+    let mut table = two_ends();
+    copies(&mut table, 7_200, 1, &["a"], 5_500);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+    copies(&mut table, 7_500, 1, &["b"], 6_000);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Quarantined);
+}
+
+/// Guards against callers that follow one another and count as copies.
+#[test]
+fn successive_tries_no_copies() {
+    let mut table = two_ends();
+    for (attempt, arrived, until) in [
+        ("a", 3_000, 5_100),
+        ("b", 5_150, 6_700),
+        ("c", 6_750, 8_900),
+    ] {
+        copies(&mut table, until, 1, &[attempt], arrived);
+    }
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+}
+
+/// Guards against a single caller that is refused because it tried again at once after its first server had ended.
+#[test]
+fn next_try_no_copy() {
+    let mut table = two_ends();
+    copies(&mut table, 5_100, 1, &["a"], 3_000);
+    copies(&mut table, 5_200, 1, &["b"], 5_000);
+    assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+}
+
+/// Guards against a sound request that comes in copies and is refused because it was at two ends: it completed at some
+/// time, servers end without it too, or another one was there as well.
+#[test]
+fn sound_copies_spared() {
+    let spared = |change: &dyn Fn(&mut CrashTable)| {
+        let mut table = two_ends();
+        change(&mut table);
+        copies(&mut table, 5_100, 1, &["a", "b"], 3_000);
+        table.refresh(at(9_000));
+        assert_eq!(table.verdict(&request(1)), CrashVerdict::Suspect);
+    };
+    spared(&|table| {
+        table.record_completion(at(500), request(1));
+    });
+    spared(&|table| {
+        end(table, 2, 3, 4_000, 4_500);
+    });
+    spared(&|table| {
+        end(table, 2, 1, 1_000, 1_070);
+        end(table, 2, 2, 5_000, 5_070);
+        copies(table, 5_100, 2, &["c", "d"], 3_000);
+    });
+}
+
 /// Guards against copies of a crashing request that run at once and count as one, so that several rounds of them
 /// pass.
 #[test]
