--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -18,7 +18,7 @@
 use snipemast_platform::calls::{Call, METRICS};
 use snipemast_platform::{document, heartbeat};
 use snipemast_registry::rank::RankAck;
-use snipemast_registry::{news, rank, Poll, RankUpdate, Standing};
+use snipemast_registry::{rank, updates, Poll, RankUpdate, Standing};
 use snipemast_routes::{check, Fault};
 
 use crate::join::OwnHost;
@@ -83,7 +83,7 @@
             path::JOIN => self.join(&body),
             path::SUBMIT => self.submit(&body).await,
             path::READ => Some(rpc::encode_response(&self.read_local())),
-            news::PATH => self.news(&body).await,
+            updates::PATH => self.news(&body).await,
             rank::PATH => self.rank(&body),
             _ => return text_answer(StatusCode::NOT_FOUND, "no such call"),
         };
@@ -257,7 +257,7 @@
         let now = self.state.clock.now();
         if self
             .state
-            .update_table(|table| table.record_goodbye(now, &id))
+            .update_table(|table| table.record_deregistration(now, &id))
         {
             self.state
                 .journal
--- a/crates/controller/src/crashes.rs
+++ b/crates/controller/src/crashes.rs
@@ -7,7 +7,7 @@
 use snipemast_control::files::{load_record, replace_record};
 use snipemast_core::prelude::*;
 use snipemast_net::exec::pause;
-use snipemast_registry::CrashNews;
+use snipemast_registry::CrashUpdate;
 use snipemast_requests::{CrashRecord, CrashVerdict};
 
 use crate::state::State;
@@ -20,10 +20,10 @@
 
 impl State {
     /// Merges the requests whose servers ended, as a gateway tells them.
-    pub(crate) fn merge_crashes(&self, host: &HostId, news: &CrashNews) {
+    pub(crate) fn merge_crashes(&self, host: &HostId, news: &CrashUpdate) {
         let now = self.clock.now();
         let mut crashes = self.crashes.lock();
-        let told = crashes.told_revision();
+        let told = crashes.shared_revision();
         for record in &news.records {
             let before = crashes.verdict(&record.cause);
             crashes.merge(now, record.clone());
@@ -39,7 +39,7 @@
             let detail = format_args!("told by {host}: {record}");
             self.journal.record(event, record.cause, detail);
         }
-        let is_news = crashes.told_revision() != told;
+        let is_news = crashes.shared_revision() != told;
         drop(crashes);
         if is_news {
             self.notify_waiters();
@@ -75,7 +75,7 @@
     let mut stored = load(&state, &folder).await;
     loop {
         let changed = state.changed.listen();
-        let revision = state.crashes.lock().told_revision();
+        let revision = state.crashes.lock().shared_revision();
         if revision == stored {
             changed.await;
             continue;
@@ -103,7 +103,7 @@
     };
     let now = state.clock.now();
     let mut crashes = state.crashes.lock();
-    let before = crashes.told_revision();
+    let before = crashes.shared_revision();
     for record in records {
         let detail = format_args!("from disk: {record}");
         state
@@ -111,7 +111,7 @@
             .record(Event::RequestQuarantined, record.cause, detail);
         crashes.merge(now, record);
     }
-    let loaded = crashes.told_revision();
+    let loaded = crashes.shared_revision();
     drop(crashes);
     state.notify_waiters();
     // What gateways told before may be missing on disk.
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -9,11 +9,11 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::FeedHandler;
 use snipemast_net::exec::pause;
-use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
-use snipemast_registry::heard::HEARD_INTERVAL;
-use snipemast_registry::news::{controllers_digest, RawDocument};
+use snipemast_registry::crashes::{answer_crash_poll, has_crash_update};
+use snipemast_registry::last_seen::LAST_SEEN_INTERVAL;
 use snipemast_registry::relays::Coverage;
-use snipemast_registry::{Cursor, Entry, HeardServer, News, Poll, PollerKind};
+use snipemast_registry::updates::{controllers_digest, RawDocument};
+use snipemast_registry::{Cursor, Entry, Poll, PollerKind, SeenServer, Update};
 
 use crate::state::State;
 
@@ -21,7 +21,7 @@
 const PEER_WAIT: Span = Span::from_millis(800);
 
 /// Answers a poll as soon as there is news or its wait is over.
-pub(crate) async fn answer_poll(state: &State, poll: Poll) -> News {
+pub(crate) async fn answer_poll(state: &State, poll: Poll) -> Update {
     if state.pollers.lock().record(state.clock.now(), &poll) {
         state.notify_waiters();
     }
@@ -58,11 +58,11 @@
         PollerKind::Gateway => pollers.in_flight(now, &poll.host),
         PollerKind::Controller | PollerKind::Sidecar => Default::default(),
     };
-    News {
+    Update {
         cursor: changes.cursor,
         entries: changes.entries,
         covered: changes.covered,
-        heard: changes.heard,
+        last_seen: changes.last_seen,
         version,
         document: document.map(|d| RawDocument(d.text)),
         evacuations,
@@ -88,7 +88,7 @@
     cursor: Cursor,
     entries: Vec<Entry>,
     covered: Vec<Coverage>,
-    heard: Vec<HeardServer>,
+    last_seen: Vec<SeenServer>,
 }
 
 /// Returns what a poller lacks of the table.
@@ -101,12 +101,12 @@
     let table = state.table.lock();
     let after = poll.after(state.epoch);
     let entries = (!poll.without_entries).then(|| table.since(after, now));
-    let heard = poll.wants_heard.then(|| table.heard_servers(now));
+    let last_seen = poll.wants_last_seen.then(|| table.recent_servers(now));
     TableChanges {
         cursor,
         entries: entries.unwrap_or_default(),
         covered: covered.unwrap_or_default(),
-        heard: heard.unwrap_or_default(),
+        last_seen: last_seen.unwrap_or_default(),
     }
 }
 
@@ -129,15 +129,15 @@
     };
     poll.cursor.epoch != cursor.epoch
         || poll.cursor.revision < revision
-        || version > poll.told
+        || version > poll.announced
         || (poll.wants_document && version > poll.version)
         || has_newer_evacuations(state, poll)
         || has_newer_crashes(state, poll)
 }
 
 fn has_newer_crashes(state: &State, poll: &Poll) -> bool {
-    let is_told = poll.kind == PollerKind::Gateway;
-    is_told && has_crash_news(state.epoch, &state.crashes.lock(), poll.crashes.as_ref())
+    let is_shared = poll.kind == PollerKind::Gateway;
+    is_shared && has_crash_update(state.epoch, &state.crashes.lock(), poll.crashes.as_ref())
 }
 
 fn has_newer_evacuations(state: &State, poll: &Poll) -> bool {
@@ -156,7 +156,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     /// When it last told which servers it has heard.
-    heard: Option<Moment>,
+    last_seen: Option<Moment>,
     /// Whether the last poll asked it for that.
     asked: bool,
 }
@@ -171,7 +171,7 @@
 
     /// Merges a controller's entries and the servers that it has heard. Returns whether the table has
     /// all of these now.
-    fn merge(&self, controller: SocketAddr, now: Moment, news: News) -> bool {
+    fn merge(&self, controller: SocketAddr, now: Moment, news: Update) -> bool {
         let mut complete = true;
         self.state.update_table(|table| {
             let revision = table.revision();
@@ -185,7 +185,7 @@
                     );
                 }
             }
-            complete = table.merge_heard(now, &news.heard);
+            complete = table.merge_last_seen(now, &news.last_seen);
             table.revision() > revision
         });
         complete
@@ -198,26 +198,28 @@
         let cursor = self.state.covered.lock().get(&controller).copied();
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
-        peer.asked = peer.heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL);
+        peer.asked = peer
+            .last_seen
+            .is_none_or(|last_seen| now >= last_seen + LAST_SEEN_INTERVAL);
         Poll {
             version: Version(u64::MAX),
-            told: Version(u64::MAX),
+            announced: Version(u64::MAX),
             cursor: cursor.unwrap_or_default(),
             incremental: true,
-            wants_heard: peer.asked,
+            wants_last_seen: peer.asked,
             wait: PEER_WAIT,
             ..Poll::new(self.state.settings.host.clone(), PollerKind::Controller)
         }
     }
 
-    fn handle_news(&self, controller: SocketAddr, news: News) {
+    fn handle_update(&self, controller: SocketAddr, news: Update) {
         let now = self.state.clock.now();
         let cursor = news.cursor;
         let complete = self.merge(controller, now, news);
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         if peer.asked {
-            peer.heard = Some(now);
+            peer.last_seen = Some(now);
         }
         drop(known);
         // After a missed change the next poll asks for everything.
@@ -225,7 +227,7 @@
         self.state.covered.lock().insert(controller, cursor);
     }
 
-    async fn wait_after_news(&self, _: SocketAddr) {
+    async fn wait_after_update(&self, _: SocketAddr) {
         /// Two tables that differ send each other every change; this limits how often.
         const POLL_PAUSE: Span = Span::from_millis(20);
         pause(POLL_PAUSE).await;
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -1,7 +1,7 @@
-//! Polls every known controller for news, each in a task of its own.
+//! Polls every known controller for updates, each in a task of its own.
 //!
-//! The known controllers are the seeds in the settings and those that the last news named.
-//! A [`FeedHandler`] makes the polls and handles the news; a [`Feed`] runs the tasks.
+//! The known controllers are the seeds in the settings and those that the last update named.
+//! A [`FeedHandler`] makes the polls and handles the updates; a [`Feed`] runs the tasks.
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::RpcClient;
-use snipemast_registry::{news, News, Poll};
+use snipemast_registry::{updates, Poll, Update};
 
 /// How much longer a poll may take than the wait that it asks for: a few round-trips and one lost packet.
 const POLL_SLACK: Span = Span::from_millis(900);
@@ -23,16 +23,16 @@
 /// The longest pause after a failed poll.
 const MAX_BACKOFF: Span = Span::from_millis(1_000);
 
-/// Makes the polls of a [`Feed`] and handles the news.
+/// Makes the polls of a [`Feed`] and handles the updates.
 pub trait FeedHandler: Send + Sync + 'static {
     /// Returns the next poll to a controller.
     fn next_poll(&self, controller: SocketAddr) -> Poll;
 
-    /// Handles a controller's news.
-    fn handle_news(&self, controller: SocketAddr, news: News);
+    /// Handles a controller's update.
+    fn handle_update(&self, controller: SocketAddr, update: Update);
 
-    /// Waits until the controller may be polled again after its news was handled.
-    fn wait_after_news(
+    /// Waits until the controller may be polled again after its update was handled.
+    fn wait_after_update(
         &self,
         controller: SocketAddr,
     ) -> impl std::future::Future<Output = ()> + Send;
@@ -55,7 +55,7 @@
     /// The address of this process where it is a controller itself.
     own: Option<SocketAddr>,
     seeds: BTreeSet<SocketAddr>,
-    /// The controllers that the last news named.
+    /// The controllers that the last update named.
     named: BTreeSet<SocketAddr>,
     tasks: HashMap<SocketAddr, Task<()>>,
 }
@@ -80,7 +80,7 @@
         self.update_tasks();
     }
 
-    /// Sets the controllers that the last news named; an empty list is ignored.
+    /// Sets the controllers that the last update named; an empty list is ignored.
     pub fn set_named(self: &Arc<Self>, named: impl IntoIterator<Item = SocketAddr>) {
         let named: BTreeSet<SocketAddr> = named.into_iter().collect();
         let changed = {
@@ -124,22 +124,22 @@
         let mut answers = None;
         while let Some((handler, poll)) = feed.upgrade().map(|feed| feed.next_poll(address)) {
             let limit = Span::from_micros(poll.wait.as_micros() + POLL_SLACK.as_micros());
-            let news = client.call::<_, News>(news::PATH, &poll, limit).await;
+            let update = client.call::<_, Update>(updates::PATH, &poll, limit).await;
             let Some(feed) = feed.upgrade() else {
                 return;
             };
-            if answers != Some(news.is_ok()) {
-                answers = Some(news.is_ok());
-                feed.log_contact(address, news.is_ok());
+            if answers != Some(update.is_ok()) {
+                answers = Some(update.is_ok());
+                feed.log_contact(address, update.is_ok());
             }
-            match news {
-                Ok(news) => {
+            match update {
+                Ok(update) => {
                     backoff = FIRST_BACKOFF;
-                    let named = news.controllers.clone();
-                    handler.handle_news(address, news);
+                    let named = update.controllers.clone();
+                    handler.handle_update(address, update);
                     feed.spawn_set_named(named);
                     drop(feed);
-                    handler.wait_after_news(address).await;
+                    handler.wait_after_update(address).await;
                 }
                 Err(_) => {
                     drop(feed);
@@ -152,7 +152,7 @@
 
     /// Returns the handler and its next poll to a controller.
     fn next_poll(&self, address: SocketAddr) -> (Arc<S>, Poll) {
-        let named = news::controllers_digest(self.state.lock().named.iter().copied());
+        let named = updates::controllers_digest(self.state.lock().named.iter().copied());
         let poll = Poll {
             controllers_digest: named,
             ..self.handler.next_poll(address)
@@ -160,7 +160,7 @@
         (Arc::clone(&self.handler), poll)
     }
 
-    /// Logs that a controller answers or no longer does, and tells the handler of the latter.
+    /// Logs that a controller answers or no longer does, and passes the latter to the handler.
     fn log_contact(&self, address: SocketAddr, answers: bool) {
         let event = if answers {
             Event::MemberJoined
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -15,7 +15,7 @@
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::{connect, ConnectError};
 use snipemast_placement::Choice;
-use snipemast_registry::{CrashExchange, CrashNews, StartState};
+use snipemast_registry::{CrashExchange, CrashUpdate, StartState};
 use snipemast_requests::crashes::EndedRun;
 use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
@@ -142,7 +142,7 @@
 
 impl Crashes {
     /// Returns what the next poll tells a controller.
-    pub(crate) fn next_poll(&self, now: Moment, exchange: &CrashExchange) -> Option<CrashNews> {
+    pub(crate) fn next_poll(&self, now: Moment, exchange: &CrashExchange) -> Option<CrashUpdate> {
         exchange.next_poll(now, &self.table.lock())
     }
 
@@ -168,7 +168,7 @@
         controller: SocketAddr,
         exchange: &mut CrashExchange,
         epoch: u64,
-        news: Option<CrashNews>,
+        news: Option<CrashUpdate>,
     ) {
         let now = self.clock.now();
         let mut table = self.crashes.table.lock();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! - [`process`]: starts the gateway, reports whether it is ready, and shuts it down without
 //!   cutting   off answers.
 //! - [`state`]: the state that all parts share.
-//! - `news`: polls controllers and applies their news.
+//! - `reader`: polls controllers and applies their updates.
 //! - `intake`: which new connections are read.
 //! - `handle`: the path of a request from its caller to an answer.
 //! - `send`: one send of a request to one server.
@@ -35,8 +35,8 @@
 mod intake;
 mod limits;
 mod metrics;
-mod news;
 mod queue;
+mod reader;
 mod request_log;
 mod rests;
 mod send;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -19,8 +19,8 @@
 use crate::answer::{local_answer, Answer};
 use crate::handle::handle;
 use crate::intake::CallerGate;
-use crate::news::NewsReader;
 use crate::queue::check_queues;
+use crate::reader::UpdateReader;
 use crate::state::State;
 
 /// The result of running a gateway.
@@ -66,7 +66,7 @@
     let balancer = socket::listen(ready).change_context_lazy(taken(ready))?;
     let grace = settings.bounds.grace;
     let state = State::new(settings.clone(), decisions, journal.clone());
-    let reader = NewsReader::new(Arc::clone(&state));
+    let reader = UpdateReader::new(Arc::clone(&state));
     let feed = Feed::new(reader, journal.clone(), None);
     let gate = CallerGate::new(Arc::clone(&state));
     let (for_callers, for_balancer) = (Arc::clone(&state), Arc::clone(&state));
@@ -151,7 +151,7 @@
 }
 
 /// Polls the controllers that the settings file names, and follows changes of the file.
-async fn follow_seeds(mut settings: Settings, feed: Arc<Feed<NewsReader>>, state: Arc<State>) {
+async fn follow_seeds(mut settings: Settings, feed: Arc<Feed<UpdateReader>>, state: Arc<State>) {
     loop {
         feed.set_seeds(settings.internal_seeds());
         pause(RELOAD_INTERVAL).await;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/reader.rs
@@ -18,7 +18,7 @@
 use snipemast_registry::relays::{RelayAnswer, Relays};
 use snipemast_registry::source::{Source, FETCH_TIMEOUT};
 use snipemast_registry::{
-    CrashExchange, KnownServer, News, Poll, PollerKind, Standing, Table as Registry,
+    CrashExchange, KnownServer, Poll, PollerKind, Standing, Table as Registry, Update,
 };
 use snipemast_routes::Table as Routes;
 
@@ -32,7 +32,7 @@
 
 /// Applies the news of controllers to the gateway's state.
 #[derive(Debug)]
-pub(crate) struct NewsReader {
+pub(crate) struct UpdateReader {
     state: Arc<State>,
     known: Mutex<KnownControllers>,
     /// Wakes tasks that wait for the changes of a controller that relays pass on.
@@ -73,7 +73,7 @@
     }
 }
 
-impl NewsReader {
+impl UpdateReader {
     pub(crate) fn new(state: Arc<State>) -> Arc<Self> {
         Arc::new(Self {
             state,
@@ -206,13 +206,13 @@
     }
 
     /// Applies changes of servers, and updates the servers that may be sent requests.
-    fn apply_entries(&self, controller: SocketAddr, news: &mut News) {
-        if news.entries.is_empty() {
+    fn apply_entries(&self, controller: SocketAddr, update: &mut Update) {
+        if update.entries.is_empty() {
             return;
         }
         let now = self.state.clock.now();
         let mut registry = self.state.registry.lock();
-        for entry in news.entries.drain(..) {
+        for entry in update.entries.drain(..) {
             let (id, standing) = (entry.announcement.id.clone(), entry.standing);
             let (before, left_before) = (registry.limit(&id), registry.leaving_since(&id));
             let changed = registry.merge_standing(now, entry);
@@ -276,7 +276,7 @@
     }
 }
 
-impl FeedHandler for NewsReader {
+impl FeedHandler for UpdateReader {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let version = self.state.version();
         let evacuations = self.state.evacuations.lock().revision;
@@ -290,7 +290,7 @@
         let wants_document = entry.same_zone || entry.wants_document || version == Version(0);
         let poll = Poll {
             version,
-            told: entry.reported_version,
+            announced: entry.reported_version,
             wants_document,
             zone: Some(self.state.settings.zone.clone()),
             cursor,
@@ -307,63 +307,63 @@
         }
     }
 
-    fn handle_news(&self, controller: SocketAddr, mut news: News) {
+    fn handle_update(&self, controller: SocketAddr, mut update: Update) {
         // First, so that a gateway that has just started sends nothing to an evacuated zone, and no
         // request that crashes servers.
         {
             let mut known = self.known.lock();
             let entry = known.controllers.entry(controller).or_default();
-            let (epoch, crashes) = (news.cursor.epoch, news.crashes.take());
+            let (epoch, crashes) = (update.cursor.epoch, update.crashes.take());
             self.state
                 .merge_crashes(controller, &mut entry.crashes, epoch, crashes);
         }
-        if let Some(evacuations) = news.evacuations.take() {
+        if let Some(evacuations) = update.evacuations.take() {
             self.apply_evacuations(controller, evacuations);
         }
-        if let Some(document) = news.document.take() {
+        if let Some(document) = update.document.take() {
             self.apply_document(&document.0);
         }
         let answer = RelayAnswer {
-            same_zone: news.zone == self.state.settings.zone,
-            cursor: news.cursor,
-            has_entries: !news.entries.is_empty(),
-            covered: std::mem::take(&mut news.covered),
+            same_zone: update.zone == self.state.settings.zone,
+            cursor: update.cursor,
+            has_entries: !update.entries.is_empty(),
+            covered: std::mem::take(&mut update.covered),
         };
-        self.apply_entries(controller, &mut news);
+        self.apply_entries(controller, &mut update);
         let now = self.state.clock.now();
-        self.state.budget.lock().observe_gateways(news.gateways);
+        self.state.budget.lock().observe_gateways(update.gateways);
         self.state.servers.lock().observe_gateways(GatewayCounts {
-            all: news.gateways,
-            local: news.local_gateways,
+            all: update.gateways,
+            local: update.local_gateways,
         });
         let mut known = self.known.lock();
-        if news.leader == Some(controller) {
-            known.leader = news.leader;
-            let counts = news.in_flight.into_iter();
-            let slow = news.slow.into_iter().map(|s| (s.server, s.pace));
+        if update.leader == Some(controller) {
+            known.leader = update.leader;
+            let counts = update.in_flight.into_iter();
+            let slow = update.slow.into_iter().map(|s| (s.server, s.pace));
             let mut servers = self.state.servers.lock();
-            servers.set_other_counts(now, news.age, counts);
+            servers.set_other_counts(now, update.age, counts);
             servers.set_slow(slow.collect());
-            let outliers = servers.set_suspects(now, news.suspects);
+            let outliers = servers.set_suspects(now, update.suspects);
             drop(servers);
             self.state.waiting.wake_all(now);
             self.state.log_outliers(&outliers);
-            frozen::check_reported(&self.state, &news.silent);
-            if let Some(grants) = news.grants {
+            frozen::check_reported(&self.state, &update.silent);
+            if let Some(grants) = update.grants {
                 let entry = known.controllers.entry(controller).or_default();
                 self.state.apply_grants(entry.polled, grants);
             }
         } else if known.leader == Some(controller) {
-            known.leader = news.leader;
+            known.leader = update.leader;
         }
         let entry = known.controllers.entry(controller).or_default();
-        entry.reported_version = news.version;
+        entry.reported_version = update.version;
         entry.same_zone = answer.same_zone;
         entry.wants_document = false;
         known.relays.record(controller, answer);
-        if !news.controllers.is_empty() {
+        if !update.controllers.is_empty() {
             let seeds = self.state.settings.internal_seeds();
-            let is_polled = |c| news.controllers.contains(&c) || seeds.contains(&c);
+            let is_polled = |c| update.controllers.contains(&c) || seeds.contains(&c);
             known.controllers.retain(|c, _| is_polled(*c));
             known.relays.retain_polled(is_polled);
         }
@@ -373,7 +373,7 @@
 
     /// Waits until what a controller reported is in force, so that the next poll says so. Asks this
     /// controller for what no other one delivers.
-    async fn wait_after_news(&self, controller: SocketAddr) {
+    async fn wait_after_update(&self, controller: SocketAddr) {
         self.await_relays(controller).await;
         self.await_document(controller).await;
     }
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -42,7 +42,7 @@
         Lost,
         /// It is draining: it serves only the requests that it already has.
         Draining,
-        /// It said goodbye, and serves nothing until it restarts.
+        /// It has deregistered, and serves nothing until it restarts.
         Gone,
     }
 }
--- a/crates/registry/src/crashes.rs
+++ b/crates/registry/src/crashes.rs
@@ -1,19 +1,19 @@
-//! How gateways and controllers tell each other of requests whose servers ended.
+//! How gateways and controllers exchange records of requests whose servers ended.
 //!
-//! A gateway tells each controller that it polls all that it knows, and a controller tells gateways
-//! of the requests under which several servers ended. No leader is needed, and whoever starts anew
-//! learns everything from the others. Polls and answers carry nothing while there is nothing to
-//! tell: each gateway polls each controller, so what every poll carries grows with both numbers.
+//! A gateway sends all of its records to each controller that it polls, and a controller sends gateways
+//! the requests under which several servers ended. No leader is needed, and a restarted process
+//! receives everything from the others. Polls and answers carry nothing while there are no
+//! records: each gateway polls each controller, so the size of every poll counts twice.
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 use snipemast_requests::{CrashRecord, CrashTable};
 
-use crate::news::Cursor;
+use crate::updates::Cursor;
 
 data! {
-    /// What one side of a poll tells the other about requests whose servers ended.
-    pub struct CrashNews {
+    /// The records that one side of a poll sends the other.
+    pub struct CrashUpdate {
         /// The position in the sender's table that the records reach.
         pub reached: Cursor,
         /// The position in the receiver's table that the sender has got.
@@ -29,17 +29,17 @@
     /// How much of the controller's table this gateway has; the epoch is 0 before the first answer.
     received: Cursor,
     /// How much of this gateway's table the controller has.
-    told: u64,
+    sent: u64,
 }
 
 impl CrashExchange {
-    /// Returns what the next poll tells the controller, if there is anything.
-    pub fn next_poll(&self, now: Moment, table: &CrashTable) -> Option<CrashNews> {
-        let (records, revision) = table.since(now, self.told);
+    /// Returns the records for the next poll, if there are any.
+    pub fn next_poll(&self, now: Moment, table: &CrashTable) -> Option<CrashUpdate> {
+        let (records, revision) = table.since(now, self.sent);
         if records.is_empty() && self.received.revision == 0 {
             return None;
         }
-        Some(CrashNews {
+        Some(CrashUpdate {
             reached: Cursor {
                 revision,
                 ..Cursor::default()
@@ -49,31 +49,31 @@
         })
     }
 
-    /// Merges what the controller answered, and returns the records that were news. `epoch` is that of
+    /// Merges the controller's records, and returns those that changed the table. `epoch` is that of
     /// the controller's table, which every answer names.
     ///
-    /// A controller that has started anew has another epoch and is told everything again.
+    /// A restarted controller has another epoch and is sent everything again.
     pub fn handle_answer(
         &mut self,
         now: Moment,
         epoch: u64,
         table: &mut CrashTable,
-        news: Option<CrashNews>,
+        update: Option<CrashUpdate>,
     ) -> Vec<CrashRecord> {
         let restarted = ![0, epoch].contains(&self.received.epoch);
         if self.received.epoch != epoch {
-            (self.told, self.received) = (0, Cursor { epoch, revision: 0 });
+            (self.sent, self.received) = (0, Cursor { epoch, revision: 0 });
         }
-        let Some(news) = news else {
+        let Some(update) = update else {
             return Vec::new();
         };
-        // The poll that this answers told a controller that has started anew a part only.
+        // The poll that this answers carried only a part of the records for a restarted controller.
         if !restarted {
-            self.told = news.received.revision;
+            self.sent = update.received.revision;
         }
-        self.received = news.reached;
+        self.received = update.reached;
         let mut merged = Vec::new();
-        for record in news.records {
+        for record in update.records {
             if table.merge(now, record.clone()) {
                 merged.push(record);
             }
@@ -83,8 +83,8 @@
 }
 
 /// Whether a controller has records that a gateway lacks. `epoch` is that of the controller's table.
-pub fn has_crash_news(epoch: u64, table: &CrashTable, poll: Option<&CrashNews>) -> bool {
-    table.told_revision() > received_revision(epoch, poll)
+pub fn has_crash_update(epoch: u64, table: &CrashTable, poll: Option<&CrashUpdate>) -> bool {
+    table.shared_revision() > received_revision(epoch, poll)
 }
 
 /// Returns what a controller answers to a gateway's poll, if there is anything. It has merged the
@@ -93,23 +93,23 @@
     now: Moment,
     epoch: u64,
     table: &CrashTable,
-    poll: Option<&CrashNews>,
-) -> Option<CrashNews> {
-    let told = poll.is_some_and(|news| !news.records.is_empty());
-    if !told && !has_crash_news(epoch, table, poll) {
+    poll: Option<&CrashUpdate>,
+) -> Option<CrashUpdate> {
+    let sent = poll.is_some_and(|update| !update.records.is_empty());
+    if !sent && !has_crash_update(epoch, table, poll) {
         return None;
     }
-    let (records, revision) = table.told_since(now, received_revision(epoch, poll));
-    Some(CrashNews {
+    let (records, revision) = table.shared_since(now, received_revision(epoch, poll));
+    Some(CrashUpdate {
         reached: Cursor { epoch, revision },
-        received: poll.map(|news| news.reached).unwrap_or_default(),
+        received: poll.map(|update| update.reached).unwrap_or_default(),
         records,
     })
 }
 
 /// Returns how much of a controller's table a gateway has.
-fn received_revision(epoch: u64, poll: Option<&CrashNews>) -> u64 {
-    let received = poll.map(|news| news.received);
+fn received_revision(epoch: u64, poll: Option<&CrashUpdate>) -> u64 {
+    let received = poll.map(|update| update.received);
     let received = received.filter(|cursor| cursor.epoch == epoch);
     received.map_or(0, |cursor| cursor.revision)
 }
--- a/crates/registry/src/grants.rs
+++ b/crates/registry/src/grants.rs
@@ -35,7 +35,7 @@
 const DUE_INTERVAL: Span = Span::from_secs(1);
 
 data! {
-    /// What a gateway knows of a server's limit, and how many requests it would send there.
+    /// A gateway's view of a server's limit, and how many requests it would send there.
     pub struct Demand {
         /// The server.
         pub server: ServerId,
@@ -85,7 +85,7 @@
     /// Grants the requests that a gateway asks for, within the limits.
     ///
     /// Only a controller that is certain to be the leader may call this. `limit` returns a server's
-    /// start and limit as the leader knows them.
+    /// start and limit in the leader's table.
     pub fn grant(
         &mut self,
         now: Moment,
--- a/crates/registry/src/leaving.rs
+++ b/crates/registry/src/leaving.rs
@@ -1,11 +1,11 @@
-//! Servers that say in their answers that they are leaving, whatever they announce.
+//! Servers whose answers announce that they are leaving, whatever their heartbeats announce.
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
 use snipemast_core::starts::StartMap;
 
-/// How long a leaving start is remembered once the table doesn't know it any more, because it may
-/// come back with later news.
+/// How long a leaving start is kept after the table has dropped it, because a later update may
+/// contain it again.
 const RETENTION: Span = Span::from_secs(3_600);
 
 /// The largest number of starts that are remembered.
@@ -18,7 +18,7 @@
         pub server: ServerId,
         /// The start of the server.
         pub start: Incarnation,
-        /// How long ago the server first said that it is leaving.
+        /// How long ago an answer of the server first announced it.
         pub age: Span,
     }
 }
@@ -32,14 +32,14 @@
 /// What is known of a start that is leaving.
 #[derive(Debug, Clone)]
 struct Notice {
-    /// When the start first said so.
+    /// When an answer of the start first announced it.
     first: Moment,
-    /// Whether a controller knows of it.
+    /// Whether a controller has it.
     reported: bool,
 }
 
 impl LeavingServers {
-    /// Records that a start said at a moment that it is leaving; returns whether that is news.
+    /// Records when a start announced that it is leaving; returns whether that changed anything.
     pub(crate) fn record(
         &mut self,
         first: Moment,
@@ -57,12 +57,12 @@
         true
     }
 
-    /// Returns when a start first said that it is leaving, if it did.
+    /// Returns when a start first announced that it is leaving, if it did.
     pub(crate) fn leaving_since(&self, server: &ServerId, start: Incarnation) -> Option<Moment> {
         self.known.get(server, start).map(|notice| notice.first)
     }
 
-    /// Returns the starts that no controller is known to have heard of.
+    /// Returns the starts that no controller is known to have.
     pub(crate) fn unreported(&self, now: Moment) -> impl Iterator<Item = LeavingServer> + '_ {
         let unreported = self.known.iter().filter(|(_, _, notice)| !notice.reported);
         unreported.map(move |(server, start, notice)| LeavingServer {
@@ -72,10 +72,14 @@
         })
     }
 
-    /// Forgets the starts that left long ago, except for those that `knows` returns true for.
-    pub(crate) fn forget(&mut self, now: Moment, knows: impl Fn(&ServerId, Incarnation) -> bool) {
+    /// Forgets the starts that left long ago, except for those that `is_known` returns true for.
+    pub(crate) fn forget(
+        &mut self,
+        now: Moment,
+        is_known: impl Fn(&ServerId, Incarnation) -> bool,
+    ) {
         let recent = |notice: &Notice| now < notice.first + RETENTION;
         self.known
-            .retain(|server, start, notice| recent(notice) || knows(server, start));
+            .retain(|server, start, notice| recent(notice) || is_known(server, start));
     }
 }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,13 +1,13 @@
-//! Decisions about the servers that announce themselves, and the news that spreads them.
+//! Decisions about the servers that announce themselves, and the messages that replicate them.
 //!
 //! - [`announcement`]: what a server announces about itself.
 //! - [`table`]: the known servers, each with its latest announcement.
-//! - [`news`]: the polls of gateways, sidecars and controllers, and a controller's answers.
-//! - [`heard`]: how lately servers were heard, as controllers tell each other.
+//! - [`updates`]: the polls of gateways, sidecars and controllers, and a controller's answers.
+//! - [`last_seen`]: the times of the servers' last heartbeats, as controllers exchange them.
 //! - [`grants`]: which gateway may send the next requests to a server that names a limit.
 //! - [`limit`]: a server's limit on the requests that all gateways together send to it.
-//! - [`leaving`]: servers that say in their answers that they are leaving.
-//! - [`crashes`]: how requests whose servers ended are told.
+//! - [`leaving`]: servers whose answers announce that they are leaving.
+//! - [`crashes`]: the exchange of records of requests whose servers ended.
 //! - [`rank`]: a server's place in a group of ranks.
 //! - [`relays`]: which controllers pass the changes of servers on to a gateway.
 //! - `report`: how reports of a server are ordered.
@@ -18,10 +18,9 @@
 pub mod announcement;
 pub mod crashes;
 pub mod grants;
-pub mod heard;
+pub mod last_seen;
 pub mod leaving;
 pub mod limit;
-pub mod news;
 pub mod outcomes;
 pub mod pollers;
 pub mod rank;
@@ -29,14 +28,15 @@
 mod report;
 pub mod source;
 pub mod table;
+pub mod updates;
 
 pub use announcement::{Announcement, Standing};
-pub use crashes::{CrashExchange, CrashNews};
+pub use crashes::{CrashExchange, CrashUpdate};
 pub use grants::{Demand, Grant, Grants};
-pub use heard::HeardServer;
+pub use last_seen::SeenServer;
 pub use leaving::LeavingServer;
 pub use limit::{LimitEntry, LimitUpdate};
-pub use news::{Cursor, News, Poll, PollerKind};
 pub use pollers::Pollers;
 pub use rank::{GroupRank, RankUpdate};
 pub use table::{Entry, KnownServer, StartState, Table};
+pub use updates::{Cursor, Poll, PollerKind, Update};
--- a/crates/registry/src/limit.rs
+++ b/crates/registry/src/limit.rs
@@ -7,7 +7,7 @@
 use snipemast_core::prelude::*;
 
 data! {
-    /// What one answer of a server says about its limit, with ages instead of moments so that
+    /// The limit that one answer of a server names, with ages instead of moments so that
     /// processes can exchange it.
     #[derive(Copy)]
     pub struct LimitEntry {
@@ -44,7 +44,7 @@
     }
 }
 
-/// What one answer of a server says about its limit.
+/// The limit that one answer of a server names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LimitUpdate {
     /// The start of the server that answered.
--- a/crates/registry/src/outcomes.rs
+++ b/crates/registry/src/outcomes.rs
@@ -9,7 +9,7 @@
 /// The number of gateways that must see a server failing. One alone may have lost its path.
 const MIN_WITNESSES: u32 = 2;
 
-/// The largest number of servers that news name.
+/// The largest number of servers that an answer names.
 pub const MAX_SUSPECTS: usize = 64;
 
 /// A server that may be sent requests, and what it shares with others.
@@ -31,7 +31,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Sum {
     tally: Tally,
-    /// The number of gateways that told what they saw.
+    /// The number of gateways that reported.
     reporters: u32,
     /// The number of gateways that saw failures.
     witnesses: u32,
@@ -40,7 +40,7 @@
 /// Returns the servers that fail by the reports of several gateways. `before` is the last result.
 ///
 /// A gateway reports servers that failed there, and those that it is asked about. A server is an
-/// outlier only once half of the gateways have said what they saw of it, because its good answers
+/// outlier only once half of the gateways have reported on it, because its good answers
 /// elsewhere are unknown before.
 pub fn find_suspects<'a>(
     servers: &[Placed],
--- a/crates/registry/src/pollers.rs
+++ b/crates/registry/src/pollers.rs
@@ -6,8 +6,8 @@
 
 use snipemast_placement::outcomes::{OutcomeCount, Suspect, MAX_REPORTED};
 
-use crate::news::{Cursor, InFlight, Poll, PollerKind, SlowServer};
 use crate::outcomes::{find_suspects, Placed};
+use crate::updates::{Cursor, InFlight, Poll, PollerKind, SlowServer};
 
 /// How long after its last poll a poller counts as connected.
 ///
--- a/crates/registry/src/rank.rs
+++ b/crates/registry/src/rank.rs
@@ -10,7 +10,7 @@
 pub const PATH: &str = "/ranks";
 
 /// How often a sidecar reports its rank although nothing has changed, so that a controller that has
-/// lost its state learns of every group within this time.
+/// lost its state knows every group again within this time.
 pub const REFRESH_INTERVAL: Span = Span::from_secs(2);
 
 data! {
--- a/crates/registry/src/relays.rs
+++ b/crates/registry/src/relays.rs
@@ -1,10 +1,10 @@
-//! Which controllers pass the changes of servers on to a gateway.
+//! Which controllers forward the changes of servers to a gateway.
 //!
 //! Every controller has every change, and every gateway polls every controller, which sees by that that
 //! the gateway is connected and what it has. But only the controllers of the gateway's own availability
 //! zone (its relays) send it the changes, so that only controllers send these between zones. A relay
-//! says how much of each other controller's table its own covers; this is what the gateway has of that
-//! table then. If the relays don't deliver in time what another controller has, the gateway asks that
+//! reports how much of each other controller's table its own covers, and thus how much of that table the
+//! gateway has. If the relays don't deliver in time what another controller has, the gateway asks that
 //! one.
 
 use std::collections::HashMap;
@@ -12,7 +12,7 @@
 
 use snipemast_core::data;
 
-use crate::news::Cursor;
+use crate::updates::Cursor;
 
 data! {
     /// How much of another controller's table a controller's own covers.
@@ -24,7 +24,7 @@
     }
 }
 
-/// What a controller's answer says about its table.
+/// The state of a controller's table in its answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayAnswer {
     /// Whether the controller is in the gateway's availability zone.
@@ -47,7 +47,7 @@
 struct Known {
     /// How much of the table was sent by the controller itself.
     cursor: Cursor,
-    /// How much of the table there is, as the controller last said.
+    /// The position of the table in the controller's last answer.
     reported: Cursor,
     /// How much of other tables its answers covered.
     covered: HashMap<SocketAddr, Cursor>,
--- a/crates/registry/src/report.rs
+++ b/crates/registry/src/report.rs
@@ -5,13 +5,13 @@
 use crate::announcement::Standing;
 use crate::table::SILENCE_TIMEOUT;
 
-/// What was last heard of one start of a server.
+/// The last report of one start of a server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Report {
     pub(crate) start: Incarnation,
     pub(crate) sequence: u64,
     pub(crate) standing: Standing,
-    pub(crate) heard: Moment,
+    pub(crate) last_seen: Moment,
 }
 
 impl Report {
@@ -19,16 +19,16 @@
     /// address.
     ///
     /// Starts are ordered by the time that servers give for them. A clock that is set back between
-    /// two starts reverses this order, so a start that is heard long after the other one fell
-    /// silent counts as the later one.
+    /// two starts reverses this order, so a start whose heartbeat arrives long after the other one timed
+    /// out counts as the later one.
     pub(crate) fn outranks(&self, other: &Self) -> bool {
         if self.start == other.start {
-            return self.heard > other.heard;
+            return self.last_seen > other.last_seen;
         }
         if self.start > other.start {
-            return other.heard < self.heard + SILENCE_TIMEOUT;
+            return other.last_seen < self.last_seen + SILENCE_TIMEOUT;
         }
-        self.heard >= other.heard + SILENCE_TIMEOUT
+        self.last_seen >= other.last_seen + SILENCE_TIMEOUT
     }
 
     /// Returns the standing after a further report of the same start, or `None` if that report is
@@ -52,11 +52,12 @@
         })
     }
 
-    /// Whether it shows that a goodbye was not from this start.
+    /// Whether it shows that a deregistration was not from this start.
     ///
-    /// The goodbye of the previous start may be delayed and cross the first heartbeats of this one,
+    /// The deregistration of the previous start may be delayed and cross the first heartbeats of this one,
     /// which goes on announcing itself.
-    fn refutes(&self, goodbye: &Self) -> bool {
-        self.standing != Standing::Gone && self.heard >= goodbye.heard + SILENCE_TIMEOUT
+    fn refutes(&self, deregistration: &Self) -> bool {
+        self.standing != Standing::Gone
+            && self.last_seen >= deregistration.last_seen + SILENCE_TIMEOUT
     }
 }
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -3,7 +3,7 @@
 //! A controller fills its table from heartbeats and from the tables of other controllers; a gateway
 //! fills its table from the controllers. Entries of two tables may be merged in any order: a later
 //! start of a server wins over an earlier one, within one start the higher sequence wins, and a
-//! goodbye wins over every heartbeat before it.
+//! deregistration wins over every earlier heartbeat.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use snipemast_core::starts::StartMap;
 
 use crate::announcement::{Announcement, Standing};
-use crate::heard::HeardServer;
+use crate::last_seen::SeenServer;
 use crate::leaving::{LeavingServer, LeavingServers};
 use crate::limit::{KnownLimit, LimitEntry, LimitUpdate};
 use crate::rank::{GroupRank, KnownRank, RankEntry, RankUpdate};
@@ -23,31 +23,31 @@
 ///
 /// This is longer than any cut between the server and the controllers that the gateways don't
 /// share, so that only failures that gateways see themselves take the server out of use. No
-/// heartbeat is late by this much, so whatever is heard after this time was also sent after it.
+/// heartbeat is late by this much, so whatever arrives after this time was also sent after it.
 pub const SILENCE_TIMEOUT: Span = Span::from_secs(30);
 
-/// How long a goodbye, a lost server and a rank are remembered: longer than any heartbeat can be
+/// How long a deregistration, a lost server and a rank are kept: longer than any heartbeat can be
 /// late.
 pub const RETENTION: Span = Span::from_secs(120);
 
-/// How much later than known the end of a server's cold time must be to count as news: more than the
-/// usual differences in how long heartbeats travel.
+/// How much later than before the end of a server's cold time must be to count as a change: more than the
+/// usual jitter of heartbeats.
 const COLD_TOLERANCE: Span = Span::from_millis(500);
 
 data! {
-    /// What one table tells another about a server.
+    /// A server in the messages from one table to another.
     pub struct Entry {
         /// The server's latest heartbeat.
         pub announcement: Announcement,
         /// The server's standing.
         pub standing: Standing,
-        /// How long ago the server was heard.
+        /// How long ago the last heartbeat arrived.
         pub age: Span,
         /// The server's place in a group, if it is known.
         pub rank: Option<RankEntry>,
         /// The server's limit, if it has named one.
         pub limit: Option<LimitEntry>,
-        /// How long ago this start first said in an answer that it is leaving, if it did.
+        /// How long ago an answer of this start first announced that it is leaving, if one did.
         pub leaving: Option<Span>,
     }
 }
@@ -59,20 +59,20 @@
     pub announcement: Announcement,
     /// The server's standing.
     pub standing: Standing,
-    /// When any controller last heard the server.
-    pub heard: Moment,
-    /// Until when the server is cold, as far as it has said.
+    /// When a heartbeat of the server last arrived at any controller.
+    pub last_seen: Moment,
+    /// Until when the server is cold by its announcements.
     pub cold_until: Moment,
     /// The table's revision at the server's last change.
     changed: u64,
 }
 
-/// What announcements and answers tell of one start of a server.
+/// The state of one start of a server by its announcements and answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartState {
-    /// Nothing tells that it has ended or will.
+    /// It is not known to have ended or to be leaving.
     Current,
-    /// It has said that it leaves.
+    /// It has announced that it is leaving.
     Leaving,
     /// Another server, or another start of it, has its address.
     Replaced,
@@ -88,8 +88,8 @@
     /// The latest limits that servers named in their answers.
     limits: StartMap<KnownLimit>,
     leaving: LeavingServers,
-    /// When servers last said goodbye to this process; the start that did may not be known yet.
-    goodbyes: HashMap<ServerId, Moment>,
+    /// When servers last deregistered at this process; the start that did may not be known yet.
+    deregistrations: HashMap<ServerId, Moment>,
     revision: u64,
     /// The revision at the last report of a server that is draining or gone, which is acknowledged
     /// once all gateways have it.
@@ -112,13 +112,13 @@
         changed
     }
 
-    /// Records a goodbye; returns whether it is news.
+    /// Records a deregistration; returns whether it changed the table.
     ///
-    /// A goodbye names no start, so it counts for the latest known one. It is also remembered,
-    /// because the server may have been heard by other controllers only, or may have restarted
-    /// since it was heard here.
-    pub fn record_goodbye(&mut self, now: Moment, id: &ServerId) -> bool {
-        self.goodbyes.insert(id.clone(), now);
+    /// A deregistration names no start, so it applies to the latest known one. It is also kept,
+    /// because the server's heartbeats may have reached other controllers only, or it may have
+    /// restarted since its last heartbeat here.
+    pub fn record_deregistration(&mut self, now: Moment, id: &ServerId) -> bool {
+        self.deregistrations.insert(id.clone(), now);
         let changed = match self.servers.get(id) {
             Some(known) if known.standing != Standing::Gone => {
                 let announcement = known.announcement.clone();
@@ -132,10 +132,10 @@
 
     /// Merges an entry of another table; returns whether it changed more than the time.
     pub fn merge(&mut self, now: Moment, entry: Entry) -> bool {
-        let heard = now - entry.age;
+        let last_seen = now - entry.age;
         let rank = entry.rank.map(|r| (now - r.age, r.update));
         let (id, start) = (entry.announcement.id.clone(), entry.announcement.start);
-        let changed = self.apply(heard, entry.announcement, entry.standing);
+        let changed = self.apply(last_seen, entry.announcement, entry.standing);
         let ranked = rank.is_some_and(|(at, update)| self.record_rank(at, update));
         let limit = entry.limit.map(|limit| limit.to_update(now));
         let limited = limit.is_some_and(|update| self.record_limit(&id, update));
@@ -144,26 +144,25 @@
         changed || ranked || limited || leaves
     }
 
-    /// Records that a start of a server said in an answer that it is leaving, whatever it
-    /// announces; returns whether that is news.
+    /// Records that an answer of a start announced that it is leaving, whatever its heartbeats
+    /// announce; returns whether that changed the table.
     pub fn record_leaving(&mut self, now: Moment, id: &ServerId, start: Incarnation) -> bool {
         self.put_leaving(now, id, start, false)
     }
 
-    /// Merges a gateway's report of a server that is leaving; returns whether it is news.
+    /// Merges a gateway's report of a server that is leaving; returns whether it changed the table.
     pub fn merge_leaving(&mut self, now: Moment, report: &LeavingServer) -> bool {
         self.put_leaving(now - report.age, &report.server, report.start, true)
     }
 
-    /// Returns when the latest start of a server first said that it is leaving, or `None` if it
+    /// Returns when the latest start of a server first announced that it is leaving, or `None` if it
     /// didn't.
     pub fn leaving_since(&self, id: &ServerId) -> Option<Moment> {
         let start = self.servers.get(id)?.announcement.start;
         self.leaving.leaving_since(id, start)
     }
 
-    /// Returns the ready servers that are leaving without any controller being known to have heard
-    /// of it.
+    /// Returns the ready servers that are leaving and that no controller is known to have as such.
     pub fn unreported_leaving(&self, now: Moment) -> Vec<LeavingServer> {
         let ready = |leaving: &LeavingServer| {
             let known = self.servers.get(&leaving.server);
@@ -192,7 +191,7 @@
         true
     }
 
-    /// Records a rank update that a controller received at a moment; returns whether it is news.
+    /// Records when a controller received a rank update; returns whether it changed the table.
     ///
     /// The latest update holds, whatever group it names, because a rank may move to a group whose
     /// epochs are lower. The updates of one process are numbered, so that one that was delayed for
@@ -222,7 +221,7 @@
         self.known_rank(known)?.update.rank.as_ref()
     }
 
-    /// Records what an answer of a server says about its limit; returns whether it is news.
+    /// Records the limit that an answer of a server names; returns whether it changed the table.
     pub fn record_limit(&mut self, id: &ServerId, update: LimitUpdate) -> bool {
         let Some(known) = self.servers.get_mut(id) else {
             return false;
@@ -278,38 +277,38 @@
         let known = self.servers.values().filter(|k| k.changed > revision);
         let mut known: Vec<&KnownServer> = known.collect();
         // Later holders of an address come last, so that they win when the entries are merged.
-        known.sort_unstable_by_key(|k| k.heard);
+        known.sort_unstable_by_key(|k| k.last_seen);
         known.into_iter().map(|k| self.to_entry(k, now)).collect()
     }
 
-    /// Returns the servers that are in use and were heard before they count as silent.
-    pub fn heard_servers(&self, now: Moment) -> Vec<HeardServer> {
-        let heard = self.servers.values().filter(|k| k.is_heard(now));
-        let heard = heard.map(|k| HeardServer {
+    /// Returns the servers in use whose heartbeats have not timed out.
+    pub fn recent_servers(&self, now: Moment) -> Vec<SeenServer> {
+        let last_seen = self.servers.values().filter(|k| k.is_recent(now));
+        let last_seen = last_seen.map(|k| SeenServer {
             server: k.announcement.id.clone(),
             start: k.announcement.start,
             sequence: k.announcement.sequence,
-            age: now.since(k.heard),
+            age: now.since(k.last_seen),
         });
-        heard.collect()
+        last_seen.collect()
     }
 
-    /// Merges the servers that another table's owner has heard. Returns whether this table has all of
-    /// them; otherwise a change was missed, and the other table is needed in full.
-    pub fn merge_heard(&mut self, now: Moment, heard: &[HeardServer]) -> bool {
+    /// Merges the last heartbeats in another table. Returns whether this table has all of these servers;
+    /// otherwise a change was missed, and the other table is needed in full.
+    pub fn merge_last_seen(&mut self, now: Moment, last_seen: &[SeenServer]) -> bool {
         let mut complete = true;
-        for told in heard {
-            let Some(known) = self.servers.get_mut(&told.server) else {
-                complete &= self.goodbyes.contains_key(&told.server);
+        for other in last_seen {
+            let Some(known) = self.servers.get_mut(&other.server) else {
+                complete &= self.deregistrations.contains_key(&other.server);
                 continue;
             };
             let announced = &mut known.announcement;
-            if told.start != announced.start || known.standing == Standing::Lost {
-                complete &= told.start < announced.start;
+            if other.start != announced.start || known.standing == Standing::Lost {
+                complete &= other.start < announced.start;
                 continue;
             }
-            announced.sequence = announced.sequence.max(told.sequence);
-            known.heard = known.heard.max(now - told.age);
+            announced.sequence = announced.sequence.max(other.sequence);
+            known.last_seen = known.last_seen.max(now - other.age);
         }
         complete
     }
@@ -334,7 +333,7 @@
         self.servers.get(id)
     }
 
-    /// Returns what is told of a start of a server. Its silence alone tells nothing.
+    /// Returns the state of a start of a server. Missing heartbeats alone don't change it.
     pub fn start_state(&self, id: &ServerId, start: Incarnation) -> StartState {
         let Some(known) = self.servers.get(id) else {
             return StartState::Current;
@@ -366,14 +365,14 @@
         Some((known.announcement.start, known.standing))
     }
 
-    /// Marks servers that were silent for a long time as lost; returns whether that changed
+    /// Marks servers whose heartbeats timed out as lost; returns whether that changed
     /// anything.
     ///
-    /// Only the owner of a table that receives heartbeats, or learns of each one, may call this.
+    /// Only the owner of a table that receives all heartbeats, or their times, may call this.
     pub fn expire(&mut self, now: Moment) -> bool {
         let before = self.revision;
         for known in self.servers.values_mut() {
-            if known.standing == Standing::Ready && now >= known.heard + SILENCE_TIMEOUT {
+            if known.standing == Standing::Ready && now >= known.last_seen + SILENCE_TIMEOUT {
                 self.revision += 1;
                 known.standing = Standing::Lost;
                 known.changed = self.revision;
@@ -385,9 +384,9 @@
 
     /// Forgets servers that were lost or left a long time ago.
     pub fn forget(&mut self, now: Moment) {
-        let past = |heard: Moment| now >= heard + RETENTION;
+        let past = |last_seen: Moment| now >= last_seen + RETENTION;
         self.servers
-            .retain(|_, k| k.standing < Standing::Lost || !past(k.heard));
+            .retain(|_, k| k.standing < Standing::Lost || !past(k.last_seen));
         let servers = &self.servers;
         self.holders.retain(|_, id| servers.contains_key(id));
         let is_latest = |id: &ServerId, start: Incarnation| {
@@ -396,8 +395,8 @@
         };
         self.limits.retain(|id, start, _| is_latest(id, start));
         self.leaving.forget(now, is_latest);
-        self.goodbyes.retain(|_, at| !past(*at));
-        // A rank is told again only when it changes, so it is kept for as long as its server is.
+        self.deregistrations.retain(|_, at| !past(*at));
+        // A rank is sent again only when it changes, so it is kept for as long as its server is.
         let is_held = |address: &SocketAddr| {
             let holder = self.holders.get(address);
             holder.is_some_and(|id| servers.contains_key(id))
@@ -408,14 +407,14 @@
 
     fn to_entry(&self, known: &KnownServer, now: Moment) -> Entry {
         let rank = self.known_rank(known);
-        let cold_left = known.heard.until(known.cold_until);
+        let cold_left = known.last_seen.until(known.cold_until);
         Entry {
             announcement: Announcement {
                 cold_left,
                 ..known.announcement.clone()
             },
             standing: known.standing,
-            age: now.since(known.heard),
+            age: now.since(known.last_seen),
             rank: rank.map(|rank| RankEntry {
                 update: rank.update.clone(),
                 age: now.since(rank.received),
@@ -433,19 +432,19 @@
     /// than the time.
     ///
     /// Failure guarded against: a delayed heartbeat arrives after a later one, or after the
-    /// server's goodbye, and brings back a server that is leaving or gone.
-    fn apply(&mut self, heard: Moment, announcement: Announcement, standing: Standing) -> bool {
+    /// server's deregistration, and brings back a server that is leaving or gone.
+    fn apply(&mut self, last_seen: Moment, announcement: Announcement, standing: Standing) -> bool {
         let report = Report {
             start: announcement.start,
             sequence: announcement.sequence,
             standing,
-            heard,
+            last_seen,
         };
-        let goodbye = self.goodbyes.get(&announcement.id).copied();
+        let deregistration = self.deregistrations.get(&announcement.id).copied();
         let Some(known) = self.servers.get_mut(&announcement.id) else {
-            return match goodbye {
-                Some(at) => self.put(at.max(heard), announcement, Standing::Gone),
-                None => self.put(heard, announcement, standing),
+            return match deregistration {
+                Some(at) => self.put(at.max(last_seen), announcement, Standing::Gone),
+                None => self.put(last_seen, announcement, standing),
             };
         };
         let last = known.report();
@@ -453,21 +452,21 @@
             if !report.outranks(&last) {
                 return false;
             }
-            // Failure guarded against: the goodbye of this start arrived and was acknowledged
-            // while only the start before it was known here, although other controllers had
-            // already heard this start.
-            return match goodbye.filter(|at| heard <= *at) {
+            // Failure guarded against: the deregistration of this start arrived and was acknowledged
+            // while only the previous start was known here, although heartbeats of this one had
+            // already reached other controllers.
+            return match deregistration.filter(|at| last_seen <= *at) {
                 Some(at) => self.put(at, announcement, Standing::Gone),
-                None => self.put(heard, announcement, standing),
+                None => self.put(last_seen, announcement, standing),
             };
         }
         let Some(standing) = last.merged_standing(&report) else {
             if report.sequence == last.sequence && standing != Standing::Gone {
-                known.heard = known.heard.max(heard);
+                known.last_seen = known.last_seen.max(last_seen);
             }
             return false;
         };
-        let cold_until = heard + announcement.cold_left;
+        let cold_until = last_seen + announcement.cold_left;
         let turned_cold = announcement.cold_left > Span::default()
             && cold_until >= known.cold_until + COLD_TOLERANCE;
         let same = !turned_cold
@@ -475,21 +474,21 @@
             && known.announcement.address == announcement.address
             && known.announcement.slots == announcement.slots;
         if same && standing != Standing::Lost {
-            known.heard = known.heard.max(heard);
+            known.last_seen = known.last_seen.max(last_seen);
             known.announcement = announcement;
             return false;
         }
-        self.put(heard, announcement, standing)
+        self.put(last_seen, announcement, standing)
     }
 
-    fn put(&mut self, heard: Moment, announcement: Announcement, standing: Standing) -> bool {
+    fn put(&mut self, last_seen: Moment, announcement: Announcement, standing: Standing) -> bool {
         self.revision += 1;
         let (id, address) = (announcement.id.clone(), announcement.address);
         let known = KnownServer {
-            cold_until: heard + announcement.cold_left,
+            cold_until: last_seen + announcement.cold_left,
             announcement,
             standing,
-            heard,
+            last_seen,
             changed: self.revision,
         };
         self.servers.insert(id.clone(), known);
@@ -504,7 +503,7 @@
     ///
     /// Failure guarded against: a server crashes, another one gets its address, and requests for
     /// the first one reach the second. The server that started last holds the address. If servers
-    /// don't report their starts, the server that was heard last holds it: a delayed heartbeat may
+    /// don't report their starts, the server with the latest heartbeat holds it: a delayed heartbeat may
     /// then take the address away until the holder's next heartbeat. Even in that time no request
     /// runs at the wrong server, because each request names its instance.
     fn assign_address(&mut self, address: SocketAddr, id: ServerId) {
@@ -536,10 +535,10 @@
 }
 
 impl KnownServer {
-    /// Whether it is in use and was heard before it counts as silent.
-    fn is_heard(&self, now: Moment) -> bool {
+    /// Whether it is in use and its heartbeats have not timed out.
+    fn is_recent(&self, now: Moment) -> bool {
         let in_use = matches!(self.standing, Standing::Ready | Standing::Draining);
-        in_use && now < self.heard + SILENCE_TIMEOUT
+        in_use && now < self.last_seen + SILENCE_TIMEOUT
     }
 
     fn report(&self) -> Report {
@@ -547,7 +546,7 @@
             start: self.announcement.start,
             sequence: self.announcement.sequence,
             standing: self.standing,
-            heard: self.heard,
+            last_seen: self.last_seen,
         }
     }
 }
--- a/crates/registry/src/news.rs
+++ b/crates/registry/src/updates.rs
@@ -1,7 +1,7 @@
 //! The polls that gateways, sidecars and controllers send to a controller, and its answers.
 //!
-//! A poll says what the poller has. The controller answers as soon as there is news, or after a
-//! bounded wait. The next poll thus acknowledges the answer before it.
+//! A poll names the state that the poller has. The controller answers as soon as it has changes, or after a
+//! bounded wait. The next poll thus acknowledges the previous answer.
 
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
@@ -11,9 +11,9 @@
 use snipemast_core::prelude::*;
 use snipemast_placement::{OutcomeCount, Suspect};
 
-use crate::crashes::CrashNews;
+use crate::crashes::CrashUpdate;
 use crate::grants::{Demand, Grant};
-use crate::heard::HeardServer;
+use crate::last_seen::SeenServer;
 use crate::leaving::LeavingServer;
 use crate::relays::Coverage;
 use crate::table::Entry;
@@ -69,8 +69,9 @@
         pub zone: Option<ZoneId>,
         /// The configuration version that the poller has in force.
         pub version: Version,
-        /// The highest version that this controller has told it of.
-        pub told: Version,
+        /// The highest version that this controller has announced to it.
+        #[serde(rename = "told")]
+        pub announced: Version,
         /// Whether the answer should carry the document, if there is a newer one.
         #[serde(rename = "wanted")]
         pub wants_document: bool,
@@ -79,35 +80,35 @@
         /// The [`controllers_digest`] of the controllers that the poller knows of; 0 if it knows none.
         #[serde(default)]
         pub controllers_digest: u64,
-        /// The revision of the evacuations that the poller has in force; none if it needs no news of
-        /// them.
+        /// The revision of the evacuations that the poller has in force; none if it needs none
+        /// of their changes.
         #[serde(default)]
         pub evacuations: Option<u64>,
         /// Whether the answer may leave the entries out, because other controllers pass them on to the
         /// poller.
         #[serde(default)]
         pub without_entries: bool,
-        /// Whether the poller is a controller that keeps what it was told. Others get all entries with
+        /// Whether the poller is a controller that keeps the entries it received. Others get all entries with
         /// every answer.
         #[serde(default)]
         pub incremental: bool,
-        /// Whether the answer should list the servers that were heard.
-        #[serde(default)]
-        pub wants_heard: bool,
-        /// How long the answer may wait for news.
+        /// Whether the answer should list the servers with recent heartbeats.
+        #[serde(default, rename = "wants_heard")]
+        pub wants_last_seen: bool,
+        /// How long the answer may wait for changes.
         pub wait: Span,
         /// The poller's own requests in flight, if this controller adds them up.
         #[serde(rename = "flying")]
         pub in_flight: InFlight,
         /// The slow servers of the poller's group, if it leads one.
         pub slow: Vec<SlowServer>,
-        /// What the poller knows of servers' limits and would send there, if this controller
+        /// The poller's view of servers' limits and the requests that it would send there, if this controller
         /// grants that.
         pub demands: Vec<Demand>,
         /// The servers that don't answer the poller, if this controller leads.
         #[serde(rename = "still")]
         pub silent: Vec<ServerId>,
-        /// The servers that told the poller that they are leaving, if this controller leads and
+        /// The servers whose answers announced to the poller that they are leaving, if this controller leads and
         /// hasn't reported them.
         pub leaving: Vec<LeavingServer>,
         /// How requests of the poller ended lately at servers that failed some, if this controller
@@ -116,11 +117,11 @@
         pub outcomes: Vec<OutcomeCount>,
         /// The requests whose servers ended, as the poller knows them.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        pub crashes: Option<CrashNews>,
+        pub crashes: Option<CrashUpdate>,
     }
 
     /// A controller's answer to a poll.
-    pub struct News {
+    pub struct Update {
         /// The position up to which the entries reach.
         pub cursor: Cursor,
         /// What changed in the table.
@@ -129,9 +130,9 @@
         /// controller's availability zone.
         #[serde(default)]
         pub covered: Vec<Coverage>,
-        /// The servers that were heard, if the poller asked for them.
-        #[serde(default)]
-        pub heard: Vec<HeardServer>,
+        /// The servers with recent heartbeats, if the poller requested them.
+        #[serde(default, rename = "heard")]
+        pub last_seen: Vec<SeenServer>,
         /// The highest committed version that this controller knows.
         pub version: Version,
         /// The document of that version, as its operator sent it.
@@ -164,11 +165,11 @@
         #[serde(default)]
         pub suspects: Vec<Suspect>,
         /// The requests that the poller may send to servers that name limits, or `None` if this
-        /// controller can't tell.
+        /// controller doesn't know.
         pub grants: Option<Vec<Grant>>,
         /// The requests whose servers ended, as this controller knows them.
         #[serde(default, skip_serializing_if = "Option::is_none")]
-        pub crashes: Option<CrashNews>,
+        pub crashes: Option<CrashUpdate>,
     }
 
     /// The text of a document.
@@ -177,8 +178,8 @@
 
 /// Returns a number that identifies a set of controllers, in any order.
 ///
-/// Answers name controllers only where they changed: their names make up much of an answer without
-/// news, which each controller sends to each gateway once a second.
+/// Answers name controllers only where they changed: their names make up much of an empty answer,
+/// which each controller sends to each gateway once a second.
 pub fn controllers_digest(controllers: impl IntoIterator<Item = SocketAddr>) -> u64 {
     let digest = |address: SocketAddr| {
         let ip = match address.ip() {
@@ -219,14 +220,14 @@
             kind,
             zone: None,
             version: Version(0),
-            told: Version(0),
+            announced: Version(0),
             wants_document: false,
             cursor: Cursor::default(),
             controllers_digest: 0,
             evacuations: None,
             without_entries: false,
             incremental: false,
-            wants_heard: false,
+            wants_last_seen: false,
             wait: Span::default(),
             in_flight: InFlight::new(),
             slow: Vec::new(),
--- a/crates/registry/tests/crashes.rs
+++ b/crates/registry/tests/crashes.rs
@@ -1,7 +1,7 @@
 //! How gateways and controllers tell each other of requests whose servers ended.
 
 use snipemast_core::prelude::*;
-use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
+use snipemast_registry::crashes::{answer_crash_poll, has_crash_update};
 use snipemast_registry::CrashExchange;
 use snipemast_requests::crashes::EndedRun;
 use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
@@ -97,7 +97,7 @@
             table: theirs,
         } = &mut self.controllers[controller];
         let poll = exchange.next_poll(now, table);
-        for record in poll.iter().flat_map(|news| &news.records) {
+        for record in poll.iter().flat_map(|update| &update.records) {
             theirs.merge(now, record.clone());
         }
         let answer = answer_crash_poll(now, *epoch, theirs, poll.as_ref());
@@ -172,7 +172,7 @@
     }
 }
 
-/// Guards against records that are never told again because the answer to the poll that told them was lost.
+/// Guards against records that are never sent again because the answer to the poll that carried them was lost.
 #[test]
 fn lost_answers_repeated() {
     let mut fleet = Fleet::new(3, 1);
@@ -185,10 +185,10 @@
     assert_eq!(fleet.count_knowing(), 3);
 }
 
-/// Guards against gateways that are all told of each innocent request that was on a server that ended, and against
+/// Guards against gateways that all receive each innocent request that was on a server that ended, and against
 /// polls that are answered at once for ever.
 #[test]
-fn innocent_not_told() {
+fn innocent_not_sent() {
     let mut fleet = Fleet::new(3, 1);
     fleet.end(0);
     fleet.poll_all(&[0]);
@@ -200,7 +200,7 @@
     for gateway in &fleet.gateways {
         let poll = gateway.exchanges[0].next_poll(now, &gateway.table);
         let Controller { epoch, table } = &fleet.controllers[0];
-        assert!(!has_crash_news(*epoch, table, poll.as_ref()));
+        assert!(!has_crash_update(*epoch, table, poll.as_ref()));
     }
 }
 
@@ -214,7 +214,7 @@
     fleet.end(0);
     fleet.poll_all(&[0, 1, 2]);
     assert_eq!(fleet.count_carrying(), 0);
-    // A controller that starts anew is told again all the same.
+    // A restarted controller is sent them again all the same.
     fleet.controllers[1] = fleet.new_controller();
     fleet.poll_all(&[1]);
     assert_eq!(fleet.controllers[1].table.len(), 1);
@@ -234,6 +234,6 @@
     let Controller { epoch, table } = &fleet.controllers[0];
     for gateway in &fleet.gateways {
         let poll = gateway.exchanges[0].next_poll(fleet.now, &gateway.table);
-        assert!(!has_crash_news(*epoch, table, poll.as_ref()));
+        assert!(!has_crash_update(*epoch, table, poll.as_ref()));
     }
 }
--- a/crates/registry/tests/heard.rs
+++ b/crates/registry/tests/last_seen.rs
@@ -4,7 +4,7 @@
 use quickcheck::{quickcheck, TestResult};
 
 use snipemast_core::prelude::*;
-use snipemast_registry::heard::HEARD_INTERVAL;
+use snipemast_registry::last_seen::LAST_SEEN_INTERVAL;
 use snipemast_registry::table::{RETENTION, SILENCE_TIMEOUT};
 use snipemast_registry::{
     Announcement, Cursor, GroupRank, Poll, PollerKind, RankUpdate, Standing, Table,
@@ -39,7 +39,7 @@
 struct Controller {
     table: Table,
     cursors: Vec<Cursor>,
-    heard: Vec<Option<Moment>>,
+    last_seen: Vec<Option<Moment>>,
 }
 
 impl Controller {
@@ -47,31 +47,32 @@
         Self {
             table: Table::new(),
             cursors: vec![Cursor::default(); count],
-            heard: vec![None; count],
+            last_seen: vec![None; count],
         }
     }
 
     /// Returns the poll of another controller.
     fn poll(&self, now: Moment, other: usize) -> Poll {
         let host = HostId::new("core-1").unwrap();
-        let heard = self.heard[other];
+        let last_seen = self.last_seen[other];
         Poll {
             cursor: self.cursors[other],
             incremental: true,
-            wants_heard: heard.is_none_or(|heard| now >= heard + HEARD_INTERVAL),
+            wants_last_seen: last_seen
+                .is_none_or(|last_seen| now >= last_seen + LAST_SEEN_INTERVAL),
             ..Poll::new(host, PollerKind::Controller)
         }
     }
 }
 
-/// Has a controller poll another one, and returns the bytes of the entries and heard servers in the answer.
+/// Has a controller poll another one, and returns the bytes of the entries and last heartbeats in the answer.
 fn exchange(all: &mut [Controller], now: Moment, asker: usize, other: usize) -> usize {
     let poll = all[asker].poll(now, other);
     let epoch = other as u64 + 1;
     let table = &all[other].table;
     let entries = table.since(poll.after(epoch), now);
-    let heard = if poll.wants_heard {
-        table.heard_servers(now)
+    let last_seen = if poll.wants_last_seen {
+        table.recent_servers(now)
     } else {
         Vec::new()
     };
@@ -79,15 +80,17 @@
         epoch,
         revision: table.revision(),
     };
-    let bytes = rmp_serde::to_vec_named(&(&entries, &heard)).unwrap().len();
+    let bytes = rmp_serde::to_vec_named(&(&entries, &last_seen))
+        .unwrap()
+        .len();
     let own = &mut all[asker];
     for entry in entries {
         own.table.merge(now, entry);
     }
-    let complete = own.table.merge_heard(now, &heard);
+    let complete = own.table.merge_last_seen(now, &last_seen);
     own.cursors[other] = if complete { cursor } else { Cursor::default() };
-    if poll.wants_heard {
-        own.heard[other] = Some(now);
+    if poll.wants_last_seen {
+        own.last_seen[other] = Some(now);
     }
     bytes
 }
@@ -108,9 +111,9 @@
                 .table
                 .record_heartbeat(now, heartbeat(number, sequence));
         }
-        let told = exchange(&mut all, now, 0, 1);
+        let sent = exchange(&mut all, now, 0, 1);
         if round > 0 {
-            bytes += told;
+            bytes += sent;
         }
     }
     let entries = all[1].table.since(0, at(60_000));
@@ -121,9 +124,9 @@
     );
 }
 
-/// Guards against a server that another controller hears, and that is lost here because only changes are told.
+/// Guards against a server whose heartbeats reach another controller, and that is lost here because only changes are told.
 #[test]
-fn heard_elsewhere_kept() {
+fn seen_elsewhere_kept() {
     let mut all = [Controller::new(2), Controller::new(2)];
     for step in 0..400 {
         let now = at(step * 300);
@@ -137,7 +140,7 @@
     }
 }
 
-/// Guards against a late heartbeat that counts as new because only changes were told since: the server drained.
+/// Guards against a late heartbeat that counts as new because only changes were sent since: the server drained.
 #[test]
 fn late_heartbeat_outdated() {
     let mut all = [Controller::new(2), Controller::new(2)];
--- a/crates/registry/tests/leaving.rs
+++ b/crates/registry/tests/leaving.rs
@@ -62,7 +62,7 @@
     assert_eq!(table.leaving_since(&id()), None);
 }
 
-/// Guards against a leaving server that is absent from the news for a while and comes back as
+/// Guards against a leaving server that is absent from the updates for a while and comes back as
 /// ready.
 #[test]
 fn leaving_remembered() {
@@ -75,10 +75,10 @@
     assert_eq!(table.leaving_since(&id()), Some(at(10)));
 }
 
-/// Guards against a server that told only one gateway that it is leaving, so that all the others go
+/// Guards against a server whose announcement that it is leaving reached one gateway only, so that all the others go
 /// on sending to it.
 #[test]
-fn all_gateways_told() {
+fn all_gateways_know() {
     let (mut gateway, mut leader, mut other) = (table(), table(), table());
     announce_leaving(&mut gateway, at(10));
     let reports = gateway.unreported_leaving(at(110));
@@ -91,10 +91,10 @@
     assert_eq!(reports, [expected]);
     let revision = leader.revision();
     assert!(leader.merge_leaving(at(110), &reports[0]));
-    let news = leader.since(revision, at(210));
-    assert_eq!(news.len(), 1);
+    let entries = leader.since(revision, at(210));
+    assert_eq!(entries.len(), 1);
     for table in [&mut other, &mut gateway] {
-        table.merge(at(210), news[0].clone());
+        table.merge(at(210), entries[0].clone());
         assert_eq!(table.leaving_since(&id()), Some(at(10)));
     }
     assert_eq!(gateway.unreported_leaving(at(210)), []);
@@ -125,7 +125,7 @@
     };
     table.record_heartbeat(at(0), announcement.clone());
     assert!(table.leaving_since(&last).is_some());
-    table.record_goodbye(at(0), &last);
+    table.record_deregistration(at(0), &last);
     table.forget(at(10_000) + hour);
     table.record_heartbeat(at(10_000) + hour, announcement);
     assert_eq!(
@@ -136,7 +136,7 @@
 }
 
 quickcheck! {
-    /// A start that once said that it is leaving goes on leaving, whatever is heard in whatever
+    /// A start that once said that it is leaving goes on leaving, whatever arrives in whatever
     /// order.
     fn never_ready_again(reports: Vec<(u8, u8)>) -> bool {
         let mut table = table();
@@ -147,7 +147,7 @@
                 0 => drop(table.record_heartbeat(now, heartbeat(1, sequence))),
                 1 => drop(table.merge(now, entry(1, sequence, Standing::Ready))),
                 2 => drop(table.merge(now, entry(1, sequence, Standing::Lost))),
-                3 => drop(table.record_goodbye(now, &id())),
+                3 => drop(table.record_deregistration(now, &id())),
                 4 => drop(table.expire(now)),
                 _ => table.forget(now),
             }
--- a/crates/registry/tests/outcomes.rs
+++ b/crates/registry/tests/outcomes.rs
@@ -106,7 +106,7 @@
 }
 
 /// Guards against a poll that comes twice and counts twice, and against a leader that answers with
-/// what it knew before it stood still, or that a new leader would have to be told.
+/// what it knew before it stood still, or that a new leader would have to receive again.
 #[test]
 fn polls_replace() {
     let mut pollers = Pollers::default();
@@ -142,7 +142,7 @@
     assert!(outliers(&mut pollers, at(100), 36).is_empty());
 }
 
-/// Guards against news that grow with the number of failing servers, and processes of another
+/// Guards against answers that grow with the number of failing servers, and processes of another
 /// release that send or understand none.
 #[test]
 fn news_are_bounded() {
@@ -272,8 +272,8 @@
         let (counts, age) = self.pollers.in_flight(now, &host(gateway));
         servers.set_other_counts(now, age, counts.into_iter());
         if shared {
-            let told: Vec<Suspect> = self.pollers.suspects(now, || placed(SERVERS));
-            servers.set_suspects(now, told);
+            let suspects: Vec<Suspect> = self.pollers.suspects(now, || placed(SERVERS));
+            servers.set_suspects(now, suspects);
         }
     }
 
--- a/crates/registry/tests/parts.rs
+++ b/crates/registry/tests/parts.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use snipemast_core::prelude::*;
-use snipemast_registry::crashes::{answer_crash_poll, has_crash_news};
+use snipemast_registry::crashes::{answer_crash_poll, has_crash_update};
 use snipemast_registry::CrashExchange;
 use snipemast_requests::crashes::EndedRun;
 use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
@@ -451,11 +451,12 @@
                 } = &mut self.controllers[at];
                 let exchange = &mut exchanges[at];
                 let poll = due.then(|| exchange.next_poll(now, table)).flatten();
-                if !due && !has_crash_news(*epoch, theirs, exchange.next_poll(now, table).as_ref())
+                if !due
+                    && !has_crash_update(*epoch, theirs, exchange.next_poll(now, table).as_ref())
                 {
                     continue;
                 }
-                for record in poll.iter().flat_map(|news| &news.records) {
+                for record in poll.iter().flat_map(|update| &update.records) {
                     theirs.merge(now, record.clone());
                 }
                 let answer = answer_crash_poll(now, *epoch, theirs, poll.as_ref());
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use snipemast_core::prelude::*;
-use snipemast_registry::news::{controllers_digest, InFlight};
+use snipemast_registry::updates::{controllers_digest, InFlight};
 use snipemast_registry::{Cursor, Poll, PollerKind, Pollers};
 
 fn poll(version: u64, place: u64) -> Poll {
     let host = HostId::new("host-11").expect("a valid host name");
     Poll {
         version: Version(version),
-        told: Version(version),
+        announced: Version(version),
         wants_document: true,
         cursor: Cursor {
             epoch: 1,
--- a/crates/registry/tests/ranks.rs
+++ b/crates/registry/tests/ranks.rs
@@ -90,7 +90,7 @@
     assert_eq!(group(&table, "i-1"), None);
 }
 
-/// Guards against a changed place that isn't in the news, and against news of a place that didn't
+/// Guards against a changed place that isn't in the updates, and against updates of a place that didn't
 /// change.
 #[test]
 fn only_changes_reported() {
@@ -98,9 +98,9 @@
     table.record_heartbeat(at(0), heartbeat("i-1", 0, 1));
     let revision = table.revision();
     table.record_rank(at(10), update("g0", 0, 1, 6));
-    let news = table.since(revision, at(20));
-    assert_eq!(news.len(), 1);
-    assert!(news[0].rank.is_some());
+    let entries = table.since(revision, at(20));
+    assert_eq!(entries.len(), 1);
+    assert!(entries[0].rank.is_some());
     let revision = table.revision();
     table.record_rank(at(30), update("g0", 0, 1, 7));
     assert!(table.since(revision, at(40)).is_empty());
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -219,7 +219,7 @@
     assert!(fleet.table.get(&id(1)).is_some());
 }
 
-/// Guards against a gateway that waits in vain for the only controller of its zone after the news no longer name it, and
+/// Guards against a gateway that waits in vain for the only controller of its zone after the updates no longer name it, and
 /// with that ends its polls: the changes of the others come at once, also if an answer to the last poll is late.
 #[test]
 fn unpolled_relay_replaced() {
@@ -243,7 +243,7 @@
 }
 
 /// Guards against the acknowledgement of a drain that waits for gateways which are not woken for it, and against
-/// gateways that every controller wakes for changes that it only heard of.
+/// gateways that every controller wakes for changes that it only received.
 #[test]
 fn only_reported_drains_awaited() {
     let mut fleet = Fleet::new(2, 1);
@@ -254,11 +254,11 @@
     table.record_heartbeat(at(1), heartbeat(1, 2, true));
     let drained = table.revision();
     assert_eq!(table.awaited_revision(), drained);
-    // The server repeats itself, here or where only others had heard it.
+    // The server repeats itself, here or where it reached only others.
     table.record_heartbeat(at(2), heartbeat(3, 1, false));
     table.record_heartbeat(at(3), heartbeat(1, 3, true));
     assert_eq!(table.awaited_revision(), table.revision());
-    table.record_goodbye(at(4), &id(2));
+    table.record_deregistration(at(4), &id(2));
     assert_eq!(table.awaited_revision(), table.revision());
     fleet.exchange(at(5), 1, 0);
     assert!(fleet.controllers[1].table.revision() > 0);
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -75,7 +75,7 @@
     assert_eq!(standing(&table), Some(Standing::Draining));
     table.record_heartbeat(at(3_000), heartbeat(4_000, 1, false));
     assert_eq!(standing(&table), Some(Standing::Ready));
-    table.record_goodbye(at(5_000), &id());
+    table.record_deregistration(at(5_000), &id());
     assert_eq!(standing(&table), Some(Standing::Gone));
     table.record_heartbeat(at(9_000), heartbeat(9_500, 1, false));
     assert_eq!(standing(&table), Some(Standing::Ready));
@@ -90,7 +90,7 @@
     assert!(!table.record_heartbeat(at(500), heartbeat(1_000, 90, true)));
     assert_eq!(standing(&table), Some(Standing::Ready));
     let known = table.get(&id()).expect("the server is known");
-    assert_eq!((known.announcement.sequence, known.heard), (1, at(0)));
+    assert_eq!((known.announcement.sequence, known.last_seen), (1, at(0)));
 }
 
 /// Guards against a request that reaches a server that has left: its goodbye arrived at a
@@ -101,7 +101,7 @@
     let (mut cut, mut other) = (Table::new(), Table::new());
     cut.record_heartbeat(at(0), heartbeat(1_000, 9, false));
     other.record_heartbeat(at(4_000), heartbeat(3_000, 1, false));
-    cut.record_goodbye(at(6_000), &id());
+    cut.record_deregistration(at(6_000), &id());
     exchange(at(6_500), &mut cut, &mut other);
     assert_eq!(standing(&cut), Some(Standing::Gone));
     assert_eq!(standing(&other), Some(Standing::Gone));
@@ -115,7 +115,7 @@
     let mut table = Table::new();
     table.record_heartbeat(at(0), heartbeat(1_000, 9, false));
     table.record_heartbeat(at(3_000), heartbeat(3_000, 1, false));
-    table.record_goodbye(at(3_500), &id());
+    table.record_deregistration(at(3_500), &id());
     for sequence in 2..40 {
         table.record_heartbeat(
             at(3_000 + sequence * 1_200),
@@ -131,7 +131,7 @@
 fn late_heartbeat_ignored() {
     let mut table = Table::new();
     table.record_heartbeat(at(0), heartbeat(1_000, 9, false));
-    table.record_goodbye(at(1_000), &id());
+    table.record_deregistration(at(1_000), &id());
     assert!(!table.record_heartbeat(at(9_000), heartbeat(1_000, 10, false)));
     assert_eq!(standing(&table), Some(Standing::Gone));
 }
@@ -253,7 +253,7 @@
         }
         let table = if at_first { &mut a } else { &mut b };
         now = now + Span::from_millis(20);
-        table.record_goodbye(now, &id());
+        table.record_deregistration(now, &id());
         exchange(now, &mut a, &mut b);
         let gone = |table: &Table| standing(table).is_none_or(|s| s == Standing::Gone);
         gone(&a) && gone(&b)
--- a/crates/requests/src/crash_record.rs
+++ b/crates/requests/src/crash_record.rs
@@ -292,7 +292,7 @@
     }
 
     /// Whether other processes are told of the request or part.
-    pub(crate) fn is_told(&self) -> bool {
+    pub(crate) fn is_shared(&self) -> bool {
         self.ends.len() >= SUSPECT_ENDS
     }
 
@@ -324,7 +324,7 @@
         self.last_end() + retention
     }
 
-    pub(crate) fn to_told(&self, now: Moment, cause: Fingerprint) -> CrashRecord {
+    pub(crate) fn to_record(&self, now: Moment, cause: Fingerprint) -> CrashRecord {
         let ends = self.ends.iter().map(|end| ServerEnd {
             server: end.server.clone(),
             start: end.start,
--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -20,7 +20,7 @@
 pub const MAX_RECORDS: usize = 4_096;
 
 /// The largest number of records in one message.
-pub const MAX_TOLD: usize = 64;
+pub const MAX_SHARED: usize = 64;
 
 /// Added to all times, because a process learns of servers that ended before its clock started.
 const PAST: Span = Span::from_secs(30 * 86_400);
@@ -60,7 +60,7 @@
     servers: Record,
     revision: u64,
     /// The revision at the last change of a record that other processes are told of.
-    told_revision: u64,
+    shared_revision: u64,
     /// The requests that completed lately, and the parts that survived.
     completed: Survivals,
     survived: Survivals,
@@ -82,7 +82,7 @@
             records: HashMap::new(),
             servers: Record::new(Scope::Servers),
             revision: 0,
-            told_revision: 0,
+            shared_revision: 0,
             completed: Survivals::default(),
             survived: Survivals::default(),
             attribution: Attribution::default(),
@@ -106,8 +106,8 @@
     }
 
     /// Returns the revision at the last change of a record that other processes are told of.
-    pub fn told_revision(&self) -> u64 {
-        self.told_revision
+    pub fn shared_revision(&self) -> u64 {
+        self.shared_revision
     }
 
     /// Returns the verdict on a request or part by itself.
@@ -173,7 +173,7 @@
     /// Returns what is known of a request or part.
     pub fn record(&self, now: Moment, cause: &Fingerprint) -> Option<CrashRecord> {
         let record = self.records.get(cause)?;
-        Some(record.to_told(now + PAST, *cause))
+        Some(record.to_record(now + PAST, *cause))
     }
 
     /// Records that a start of a server ended under a request that was sent to it. Returns the causes of which
@@ -232,7 +232,7 @@
         attempt: AttemptHash,
         arrived: Moment,
     ) -> bool {
-        let Some(record) = self.records.get_mut(request).filter(|r| r.is_told()) else {
+        let Some(record) = self.records.get_mut(request).filter(|r| r.is_shared()) else {
             return false;
         };
         if !record.add_attempt(now + PAST, attempt, arrived + PAST) {
@@ -240,7 +240,7 @@
         }
         self.revision += 1;
         record.changed = self.revision;
-        self.told_revision = self.revision;
+        self.shared_revision = self.revision;
         self.stale = true;
         self.attribute(now);
         true
@@ -284,8 +284,8 @@
     }
 
     /// Returns the same, without the requests that only the process that collects the records needs.
-    pub fn told_since(&self, now: Moment, after: u64) -> (Vec<CrashRecord>, u64) {
-        self.filter_since(now, after, self.told_revision, Record::is_told)
+    pub fn shared_since(&self, now: Moment, after: u64) -> (Vec<CrashRecord>, u64) {
+        self.filter_since(now, after, self.shared_revision, Record::is_shared)
     }
 
     /// Returns the records of a kind that changed after a revision, of which `last` is the last one.
@@ -301,12 +301,14 @@
         let changed = changed.filter(|(_, r)| r.changed > after && include(r));
         let mut changed: Vec<_> = changed.collect();
         changed.sort_by_key(|(_, r)| r.changed);
-        let reached = match changed.get(MAX_TOLD) {
+        let reached = match changed.get(MAX_SHARED) {
             Some((_, next)) => next.changed - 1,
             None => last,
         };
-        changed.truncate(MAX_TOLD);
-        let told = changed.into_iter().map(|(f, r)| r.to_told(now + PAST, *f));
+        changed.truncate(MAX_SHARED);
+        let told = changed
+            .into_iter()
+            .map(|(f, r)| r.to_record(now + PAST, *f));
         (told.collect(), reached)
     }
 
@@ -348,7 +350,7 @@
         if !std::mem::take(&mut self.stale) {
             return;
         }
-        let candidates = self.records.iter().filter(|(_, r)| r.is_told());
+        let candidates = self.records.iter().filter(|(_, r)| r.is_shared());
         let candidates = candidates.map(|(cause, record)| Candidate {
             cause: *cause,
             scope: record.scope,
@@ -396,8 +398,8 @@
         if changed {
             self.revision += 1;
             record.changed = self.revision;
-            if record.is_told() {
-                self.told_revision = self.revision;
+            if record.is_shared() {
+                self.shared_revision = self.revision;
                 self.stale = true;
             }
             self.evict();
--- a/crates/requests/tests/crashes.rs
+++ b/crates/requests/tests/crashes.rs
@@ -3,7 +3,7 @@
 use quickcheck::{Gen, QuickCheck, Testable};
 
 use snipemast_core::prelude::*;
-use snipemast_requests::crashes::{EndedRun, MAX_RECORDS, MAX_TOLD};
+use snipemast_requests::crashes::{EndedRun, MAX_RECORDS, MAX_SHARED};
 use snipemast_requests::{AttemptHash, Causes, CrashTable, CrashVerdict, Fingerprint};
 
 fn request(number: u32) -> Fingerprint {
@@ -35,7 +35,7 @@
     let mut after = 0;
     while after < from.revision() {
         let (records, reached) = from.since(now, after);
-        assert!(records.len() <= MAX_TOLD);
+        assert!(records.len() <= MAX_SHARED);
         for record in records {
             to.merge(now, record);
         }
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -11,9 +11,9 @@
 
 use crate::calls::Calls;
 use crate::engine::Engine;
-use crate::news::NewsReader;
 use crate::peers::{path, RankReport, StateQuery};
 use crate::rank::Rank;
+use crate::reader::UpdateReader;
 use crate::relay::Clients;
 
 /// How often the deputy checks its own rank.
@@ -28,7 +28,7 @@
 
 /// Watches a group from beside its second rank.
 pub(crate) struct Deputy {
-    reader: Arc<NewsReader>,
+    reader: Arc<UpdateReader>,
     journal: Journal,
     clock: BootClock,
     rank: Arc<Rank>,
@@ -47,7 +47,7 @@
 
 impl Deputy {
     /// Creates the deputy beside its rank.
-    pub(crate) fn new(reader: Arc<NewsReader>, rank: Arc<Rank>, journal: Journal) -> Self {
+    pub(crate) fn new(reader: Arc<UpdateReader>, rank: Arc<Rank>, journal: Journal) -> Self {
         let clock = BootClock::new();
         let standstill = StandstillDetector::new(clock.now());
         Self {
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -14,8 +14,8 @@
 
 use crate::calls::{Calls, OrderOutcome};
 use crate::group::{map_in_force, Group};
-use crate::news::NewsReader;
 use crate::peers::{RankReport, StateQuery};
+use crate::reader::UpdateReader;
 
 /// The interval between polls while nothing is under way: demand shifts within seconds, and a tenth of a second
 /// holds enough choices to recognize it.
@@ -42,7 +42,7 @@
 
 /// The lead of a group.
 pub(crate) struct Lead {
-    reader: Arc<NewsReader>,
+    reader: Arc<UpdateReader>,
     journal: Journal,
     clock: BootClock,
     calls: Calls,
@@ -59,7 +59,7 @@
 
 impl Lead {
     /// Creates a lead that knows of no group yet.
-    pub(crate) fn new(reader: Arc<NewsReader>, journal: Journal) -> Self {
+    pub(crate) fn new(reader: Arc<UpdateReader>, journal: Journal) -> Self {
         Self {
             reader,
             journal,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,7 +11,7 @@
 //! - `lead`: on rank 0, balances the load of the group's experts.
 //! - `deputy`: on rank 1, releases a group that this rank holds for a lead which no longer answers.
 //! - `updates`: sends controllers the rank's place in its group, and whether the group makes progress.
-//! - `news`: learns from controllers where the other ranks run.
+//! - `reader`: reads the addresses of the other ranks from controllers' updates.
 
 pub mod process;
 
@@ -20,9 +20,9 @@
 mod engine;
 mod group;
 mod lead;
-mod news;
 mod peers;
 mod rank;
+mod reader;
 mod relay;
 mod updates;
 
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -21,9 +21,9 @@
 use crate::deputy::Deputy;
 use crate::engine::Engine;
 use crate::lead::Lead;
-use crate::news::NewsReader;
 use crate::peers::path;
 use crate::rank::Rank;
+use crate::reader::UpdateReader;
 use crate::relay::{forward_order, Clients};
 use crate::updates::UpdateSender;
 
@@ -84,11 +84,11 @@
     Ok(())
 }
 
-/// The task of this process as lead or deputy of its group, with its feed of news.
+/// The task of this process as lead or deputy of its group, with its feed of updates.
 struct GroupTask {
     group: GroupId,
     place: usize,
-    feed: Arc<Feed<NewsReader>>,
+    feed: Arc<Feed<UpdateReader>>,
     _task: Task<()>,
 }
 
@@ -117,7 +117,7 @@
     rank: &Arc<Rank>,
     journal: &Journal,
 ) -> GroupTask {
-    let reader = NewsReader::new(settings.clone(), group.clone(), journal.clone());
+    let reader = UpdateReader::new(settings.clone(), group.clone(), journal.clone());
     let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
     let task = if place == LEAD_RANK {
         spawn(Lead::new(reader, journal.clone()).run())
--- a/crates/sidecar/src/news.rs
+++ b/crates/sidecar/src/reader.rs
@@ -1,4 +1,4 @@
-//! Learns from controllers where the other ranks run, and how their engine is described.
+//! Reads the addresses of the other ranks, and the description of their engine, from controllers' updates.
 
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
@@ -12,30 +12,30 @@
 use snipemast_net::BootClock;
 use snipemast_platform::document;
 use snipemast_platform::settings::Settings;
-use snipemast_registry::news::SlowServer;
-use snipemast_registry::{Cursor, KnownServer, News, Poll, PollerKind, Standing, Table};
+use snipemast_registry::updates::SlowServer;
+use snipemast_registry::{Cursor, KnownServer, Poll, PollerKind, Standing, Table, Update};
 use snipemast_routes::Engine;
 
-/// How long a poll waits for news: gateways must learn of a slow rank within a second.
+/// How long a poll waits for changes: the gateways' view of a slow rank must be at most a second old.
 const POLL_WAIT: Span = Span::from_millis(400);
 
 /// The pause between two polls, which also bounds how often a version is requested.
 const POLL_PAUSE: Span = Span::from_millis(200);
 
-/// Reads the news of controllers, and keeps what concerns the service of this process.
+/// Reads the updates of controllers, and keeps what concerns the service of this process.
 #[derive(Debug)]
-pub(crate) struct NewsReader {
+pub(crate) struct UpdateReader {
     settings: Settings,
     /// The group of the rank beside this process.
     group: GroupId,
     clock: BootClock,
     journal: Journal,
-    known: Mutex<Knowledge>,
+    known: Mutex<View>,
 }
 
-/// What the process has learned from news so far.
+/// The process's view of the controllers' state.
 #[derive(Debug, Default)]
-struct Knowledge {
+struct View {
     table: Table,
     cursors: HashMap<SocketAddr, Cursor>,
     engines: HashMap<ServiceId, Engine>,
@@ -43,7 +43,7 @@
     slow: Vec<(SocketAddr, u32)>,
 }
 
-impl NewsReader {
+impl UpdateReader {
     /// Creates the reader of a process that serves this group.
     pub(crate) fn new(settings: Settings, group: GroupId, journal: Journal) -> Arc<Self> {
         Arc::new(Self {
@@ -51,7 +51,7 @@
             group,
             clock: BootClock::new(),
             journal,
-            known: Mutex::new(Knowledge::default()),
+            known: Mutex::new(View::default()),
         })
     }
 
@@ -101,7 +101,7 @@
     }
 
     /// Returns the service of the server beside this process.
-    fn own_service(&self, known: &Knowledge) -> Option<ServiceId> {
+    fn own_service(&self, known: &View) -> Option<ServiceId> {
         let own = self.settings.server?;
         let mut servers = known.table.iter();
         let server =
@@ -110,7 +110,7 @@
     }
 }
 
-impl Knowledge {
+impl View {
     /// Returns the slow servers, found by the hosts that they run on.
     fn slow_servers(&self) -> Vec<SlowServer> {
         let servers = self.table.iter().filter(|k| k.standing < Standing::Lost);
@@ -126,7 +126,7 @@
     }
 }
 
-impl FeedHandler for NewsReader {
+impl FeedHandler for UpdateReader {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let known = self.known.lock();
         let wants_document = known.engines.is_empty();
@@ -137,7 +137,7 @@
         };
         Poll {
             version,
-            told: version,
+            announced: version,
             wants_document,
             cursor: known.cursors.get(&controller).copied().unwrap_or_default(),
             wait: POLL_WAIT,
@@ -146,15 +146,15 @@
         }
     }
 
-    fn handle_news(&self, controller: SocketAddr, news: News) {
+    fn handle_update(&self, controller: SocketAddr, update: Update) {
         let now = self.clock.now();
         let mut known = self.known.lock();
-        known.cursors.insert(controller, news.cursor);
-        for entry in news.entries {
+        known.cursors.insert(controller, update.cursor);
+        for entry in update.entries {
             known.table.merge(now, entry);
         }
         known.table.forget(now);
-        let Some(text) = news.document else {
+        let Some(text) = update.document else {
             return;
         };
         match document::read(&text.0) {
@@ -167,7 +167,7 @@
         }
     }
 
-    async fn wait_after_news(&self, _: SocketAddr) {
+    async fn wait_after_update(&self, _: SocketAddr) {
         pause(POLL_PAUSE).await;
     }
 }
--- a/crates/sidecar/src/updates.rs
+++ b/crates/sidecar/src/updates.rs
@@ -1,7 +1,7 @@
 //! Sends controllers the place of the rank beside this process, and whether its group makes progress.
 //!
-//! From these updates controllers build one table of all ranks and pass it on with their news: gateways learn which
-//! servers run and stall together, and the lead of a group learns who its members are. Each process reports one rank
+//! From these updates controllers build one table of all ranks and include it in their updates: gateways see which
+//! servers run and stall together, and the lead of a group sees its members. Each process reports one rank
 //! only, so the work of a process doesn't grow with the service.
 
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
     tried: usize,
     /// The last update that a controller acknowledged.
     last_sent: Option<RankUpdate>,
-    /// Drawn at random, so that updates of an earlier start of this process can be told apart.
+    /// Drawn at random, so that updates of an earlier start of this process can be distinguished.
     sender: u64,
     /// The number of the last update.
     number: u64,
