Refuse returns at once into an outage that lasts too long for them

What callers saw: one that was sent back once and came back into the next outage of the group waited 1.6 s more for a refusal.

Cause: how long a service stays out was known to nobody, though a rank's start and the forming of its group take the same time each time.

Change: Outages remembers how long the last four outages of a pool took that it saw begin and end; the shortest one says how much longer it stays out at least. A request that came back and can't wait that long is refused at once.

--- a/crates/cli/src/summary.rs
+++ b/crates/cli/src/summary.rs
@@ -12,6 +12,9 @@
 /// The upper bounds by which the longest pauses of late answers are grouped, in milliseconds.
 const PAUSE_BOUNDS_MS: [u64; 5] = [120, 160, 240, 500, 1_000];
 
+/// How long a refused request has waited at least to count as held, in microseconds.
+const HELD_MICROS: u64 = 100_000;
+
 /// Counts of the requests that were not answered well.
 #[derive(Debug, Default)]
 pub(crate) struct Summary {
@@ -59,7 +62,13 @@
             let late = line.detail.rsplit("late: ").next().unwrap_or("");
             Some(format!("late: {late}"))
         }
-        "RequestRefused" => Some(format!("refused: {first}")),
+        "RequestRefused" => {
+            let again = line.detail.contains(", a return");
+            let again = if again { ", a return" } else { "" };
+            let held = waited_micros(line).is_some_and(|waited| waited >= HELD_MICROS);
+            let held = if held { ", after a wait" } else { "" };
+            Some(format!("refused: {first}{again}{held}"))
+        }
         "RequestQueued" => Some(format!("waited: {first}")),
         "RequestRetried" if line.detail.ends_with("false") => Some("repeat not granted".into()),
         "AnswerFailed" => {
@@ -79,6 +88,21 @@
     }
 }
 
+/// Returns how long a request had waited when it was refused, in microseconds.
+fn waited_micros(line: &Line) -> Option<u64> {
+    let (before, _) = line.detail.split_once(" after its arrival")?;
+    let span = before.rsplit(' ').next()?;
+    let digits = span.find(|c: char| !c.is_ascii_digit())?;
+    let (number, unit) = span.split_at(digits);
+    let number: u64 = number.parse().ok()?;
+    match unit {
+        "us" => Some(number),
+        "ms" => Some(number * 1_000),
+        "s" => Some(number * 1_000_000),
+        _ => None,
+    }
+}
+
 /// Returns the longest pause of an answer that was late because of a pause, in microseconds.
 fn longest_pause(line: &Line) -> Option<u64> {
     let late = line.msg == "AnswerLate" && line.detail.ends_with("pause");
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -153,6 +153,13 @@
                 "r2",
                 "Out, 6s left, back after 2s",
             ),
+            line(
+                "06.5",
+                "gw-1",
+                "RequestRefused",
+                "r7",
+                "Out, 3s left, back after 1s; 1600ms after its arrival, a return, late",
+            ),
             line("09.0", "gw-1", "AnswerLate", "r3", &late(130_000)),
             line("09.1", "gw-1", "AnswerLate", "r4", &late(3_000_000)),
             line("09.2", "gw-1", "AnswerDelivered", "r5", "i-8: whole"),
@@ -174,11 +181,12 @@
     let text = String::from_utf8(output.stdout).expect("it is text");
     for row in [
         "     2  refused: Out\n",
+        "     1  refused: Out, a return, after a wait\n",
         "     2  late: pause\n",
         "     1  repeat not granted\n",
         "     1  below 160 ms\n",
         "     1  longer\n",
-        "     0  2 refused: Out\n",
+        "     0  2 refused: Out, 1 refused: Out, a return, after a wait\n",
         "     4  2 late: pause, 1 repeat not granted\n",
         "not in the log: gw-1:1: 12 of AnswerLate\n",
     ] {
@@ -227,7 +235,10 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_snipemast"));
     let output = command.args(["explain", "--summary"]).arg(gateway).output();
     let text = String::from_utf8(output.expect("the program runs").stdout).expect("it is text");
-    for row in ["     1  refused: AllFull\n", "     1  waited: AllFull\n"] {
+    for row in [
+        "     1  refused: AllFull, after a wait\n",
+        "     1  waited: AllFull\n",
+    ] {
         assert!(text.contains(row), "{row:?} in {text}");
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -423,7 +423,8 @@
     }
 
     fn mark_open(&self, pool: &Pool) {
-        if self.state.outages.lock().mark_open(pool) {
+        let now = self.state.clock.now();
+        if self.state.outages.lock().mark_open(now, pool) {
             self.state
                 .log_outage(pool, Event::ServiceReopened, &self.name);
         }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -91,7 +91,13 @@
     }
 
     fn blocked_request(&self) -> BlockedRequest {
+        let time_to_open = {
+            let servers = self.state.servers.lock();
+            let outages = self.state.outages.lock();
+            outages.time_to_open(self.state.clock.now(), servers.pools(&self.service))
+        };
         BlockedRequest {
+            time_to_open,
             left: self.left(),
             waited: self.age(),
             timeout: self.route.timeout,
@@ -254,8 +260,12 @@
     // It was under way until now.
     job.record_copy();
     let (left, age, order) = (job.left(), job.age(), job.ordered(job.ask.last_event));
+    let attempt = match decline(&job.blocked_request()) {
+        Deferral::Refuse => "a return",
+        _ => "a first try",
+    };
     let detail = format_args!(
-        "{unplaced:?}, {left} left, back after {after}; {age} after its arrival, {order}"
+        "{unplaced:?}, {left} left, back after {after}; {age} after its arrival, {attempt}, {order}"
     );
     job.log_problem(Event::RequestRefused, detail);
     job.state.metrics.order.count_refusal(order, unplaced);
