Take back the refusal of returns by the length of earlier outages

A cut zone's outage lasts 6 to 7 s, a crash's 3.7 s, and the shortest one known was the cut's: returns were refused that the reopening would have served.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -183,7 +183,7 @@
     /// them may be quarantined now.
     fn log_verdict(&self, cause: &Fingerprint, source: impl fmt::Display) {
         self.crashes.changed.notify(usize::MAX);
-        // Requests in flight look whether they are copies of the request.
+        // Wakes requests in flight, which record whether they are copies of the request.
         self.frozen.notify(usize::MAX);
         let now = self.clock.now();
         let table = self.crashes.table.lock();
@@ -243,9 +243,9 @@
         }
         let (now, request) = (self.state.clock.now(), self.causes().request);
         let attempt = AttemptHash::new(&self.name);
-        let is_news = table.record_copy(now, &request, attempt, self.started);
+        let changed = table.record_copy(now, &request, attempt, self.started);
         drop(table);
-        if is_news {
+        if changed {
             let detail = format_args!("{} is under way here", self.name);
             self.state.log_verdict(&request, detail);
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -423,8 +423,7 @@
     }
 
     fn mark_open(&self, pool: &Pool) {
-        let now = self.state.clock.now();
-        if self.state.outages.lock().mark_open(now, pool) {
+        if self.state.outages.lock().mark_open(pool) {
             self.state
                 .log_outage(pool, Event::ServiceReopened, &self.name);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -43,7 +43,7 @@
     pub(crate) budget: Mutex<RetryBudget>,
     pub(crate) outages: Mutex<Outages>,
     pub(crate) patience: Mutex<CallerPatience>,
-    /// Wakes requests whose server was found to be frozen.
+    /// Wakes requests in flight: a server was found to be frozen, or a record of crashes changed.
     pub(crate) frozen: Signal,
     /// The requests that wait for a place at a server.
     pub(crate) waiting: WaitingRequests,
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -91,13 +91,7 @@
     }
 
     fn blocked_request(&self) -> BlockedRequest {
-        let time_to_open = {
-            let servers = self.state.servers.lock();
-            let outages = self.state.outages.lock();
-            outages.time_to_open(self.state.clock.now(), servers.pools(&self.service))
-        };
         BlockedRequest {
-            time_to_open,
             left: self.left(),
             waited: self.age(),
             timeout: self.route.timeout,
--- a/crates/placement/src/outage.rs
+++ b/crates/placement/src/outage.rs
@@ -6,7 +6,7 @@
 //! sent as a probe, and the others wait or come back, as long as they can still be answered in
 //! time.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use snipemast_core::prelude::*;
 
@@ -71,26 +71,16 @@
     Refuse,
 }
 
-/// How many past outages of a pool are remembered.
-const MAX_LENGTHS: usize = 4;
-
-/// The shortest outage that is remembered: a group that forms again takes longer, and what opened sooner was not out.
-const MIN_LENGTH: Span = Span::from_secs(1);
-
 /// The pools that are out.
 #[derive(Debug, Clone, Default)]
 pub struct Outages {
     out: HashMap<Pool, PoolOutage>,
-    /// How long the last outages of each pool took.
-    lengths: HashMap<Pool, VecDeque<Span>>,
     /// The state of each group that its sidecars last reported.
     reported: HashMap<Pool, GroupState>,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct PoolOutage {
-    /// When the pool was seen to go out; none if it was never seen to be open.
-    since: Option<Moment>,
     /// When the pool is probed next.
     next_probe: Moment,
     /// When the last probe was due.
@@ -104,7 +94,6 @@
     fn new(now: Moment, refused_epoch: Option<GroupIncarnation>) -> Self {
         let next_probe = now + PROBE_INTERVAL;
         Self {
-            since: Some(now),
             next_probe,
             last_due: next_probe,
             refused_epoch,
@@ -122,40 +111,13 @@
     /// pool was open before.
     pub fn mark_out(&mut self, now: Moment, pool: &Pool) -> bool {
         let epoch = self.reported.get(pool).map(|group| group.epoch);
-        let mut out = PoolOutage::new(now, Some(epoch.unwrap_or_default()));
-        let before = self.out.get(pool);
-        if let Some(before) = before {
-            out.since = before.since;
-        }
+        let out = PoolOutage::new(now, Some(epoch.unwrap_or_default()));
         self.out.insert(pool.clone(), out).is_none()
     }
 
     /// Records that a server answered. Returns whether its pool was out.
-    pub fn mark_open(&mut self, now: Moment, pool: &Pool) -> bool {
-        let Some(out) = self.out.remove(pool) else {
-            return false;
-        };
-        let length = out.since.map(|since| since.until(now));
-        if let Some(length) = length.filter(|length| *length >= MIN_LENGTH) {
-            let lengths = self.lengths.entry(pool.clone()).or_default();
-            lengths.push_back(length);
-            if lengths.len() > MAX_LENGTHS {
-                lengths.pop_front();
-            }
-        }
-        true
-    }
-
-    /// Returns how much longer a service stays out at least, if past outages of its pools tell. They are as long as a
-    /// server takes to start again and its group to form, or as a cut: the shortest one counts.
-    pub fn time_to_open(&self, now: Moment, pools: &[Pool]) -> Option<Span> {
-        let opens = pools.iter().map(|pool| {
-            let since = self.out.get(pool)?.since?;
-            let shortest = self.lengths.get(pool)?.iter().min()?;
-            Some(now.until(since + *shortest))
-        });
-        let opens: Option<Vec<Span>> = opens.collect();
-        opens?.into_iter().min()
+    pub fn mark_open(&mut self, pool: &Pool) -> bool {
+        self.out.remove(pool).is_some()
     }
 
     /// Applies the group state that sidecars report. Returns whether it takes the pool out or opens
@@ -171,22 +133,16 @@
         pool: &Pool,
         group: GroupState,
     ) -> Option<ReportedChange> {
-        let before = self.reported.insert(pool.clone(), group);
-        if before == Some(group) {
+        if self.reported.insert(pool.clone(), group) == Some(group) {
             return None;
         }
         match (self.out.get(pool), group.running) {
             (None, false) => {
-                let was_open = before.is_some_and(|before| before.running);
-                let out = PoolOutage {
-                    since: was_open.then_some(now),
-                    ..PoolOutage::new(now, None)
-                };
-                self.out.insert(pool.clone(), out);
+                self.out.insert(pool.clone(), PoolOutage::new(now, None));
                 Some(ReportedChange::Stalled)
             }
             (Some(out), true) if out.refused_epoch.is_none_or(|epoch| epoch < group.epoch) => {
-                self.mark_open(now, pool);
+                self.out.remove(pool);
                 Some(ReportedChange::Resumed)
             }
             _ => None,
@@ -254,8 +210,6 @@
     pub answer_time: Span,
     /// How long requests of its route wait in the gateway at most.
     pub longest_wait: Span,
-    /// How much longer its service stays out at least, if that is known.
-    pub time_to_open: Option<Span>,
 }
 
 /// Returns how long a request waits in the gateway at most, so that its first token comes before
@@ -275,14 +229,11 @@
 /// that came back already is refused, because its caller gives up after that. This way a request
 /// of a route with a timeout of 8 s and an objective of at most 0.5 s survives an outage of 5.3 s in
 /// total: 1.6 s here, a third of what is left, and 1.6 s again. It would be 4.3 s if the first
-/// attempt were sent back at once. A request that came back is refused at once if its service certainly opens too late.
+/// attempt were sent back at once.
 pub fn defer(blocked: &BlockedRequest) -> Deferral {
     let spare = subtract(blocked.left, blocked.answer_time)
         .min(subtract(blocked.longest_wait, blocked.waited));
-    let returned = decline(blocked) == Deferral::Refuse;
-    // Its caller gives up after a refusal or before the service opens; it need not wait for that.
-    let in_vain = returned && blocked.time_to_open.is_some_and(|span| span > spare);
-    if spare > Span::default() && !in_vain {
+    if spare > Span::default() {
         return Deferral::Queue(spare);
     }
     decline(blocked)
--- a/crates/placement/tests/outage.rs
+++ b/crates/placement/tests/outage.rs
@@ -33,7 +33,6 @@
         timeout: TIMEOUT,
         answer_time: DEFAULT_STREAM_TIME,
         longest_wait: longest_wait(Span::from_millis(400), Some(Span::from_millis(120))),
-        time_to_open: None,
     }
 }
 
@@ -46,24 +45,18 @@
 fn answered(outage: u64) -> f64 {
     let arrivals = (0..outage).step_by(10);
     let total = arrivals.clone().count() as f64;
-    let served = arrivals.filter(|at| is_answered(*at, outage, None));
+    let served = arrivals.filter(|at| is_answered(*at, outage));
     served.count() as f64 / total
 }
 
-/// Returns whether a caller is answered that asks at a time, in an outage that is believed to last until `known`, in ms.
-/// Where that is right, checks that no caller that came back waits in vain.
-fn is_answered(at: u64, outage: u64, known: Option<u64>) -> bool {
+fn is_answered(at: u64, outage: u64) -> bool {
     let deadline = at + TIMEOUT.as_millis();
     let mut now = at;
-    for attempt in 0..2 {
+    for _ in 0..2 {
         let mut waited = 0;
         loop {
             let left = Span::from_millis(deadline.saturating_sub(now));
-            let request = BlockedRequest {
-                time_to_open: known.map(|end| Span::from_millis(end.saturating_sub(now))),
-                ..blocked(left, Span::from_millis(waited))
-            };
-            match defer(&request) {
+            match defer(&blocked(left, Span::from_millis(waited))) {
                 Deferral::Queue(span) => {
                     let end = (now + span.as_millis()).min(outage.max(now));
                     waited += end - now;
@@ -73,11 +66,7 @@
                     now += span.as_millis();
                     break;
                 }
-                Deferral::Refuse => {
-                    let in_vain = attempt > 0 && waited > 0;
-                    assert!(known != Some(outage) || !in_vain, "{at} waits in vain");
-                    return false;
-                }
+                Deferral::Refuse => return false,
             }
             if now >= outage {
                 return now + DEFAULT_STREAM_TIME.as_millis() <= deadline;
@@ -102,77 +91,6 @@
     assert!(answered(6_000) > 0.85, "{}", answered(6_000));
 }
 
-/// Guards against callers that came back and wait for an outage that ends too late for them, and against a known end
-/// that costs callers their answers.
-#[test]
-fn known_end_loses_nothing() {
-    for outage in [2_000, 4_000, 6_000, 8_000, 60_000] {
-        for at in (0..outage).step_by(10) {
-            let unknown = is_answered(at, outage, None);
-            assert_eq!(
-                is_answered(at, outage, Some(outage)),
-                unknown,
-                "{at} of {outage}"
-            );
-            // An outage that lasts longer than those before.
-            assert_eq!(
-                is_answered(at, outage, Some(outage / 2)),
-                unknown,
-                "{at} of {outage}"
-            );
-        }
-    }
-}
-
-/// Guards against a long outage that makes gateways refuse callers of a short one, and against one that nobody has
-/// seen before.
-#[test]
-fn shortest_outage_counts() {
-    let (mut outages, pools) = (Outages::new(), [pool(Some("g0"))]);
-    let at = Moment::from_millis;
-    let mut seen = Vec::new();
-    for (from, to) in [
-        (10_000, 16_000),
-        (20_000, 24_000),
-        (30_000, 30_100),
-        (40_000, 60_000),
-    ] {
-        outages.mark_out(at(from), &pools[0]);
-        seen.push(outages.time_to_open(at(from + 1_000), &pools));
-        outages.mark_open(at(to), &pools[0]);
-    }
-    let ms = Span::from_millis;
-    assert_eq!(
-        seen,
-        [None, Some(ms(5_000)), Some(ms(3_000)), Some(ms(3_000))]
-    );
-    assert_eq!(outages.time_to_open(at(60_000), &pools), None);
-    // A service with a group that is open isn't out.
-    let both = [pools[0].clone(), pool(Some("g1"))];
-    outages.mark_out(at(70_000), &pools[0]);
-    assert_eq!(outages.time_to_open(at(71_000), &both), None);
-    assert_eq!(
-        outages.time_to_open(at(90_000), &pools),
-        Some(Span::default())
-    );
-}
-
-/// Guards against the time in which a group forms for the first time, or of which only the end was seen, that counts as
-/// an outage.
-#[test]
-fn first_forming_no_outage() {
-    let (mut outages, pools) = (Outages::new(), [pool(Some("g0"))]);
-    let at = Moment::from_millis;
-    for (time, epoch, running) in [(1_000, 0, false), (2_100, 1, true), (5_000, 1, false)] {
-        outages.apply_report(at(time), &pools[0], group_state(epoch, running));
-    }
-    assert_eq!(outages.time_to_open(at(5_500), &pools), None);
-    outages.apply_report(at(9_000), &pools[0], group_state(2, true));
-    outages.apply_report(at(10_000), &pools[0], group_state(2, false));
-    let left = outages.time_to_open(at(10_500), &pools);
-    assert_eq!(left, Some(Span::from_millis(3_500)));
-}
-
 /// A request waits longer than callers tolerate a stream that shows nothing.
 #[test]
 fn queueing_bounded() {
@@ -241,7 +159,7 @@
         AllowedPools::Probe(pool(None))
     );
     assert_eq!(outages.allowed_pools(later, &pools), AllowedPools::NoPool);
-    assert!(outages.mark_open(now, &pools[0]));
+    assert!(outages.mark_open(&pools[0]));
     assert_eq!(outages.allowed_pools(later, &pools), open());
 }
 
@@ -311,7 +229,7 @@
     let others = AllowedPools::AllExcept(vec![pool(Some("g0"))]);
     assert!(others.allows(&pools[1]) && !others.allows(&pools[0]));
     assert_eq!(outages.allowed_pools(now + PROBE_INTERVAL, &pools), others);
-    assert!(!outages.mark_open(now, &pools[1]));
+    assert!(!outages.mark_open(&pools[1]));
     assert_eq!(outages.allowed_pools(now + PROBE_INTERVAL, &pools), others);
     let later = now + Span::from_secs(6);
     assert_eq!(
@@ -361,7 +279,7 @@
         outages.apply_report(now, &pool, stalled),
         Some(ReportedChange::Stalled)
     );
-    assert!(outages.mark_open(now, &pool));
+    assert!(outages.mark_open(&pool));
     assert_eq!(outages.apply_report(now, &pool, stalled), None);
     assert_eq!(
         outages.allowed_pools(now, &[pool]),
--- a/crates/requests/src/attribution.rs
+++ b/crates/requests/src/attribution.rs
@@ -127,7 +127,7 @@
         self.verdicts.insert(cause, verdict);
     }
 
-    /// Records that a verdict changes at some moment without news.
+    /// Records that a verdict changes at some moment without further records.
     fn change_at(&mut self, moment: Option<Moment>) {
         let changes = self.next_change.into_iter().chain(moment);
         self.next_change = changes.min();
@@ -181,7 +181,7 @@
     }
 
     /// Whether a cause was at all ends of servers from its first one until it was decided on. If it was not, something
-    /// else ended servers too. What ends servers later says nothing about it.
+    /// else ended servers too. Later ends of servers don't count.
     fn was_at_all(&self, cause: &Candidate<'_>, decided: Moment) -> bool {
         let Some(first) = cause.ends.first() else {
             return false;
--- a/crates/requests/src/crash_record.rs
+++ b/crates/requests/src/crash_record.rs
@@ -165,16 +165,16 @@
 }
 
 impl End {
-    /// Returns an end as another process tells it.
-    pub(crate) fn from_told(now: Moment, told: ServerEnd) -> Self {
+    /// Returns an end from another process's record.
+    pub(crate) fn from_shared(now: Moment, shared: ServerEnd) -> Self {
         let mut end = Self {
-            server: told.server,
-            start: told.start,
-            sent: now - told.sent.max(told.ended),
-            ended: now - told.ended,
+            server: shared.server,
+            start: shared.start,
+            sent: now - shared.sent.max(shared.ended),
+            ended: now - shared.ended,
             copies: Vec::new(),
         };
-        end.add_copies(&told.copies);
+        end.add_copies(&shared.copies);
         end
     }
 
@@ -244,7 +244,7 @@
         at > 0
     }
 
-    /// Notes that an attempt at the request is under way; returns whether that is news of some end.
+    /// Records that an attempt at the request is under way; returns whether that changes some end.
     pub(crate) fn add_attempt(
         &mut self,
         now: Moment,
@@ -291,7 +291,7 @@
         count
     }
 
-    /// Whether other processes are told of the request or part.
+    /// Whether the record is shared with all processes.
     pub(crate) fn is_shared(&self) -> bool {
         self.ends.len() >= SUSPECT_ENDS
     }
--- a/crates/requests/src/crashes.rs
+++ b/crates/requests/src/crashes.rs
@@ -221,8 +221,8 @@
         news
     }
 
-    /// Records that an attempt at a request is under way which arrived at some time. Returns whether that is news of a
-    /// request under which several servers ended.
+    /// Records that an attempt at a request is under way which arrived at some time. Returns whether that changes the
+    /// record of a request under which several servers ended.
     ///
     /// A request that comes in several copies at once is no single caller's, who tries again only after a break.
     pub fn record_copy(
@@ -321,7 +321,7 @@
 
     fn merge_record(&mut self, now: Moment, told: CrashRecord) -> bool {
         let ends = told.ends.into_iter().take(MAX_ENDS);
-        let ends = ends.map(|end| End::from_told(now, end));
+        let ends = ends.map(|end| End::from_shared(now, end));
         let known = match told.scope {
             Scope::Request => self.completed.get(&told.cause),
             Scope::Part(_) => self.survived.get(&told.cause),
