Test the retry budget while nine tenths of the requests move from gateway to gateway

For the retry budget: moving_skew_adds_nothing (nine tenths at one gateway, then at the next after 2, 5, 10 and 20 s, with and without processes that start each 4.5 s) and skewed_gateway_repeats (that gateway gets nine of ten repeats that it needs). Both passed as the code was: nothing had to be changed. Cold servers' slots stay one of n, and the other shares have no such model.

--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -44,23 +44,31 @@
 struct Fleet {
     service: ServiceId,
     gateways: Vec<Gateway>,
-    /// The steps after which all callers move to the other half of the gateways, if they do.
-    period: Period,
+    arrivals: Arrivals,
     /// The requests and the retries of all gateways by step.
     requests: Vec<u32>,
     retries: Vec<u32>,
 }
 
-/// The steps after which all callers move to the other half of the gateways.
-struct Period(Option<u64>);
+/// To which gateways requests come.
+#[derive(Clone, Copy)]
+enum Arrivals {
+    /// To each in turn.
+    Even,
+    /// To those of one half; they move to the other half after so many steps.
+    Half(u64),
+    /// Nine of ten to one gateway; they move to the next one after so many steps.
+    One(u64),
+}
 
-impl Period {
+impl Arrivals {
     /// Returns the gateway that one of a step's requests comes to.
-    fn gateway(&self, step: u64, request: u64, size: u64) -> u64 {
+    fn gateway(self, step: u64, request: u64, size: u64) -> u64 {
         let number = step * REQUESTS + request;
-        match self.0 {
-            None => number % size,
-            Some(period) => number % (size / 2) + step / period % 2 * (size / 2),
+        match self {
+            Self::One(period) if number % 10 > 0 => step / period % size,
+            Self::Even | Self::One(_) => number % size,
+            Self::Half(period) => number % (size / 2) + step / period % 2 * (size / 2),
         }
     }
 }
@@ -85,15 +93,14 @@
         Self {
             service,
             gateways,
-            period: Period(None),
+            arrivals: Arrivals::Even,
             requests: Vec::new(),
             retries: Vec::new(),
         }
     }
 
-    fn with_period(mut self, steps: u64) -> Self {
-        self.period = Period(Some(steps));
-        self
+    fn with_arrivals(self, arrivals: Arrivals) -> Self {
+        Self { arrivals, ..self }
     }
 
     /// Plays all steps. `starts` returns whether a gateway's process starts at a step, and `known` how many gateways
@@ -111,7 +118,7 @@
                 let now = Moment::ZERO + now.since(gateway.started);
                 gateway.budget.observe_gateways(known(step, number));
                 let arrivals =
-                    (0..REQUESTS).filter(|k| self.period.gateway(step, *k, size) == number);
+                    (0..REQUESTS).filter(|k| self.arrivals.gateway(step, *k, size) == number);
                 for _ in arrivals {
                     gateway.budget.record_request(now, &self.service);
                     requests += 1;
@@ -187,7 +194,7 @@
 fn moved_callers_add_little() {
     for size in [4, 40, 432] {
         for period in [WINDOW_STEPS / 2, WINDOW_STEPS, 2 * WINDOW_STEPS] {
-            let mut fleet = Fleet::new(size).with_period(period);
+            let mut fleet = Fleet::new(size).with_arrivals(Arrivals::Half(period));
             fleet.play(|_, _| false, |_, _| size as u32);
             let excess = fleet.excess();
             assert!(
@@ -197,3 +204,54 @@
         }
     }
 }
+
+/// Guards against repeats that pile up because nine tenths of all requests come to one gateway, then to another, and each
+/// counts them.
+#[test]
+fn moving_skew_adds_nothing() {
+    for size in [3, 9, 40, 431] {
+        for period in [40, 100, WINDOW_STEPS, 2 * WINDOW_STEPS] {
+            for gap in [None, Some(90)] {
+                let mut fleet = Fleet::new(size).with_arrivals(Arrivals::One(period));
+                let starts =
+                    |step: u64, number: u64| gap.is_some_and(|gap| step % gap == number % gap);
+                fleet.play(starts, |_, _| size as u32);
+                let excess = fleet.excess();
+                assert!(
+                    excess <= 0.0,
+                    "{size} gateways, moved each {period} steps: {excess}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against a gateway with nine tenths of all requests that may not repeat them because the others' shares stay
+/// unused: a tenth of the requests needs a repeat, half of what all together may send.
+#[test]
+fn skewed_gateway_repeats() {
+    for size in [3, 9, 40, 431] {
+        let service = ServiceId::new("lector").unwrap();
+        let mut budgets: Vec<RetryBudget> = (0..size).map(|_| RetryBudget::new(BOUNDS)).collect();
+        let arrivals = Arrivals::One(2 * WINDOW_STEPS);
+        let (mut wanted, mut granted) = (0, 0);
+        for step in 0..STEPS {
+            let now = Moment::ZERO + STEP.times(step + 1);
+            for request in 0..REQUESTS {
+                let number = arrivals.gateway(step, request, size) as usize;
+                let budget = &mut budgets[number];
+                budget.observe_gateways(size as u32);
+                budget.record_request(now, &service);
+                // A process spends no slack in its first window.
+                if step > WINDOW_STEPS && (step * REQUESTS + request) % 10 == 1 {
+                    wanted += 1;
+                    granted += u32::from(budget.try_spend(now, &service));
+                }
+            }
+        }
+        assert!(
+            granted * 10 >= wanted * 9,
+            "{size} gateways: {granted} of {wanted}"
+        );
+    }
+}
