--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -66,7 +66,7 @@
     fn gateway(self, step: u64, request: u64, size: u64) -> u64 {
         let number = step * REQUESTS + request;
         match self {
-            Self::One(period) if number % 10 > 0 => step / period % size,
+            Self::One(period) if !number.is_multiple_of(10) => step / period % size,
             Self::Even | Self::One(_) => number % size,
             Self::Half(period) => number % (size / 2) + step / period % 2 * (size / 2),
         }
