--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -83,7 +83,7 @@
             path::JOIN => self.join(&body),
             path::SUBMIT => self.submit(&body).await,
             path::READ => Some(rpc::encode_response(&self.read_local())),
-            updates::PATH => self.news(&body).await,
+            updates::PATH => self.answer_poll(&body).await,
             rank::PATH => self.rank(&body),
             _ => return text_answer(StatusCode::NOT_FOUND, "no such call"),
         };
@@ -311,10 +311,10 @@
         Some(rpc::encode_response(&submitted))
     }
 
-    async fn news(&self, body: &[u8]) -> Option<Answer> {
+    async fn answer_poll(&self, body: &[u8]) -> Option<Answer> {
         let poll: Poll = decode(body)?;
-        let news = spread::answer_poll(&self.state, poll).await;
-        Some(rpc::encode_response(&news))
+        let update = spread::answer_poll(&self.state, poll).await;
+        Some(rpc::encode_response(&update))
     }
 
     fn rank(&self, body: &[u8]) -> Option<Answer> {
--- a/crates/controller/src/crashes.rs
+++ b/crates/controller/src/crashes.rs
@@ -20,11 +20,11 @@
 
 impl State {
     /// Merges the requests whose servers ended, as a gateway tells them.
-    pub(crate) fn merge_crashes(&self, host: &HostId, news: &CrashUpdate) {
+    pub(crate) fn merge_crashes(&self, host: &HostId, update: &CrashUpdate) {
         let now = self.clock.now();
         let mut crashes = self.crashes.lock();
-        let told = crashes.shared_revision();
-        for record in &news.records {
+        let before_merge = crashes.shared_revision();
+        for record in &update.records {
             let before = crashes.verdict(&record.cause);
             crashes.merge(now, record.clone());
             let verdict = crashes.verdict(&record.cause);
@@ -39,9 +39,9 @@
             let detail = format_args!("told by {host}: {record}");
             self.journal.record(event, record.cause, detail);
         }
-        let is_news = crashes.shared_revision() != told;
+        let changed = crashes.shared_revision() != before_merge;
         drop(crashes);
-        if is_news {
+        if changed {
             self.notify_waiters();
         }
     }
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -17,20 +17,20 @@
 
 use crate::state::State;
 
-/// How long a poll of another controller waits for news.
+/// How long a poll of another controller waits for changes.
 const PEER_WAIT: Span = Span::from_millis(800);
 
-/// Answers a poll as soon as there is news or its wait is over.
+/// Answers a poll as soon as there are changes or its wait is over.
 pub(crate) async fn answer_poll(state: &State, poll: Poll) -> Update {
     if state.pollers.lock().record(state.clock.now(), &poll) {
         state.notify_waiters();
     }
     state.merge_limits(&poll.host, &poll.demands);
     state.merge_leaving_servers(&poll.host, &poll.leaving);
-    if let Some(news) = &poll.crashes {
-        state.merge_crashes(&poll.host, news);
+    if let Some(update) = &poll.crashes {
+        state.merge_crashes(&poll.host, update);
     }
-    state.wait_until(poll.wait, |s| has_news(s, &poll)).await;
+    state.wait_until(poll.wait, |s| has_changes(s, &poll)).await;
     let now = state.clock.now();
     let changes = table_changes(state, &poll, now);
     let version = state.voter.version();
@@ -119,7 +119,7 @@
     controllers
 }
 
-fn has_news(state: &State, poll: &Poll) -> bool {
+fn has_changes(state: &State, poll: &Poll) -> bool {
     let cursor = state.cursor();
     let version = state.voter.version();
     let revision = if poll.without_entries {
@@ -136,8 +136,8 @@
 }
 
 fn has_newer_crashes(state: &State, poll: &Poll) -> bool {
-    let is_shared = poll.kind == PollerKind::Gateway;
-    is_shared && has_crash_update(state.epoch, &state.crashes.lock(), poll.crashes.as_ref())
+    let is_gateway = poll.kind == PollerKind::Gateway;
+    is_gateway && has_crash_update(state.epoch, &state.crashes.lock(), poll.crashes.as_ref())
 }
 
 fn has_newer_evacuations(state: &State, poll: &Poll) -> bool {
@@ -145,18 +145,18 @@
     poll.evacuations.is_some_and(|revision| revision < newest)
 }
 
-/// Merges the news of the other controllers.
+/// Merges the updates of the other controllers.
 #[derive(Debug)]
 pub(crate) struct Peers {
     state: Arc<State>,
     known: Mutex<HashMap<SocketAddr, Peer>>,
 }
 
-/// When another controller told which servers it has heard.
+/// When another controller last listed the servers with recent heartbeats.
 #[derive(Debug, Default)]
 struct Peer {
-    /// When it last told which servers it has heard.
-    last_seen: Option<Moment>,
+    /// When it last listed the servers with recent heartbeats.
+    listed: Option<Moment>,
     /// Whether the last poll asked it for that.
     asked: bool,
 }
@@ -169,13 +169,13 @@
         })
     }
 
-    /// Merges a controller's entries and the servers that it has heard. Returns whether the table has
+    /// Merges a controller's entries and last heartbeats. Returns whether the table has
     /// all of these now.
-    fn merge(&self, controller: SocketAddr, now: Moment, news: Update) -> bool {
+    fn merge(&self, controller: SocketAddr, now: Moment, update: Update) -> bool {
         let mut complete = true;
         self.state.update_table(|table| {
             let revision = table.revision();
-            for entry in news.entries {
+            for entry in update.entries {
                 let (id, standing) = (entry.announcement.id.clone(), entry.standing);
                 if table.merge_standing(now, entry) {
                     self.state.journal.record(
@@ -185,7 +185,7 @@
                     );
                 }
             }
-            complete = table.merge_last_seen(now, &news.last_seen);
+            complete = table.merge_last_seen(now, &update.last_seen);
             table.revision() > revision
         });
         complete
@@ -199,8 +199,8 @@
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         peer.asked = peer
-            .last_seen
-            .is_none_or(|last_seen| now >= last_seen + LAST_SEEN_INTERVAL);
+            .listed
+            .is_none_or(|listed| now >= listed + LAST_SEEN_INTERVAL);
         Poll {
             version: Version(u64::MAX),
             announced: Version(u64::MAX),
@@ -212,14 +212,14 @@
         }
     }
 
-    fn handle_update(&self, controller: SocketAddr, news: Update) {
+    fn handle_update(&self, controller: SocketAddr, update: Update) {
         let now = self.state.clock.now();
-        let cursor = news.cursor;
-        let complete = self.merge(controller, now, news);
+        let cursor = update.cursor;
+        let complete = self.merge(controller, now, update);
         let mut known = self.known.lock();
         let peer = known.entry(controller).or_default();
         if peer.asked {
-            peer.last_seen = Some(now);
+            peer.listed = Some(now);
         }
         drop(known);
         // After a missed change the next poll asks for everything.
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -184,7 +184,7 @@
     fn log_verdict(&self, cause: &Fingerprint, source: impl fmt::Display) {
         self.crashes.changed.notify(usize::MAX);
         // Wakes requests in flight, which record whether they are copies of the request.
-        self.frozen.notify(usize::MAX);
+        self.recheck.notify(usize::MAX);
         let now = self.clock.now();
         let table = self.crashes.table.lock();
         let (verdict, record) = (table.verdict(cause), table.record(now, cause));
--- a/crates/gateway/src/frozen.rs
+++ b/crates/gateway/src/frozen.rs
@@ -113,7 +113,7 @@
         out.is_some()
     };
     if is_new {
-        state.frozen.notify(usize::MAX);
+        state.recheck.notify(usize::MAX);
         let detail = "answers no health check, reported by another gateway";
         state
             .journal
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -241,7 +241,7 @@
         let mut work = pin!(work);
         let mut recorded = !self.route.repeat.is_stream();
         loop {
-            let ejected = self.state.frozen.listen();
+            let ejected = self.state.recheck.listen();
             let now = self.state.clock.now();
             if now >= end {
                 return Err(Failure::Late);
@@ -459,7 +459,7 @@
                 spawn(reconnect(state, choice.clone(), ejected_for)).detach()
             }
             ServerFault::Still => {
-                state.frozen.notify(usize::MAX);
+                state.recheck.notify(usize::MAX);
                 let frozen = FrozenServer::new(choice);
                 spawn(frozen.await_recovery(state)).detach();
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -44,7 +44,7 @@
     pub(crate) outages: Mutex<Outages>,
     pub(crate) patience: Mutex<CallerPatience>,
     /// Wakes requests in flight: a server was found to be frozen, or a record of crashes changed.
-    pub(crate) frozen: Signal,
+    pub(crate) recheck: Signal,
     /// The requests that wait for a place at a server.
     pub(crate) waiting: WaitingRequests,
     pub(crate) retry_schedule: Mutex<RetrySchedule>,
@@ -103,7 +103,7 @@
             budget: Mutex::new(RetryBudget::new(bounds)),
             outages: Mutex::new(Outages::new()),
             patience: Mutex::default(),
-            frozen: Signal::new(),
+            recheck: Signal::new(),
             waiting: WaitingRequests::default(),
             retry_schedule: Mutex::default(),
             passes: Mutex::new(PassTimes::new()),
