Send configurations as changes, in pieces, on a connection of their own

What callers saw: routes of a confirmed configuration answered 404 for more than 2.5 s, and no gateway got any configuration for 17 s.

Cause: each change sent the whole document to every voter and gateway, within one time limit for the whole transfer, and a transfer that was given up began again at its first byte. Past some size (some 2 MB at 74 gateways) none arrived, links were full, and news and heartbeats waited behind the documents.

Change: crates/diff tells what differs between two texts. The leader writes each submission as a change of its log's end; voters keep the latest changes. Updates name only the version; gateways and sidecars fetch what changed since theirs, or the whole, in pieces with a limit on silence, and another controller goes on where one broke off. Calls between controllers go in parts, large messages of the log have a connection of their own, and the time limit of a call is one on silence. registry::source, which let one other controller at a time send a document, gives way to registry::fetch, which asks one at a time altogether; its test is now one_asked_at_a_time in tests/fetch.rs and asks more. The tests' large configurations have names that hardly compress, which is harder than before.

--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -1,13 +1,17 @@
 //! The state machine of whole configurations and evacuations: the document with the highest version
 //! is in force, and the evacuated availability zones are those of the last orders.
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use snipemast_core::data;
 use snipemast_core::prelude::*;
+use snipemast_diff::Diff;
 
 use crate::apply::{RestoreError, Result, StateMachine};
 use crate::files::encode;
+use crate::history::History;
 
 /// The number of evacuation revisions that are skipped when a lost majority is replaced: more than
 /// can have been accepted and lost unnoticed.
@@ -25,6 +29,8 @@
 pub enum Command {
     /// Puts a whole configuration into force.
     Configure(Submission),
+    /// Changes a configuration, which leads to the next one.
+    Amend(Amendment),
     /// Evacuates an availability zone or takes it back.
     Evacuate(EvacuationOrder),
 }
@@ -39,6 +45,16 @@
         pub text: Vec<u8>,
     }
 
+    /// A configuration, as a change of an earlier one.
+    pub struct Amendment {
+        /// The version of the configuration that it starts from.
+        pub base: Version,
+        /// The version that it leads to.
+        pub to: Version,
+        /// What leads from the one text to the other, which has already been validated.
+        pub diff: Diff,
+    }
+
     /// The outcome of a submission.
     #[derive(Copy)]
     pub enum Verdict {
@@ -50,6 +66,9 @@
         Conflict,
         /// As many availability zones as possible are evacuated already; nothing changed.
         Full,
+        /// The change starts from another configuration than the one in force; nothing changed. It may be submitted as
+        /// a whole.
+        OtherBase,
     }
 
     /// The whole state, as a snapshot holds it.
@@ -64,13 +83,26 @@
 }
 
 /// The configuration in force, and the evacuated availability zones.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+///
+/// Voters that got a snapshot keep fewer changes than others; all else is the same at all of them.
+#[derive(Debug, Clone, Default)]
 pub struct Documents {
     version: Version,
-    text: Vec<u8>,
+    text: Arc<Vec<u8>>,
     evacuations: Evacuations,
+    history: History,
 }
 
+impl PartialEq for Documents {
+    /// Compares what is replicated, which the kept changes aren't.
+    fn eq(&self, other: &Self) -> bool {
+        let replicated = |d: &Self| (d.version, Arc::clone(&d.text), d.evacuations.clone());
+        replicated(self) == replicated(other)
+    }
+}
+
+impl Eq for Documents {}
+
 impl Documents {
     /// Creates a machine without a configuration.
     pub fn new() -> Self {
@@ -87,11 +119,21 @@
         &self.text
     }
 
+    /// Returns the text of the configuration in force, to be kept.
+    pub fn shared_text(&self) -> &Arc<Vec<u8>> {
+        &self.text
+    }
+
+    /// Returns the latest changes.
+    pub fn history(&self) -> &History {
+        &self.history
+    }
+
     /// Returns the configuration in force as it was submitted, if there is one.
     pub fn submission(&self) -> Option<Submission> {
         (self.version > Version(0)).then(|| Submission {
             version: self.version,
-            text: self.text.clone(),
+            text: self.text.to_vec(),
         })
     }
 
@@ -107,7 +149,8 @@
     pub fn known_verdict(&self, command: &Command) -> Option<Verdict> {
         match command {
             Command::Configure(submission) => self.submission_verdict(submission),
-            Command::Evacuate(_) => None,
+            Command::Amend(amendment) if amendment.to < self.version => Some(Verdict::Held),
+            Command::Amend(_) | Command::Evacuate(_) => None,
         }
     }
 
@@ -115,7 +158,7 @@
         if submission.version > self.version {
             return None;
         }
-        let other = submission.version == self.version && submission.text != self.text;
+        let other = submission.version == self.version && submission.text != *self.text;
         Some(if other {
             Verdict::Conflict
         } else {
@@ -127,11 +170,46 @@
         if let Some(verdict) = self.submission_verdict(&submission) {
             return verdict;
         }
-        self.version = submission.version;
-        self.text = submission.text;
+        let diff = Diff::between(&self.text, &submission.text);
+        self.put_in_force(submission, diff);
         Verdict::Accepted
     }
 
+    fn amend(&mut self, amendment: Amendment) -> Verdict {
+        if amendment.to < self.version {
+            return Verdict::Held;
+        }
+        let Some(submission) = self.expand(&amendment) else {
+            return Verdict::OtherBase;
+        };
+        if let Some(verdict) = self.submission_verdict(&submission) {
+            return verdict;
+        }
+        self.put_in_force(submission, amendment.diff);
+        Verdict::Accepted
+    }
+
+    /// Returns what an amendment leads to, if it starts from the configuration in force.
+    pub fn expand(&self, amendment: &Amendment) -> Option<Submission> {
+        if amendment.base != self.version {
+            return None;
+        }
+        let text = amendment.diff.apply(&self.text).ok()?;
+        Some(Submission {
+            version: amendment.to,
+            text,
+        })
+    }
+
+    fn put_in_force(&mut self, submission: Submission, diff: Diff) {
+        if self.version > Version(0) {
+            let length = submission.text.len();
+            self.history.push(self.version, Arc::new(diff), length);
+        }
+        self.version = submission.version;
+        self.text = Arc::new(submission.text);
+    }
+
     fn evacuate(&mut self, order: &EvacuationOrder) -> Verdict {
         let zones = &self.evacuations.zones;
         let is_new = order.evacuated && !zones.contains(&order.zone);
@@ -150,6 +228,7 @@
     fn apply(&mut self, _: Index, command: &[u8]) -> Vec<u8> {
         let verdict = match rmp_serde::from_slice(command) {
             Ok(Command::Configure(submission)) => self.configure(submission),
+            Ok(Command::Amend(amendment)) => self.amend(amendment),
             Ok(Command::Evacuate(order)) => self.evacuate(&order),
             // Only a later release can have written this command. Every voter of this release gives
             // the same verdict.
@@ -161,7 +240,7 @@
     fn snapshot(&self) -> Vec<u8> {
         encode(&State {
             version: self.version,
-            text: self.text.clone(),
+            text: self.text.to_vec(),
             evacuations: self.evacuations.clone(),
         })
     }
@@ -170,7 +249,8 @@
         let kept: State = rmp_serde::from_slice(bytes).map_err(|e| RestoreError {
             reason: e.to_string(),
         })?;
-        (self.version, self.text) = (kept.version, kept.text);
+        (self.version, self.text) = (kept.version, Arc::new(kept.text));
+        self.history.clear();
         self.evacuations = kept.evacuations;
         Ok(())
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`machine`]: the state machine that applies patches to a configuration.
 //! - [`documents`]: the state machine that replaces whole configurations; the highest version is in
 //!   force.
+//! - [`history`]: the latest changes of that configuration, and [`log_end`]: what the next one is written against.
 //! - [`roster`]: the membership change that a leader makes next on its own.
 //! - [`forming`]: how the first voters form a cluster, once.
 //! - [`apply`]: the trait that a state machine on the replicated log implements.
@@ -26,8 +27,10 @@
 pub mod files;
 pub mod force;
 pub mod forming;
+pub mod history;
 pub mod identity;
 pub mod log;
+pub mod log_end;
 pub mod machine;
 pub mod message;
 pub mod node;
--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -2,9 +2,13 @@
 
 use quickcheck::quickcheck;
 
-use snipemast_control::documents::{Command, Documents, Submission, Verdict, MAX_EVACUATED_ZONES};
+use snipemast_control::documents::{
+    Amendment, Command, Documents, Submission, Verdict, MAX_EVACUATED_ZONES,
+};
+use snipemast_control::log_end::LogEnd;
 use snipemast_control::StateMachine;
 use snipemast_core::prelude::*;
+use snipemast_diff::Diff;
 
 fn submit(machine: &mut Documents, version: u64, text: &str) -> Verdict {
     let submission = Submission {
@@ -16,6 +20,27 @@
     rmp_serde::from_slice(&verdict).unwrap()
 }
 
+fn submission(version: u64, text: &str) -> Submission {
+    Submission {
+        version: Version(version),
+        text: text.as_bytes().to_vec(),
+    }
+}
+
+fn apply(machine: &mut Documents, command: &Command) -> Verdict {
+    let verdict = machine.apply(Index(1), &rmp_serde::to_vec_named(command).unwrap());
+    rmp_serde::from_slice(&verdict).unwrap()
+}
+
+/// Returns a change of one text into another.
+fn amendment(base: u64, old: &str, to: u64, new: &str) -> Command {
+    Command::Amend(Amendment {
+        base: Version(base),
+        to: Version(to),
+        diff: Diff::between(old.as_bytes(), new.as_bytes()),
+    })
+}
+
 fn evacuate(machine: &mut Documents, zone: &str, evacuated: bool) -> Verdict {
     let command = Command::Evacuate(EvacuationOrder {
         zone: ZoneId::new(zone).unwrap(),
@@ -107,6 +132,124 @@
     assert_eq!(&gateway, machine.evacuations());
 }
 
+/// Guards against a change that is applied to another configuration than the one that it was written against.
+#[test]
+fn change_of_other_base() {
+    let mut machine = Documents::new();
+    submit(&mut machine, 3, "a");
+    let change = amendment(3, "a", 5, "ab");
+    assert_eq!(apply(&mut machine, &change), Verdict::Accepted);
+    assert_eq!(
+        (machine.version(), machine.text()),
+        (Version(5), &b"ab"[..])
+    );
+    assert_eq!(
+        apply(&mut machine, &amendment(3, "a", 6, "ac")),
+        Verdict::OtherBase
+    );
+    assert_eq!(
+        apply(&mut machine, &amendment(5, "a", 6, "ac")),
+        Verdict::OtherBase
+    );
+    assert_eq!(machine.text(), b"ab");
+}
+
+/// Guards against verdicts on changes that differ from those on whole configurations.
+#[test]
+fn change_judged_alike() {
+    let mut machine = Documents::new();
+    submit(&mut machine, 3, "a");
+    assert_eq!(
+        apply(&mut machine, &amendment(3, "a", 3, "a")),
+        Verdict::Held
+    );
+    assert_eq!(
+        apply(&mut machine, &amendment(3, "a", 3, "b")),
+        Verdict::Conflict
+    );
+    assert_eq!(
+        apply(&mut machine, &amendment(3, "a", 2, "b")),
+        Verdict::Held
+    );
+    assert_eq!((machine.version(), machine.text()), (Version(3), &b"a"[..]));
+}
+
+/// Guards against changes submitted at once that are written against the same configuration, of which all but the first
+/// would be refused.
+#[test]
+fn changes_at_once() {
+    let mut machine = Documents::new();
+    submit(&mut machine, 1, "text 1");
+    let mut end = LogEnd::default();
+    let mut commands = Vec::new();
+    for (number, version) in [3, 2, 6, 6].into_iter().enumerate() {
+        let draft = end.draft(
+            Term(1),
+            Some(&machine),
+            submission(version, &format!("text {version}")),
+        );
+        let (command, next) = draft.into_parts();
+        end.record(Term(1), Index(number as u64 + 2), next);
+        commands.push(command);
+    }
+    assert!(commands.iter().all(|c| matches!(c, Command::Amend(_))));
+    let verdicts: Vec<Verdict> = commands.iter().map(|c| apply(&mut machine, c)).collect();
+    let expected = [
+        Verdict::Accepted,
+        Verdict::Held,
+        Verdict::Accepted,
+        Verdict::Held,
+    ];
+    assert_eq!(verdicts, expected);
+    assert_eq!(machine.text(), b"text 6");
+}
+
+/// Guards against a new leader that writes changes against what its state machine holds while entries of earlier terms are
+/// not applied, or against what an earlier term's log ended with.
+#[test]
+fn unknown_end_sent_whole() {
+    let mut machine = Documents::new();
+    submit(&mut machine, 1, "text 1");
+    let mut end = LogEnd::default();
+    let draft = end.draft(Term(1), None, submission(2, "text 2"));
+    assert!(matches!(draft.command, Command::Configure(_)));
+    let draft = end.draft(Term(1), Some(&machine), submission(2, "text 2"));
+    end.record(Term(1), Index(2), draft.into_parts().1);
+    let draft = end.draft(Term(2), Some(&machine), submission(3, "text 3"));
+    assert!(matches!(draft.command, Command::Amend(a) if a.base == Version(1)));
+    end.forget_applied(Term(1), Index(2));
+    assert_eq!(end.text(Term(1), Version(2)), None);
+}
+
+/// Guards against a controller that sends whole configurations to processes that are one or a few changes behind, and
+/// against one that keeps changes that take more than the configuration.
+#[test]
+fn changes_kept() {
+    let mut machine = Documents::new();
+    let text = |version: u64| format!("{}, version {version}", "much of a text ".repeat(10));
+    for version in 1..=400 {
+        submit(&mut machine, version, &text(version));
+    }
+    let changes = machine.history().since(Version(350)).unwrap();
+    let start = text(350).into_bytes();
+    let end = changes
+        .iter()
+        .fold(start, |text, change| change.apply(&text).unwrap());
+    assert_eq!(end, machine.text());
+    for version in 401..=600 {
+        let noise: String = (0..200)
+            .map(|n| format!("{:x}", snipemast_core::hash::mix(version * 1_000 + n)))
+            .collect();
+        submit(&mut machine, version, &noise);
+    }
+    assert!(machine.history().since(Version(350)).is_none());
+    assert!(machine.history().since(Version(599)).is_some());
+    let mut restored = Documents::new();
+    restored.restore(&machine.snapshot()).unwrap();
+    assert_eq!(restored.history().since(Version(599)), None);
+    assert_eq!(restored, machine);
+}
+
 quickcheck! {
     /// Whatever news reaches a gateway, in any order and any number of times, the newest is in force, and nothing older
     /// after it.
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -14,9 +14,11 @@
 use snipemast_control::forming::Hello;
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
+use snipemast_net::parts::{self, UploadId, Uploads};
 use snipemast_net::{rpc, RpcClient};
 use snipemast_platform::calls::{Call, METRICS};
 use snipemast_platform::{document, heartbeat};
+use snipemast_registry::fetch::{self, FetchAnswer, FetchRequest};
 use snipemast_registry::rank::RankAck;
 use snipemast_registry::{rank, updates, Poll, RankUpdate, Standing};
 use snipemast_routes::{check, Fault};
@@ -27,7 +29,7 @@
 use crate::state::State;
 
 /// The largest body of a call in bytes: four times the largest usual configuration.
-const MAX_BODY: usize = 16 << 20;
+pub(crate) const MAX_BODY: usize = 16 << 20;
 
 /// How long a body may take to arrive.
 const BODY_TIMEOUT: Span = Span::from_secs(5);
@@ -47,6 +49,8 @@
 pub(crate) struct Api {
     pub(crate) state: Arc<State>,
     pub(crate) own: Arc<OwnHost>,
+    /// Calls of other processes that arrive in parts.
+    pub(crate) uploads: Uploads,
 }
 
 impl Api {
@@ -74,10 +78,23 @@
     /// Answers the system's own processes.
     pub(crate) async fn answer_internal(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         let at = request.uri().path().to_owned();
+        let (upload, offset) = (
+            parts::upload_of(request.headers()),
+            parts::offset_of(request.headers()),
+        );
         let Some(body) = read_body(request).await else {
             return text_answer(StatusCode::BAD_REQUEST, "the body can't be read");
         };
+        let body = match upload {
+            Some(id) if at != parts::PATH => match self.uploads.take(id) {
+                Some(whole) => whole,
+                None => return text_answer(StatusCode::CONFLICT, "parts of the body are missing"),
+            },
+            _ => body,
+        };
         let answered = match at.as_str() {
+            parts::PATH => self.receive_part(upload, offset, &body),
+            fetch::PATH => self.answer_fetch(&body),
             path::LOG => self.receive_log(&body),
             path::HELLO => self.hello(&body),
             path::JOIN => self.join(&body),
@@ -107,7 +124,7 @@
             version,
             text: text.to_vec(),
         };
-        match self.submit_to_leader(&Command::Configure(submission)).await {
+        match self.submit_configuration(submission).await {
             Some(Verdict::Conflict) => {
                 self.record(
                     Event::PatchRefused,
@@ -152,15 +169,31 @@
         self.state.journal.record(event, subject, detail);
     }
 
+    /// Submits a configuration to the leader: as a change of the one that this voter has, or whole if the leader has
+    /// another one.
+    async fn submit_configuration(&self, submission: Submission) -> Option<Verdict> {
+        let (_, own) = self.state.voter.leader()?;
+        if !own {
+            if let Some(amendment) = self.state.voter.amend(&submission) {
+                match self.submit_to_leader(Command::Amend(amendment)).await {
+                    Some(Verdict::OtherBase) => {}
+                    verdict => return verdict,
+                }
+            }
+        }
+        let verdict = self.submit_to_leader(Command::Configure(submission)).await;
+        verdict.filter(|v| *v != Verdict::OtherBase)
+    }
+
     /// Submits a command to the leader, here or on another host.
-    pub(crate) async fn submit_to_leader(&self, command: &Command) -> Option<Verdict> {
+    pub(crate) async fn submit_to_leader(&self, command: Command) -> Option<Verdict> {
         let (leader, own) = self.state.voter.leader()?;
         if own {
             return self.state.voter.submit(command).await;
         }
         let client = RpcClient::new(leader);
         let submitted = client
-            .call(path::SUBMIT, command, LEADER_TIMEOUT)
+            .call_in_parts(path::SUBMIT, &command, LEADER_TIMEOUT)
             .await
             .ok()?;
         match submitted {
@@ -284,6 +317,29 @@
         }
     }
 
+    fn receive_part(
+        &self,
+        upload: Option<UploadId>,
+        offset: Option<u64>,
+        bytes: &[u8],
+    ) -> Option<Answer> {
+        let now = self.state.clock.now();
+        let ack = self.uploads.receive(now, upload?, offset?, bytes)?;
+        Some(rpc::encode_response(&ack))
+    }
+
+    /// Answers a request for a piece of the configuration.
+    fn answer_fetch(&self, body: &[u8]) -> Option<Answer> {
+        let request: FetchRequest = decode(body)?;
+        let Some(original) = self.state.voter.original() else {
+            return Some(rpc::encode_response(&FetchAnswer::Current));
+        };
+        let now = self.state.clock.now();
+        let mut transfers = self.state.transfers.lock();
+        let answer = transfers.answer(now, &request, &original);
+        Some(rpc::encode_response(&answer))
+    }
+
     fn receive_log(&self, body: &[u8]) -> Option<Answer> {
         let batch: Batch = decode(body)?;
         self.state.voter.receive(batch.from, batch.envelopes);
@@ -306,7 +362,7 @@
 
     async fn submit(&self, body: &[u8]) -> Option<Answer> {
         let command: Command = decode(body)?;
-        let verdict = self.state.voter.submit(&command).await;
+        let verdict = self.state.voter.submit(command).await;
         let submitted = verdict.map_or(SubmitAnswer::Unsettled, SubmitAnswer::Settled);
         Some(rpc::encode_response(&submitted))
     }
--- a/crates/controller/src/evacuation.rs
+++ b/crates/controller/src/evacuation.rs
@@ -27,7 +27,7 @@
         }
         let order = EvacuationOrder { zone, evacuated };
         let verdict = self
-            .submit_to_leader(&Command::Evacuate(order.clone()))
+            .submit_to_leader(Command::Evacuate(order.clone()))
             .await;
         match verdict {
             Some(Verdict::Accepted | Verdict::Held) => {
@@ -44,7 +44,7 @@
                 self.refuse_evacuation(&order.zone, "too many zones are evacuated");
                 text_answer(StatusCode::CONFLICT, "too many zones are evacuated")
             }
-            None => {
+            Some(Verdict::OtherBase) | None => {
                 self.refuse_evacuation(&order.zone, "no verdict: no leader can be reached");
                 text_answer(StatusCode::SERVICE_UNAVAILABLE, "no leader is in reach")
             }
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -12,11 +12,12 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Feed;
 use snipemast_net::exec::{pause, spawn};
+use snipemast_net::parts::Uploads;
 use snipemast_net::{serve, socket, BootClock};
 use snipemast_platform::settings::Settings;
 use snipemast_registry::{Pollers, Table};
 
-use crate::api::Api;
+use crate::api::{Api, MAX_BODY};
 use crate::crashes::keep_quarantined;
 use crate::join::{request_membership, run_voter, OwnHost};
 use crate::spread::Peers;
@@ -86,6 +87,7 @@
         pollers: Mutex::new(Pollers::default()),
         grants: Mutex::default(),
         crashes: Mutex::default(),
+        transfers: Mutex::default(),
         changed: Signal::new(),
         voter: Arc::clone(&voter),
     });
@@ -93,6 +95,7 @@
     let api = Arc::new(Api {
         state: Arc::clone(&state),
         own: Arc::clone(&own),
+        uploads: Uploads::new(MAX_BODY),
     });
     let peers = Peers::new(Arc::clone(&state));
     let feed = Feed::new(peers, journal.clone(), Some(own_address));
@@ -144,6 +147,7 @@
         let now = state.clock.now();
         state.pollers.lock().expire(now);
         state.crashes.lock().forget(now);
+        state.transfers.lock().expire(now);
         state.update_table(|table| table.expire(now));
     }
 }
--- a/crates/controller/src/spread.rs
+++ b/crates/controller/src/spread.rs
@@ -12,7 +12,7 @@
 use snipemast_registry::crashes::{answer_crash_poll, has_crash_update};
 use snipemast_registry::last_seen::LAST_SEEN_INTERVAL;
 use snipemast_registry::relays::Coverage;
-use snipemast_registry::updates::{controllers_digest, RawDocument};
+use snipemast_registry::updates::controllers_digest;
 use snipemast_registry::{Cursor, Entry, Poll, PollerKind, SeenServer, Update};
 
 use crate::state::State;
@@ -34,9 +34,6 @@
     let now = state.clock.now();
     let changes = table_changes(state, &poll, now);
     let version = state.voter.version();
-    let document = (poll.wants_document && version > poll.version)
-        .then(|| state.voter.document())
-        .flatten();
     let evacuations = has_newer_evacuations(state, &poll).then(|| state.voter.evacuations());
     let grants = match poll.kind {
         PollerKind::Gateway => state.grant(&poll.demands),
@@ -64,7 +61,6 @@
         covered: changes.covered,
         last_seen: changes.last_seen,
         version,
-        document: document.map(|d| RawDocument(d.text)),
         evacuations,
         zone: state.settings.zone.clone(),
         controllers: unknown_controllers(state, &poll),
@@ -130,7 +126,6 @@
     poll.cursor.epoch != cursor.epoch
         || poll.cursor.revision < revision
         || version > poll.announced
-        || (poll.wants_document && version > poll.version)
         || has_newer_evacuations(state, poll)
         || has_newer_crashes(state, poll)
 }
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -12,6 +12,7 @@
 use snipemast_net::BootClock;
 use snipemast_placement::Suspect;
 use snipemast_platform::settings::Settings;
+use snipemast_registry::fetch::Transfers;
 use snipemast_registry::limit::limit_change_event;
 use snipemast_registry::outcomes::Placed;
 use snipemast_registry::relays::Coverage;
@@ -51,6 +52,8 @@
     /// Notifies tasks that wait for a change of servers, of the configuration, or of what pollers
     /// have.
     pub(crate) changed: Signal,
+    /// The configurations that other processes fetch.
+    pub(crate) transfers: Mutex<Transfers>,
     /// The voter of this host.
     pub(crate) voter: Arc<Voter>,
 }
--- a/crates/controller/src/strangers.rs
+++ b/crates/controller/src/strangers.rs
@@ -50,7 +50,7 @@
         let version = voter.version();
         let mut services = self.services.lock();
         if services.version != version {
-            let document = voter.document().map(|d| document::read(&d.text));
+            let document = voter.text().map(|text| document::read(&text));
             // A committed document was readable when it was submitted. If it is not readable now,
             // any service is accepted.
             let Some(Ok(document)) = document else {
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -135,6 +135,8 @@
     ZoneEvacuated = 410;
     /// An operator's order to evacuate an availability zone, or to take it back, was refused.
     EvacuationRefused = 411;
+    /// A piece of a configuration did not arrive, or the changes did not fit.
+    DocumentFetchFailed = 412;
     /// A member joined the view.
     MemberJoined = 500;
     /// A member began to drain.
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -1,7 +1,12 @@
 //! Polls every known controller for updates, each in a task of its own.
 //!
 //! The known controllers are the seeds in the settings and those that the last update named.
-//! A [`FeedHandler`] makes the polls and handles the updates; a [`Feed`] runs the tasks.
+//! A [`FeedHandler`] makes the polls and handles the updates; a [`Feed`] runs the tasks. A [`ConfigurationFeed`] fetches the
+//! configurations that updates report.
+
+mod configuration;
+
+pub use configuration::{ConfigurationFeed, Source, Text};
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -67,7 +67,7 @@
     let grace = settings.bounds.grace;
     let state = State::new(settings.clone(), decisions, journal.clone());
     let reader = UpdateReader::new(Arc::clone(&state));
-    let feed = Feed::new(reader, journal.clone(), None);
+    let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
     let gate = CallerGate::new(Arc::clone(&state));
     let (for_callers, for_balancer) = (Arc::clone(&state), Arc::clone(&state));
     let tasks = [
@@ -78,6 +78,7 @@
             answer_probe(Arc::clone(&for_balancer), r)
         })),
         spawn(follow_seeds(settings, feed, Arc::clone(&state))),
+        spawn(reader.follow_configuration()),
         spawn(expire(Arc::clone(&state))),
         spawn(check_queues(Arc::clone(&state))),
     ];
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -8,15 +8,15 @@
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
-use snipemast_feed::FeedHandler;
+use snipemast_feed::{ConfigurationFeed, FeedHandler, Source, Text};
 use snipemast_net::exec::pause;
 use snipemast_placement::choice::AnnouncedServer;
 use snipemast_placement::cold::GatewayCounts;
 use snipemast_placement::outage::ReportedChange;
 use snipemast_placement::pools::{Pools, ServerReport};
 use snipemast_platform::document;
+use snipemast_registry::fetch::FETCH_TIMEOUT;
 use snipemast_registry::relays::{RelayAnswer, Relays};
-use snipemast_registry::source::{Source, FETCH_TIMEOUT};
 use snipemast_registry::{
     CrashExchange, KnownServer, Poll, PollerKind, Standing, Table as Registry, Update,
 };
@@ -35,6 +35,7 @@
 pub(crate) struct UpdateReader {
     state: Arc<State>,
     known: Mutex<KnownControllers>,
+    configuration: ConfigurationFeed,
     /// Wakes tasks that wait for the changes of a controller that relays pass on.
     relayed: Signal,
 }
@@ -43,7 +44,6 @@
 struct KnownControllers {
     controllers: HashMap<SocketAddr, Controller>,
     leader: Option<SocketAddr>,
-    source: Source,
     relays: Relays,
 }
 
@@ -52,10 +52,7 @@
     reported_version: Version,
     /// When the controller was last polled.
     polled: Moment,
-    same_zone: bool,
     crashes: CrashExchange,
-    /// Whether the controller is asked for the document, because no other one delivered it in time.
-    wants_document: bool,
 }
 
 impl KnownControllers {
@@ -64,19 +61,14 @@
         let known = self.controllers.get(&controller);
         known.map_or(Version(0), |c| c.reported_version)
     }
-
-    /// Asks a controller for the document in the next poll.
-    fn request_document(&mut self, controller: SocketAddr) {
-        if let Some(entry) = self.controllers.get_mut(&controller) {
-            entry.wants_document = true;
-        }
-    }
 }
 
 impl UpdateReader {
     pub(crate) fn new(state: Arc<State>) -> Arc<Self> {
+        let configuration = ConfigurationFeed::new(state.journal.clone());
         Arc::new(Self {
             state,
+            configuration,
             known: Mutex::default(),
             relayed: Signal::new(),
         })
@@ -112,22 +104,20 @@
         }
     }
 
-    /// Waits until the version that a controller reported is in force, or asks it for the document.
-    async fn await_document(&self, controller: SocketAddr) {
-        let lags = || self.known.lock().reported_version(controller) > self.state.version();
-        // Twice, so that a second controller is asked if the first one does not answer.
-        for _ in 0..2 {
-            let applied = self.state.applied.listen();
-            if !lags() {
-                return;
-            }
+    /// Waits until the version that a controller reported is in force, so that the next poll says so, but not as long as a
+    /// large configuration may take: polls carry other news as well.
+    async fn await_configuration(&self, controller: SocketAddr) {
+        let applied = self.state.applied.listen();
+        if self.known.lock().reported_version(controller) > self.state.version() {
             futures_lite::future::or(applied, pause(FETCH_TIMEOUT)).await;
-            let mut known = self.known.lock();
-            let late = self.state.version() < known.reported_version(controller);
-            if late && known.source.try_ask(self.state.clock.now()) {
-                known.request_document(controller);
-                return;
-            }
+        }
+    }
+
+    /// Puts each configuration into force that controllers report.
+    pub(crate) async fn follow_configuration(self: Arc<Self>) {
+        loop {
+            let (text, source) = self.configuration.next().await;
+            self.apply_configuration(&text, &source);
         }
     }
 
@@ -150,26 +140,29 @@
         }
     }
 
-    /// Puts a document into force that an operator's controller has checked.
-    fn apply_document(&self, text: &[u8]) {
-        let version = match document::read(text) {
-            Ok(document) => {
-                let version = document.version;
-                if !self.state.apply(Routes::new(document)) {
-                    return;
-                }
-                version
-            }
+    /// Puts a configuration into force that a controller has checked.
+    fn apply_configuration(&self, text: &Text, source: &Source) {
+        let journal = &self.state.journal;
+        let document = match document::read(&text.bytes) {
+            Ok(document) => document,
             Err(fault) => {
-                let journal = &self.state.journal;
                 journal.record(Event::PatchRefused, "document", fault);
                 return;
             }
         };
+        let version = document.version;
+        if !self.state.apply(Routes::new(document)) {
+            return;
+        }
+        let sent = if source.is_change { "changes" } else { "whole" };
+        let detail = format_args!(
+            "{} bytes, {sent} in {} by {}",
+            text.bytes.len(),
+            source.size,
+            source.controller
+        );
         let subject = format_args!("version {version}");
-        self.state
-            .journal
-            .record(Event::VersionApplied, subject, "in force");
+        journal.record(Event::VersionApplied, subject, detail);
     }
 
     /// Puts the evacuations that a controller reports into force, unless they are old.
@@ -287,11 +280,9 @@
         let now = self.state.clock.now();
         entry.polled = now;
         let crashes = self.state.crashes.next_poll(now, &entry.crashes);
-        let wants_document = entry.same_zone || entry.wants_document || version == Version(0);
         let poll = Poll {
             version,
             announced: entry.reported_version,
-            wants_document,
             zone: Some(self.state.settings.zone.clone()),
             cursor,
             without_entries: !with_entries,
@@ -320,9 +311,6 @@
         if let Some(evacuations) = update.evacuations.take() {
             self.apply_evacuations(controller, evacuations);
         }
-        if let Some(document) = update.document.take() {
-            self.apply_document(&document.0);
-        }
         let answer = RelayAnswer {
             same_zone: update.zone == self.state.settings.zone,
             cursor: update.cursor,
@@ -358,24 +346,25 @@
         }
         let entry = known.controllers.entry(controller).or_default();
         entry.reported_version = update.version;
-        entry.same_zone = answer.same_zone;
-        entry.wants_document = false;
+        self.configuration
+            .record_version(controller, update.version, answer.same_zone);
         known.relays.record(controller, answer);
         if !update.controllers.is_empty() {
             let seeds = self.state.settings.internal_seeds();
             let is_polled = |c| update.controllers.contains(&c) || seeds.contains(&c);
             known.controllers.retain(|c, _| is_polled(*c));
             known.relays.retain_polled(is_polled);
+            self.configuration.retain_sources(is_polled);
         }
         drop(known);
         self.relayed.notify(usize::MAX);
     }
 
     /// Waits until what a controller reported is in force, so that the next poll says so. Asks this
-    /// controller for what no other one delivers.
+    /// controller for changes of servers that no other one delivers.
     async fn wait_after_update(&self, controller: SocketAddr) {
         self.await_relays(controller).await;
-        self.await_document(controller).await;
+        self.await_configuration(controller).await;
     }
 
     fn handle_loss(&self, controller: SocketAddr) {
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -16,8 +18,12 @@
 use snipemast_core::prelude::*;
 
 use crate::exec::spawn;
+use crate::observed::ObservedStream;
 use crate::socket::{self, ACK_TIMEOUT};
 
+/// The number of bytes that arrived on the connections to one peer.
+pub(crate) type Received = Arc<AtomicU64>;
+
 /// The result of connecting.
 pub type Result<T> = std::result::Result<T, Report<ConnectError>>;
 
@@ -95,14 +101,16 @@
 
 /// Opens a connection within a time limit.
 pub async fn connect(address: SocketAddr, limit: Span) -> Result<Connection> {
-    connect_with_ack_timeout(address, limit, ACK_TIMEOUT).await
+    connect_counted(address, limit, ACK_TIMEOUT, Received::default()).await
 }
 
-/// Opens a connection that fails once written bytes stay unacknowledged for `ack_timeout`.
-pub async fn connect_with_ack_timeout(
+/// Opens a connection that fails once written bytes stay unacknowledged for `ack_timeout`, and adds the bytes that arrive
+/// to a counter.
+pub(crate) async fn connect_counted(
     address: SocketAddr,
     limit: Span,
     ack_timeout: Span,
+    received: Received,
 ) -> Result<Connection> {
     let opened = socket::open(address, limit, ack_timeout).await;
     let failure = opened.as_ref().err().map(ConnectFailure::new);
@@ -111,7 +119,10 @@
         failure: failure.unwrap_or(ConnectFailure::Other),
     };
     let stream = opened.change_context_lazy(failed)?;
-    let (sender, connection) = handshake(FuturesIo::new(stream))
+    let counted = ObservedStream::new(stream, move |length| {
+        received.fetch_add(length as u64, Ordering::Relaxed);
+    });
+    let (sender, connection) = handshake(FuturesIo::new(counted))
         .await
         .change_context_lazy(failed)?;
     let driver = spawn(async move {
--- a/crates/net/src/exec.rs
+++ b/crates/net/src/exec.rs
@@ -31,6 +31,27 @@
     .await
 }
 
+/// Runs a future, and returns its output unless it makes no progress for as long as the limit. `progress` returns a number
+/// that rises whenever the future makes progress.
+///
+/// A limit on the whole would end work that goes on but is large, and its repetition would end no better.
+pub async fn while_progress<T>(
+    limit: Span,
+    progress: impl Fn() -> u64,
+    work: impl Future<Output = T>,
+) -> Option<T> {
+    let stalled = async {
+        loop {
+            let before = progress();
+            Timer::after(limit.as_duration()).await;
+            if progress() == before {
+                return None;
+            }
+        }
+    };
+    future::or(async { Some(work.await) }, stalled).await
+}
+
 /// Waits for a span of time.
 pub async fn pause(span: Span) {
     Timer::after(span.as_duration()).await;
--- a/crates/net/src/kept.rs
+++ b/crates/net/src/kept.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
@@ -11,7 +12,7 @@
 
 use snipemast_core::prelude::*;
 
-use crate::connect::{connect_with_ack_timeout, Connection};
+use crate::connect::{connect_counted, Connection, Received};
 use crate::socket::ACK_TIMEOUT;
 
 /// The result of an exchange.
@@ -38,6 +39,7 @@
     address: SocketAddr,
     limit: Span,
     ack_timeout: Span,
+    received: Received,
     idle: Mutex<Option<Connection>>,
 }
 
@@ -50,6 +52,7 @@
             address,
             limit,
             ack_timeout: ACK_TIMEOUT,
+            received: Received::default(),
             idle: Mutex::new(None),
         }
     }
@@ -63,6 +66,11 @@
         }
     }
 
+    /// Returns how many bytes have arrived from the peer.
+    pub fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
     /// Returns the peer's address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -78,9 +86,12 @@
         let usable = idle.take().filter(Connection::is_ready);
         let mut connection = match usable {
             Some(connection) => connection,
-            None => connect_with_ack_timeout(self.address, self.limit, self.ack_timeout)
-                .await
-                .change_context(failed)?,
+            None => {
+                let received = Received::clone(&self.received);
+                connect_counted(self.address, self.limit, self.ack_timeout, received)
+                    .await
+                    .change_context(failed)?
+            }
         };
         let response = connection.send(request).await.change_context(failed)?;
         let status = response.status();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,11 +7,14 @@
 //! - [`kept`]: a persistent connection to one peer.
 //! - [`serve`](mod@serve): the accept loop of a listener.
 //! - [`rpc`]: calls between the system's own processes, with one MessagePack message each way.
+//! - [`parts`]: messages that arrive in parts.
 
 pub mod clock;
 pub mod connect;
 pub mod exec;
 pub mod kept;
+mod observed;
+pub mod parts;
 pub mod rpc;
 pub mod serve;
 pub mod socket;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`announcement`]: what a server announces about itself.
 //! - [`table`]: the known servers, each with its latest announcement.
 //! - [`updates`]: the polls of gateways, sidecars and controllers, and a controller's answers.
+//! - [`fetch`]: how a process gets the newest configuration, piece by piece.
 //! - [`last_seen`]: the times of the servers' last heartbeats, as controllers exchange them.
 //! - [`grants`]: which gateway may send the next requests to a server that names a limit.
 //! - [`limit`]: a server's limit on the requests that all gateways together send to it.
@@ -11,12 +12,12 @@
 //! - [`rank`]: a server's place in a group of ranks.
 //! - [`relays`]: which controllers pass the changes of servers on to a gateway.
 //! - `report`: how reports of a server are ordered.
-//! - [`source`]: which controllers a gateway requests a configuration from.
 //! - [`outcomes`]: which servers fail far more of their requests than others.
 //! - [`pollers`]: which hosts poll a controller, and what each of them has.
 
 pub mod announcement;
 pub mod crashes;
+pub mod fetch;
 pub mod grants;
 pub mod last_seen;
 pub mod leaving;
@@ -26,7 +27,6 @@
 pub mod rank;
 pub mod relays;
 mod report;
-pub mod source;
 pub mod table;
 pub mod updates;
 
--- a/crates/registry/src/updates.rs
+++ b/crates/registry/src/updates.rs
@@ -72,9 +72,6 @@
         /// The highest version that this controller has announced to it.
         #[serde(rename = "told")]
         pub announced: Version,
-        /// Whether the answer should carry the document, if there is a newer one.
-        #[serde(rename = "wanted")]
-        pub wants_document: bool,
         /// How much of the controller's table the poller has.
         pub cursor: Cursor,
         /// The [`controllers_digest`] of the controllers that the poller knows of; 0 if it knows none.
@@ -135,8 +132,6 @@
         pub last_seen: Vec<SeenServer>,
         /// The highest committed version that this controller knows.
         pub version: Version,
-        /// The document of that version, as its operator sent it.
-        pub document: Option<RawDocument>,
         /// The evacuated availability zones, if they changed since the revision that the poller has.
         #[serde(default)]
         pub evacuations: Option<Evacuations>,
@@ -171,9 +166,6 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub crashes: Option<CrashUpdate>,
     }
-
-    /// The text of a document.
-    pub struct RawDocument(#[serde(with = "serde_bytes")] pub Vec<u8>);
 }
 
 /// Returns a number that identifies a set of controllers, in any order.
@@ -221,7 +213,6 @@
             zone: None,
             version: Version(0),
             announced: Version(0),
-            wants_document: false,
             cursor: Cursor::default(),
             controllers_digest: 0,
             evacuations: None,
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -11,7 +11,6 @@
     Poll {
         version: Version(version),
         announced: Version(version),
-        wants_document: true,
         cursor: Cursor {
             epoch: 1,
             revision: place,
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -89,7 +89,7 @@
     group: GroupId,
     place: usize,
     feed: Arc<Feed<UpdateReader>>,
-    _task: Task<()>,
+    _tasks: [Task<()>; 2],
 }
 
 /// Runs the lead while the rank is the first of its group, and the deputy while it is the second.
@@ -119,6 +119,8 @@
 ) -> GroupTask {
     let reader = UpdateReader::new(settings.clone(), group.clone(), journal.clone());
     let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
+    let reading = Arc::clone(&reader);
+    let read_engines = spawn(async move { reading.read_engines().await });
     let task = if place == LEAD_RANK {
         spawn(Lead::new(reader, journal.clone()).run())
     } else {
@@ -128,7 +130,7 @@
         group,
         place,
         feed,
-        _task: task,
+        _tasks: [task, read_engines],
     }
 }
 
--- a/crates/sidecar/src/reader.rs
+++ b/crates/sidecar/src/reader.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 
 use snipemast_core::prelude::*;
-use snipemast_feed::FeedHandler;
+use snipemast_feed::{ConfigurationFeed, FeedHandler};
 use snipemast_net::exec::pause;
 use snipemast_net::BootClock;
 use snipemast_platform::document;
@@ -31,6 +31,7 @@
     clock: BootClock,
     journal: Journal,
     known: Mutex<View>,
+    configuration: ConfigurationFeed,
 }
 
 /// The process's view of the controllers' state.
@@ -50,11 +51,27 @@
             settings,
             group,
             clock: BootClock::new(),
+            configuration: ConfigurationFeed::new(journal.clone()),
             journal,
             known: Mutex::new(View::default()),
         })
     }
 
+    /// Reads the descriptions of all engines from the first configuration that controllers report.
+    pub(crate) async fn read_engines(&self) {
+        while self.known.lock().engines.is_empty() {
+            let (text, _) = self.configuration.next().await;
+            match document::read(&text.bytes) {
+                Ok(document) => {
+                    let services = document.services.into_iter();
+                    let engines = services.filter_map(|s| Some((s.name, s.engine?)));
+                    self.known.lock().engines = engines.collect();
+                }
+                Err(fault) => self.journal.record(Event::PatchRefused, "document", fault),
+            }
+        }
+    }
+
     /// Returns the group that this process serves.
     pub(crate) fn group(&self) -> &GroupId {
         &self.group
@@ -129,16 +146,9 @@
 impl FeedHandler for UpdateReader {
     fn next_poll(&self, controller: SocketAddr) -> Poll {
         let known = self.known.lock();
-        let wants_document = known.engines.is_empty();
-        let version = if wants_document {
-            Version(0)
-        } else {
-            Version(u64::MAX)
-        };
         Poll {
-            version,
-            announced: version,
-            wants_document,
+            version: Version(u64::MAX),
+            announced: Version(u64::MAX),
             cursor: known.cursors.get(&controller).copied().unwrap_or_default(),
             wait: POLL_WAIT,
             slow: known.slow_servers(),
@@ -154,16 +164,10 @@
             known.table.merge(now, entry);
         }
         known.table.forget(now);
-        let Some(text) = update.document else {
-            return;
-        };
-        match document::read(&text.0) {
-            Ok(document) => {
-                let services = document.services.into_iter();
-                let engines = services.filter_map(|s| Some((s.name, s.engine?)));
-                known.engines = engines.collect();
-            }
-            Err(fault) => self.journal.record(Event::PatchRefused, "document", fault),
+        if known.engines.is_empty() {
+            let same_zone = update.zone == self.settings.zone;
+            self.configuration
+                .record_version(controller, update.version, same_zone);
         }
     }
 
