--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -45,6 +45,8 @@
     service: ServiceId,
     gateways: Vec<Gateway>,
     arrivals: Arrivals,
+    /// The step from which on requests need repeats.
+    failing_from: u64,
     /// The requests and the retries of all gateways by step.
     requests: Vec<u32>,
     retries: Vec<u32>,
@@ -94,6 +96,7 @@
             service,
             gateways,
             arrivals: Arrivals::Even,
+            failing_from: 0,
             requests: Vec::new(),
             retries: Vec::new(),
         }
@@ -103,6 +106,13 @@
         Self { arrivals, ..self }
     }
 
+    fn with_failing_from(self, failing_from: u64) -> Self {
+        Self {
+            failing_from,
+            ..self
+        }
+    }
+
     /// Plays all steps. `starts` returns whether a gateway's process starts at a step, and `known` how many gateways
     /// it hears of.
     fn play(&mut self, starts: impl Fn(u64, u64) -> bool, known: impl Fn(u64, u64) -> u32) {
@@ -123,7 +133,7 @@
                     gateway.budget.record_request(now, &self.service);
                     requests += 1;
                 }
-                while gateway.budget.try_spend(now, &self.service) {
+                while step >= self.failing_from && gateway.budget.try_spend(now, &self.service) {
                     retries += 1;
                 }
             }
@@ -226,6 +236,46 @@
     }
 }
 
+/// Guards against repeats that pile up because all processes end just after most streams broke, and those that start count
+/// on their own requests what others have spent.
+#[test]
+fn restart_after_burst() {
+    for size in [3, 9, 40, 431] {
+        for delay in [1, 20, 100, 190] {
+            let broken = 2 * WINDOW_STEPS;
+            let mut fleet = Fleet::new(size).with_failing_from(broken);
+            fleet.play(|step, _| step == broken + delay, |_, _| size as u32);
+            let excess = fleet.excess();
+            assert!(
+                excess <= 0.0,
+                "{size} gateways, started {delay} steps after: {excess}"
+            );
+        }
+    }
+}
+
+/// Guards against repeats that pile up because callers move to other gateways just after most streams broke: those that
+/// they left have spent what their requests allow, and the others get requests to spend for.
+#[test]
+fn move_after_burst() {
+    for size in [4, 40, 432] {
+        for delay in [1, 20, 100] {
+            let moved = 2 * WINDOW_STEPS + delay;
+            let arrivals = [Arrivals::Half(moved), Arrivals::One(moved)];
+            for arrivals in arrivals {
+                let fleet = Fleet::new(size).with_arrivals(arrivals);
+                let mut fleet = fleet.with_failing_from(2 * WINDOW_STEPS);
+                fleet.play(|_, _| false, |_, _| size as u32);
+                let excess = fleet.excess();
+                assert!(
+                    excess <= 0.0,
+                    "{size} gateways, moved {delay} steps after: {excess}"
+                );
+            }
+        }
+    }
+}
+
 /// Guards against a gateway with nine tenths of all requests that may not repeat them because the others' shares stay
 /// unused: a tenth of the requests needs a repeat, half of what all together may send.
 #[test]
