Close idle callers, the longest idle first where there are too many

Cause: nobody kept limits.idleTimeoutMs and limits.headerTimeoutMs; idle connections counted against the bound on connections, and readiness did not look at it.

Change: the accept loop knows which connections have a request in progress, to the end of its answer. One that is idle for nine tenths of the limit is closed, as is one whose head takes too long; at the bound the longest idle one goes before a new one is read. A closed connection answers what crossed the decision. Where all have requests in progress the gateway isn't ready until a tenth of them has none.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use snipemast_core::prelude::*;
-use snipemast_net::Gate;
+use snipemast_net::{Gate, IdleLimits};
 use snipemast_placement::intake::{Admission, Intake};
 
 use crate::metrics::ConnectionEnd;
@@ -12,6 +12,10 @@
 /// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
 const CALLER_FILES: f64 = 0.6;
 
+/// The part of the limit on idle connections after which one is closed. Callers use a connection that has been idle for
+/// four fifths of it.
+const IDLE_SHARE: f64 = 0.9;
+
 /// The gate of the listener for callers.
 #[derive(Debug)]
 pub(crate) struct CallerGate {
@@ -60,6 +64,7 @@
     fn admits(&mut self, open: usize) -> bool {
         let admission = self.intake.decide(self.state.clock.now(), open);
         self.log(admission, open);
+        self.state.set_full(self.intake.is_full());
         self.state.metrics.count_connection(match admission {
             Admission::Read => ConnectionEnd::Read,
             Admission::Overloaded(_) => ConnectionEnd::Overloaded,
@@ -67,4 +72,19 @@
         });
         admission == Admission::Read
     }
+
+    fn is_full(&self, open: usize) -> bool {
+        self.intake.has_most(open)
+    }
+
+    fn idle_limits(&mut self, busy: usize) -> Option<IdleLimits> {
+        self.intake.record_busy(busy);
+        self.state.set_full(self.intake.is_full());
+        let routes = self.state.routes()?;
+        let limits = routes.limits();
+        Some(IdleLimits {
+            idle: Span::from_micros((limits.idle.as_micros() as f64 * IDLE_SHARE) as u64),
+            header: limits.header_time,
+        })
+    }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) shutdown: Mutex<Shutdown>,
     /// Whether callers should leave the connections that they keep open.
     shedding: AtomicBool,
+    /// Whether no new connection can be read.
+    full: AtomicBool,
     /// The number of requests in progress.
     active: AtomicU32,
     request_counter: AtomicU64,
@@ -114,6 +116,7 @@
             crashes: Crashes::default(),
             shutdown: Mutex::new(Shutdown::new()),
             shedding: AtomicBool::new(false),
+            full: AtomicBool::new(false),
             active: AtomicU32::new(0),
             request_counter: AtomicU64::new(0),
             settings,
@@ -195,6 +198,11 @@
         self.shedding.store(shedding, Ordering::Relaxed);
     }
 
+    /// Sets whether no new connection can be read, because there are too many with requests in progress.
+    pub(crate) fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::Relaxed);
+    }
+
     /// Whether callers should leave the connections that they keep open, because the process is overloaded or
     /// shutting down.
     pub(crate) fn closes_connections(&self) -> bool {
@@ -206,10 +214,11 @@
         self.shutdown.lock().has_begun()
     }
 
-    /// Whether the process may get new connections: it has a configuration and is not shutting
-    /// down.
+    /// Whether the process may get new connections: it has a configuration, can read them and is not
+    /// shutting down.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_shutting_down() && self.routes.read().is_some()
+        let full = self.full.load(Ordering::Relaxed);
+        !full && !self.is_shutting_down() && self.routes.read().is_some()
     }
 
     /// Returns a number that no other request of this process has.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod connect;
 pub mod exec;
+mod idle;
 pub mod kept;
 mod observed;
 pub mod parts;
@@ -22,6 +23,7 @@
 pub use clock::BootClock;
 pub use connect::{connect, ConnectError, ConnectFailure, Connection};
 pub use exec::{spawn, within};
+pub use idle::IdleLimits;
 pub use kept::PersistentConnection;
 pub use rpc::{RpcClient, RpcError};
 pub use serve::{serve, serve_gated, Gate};
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -11,18 +11,23 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use smol::net::TcpListener;
+use smol::net::{TcpListener, TcpStream};
 use smol::Task;
 use smol_hyper::rt::FuturesIo;
 
 use snipemast_core::prelude::*;
 
-use crate::exec::{pause, spawn};
+use crate::exec::{pause, spawn, within};
+use crate::idle::{IdleLimits, OpenConnection, OpenConnections, TrackedBody, CLOSE_TIME};
+use crate::observed::ObservedStream;
 use crate::socket;
 
 /// The delay after a failed accept: file descriptors may have run out, and some may be closed by then.
 const ACCEPT_RETRY_DELAY: Span = Span::from_millis(50);
 
+/// How often idle connections are checked.
+const IDLE_CHECK_INTERVAL: Span = Span::from_millis(500);
+
 /// Decides which new connections are read.
 pub trait Gate: Send {
     /// Whether the next decision needs a turn of all tasks to be measured before it.
@@ -33,6 +38,12 @@
 
     /// Whether a new connection is read, beside this many open ones. It is closed otherwise.
     fn admits(&mut self, open: usize) -> bool;
+
+    /// Whether the longest idle connection has to go before a new one is read, beside this many open ones.
+    fn is_full(&self, open: usize) -> bool;
+
+    /// Returns how long connections may be idle, now that this many have a request in progress; `None` if there is no limit.
+    fn idle_limits(&mut self, busy: usize) -> Option<IdleLimits>;
 }
 
 /// A gate that lets all connections in.
@@ -49,6 +60,14 @@
     fn admits(&mut self, _open: usize) -> bool {
         true
     }
+
+    fn is_full(&self, _open: usize) -> bool {
+        false
+    }
+
+    fn idle_limits(&mut self, _busy: usize) -> Option<IdleLimits> {
+        None
+    }
 }
 
 /// Answers the requests of all connections to a listener, until the returned future is dropped, which
@@ -77,40 +96,85 @@
     B::Error: std::error::Error + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
-    let mut connections = Connections::default();
+    let mut tasks = Tasks::default();
+    let connections = OpenConnections::default();
+    let mut next_check = Instant::now();
     loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
-            Err(_) => {
+        if Instant::now() >= next_check {
+            next_check = Instant::now() + IDLE_CHECK_INTERVAL.as_duration();
+            if let Some(limits) = gate.idle_limits(connections.busy_count()) {
+                connections.close_expired(&limits);
+            }
+        }
+        let accepted = within(IDLE_CHECK_INTERVAL, listener.accept()).await;
+        let (stream, peer) = match accepted {
+            Some(Ok(accepted)) => accepted,
+            Some(Err(_)) => {
                 pause(ACCEPT_RETRY_DELAY).await;
                 continue;
             }
+            None => continue,
         };
         if gate.needs_measure() {
             gate.record_turn(measure_turn().await);
         }
-        if !gate.admits(connections.open.load(Ordering::Relaxed)) {
+        if gate.is_full(connections.count()) {
+            connections.close_longest_idle();
+        }
+        if !gate.admits(connections.count()) {
             continue;
         }
         if socket::set_options(&stream, socket::ACK_TIMEOUT).is_err() {
             continue;
         }
         let handler = Arc::clone(&handler);
-        let open = OpenConnection::new(&connections.open);
-        connections.push(spawn(async move {
-            let _open = open;
-            let service = service_fn(|request| {
-                let response = handler(request, peer);
-                async move { Ok::<_, Infallible>(response.await) }
-            });
-            let mut builder = http1::Builder::new();
-            let builder = builder.pipeline_flush(true).half_close(false);
-            // A caller that closes the connection is no error of this process, and the handler
-            // learns of it by being dropped.
-            let _ = builder
-                .serve_connection(FuturesIo::new(stream), service)
-                .await;
-        }));
+        let open = Arc::new(connections.open());
+        tasks.push(spawn(serve_connection(stream, open, move |request| {
+            handler(request, peer)
+        })));
+    }
+}
+
+/// Answers the requests of one connection, until either side closes it.
+async fn serve_connection<H, F, B>(stream: TcpStream, open: Arc<OpenConnection>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body + Send + 'static,
+    B::Data: Send,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let closing = open.closing();
+    let reading = Arc::clone(&open);
+    let stream = ObservedStream::new(stream, move |length| {
+        if length > 0 {
+            reading.record_bytes();
+        }
+    });
+    let service = service_fn(|request| {
+        let active = open.begin_request();
+        let response = handler(request);
+        async move {
+            let tracked = |body| TrackedBody::new(body, active);
+            Ok::<_, Infallible>(response.await.map(tracked))
+        }
+    });
+    let mut builder = http1::Builder::new();
+    let builder = builder.pipeline_flush(true).half_close(false);
+    let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    // A caller that closes the connection is no error of this process, and the handler learns of it
+    // by being dropped.
+    let ended = async {
+        let _ = connection.as_mut().await;
+        true
+    };
+    let told = async {
+        closing.await;
+        false
+    };
+    if !futures_lite::future::or(ended, told).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = within(CLOSE_TIME, connection).await;
     }
 }
 
@@ -121,33 +185,15 @@
     Span::from_micros(u64::try_from(begun.elapsed().as_micros()).unwrap_or(u64::MAX))
 }
 
-/// An open connection. Dropping it removes it from the count.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(open))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// The tasks of open connections.
 #[derive(Default)]
-struct Connections {
+struct Tasks {
     tasks: Vec<Task<()>>,
-    /// The number of open connections.
-    open: Arc<AtomicUsize>,
     /// The number of tasks from which finished ones are removed.
     prune_at: usize,
 }
 
-impl Connections {
+impl Tasks {
     fn push(&mut self, task: Task<()>) {
         /// The minimum number of tasks from which finished ones are removed.
         const MIN_PRUNE: usize = 64;
--- a/crates/placement/src/intake.rs
+++ b/crates/placement/src/intake.rs
@@ -29,6 +29,9 @@
 /// How long no connection has to be closed before the process no longer counts as overloaded.
 const CALM_TIME: Span = Span::from_secs(2);
 
+/// The part of the connections that must have no request in progress again before new ones count as possible.
+const ROOM_SHARE: f64 = 0.1;
+
 /// What happens to a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -53,6 +56,8 @@
     overloaded: Option<Moment>,
     /// How many connections were read since a turn was measured.
     read: u32,
+    /// Whether connections were closed because all others had requests in progress.
+    full: bool,
 }
 
 impl Intake {
@@ -65,9 +70,27 @@
             slow_since: None,
             overloaded: None,
             read: 0,
+            full: false,
         }
     }
 
+    /// Whether there are as many connections as there may be, so that an idle one has to go before another is read.
+    pub fn has_most(&self, open: usize) -> bool {
+        open >= self.max_connections
+    }
+
+    /// Records how many connections have a request in progress.
+    pub fn record_busy(&mut self, busy: usize) {
+        let room = self.max_connections as f64 * (1.0 - ROOM_SHARE);
+        self.full &= busy as f64 > room;
+    }
+
+    /// Whether new connections can't be read, since all others have requests in progress. It holds on until some part of
+    /// them has none, so that the load balancer isn't told one thing and the other in turn.
+    pub fn is_full(&self) -> bool {
+        self.full
+    }
+
     /// Whether the next decision needs a turn of all tasks to be measured before it.
     pub fn needs_measure(&self, now: Moment) -> bool {
         now.since(self.measured) >= MAX_AGE
@@ -100,7 +123,8 @@
 
     /// Decides about a new connection, beside this many open ones.
     pub fn decide(&mut self, now: Moment, open: usize) -> Admission {
-        if open >= self.max_connections {
+        if self.has_most(open) {
+            self.full = true;
             return Admission::Full;
         }
         let Some(last) = self.overloaded else {
--- a/crates/placement/tests/intake.rs
+++ b/crates/placement/tests/intake.rs
@@ -127,3 +127,20 @@
     assert_eq!(intake.decide(now, 99), Admission::Read);
     assert_eq!(intake.decide(now, 100), Admission::Full);
 }
+
+/// Guards against a gateway that says that it is ready while it closes every new connection, and against one that says
+/// both in turn.
+#[test]
+fn full_until_room() {
+    let mut intake = Intake::new(100);
+    let now = Moment::from_millis(1_000);
+    assert_eq!(intake.decide(now, 99), Admission::Read);
+    assert!(!intake.is_full());
+    assert_eq!(intake.decide(now, 100), Admission::Full);
+    intake.record_busy(95);
+    assert!(intake.is_full());
+    intake.record_busy(90);
+    assert!(!intake.is_full());
+    intake.record_busy(100);
+    assert!(!intake.is_full());
+}
