Serve callers that read nothing for some seconds

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for peers whose packets stay unacknowledged, also ends connections to peers with a closed window, which acknowledge every probe.

Change: 10 s for callers' connections, longer than callers wait for a whole answer. Idle callers that vanish are found by keepalive probes as before; one that vanishes in the middle of its answer is found after 10 s instead of 1.5 s. Servers', controllers' and sidecars' connections keep 1.5 s.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -12,6 +12,10 @@
 /// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
 const CALLER_FILES: f64 = 0.6;
 
+/// How long a caller may read nothing of its answer: longer than callers wait for a whole one. A caller whose host vanished
+/// meanwhile is found as late, unless its connection was idle.
+const CALLER_ACK_TIMEOUT: Span = Span::from_secs(10);
+
 /// The part of the limit on idle connections after which one is closed. Callers use a connection that has been idle for
 /// four fifths of it.
 const IDLE_SHARE: f64 = 0.9;
@@ -61,6 +65,10 @@
         self.state.set_shedding(self.intake.sheds_kept());
     }
 
+    fn ack_timeout(&self) -> Span {
+        CALLER_ACK_TIMEOUT
+    }
+
     fn admits(&mut self, open: usize) -> bool {
         let admission = self.intake.decide(self.state.clock.now(), open);
         self.log(admission, open);
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -36,6 +36,9 @@
     /// Records how long a turn of all tasks took that ended now.
     fn record_turn(&mut self, delay: Span);
 
+    /// How long written bytes of a connection may stay unacknowledged, or its peer may read nothing.
+    fn ack_timeout(&self) -> Span;
+
     /// Whether a new connection is read, beside this many open ones. It is closed otherwise.
     fn admits(&mut self, open: usize) -> bool;
 
@@ -57,6 +60,10 @@
 
     fn record_turn(&mut self, _delay: Span) {}
 
+    fn ack_timeout(&self) -> Span {
+        socket::ACK_TIMEOUT
+    }
+
     fn admits(&mut self, _open: usize) -> bool {
         true
     }
@@ -124,7 +131,7 @@
         if !gate.admits(connections.count()) {
             continue;
         }
-        if socket::set_options(&stream, socket::ACK_TIMEOUT).is_err() {
+        if socket::set_options(&stream, gate.ack_timeout()).is_err() {
             continue;
         }
         let handler = Arc::clone(&handler);
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -21,7 +21,8 @@
 /// The number of unanswered probes after which the connection fails.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Sets a connection's options; it fails once written bytes stay unacknowledged for `ack_timeout`.
+/// Sets a connection's options; it fails once written bytes stay unacknowledged for `ack_timeout`, or once its peer has not
+/// read for so long, even if that peer acknowledges every probe.
 ///
 /// Failure guarded against: the peer's host loses power or is cut off, or a device on the path drops
 /// the state of the connection. No packet arrives any more, not even a reset, and a read waits
--- a/crates/net/tests/idle.rs
+++ b/crates/net/tests/idle.rs
@@ -28,6 +28,10 @@
 
     fn record_turn(&mut self, _delay: Span) {}
 
+    fn ack_timeout(&self) -> Span {
+        socket::ACK_TIMEOUT
+    }
+
     fn admits(&mut self, open: usize) -> bool {
         open < self.most
     }
