--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -1,11 +1,12 @@
-//! The state machine of whole configurations and evacuations: the document with the highest version
-//! is in force, and the evacuated availability zones are those of the last orders.
+//! The state machine of whole configurations, evacuations and departures: the document with the highest version
+//! is in force, the evacuated availability zones are those of the last orders, and servers that deregistered stay gone.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use snipemast_core::data;
+use snipemast_core::departures::{Departure, Departures};
 use snipemast_core::prelude::*;
 use snipemast_diff::Diff;
 
@@ -33,6 +34,11 @@
     Amend(Amendment),
     /// Evacuates an availability zone or takes it back.
     Evacuate(EvacuationOrder),
+    /// Records that servers deregistered.
+    Depart {
+        /// The servers.
+        departures: Vec<Departure>,
+    },
 }
 
 data! {
@@ -79,10 +85,13 @@
         /// Missing in snapshots of earlier releases.
         #[serde(default)]
         evacuations: Evacuations,
+        /// Missing in snapshots of earlier releases.
+        #[serde(default)]
+        departures: Departures,
     }
 }
 
-/// The configuration in force, and the evacuated availability zones.
+/// The configuration in force, the evacuated availability zones, and the servers that deregistered last.
 ///
 /// Voters that got a snapshot keep fewer changes than others; all else is the same at all of them.
 #[derive(Debug, Clone, Default)]
@@ -90,14 +99,27 @@
     version: Version,
     text: Arc<Vec<u8>>,
     evacuations: Evacuations,
+    departures: Departures,
     history: History,
 }
 
 impl PartialEq for Documents {
     /// Compares what is replicated, which the kept changes aren't.
     fn eq(&self, other: &Self) -> bool {
-        let replicated = |d: &Self| (d.version, Arc::clone(&d.text), d.evacuations.clone());
-        replicated(self) == replicated(other)
+        let Self {
+            version,
+            text,
+            evacuations,
+            departures,
+            history: _,
+        } = self;
+        let others = (
+            &other.version,
+            &other.text,
+            &other.evacuations,
+            &other.departures,
+        );
+        (version, text, evacuations, departures) == others
     }
 }
 
@@ -142,6 +164,11 @@
         &self.evacuations
     }
 
+    /// Returns the servers that deregistered last.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the verdict on a command if it is certain without the log.
     ///
     /// Versions only rise, so a submission below the version in force can never be accepted. A zone
@@ -150,7 +177,7 @@
         match command {
             Command::Configure(submission) => self.submission_verdict(submission),
             Command::Amend(amendment) if amendment.to < self.version => Some(Verdict::Held),
-            Command::Amend(_) | Command::Evacuate(_) => None,
+            Command::Amend(_) | Command::Evacuate(_) | Command::Depart { .. } => None,
         }
     }
 
@@ -230,6 +257,10 @@
             Ok(Command::Configure(submission)) => self.configure(submission),
             Ok(Command::Amend(amendment)) => self.amend(amendment),
             Ok(Command::Evacuate(order)) => self.evacuate(&order),
+            Ok(Command::Depart { departures }) => {
+                self.departures.add(departures);
+                Verdict::Accepted
+            }
             // Only a later release can have written this command. Every voter of this release gives
             // the same verdict.
             Err(_) => Verdict::Conflict,
@@ -242,6 +273,7 @@
             version: self.version,
             text: self.text.to_vec(),
             evacuations: self.evacuations.clone(),
+            departures: self.departures.clone(),
         })
     }
 
@@ -252,6 +284,7 @@
         (self.version, self.text) = (kept.version, Arc::new(kept.text));
         self.history.clear();
         self.evacuations = kept.evacuations;
+        self.departures = kept.departures;
         Ok(())
     }
 
--- a/crates/control/src/log_end.rs
+++ b/crates/control/src/log_end.rs
@@ -21,6 +21,12 @@
     term: Term,
     /// The entry of the last submission.
     index: Index,
+    held: Held,
+}
+
+/// A configuration that the log's end holds.
+#[derive(Debug, Clone)]
+pub struct Held {
     version: Version,
     text: Arc<Vec<u8>>,
 }
@@ -30,7 +36,8 @@
 pub struct Draft {
     /// The command for the log.
     pub command: Command,
-    end: Option<(Version, Arc<Vec<u8>>)>,
+    /// What the log's end holds once the command is appended; `None` if that isn't known.
+    pub end: Option<Held>,
 }
 
 impl LogEnd {
@@ -41,24 +48,30 @@
     pub fn draft(&self, term: Term, applied: Option<&Documents>, submission: Submission) -> Draft {
         let tail = self.tail.as_ref().filter(|tail| tail.term == term);
         let base = match tail {
-            Some(tail) => Some((tail.version, Arc::clone(&tail.text))),
-            None => applied.map(|a| (a.version(), Arc::clone(a.shared_text()))),
+            Some(tail) => Some(tail.held.clone()),
+            None => applied.map(|a| Held {
+                version: a.version(),
+                text: Arc::clone(a.shared_text()),
+            }),
         };
-        let Some((version, text)) = base.filter(|(version, _)| *version > Version(0)) else {
+        let Some(base) = base.filter(|base| base.version > Version(0)) else {
             return Draft {
                 command: Command::Configure(submission),
                 end: None,
             };
         };
         let command = Command::Amend(Amendment {
-            base: version,
+            base: base.version,
             to: submission.version,
-            diff: Diff::between(&text, &submission.text),
+            diff: Diff::between(&base.text, &submission.text),
         });
-        let end = if submission.version > version {
-            (submission.version, Arc::new(submission.text))
+        let end = if submission.version > base.version {
+            Held {
+                version: submission.version,
+                text: Arc::new(submission.text),
+            }
         } else {
-            (version, text)
+            base
         };
         Draft {
             command,
@@ -69,17 +82,13 @@
     /// Returns the text that an amendment starts from, if the log's end holds it.
     pub fn text(&self, term: Term, base: Version) -> Option<&[u8]> {
         let tail = self.tail.as_ref()?;
-        (tail.term == term && tail.version == base).then_some(tail.text.as_slice())
+        let held = &tail.held;
+        (tail.term == term && held.version == base).then_some(held.text.as_slice())
     }
 
     /// Records that a draft was appended to the log at an index.
-    pub fn record(&mut self, term: Term, index: Index, end: Option<(Version, Arc<Vec<u8>>)>) {
-        self.tail = end.map(|(version, text)| Tail {
-            term,
-            index,
-            version,
-            text,
-        });
+    pub fn record(&mut self, term: Term, index: Index, end: Option<Held>) {
+        self.tail = end.map(|held| Tail { term, index, held });
     }
 
     /// Forgets the text once the entries up to an index are applied, or the term is over.
@@ -91,10 +100,3 @@
         }
     }
 }
-
-impl Draft {
-    /// Returns the command, and what the log's end holds once it is appended.
-    pub fn into_parts(self) -> (Command, Option<(Version, Arc<Vec<u8>>)>) {
-        (self.command, self.end)
-    }
-}
--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -188,9 +188,8 @@
             Some(&machine),
             submission(version, &format!("text {version}")),
         );
-        let (command, next) = draft.into_parts();
-        end.record(Term(1), Index(number as u64 + 2), next);
-        commands.push(command);
+        end.record(Term(1), Index(number as u64 + 2), draft.end);
+        commands.push(draft.command);
     }
     assert!(commands.iter().all(|c| matches!(c, Command::Amend(_))));
     let verdicts: Vec<Verdict> = commands.iter().map(|c| apply(&mut machine, c)).collect();
@@ -214,7 +213,7 @@
     let draft = end.draft(Term(1), None, submission(2, "text 2"));
     assert!(matches!(draft.command, Command::Configure(_)));
     let draft = end.draft(Term(1), Some(&machine), submission(2, "text 2"));
-    end.record(Term(1), Index(2), draft.into_parts().1);
+    end.record(Term(1), Index(2), draft.end);
     let draft = end.draft(Term(2), Some(&machine), submission(3, "text 3"));
     assert!(matches!(draft.command, Command::Amend(a) if a.base == Version(1)));
     end.forget_applied(Term(1), Index(2));
--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -12,6 +12,7 @@
 
 use snipemast_control::documents::{Command, Submission, Verdict};
 use snipemast_control::forming::Hello;
+use snipemast_core::departures::Departure;
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
 use snipemast_net::parts::{self, UploadId, Uploads};
@@ -23,6 +24,7 @@
 use snipemast_registry::{rank, updates, Poll, RankUpdate, Standing};
 use snipemast_routes::{check, Fault};
 
+use crate::departures::PendingDepartures;
 use crate::join::OwnHost;
 use crate::peers::{path, Ack, Batch, JoinAnswer, JoinRequest, ReadAnswer, SubmitAnswer};
 use crate::spread;
@@ -51,6 +53,8 @@
     pub(crate) own: Arc<OwnHost>,
     /// Calls of other processes that arrive in parts.
     pub(crate) uploads: Uploads,
+    /// Deregistrations that aren't durable yet.
+    pub(crate) departures: PendingDepartures,
 }
 
 impl Api {
@@ -282,7 +286,8 @@
         text_answer(StatusCode::BAD_REQUEST, "this names no server to use")
     }
 
-    async fn leave(&self, id: &str) -> Answer {
+    /// Records a deregistration, and acknowledges it once it is durable and the gateways know of it.
+    async fn leave(self: &Arc<Self>, id: &str) -> Answer {
         let id = match heartbeat::read_id(id) {
             Ok(id) => id,
             Err(report) => return text_answer(StatusCode::BAD_REQUEST, &report.to_string()),
@@ -296,7 +301,19 @@
                 .journal
                 .record(Event::MemberRemoved, &id, "good-bye");
         }
-        self.wait_for_gateways().await;
+        let start = self
+            .state
+            .table
+            .lock()
+            .get(&id)
+            .map(|k| k.announcement.start);
+        let departure = Departure { server: id, start };
+        let (_, stored) =
+            futures_lite::future::zip(self.wait_for_gateways(), self.store_departure(departure))
+                .await;
+        if !stored {
+            return text_answer(StatusCode::SERVICE_UNAVAILABLE, "no leader is in reach");
+        }
         json_answer(StatusCode::OK, &json!({}))
     }
 
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod api;
 mod crashes;
+mod departures;
 mod disk;
 mod evacuation;
 mod join;
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -19,6 +19,7 @@
 
 use crate::api::{Api, MAX_BODY};
 use crate::crashes::keep_quarantined;
+use crate::departures::{follow_departures, PendingDepartures};
 use crate::join::{request_membership, run_voter, OwnHost};
 use crate::spread::Peers;
 use crate::state::State;
@@ -96,6 +97,7 @@
         state: Arc::clone(&state),
         own: Arc::clone(&own),
         uploads: Uploads::new(MAX_BODY),
+        departures: PendingDepartures::default(),
     });
     let peers = Peers::new(Arc::clone(&state));
     let feed = Feed::new(peers, journal.clone(), Some(own_address));
@@ -119,6 +121,7 @@
             own,
         )),
         spawn(notify_pollers(Arc::clone(&state))),
+        spawn(follow_departures(Arc::clone(&state))),
         spawn(expire_silent(Arc::clone(&state))),
         spawn(keep_quarantined(Arc::clone(&state))),
         spawn(refresh_seeds(settings, feed, state)),
--- a/crates/controller/src/voter.rs
+++ b/crates/controller/src/voter.rs
@@ -16,6 +16,7 @@
     ClusterId, DiskStorage, Envelope, Input, Location, Node, NodeEvent, NodeParams, Output,
     Refusal, Ticket, Timing, VoterId, Voters, Write,
 };
+use snipemast_core::departures::Departure;
 use snipemast_core::prelude::*;
 use snipemast_core::recent::Recent;
 use snipemast_diff::Diff;
@@ -278,7 +279,7 @@
             return Some(verdict);
         }
         let answer = match command {
-            Command::Evacuate(_) => self.propose(&command),
+            Command::Evacuate(_) | Command::Depart { .. } => self.propose(&command),
             Command::Configure(submission) => self.propose_submission(submission),
             Command::Amend(amendment) => match self.expand(&amendment) {
                 Some(submission) => self.propose_submission(submission),
@@ -304,13 +305,12 @@
             let draft = log_end.draft(node.term(), applied, submission);
             (node.term(), node.log().last_index(), draft)
         };
-        let (command, end) = draft.into_parts();
-        let answer = self.propose(&command);
+        let answer = self.propose(&draft.command);
         let mut guard = self.running.lock();
         let Running { node, log_end, .. } = guard.as_mut()?;
         let index = node.log().last_index();
         if node.term() == term && index > last {
-            log_end.record(term, index, end);
+            log_end.record(term, index, draft.end);
         }
         answer
     }
@@ -396,6 +396,19 @@
         machine.map_or_else(Evacuations::default, |m| m.evacuations().clone())
     }
 
+    /// Returns the servers whose committed departures are after the first `count`, and the count of all.
+    pub(crate) fn departures(&self, count: u64) -> (Vec<Departure>, u64) {
+        let guard = self.running.lock();
+        let Some(running) = guard.as_ref() else {
+            return (Vec::new(), count);
+        };
+        let departures = running.node.machine().departures();
+        (
+            departures.after(count).cloned().collect(),
+            departures.count(),
+        )
+    }
+
     /// Returns the revision of the committed evacuations that this voter knows.
     pub(crate) fn evacuation_revision(&self) -> u64 {
         let guard = self.running.lock();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`time`]: points in monotonic time, passed into the packages that make decisions.
 //! - [`hash`]: mixing of numbers, the source of pseudo-random choices.
 //! - [`hlc`]: hybrid logical clocks, which order the events of different processes.
+//! - [`departures`]: servers that deregistered.
 //! - [`evacuation`]: availability zones that operators have evacuated.
 //! - [`events`]: the numbered events and the bounded ring buffer that keeps them.
 //! - [`outcome`]: whether a request ran, as far as its caller may conclude.
@@ -18,6 +19,7 @@
 
 mod macros;
 
+pub mod departures;
 pub mod evacuation;
 pub mod events;
 pub mod hash;
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 
 use snipemast_core::data;
+use snipemast_core::departures::Departure;
 use snipemast_core::prelude::*;
 use snipemast_core::starts::StartMap;
 
@@ -78,6 +79,21 @@
     Replaced,
 }
 
+/// A server's deregistration.
+#[derive(Debug, Clone, Copy)]
+struct Deregistration {
+    at: Moment,
+    /// The start that deregistered, or `None` if it may not be known yet.
+    start: Option<Incarnation>,
+}
+
+impl Deregistration {
+    /// Whether it may be that of a start.
+    fn covers(&self, start: Incarnation) -> bool {
+        self.start.is_none_or(|own| start <= own)
+    }
+}
+
 /// The known servers.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
@@ -88,8 +104,8 @@
     /// The latest limits that servers named in their answers.
     limits: StartMap<KnownLimit>,
     leaving: LeavingServers,
-    /// When servers last deregistered at this process; the start that did may not be known yet.
-    deregistrations: HashMap<ServerId, Moment>,
+    /// The last deregistrations of servers.
+    deregistrations: HashMap<ServerId, Deregistration>,
     revision: u64,
     /// The revision at the last report of a server that is draining or gone, which is acknowledged
     /// once all gateways have it.
@@ -118,7 +134,11 @@
     /// because the server's heartbeats may have reached other controllers only, or it may have
     /// restarted since its last heartbeat here.
     pub fn record_deregistration(&mut self, now: Moment, id: &ServerId) -> bool {
-        self.deregistrations.insert(id.clone(), now);
+        let deregistration = Deregistration {
+            at: now,
+            start: None,
+        };
+        self.deregistrations.insert(id.clone(), deregistration);
         let changed = match self.servers.get(id) {
             Some(known) if known.standing != Standing::Gone => {
                 let announcement = known.announcement.clone();
@@ -130,6 +150,23 @@
         changed
     }
 
+    /// Records the deregistration of a start that another controller acknowledged, or this one before it restarted; returns
+    /// whether that changed the table. Heartbeats of this start that arrive later than it change nothing.
+    pub fn record_departure(&mut self, now: Moment, departure: &Departure) -> bool {
+        let Departure { server, start } = departure;
+        if let Some(known) = self.servers.get(server) {
+            let later = start.is_some_and(|start| known.announcement.start > start);
+            if later || known.standing == Standing::Gone {
+                return false;
+            }
+        }
+        let changed = self.record_deregistration(now, server);
+        if let Some(deregistration) = self.deregistrations.get_mut(server) {
+            deregistration.start = *start;
+        }
+        changed
+    }
+
     /// Merges an entry of another table; returns whether it changed more than the time.
     pub fn merge(&mut self, now: Moment, entry: Entry) -> bool {
         let last_seen = now - entry.age;
@@ -395,7 +432,7 @@
         };
         self.limits.retain(|id, start, _| is_latest(id, start));
         self.leaving.forget(now, is_latest);
-        self.deregistrations.retain(|_, at| !past(*at));
+        self.deregistrations.retain(|_, d| !past(d.at));
         // A rank is sent again only when it changes, so it is kept for as long as its server is.
         let is_held = |address: &SocketAddr| {
             let holder = self.holders.get(address);
@@ -442,8 +479,8 @@
         };
         let deregistration = self.deregistrations.get(&announcement.id).copied();
         let Some(known) = self.servers.get_mut(&announcement.id) else {
-            return match deregistration {
-                Some(at) => self.put(at.max(last_seen), announcement, Standing::Gone),
+            return match deregistration.filter(|d| d.covers(announcement.start)) {
+                Some(d) => self.put(d.at.max(last_seen), announcement, Standing::Gone),
                 None => self.put(last_seen, announcement, standing),
             };
         };
@@ -455,8 +492,9 @@
             // Failure guarded against: the deregistration of this start arrived and was acknowledged
             // while only the previous start was known here, although heartbeats of this one had
             // already reached other controllers.
-            return match deregistration.filter(|at| last_seen <= *at) {
-                Some(at) => self.put(at, announcement, Standing::Gone),
+            let deregistration = deregistration.filter(|d| d.covers(announcement.start));
+            return match deregistration.filter(|d| last_seen <= d.at) {
+                Some(d) => self.put(d.at, announcement, Standing::Gone),
                 None => self.put(last_seen, announcement, standing),
             };
         }
