--- a/crates/control/tests/documents.rs
+++ b/crates/control/tests/documents.rs
@@ -7,6 +7,7 @@
 };
 use snipemast_control::log_end::LogEnd;
 use snipemast_control::StateMachine;
+use snipemast_core::departures::{Departure, MAX_DEPARTURES};
 use snipemast_core::prelude::*;
 use snipemast_diff::Diff;
 
@@ -220,6 +221,32 @@
     assert_eq!(end.text(Term(1), Version(2)), None);
 }
 
+/// Guards against departures that a voter forgets with its log, and against state that grows with each server that leaves.
+#[test]
+fn departures_kept() {
+    let mut machine = Documents::new();
+    let depart = |number: usize| Departure {
+        server: ServerId::new(format!("i-{number}")).unwrap(),
+        start: Some(Incarnation(1)),
+    };
+    for first in (0..2 * MAX_DEPARTURES).step_by(64) {
+        let departures = (first..first + 64).map(depart).collect();
+        assert_eq!(
+            apply(&mut machine, &Command::Depart { departures }),
+            Verdict::Accepted
+        );
+    }
+    let mut restored = Documents::new();
+    restored.restore(&machine.snapshot()).unwrap();
+    assert_eq!(restored, machine);
+    let all: Vec<Departure> = restored.departures().after(0).cloned().collect();
+    assert_eq!(all.len(), MAX_DEPARTURES);
+    assert_eq!(all.last(), Some(&depart(2 * MAX_DEPARTURES - 1)));
+    let count = restored.departures().count();
+    assert_eq!(restored.departures().after(count - 1).count(), 1);
+    assert_eq!(restored.departures().after(count).count(), 0);
+}
+
 /// Guards against a controller that sends whole configurations to processes that are one or a few changes behind, and
 /// against one that keeps changes that take more than the configuration.
 #[test]
--- a/crates/groups/src/executor.rs
+++ b/crates/groups/src/executor.rs
@@ -165,7 +165,7 @@
     /// Failure guarded against: a pledge arrives after it was checked for and before the first
     /// order of the takeover, and the lead arms its own rank while the others are disarmed. No
     /// pledge is accepted once this has succeeded.
-    pub fn overtake(&mut self, ballot: Ballot, state: &RankState, reaches: bool) -> bool {
+    pub fn take_over(&mut self, ballot: Ballot, state: &RankState, reaches: bool) -> bool {
         let inherited = self.initial_hold.is_some() && self.initial_hold == state.held;
         let released = state.held == Some(self.released);
         let pledged = self.is_pledged(state) && !reaches;
--- a/crates/groups/tests/ordered/mod.rs
+++ b/crates/groups/tests/ordered/mod.rs
@@ -459,7 +459,7 @@
         let reaches = self.lead_frozen <= self.now;
         let executor = &mut self.processes[DEPUTY_RANK].executor;
         let pledged = executor.is_pledged(&state);
-        if !executor.overtake(ballot, &state, reaches) {
+        if !executor.take_over(ballot, &state, reaches) {
             return;
         }
         self.deputy = (ballot.get(), 0);
--- a/crates/registry/tests/crashes.rs
+++ b/crates/registry/tests/crashes.rs
@@ -25,11 +25,11 @@
     table: CrashTable,
 }
 
-/// What becomes of a poll.
+/// Whether the answer to a poll arrives.
 #[derive(Clone, Copy, PartialEq)]
-enum Fate {
-    Answered,
-    AnswerLost,
+enum Delivery {
+    Arrives,
+    Lost,
 }
 
 fn crashing() -> Fingerprint {
@@ -71,7 +71,7 @@
         }
     }
 
-    /// A server ends under the crashing request, which a gateway sent.
+    /// Ends a server while it runs the crashing request that a gateway sent.
     fn end(&mut self, gateway: usize) {
         self.now = self.now + Span::from_secs(4);
         self.ends += 1;
@@ -88,20 +88,20 @@
         table.record_end(self.now, &Causes::new(crashing()), &server, run);
     }
 
-    fn poll(&mut self, gateway: usize, controller: usize, fate: Fate) {
+    fn poll(&mut self, gateway: usize, controller: usize, delivery: Delivery) {
         let now = self.now;
         let Gateway { table, exchanges } = &mut self.gateways[gateway];
         let exchange = &mut exchanges[controller];
         let Controller {
             epoch,
-            table: theirs,
+            table: controller_table,
         } = &mut self.controllers[controller];
         let poll = exchange.next_poll(now, table);
         for record in poll.iter().flat_map(|update| &update.records) {
-            theirs.merge(now, record.clone());
+            controller_table.merge(now, record.clone());
         }
-        let answer = answer_crash_poll(now, *epoch, theirs, poll.as_ref());
-        if fate == Fate::Answered {
+        let answer = answer_crash_poll(now, *epoch, controller_table, poll.as_ref());
+        if delivery == Delivery::Arrives {
             exchange.handle_answer(now, *epoch, table, answer);
         }
     }
@@ -111,27 +111,27 @@
         for _ in 0..2 {
             for gateway in 0..self.gateways.len() {
                 for controller in controllers {
-                    self.poll(gateway, *controller, Fate::Answered);
+                    self.poll(gateway, *controller, Delivery::Arrives);
                 }
             }
         }
     }
 
-    /// Returns how many polls and answers of a round of all gateways and controllers would carry something.
-    fn count_carrying(&self) -> usize {
-        let mut carrying = 0;
+    /// Returns how many polls and answers would hold records if each gateway polled each controller now.
+    fn count_exchanges(&self) -> usize {
+        let mut exchanges_due = 0;
         for gateway in &self.gateways {
             for (exchange, controller) in gateway.exchanges.iter().zip(&self.controllers) {
                 let poll = exchange.next_poll(self.now, &gateway.table);
                 let (epoch, table) = (controller.epoch, &controller.table);
                 let answer = answer_crash_poll(self.now, epoch, table, poll.as_ref());
-                carrying += usize::from(poll.is_some()) + usize::from(answer.is_some());
+                exchanges_due += usize::from(poll.is_some()) + usize::from(answer.is_some());
             }
         }
-        carrying
+        exchanges_due
     }
 
-    fn count_knowing(&self) -> usize {
+    fn count_quarantining(&self) -> usize {
         let verdicts = self.gateways.iter().map(|g| g.table.verdict(&crashing()));
         verdicts.filter(|v| *v == CrashVerdict::Quarantined).count()
     }
@@ -139,17 +139,17 @@
 
 /// Guards against a request that crashed servers at several gateways, each of which knows of one only.
 #[test]
-fn all_learn() {
+fn all_quarantine() {
     for size in [3, 9, 149] {
         let mut fleet = Fleet::new(size, 3);
         (0..3).for_each(|gateway| fleet.end(gateway));
         // One controller is enough, whichever it is and whoever leads.
         fleet.poll_all(&[1]);
-        assert_eq!(fleet.count_knowing(), size);
+        assert_eq!(fleet.count_quarantining(), size);
     }
 }
 
-/// Guards against processes that start anew, one after the other, until nobody knows the request any more.
+/// Guards against processes that restart one after the other until none has the request's record any more.
 #[test]
 fn restarts_lose_nothing() {
     let mut fleet = Fleet::new(9, 3);
@@ -162,12 +162,12 @@
         }
         for gateway in 0..9 {
             fleet.gateways[gateway] = fleet.new_gateway();
-            // The controller that it polls first may have been started anew a moment before.
+            // The controller that it polls first may have restarted a moment before.
             let first = (gateway + round) % 3;
             fleet.controllers[first] = fleet.new_controller();
             fleet.poll_all(&[first]);
             fleet.poll_all(&[0, 1, 2]);
-            assert_eq!(fleet.count_knowing(), 9);
+            assert_eq!(fleet.count_quarantining(), 9);
         }
     }
 }
@@ -178,17 +178,17 @@
     let mut fleet = Fleet::new(3, 1);
     for gateway in 0..3 {
         fleet.end(gateway);
-        fleet.poll(gateway, 0, Fate::AnswerLost);
+        fleet.poll(gateway, 0, Delivery::Lost);
         fleet.controllers[0] = fleet.new_controller();
     }
     fleet.poll_all(&[0]);
-    assert_eq!(fleet.count_knowing(), 3);
+    assert_eq!(fleet.count_quarantining(), 3);
 }
 
-/// Guards against gateways that all receive each innocent request that was on a server that ended, and against
+/// Guards against gateways that all receive each request that a crashed server was running, although others crashed it, and against
 /// polls that are answered at once for ever.
 #[test]
-fn innocent_not_sent() {
+fn unrelated_not_sent() {
     let mut fleet = Fleet::new(3, 1);
     fleet.end(0);
     fleet.poll_all(&[0]);
@@ -204,16 +204,16 @@
     }
 }
 
-/// Guards against polls of all gateways to all controllers that carry positions for good, because some server once
+/// Guards against polls that hold cursors for ever, because some server once
 /// ended under some request.
 #[test]
-fn nothing_carried() {
+fn idle_polls_empty() {
     let mut fleet = Fleet::new(9, 3);
     fleet.poll_all(&[0, 1, 2]);
-    assert_eq!(fleet.count_carrying(), 0);
+    assert_eq!(fleet.count_exchanges(), 0);
     fleet.end(0);
     fleet.poll_all(&[0, 1, 2]);
-    assert_eq!(fleet.count_carrying(), 0);
+    assert_eq!(fleet.count_exchanges(), 0);
     // A restarted controller is sent them again all the same.
     fleet.controllers[1] = fleet.new_controller();
     fleet.poll_all(&[1]);
@@ -227,7 +227,7 @@
     let mut fleet = Fleet::new(3, 1);
     fleet.end(0);
     fleet.end(0);
-    fleet.poll(0, 0, Fate::Answered);
+    fleet.poll(0, 0, Delivery::Arrives);
     fleet.now = fleet.now + Span::from_secs(3_600);
     fleet.controllers[0].table.forget(fleet.now);
     fleet.poll_all(&[0]);
--- a/crates/registry/tests/grants.rs
+++ b/crates/registry/tests/grants.rs
@@ -44,16 +44,16 @@
     assert_eq!(grant(&mut grants, at(10_500), 2, (1, 2), 9), 1);
 }
 
-/// Guards against a burst after a time in which no gateway asks: the requests that were allowed
+/// Guards against a burst after a time without demand: the requests that were allowed
 /// meanwhile would all be granted at once.
 #[test]
-fn savings_bounded() {
+fn burst_bounded() {
     let mut grants = Grants::default();
     grant(&mut grants, at(0), 1, (1, 8), 0);
     assert_eq!(grant(&mut grants, at(60_000), 1, (1, 8), 99), 4);
 }
 
-/// Guards against a lower limit that takes effect late: more is saved than it allows, or the time
+/// Guards against a lower limit that takes effect late: more requests are accumulated than it allows, or the time
 /// before it counts by the higher limit.
 #[test]
 fn lower_limit_immediate() {
@@ -63,10 +63,10 @@
     assert_eq!(grant(&mut grants, at(10_500), 1, (1, 1), 99), 0);
 }
 
-/// Guards against a server that restarts under its id and gets what was saved for its earlier
+/// Guards against a server that restarts under its id and gets what was accumulated for its earlier
 /// start.
 #[test]
-fn restart_resets_savings() {
+fn restart_resets_allowance() {
     let mut grants = Grants::default();
     grant(&mut grants, at(0), 1, (1, 8), 0);
     assert_eq!(grant(&mut grants, at(10_000), 1, (2, 8), 99), 0);
--- a/crates/registry/tests/last_seen.rs
+++ b/crates/registry/tests/last_seen.rs
@@ -1,5 +1,4 @@
-//! What controllers tell each other of servers that merely go on: how much it is, and that no server is taken for
-//! silent.
+//! The exchange of servers' last heartbeats between controllers: its size, and that no live server counts as lost.
 
 use quickcheck::{quickcheck, TestResult};
 
@@ -98,7 +97,7 @@
 /// Guards against traffic between controllers that grows with servers times controllers times controllers although
 /// nothing changes: each answer held every server.
 #[test]
-fn calm_is_cheap() {
+fn idle_exchange_small() {
     const SERVERS: usize = 600;
     const POLL: u64 = 800;
     let mut all = [Controller::new(2), Controller::new(2)];
@@ -124,7 +123,7 @@
     );
 }
 
-/// Guards against a server whose heartbeats reach another controller, and that is lost here because only changes are told.
+/// Guards against a server whose heartbeats reach another controller, and that is lost here because only changes are exchanged.
 #[test]
 fn seen_elsewhere_kept() {
     let mut all = [Controller::new(2), Controller::new(2)];
@@ -153,8 +152,8 @@
     assert_eq!(known.announcement.sequence, 9);
 }
 
-/// Guards against a server that stays lost here for good after this controller was cut off, although others heard it
-/// all along and nothing about it changed.
+/// Guards against a server that stays lost here for good after this controller was cut off, although others received its
+/// heartbeats and nothing about it changed.
 #[test]
 fn lost_server_found() {
     let mut all = [Controller::new(2), Controller::new(2)];
@@ -171,7 +170,7 @@
 
 /// Guards against a group that falls apart into single servers once its ranks have not changed for a while.
 #[test]
-fn calm_rank_kept() {
+fn unchanged_rank_kept() {
     let mut table = Table::new();
     let rank = GroupRank {
         group: GroupId::new("g-0").unwrap(),
@@ -197,7 +196,7 @@
 }
 
 quickcheck! {
-    /// Three controllers of which two may not reach each other: a server that one of them hears is lost at none, as long
+    /// Three controllers of which two may not reach each other: a server whose heartbeats one of them receives is lost at none, as long
     /// as each reaches another one.
     fn no_live_server_lost(cuts: Vec<u8>, hears: u8) -> TestResult {
         let mut all = [(); 3].map(|()| Controller::new(3));
--- a/crates/registry/tests/limits.rs
+++ b/crates/registry/tests/limits.rs
@@ -83,7 +83,7 @@
 /// Guards against a limit that comes back from the leader a little lower than a gateway reported
 /// it: each answer would seem to name another limit, and the grants would be lost each time.
 #[test]
-fn passed_on_unchanged() {
+fn forwarded_unchanged() {
     for thousandths in [1, 333, 1_234, 2_137, 999_999] {
         let update = LimitUpdate {
             rate: Some(Rate::from_millis(thousandths)),
--- a/crates/registry/tests/outcomes.rs
+++ b/crates/registry/tests/outcomes.rs
@@ -69,9 +69,9 @@
     out.map(|s| s.server).collect()
 }
 
-/// Guards against one gateway whose own path is ill and that puts out servers for all.
+/// Guards against one gateway whose own path fails and that ejects servers for all.
 #[test]
-fn one_witness_ignored() {
+fn one_reporter_ignored() {
     let mut pollers = Pollers::default();
     let failures = || (0..5).map(|n| count(n, 0, 900)).collect();
     pollers.record(at(0), &report(0, failures()));
@@ -83,7 +83,7 @@
     assert_eq!(outliers(&mut pollers, at(100), 40).len(), 5);
 }
 
-/// Guards against a server that is put out because the gateways that it failed at report it at
+/// Guards against a server that is ejected because the gateways that it failed at report it at
 /// once, and those that it answered well were not asked yet.
 #[test]
 fn good_answers_awaited() {
@@ -106,7 +106,7 @@
 }
 
 /// Guards against a poll that comes twice and counts twice, and against a leader that answers with
-/// what it knew before it stood still, or that a new leader would have to receive again.
+/// what it knew before it was suspended, or that a new leader would have to receive again.
 #[test]
 fn polls_replace() {
     let mut pollers = Pollers::default();
@@ -119,7 +119,7 @@
         pollers.record(at(100), &report(gateway, vec![count(3, 0, 160)]));
     }
     assert_eq!(outliers(&mut pollers, at(200), 40), [id(3)]);
-    // A leader that wakes up has no report that is new enough; nor has a new one.
+    // A leader that was suspended has no report that is new enough; nor has a new one.
     assert!(pollers.suspects(at(1_300), || placed(40)).is_empty());
     assert!(Pollers::default().suspects(at(0), || placed(40)).is_empty());
     // A gateway that restarts replaces what it had reported.
@@ -130,9 +130,9 @@
     assert!(outliers(&mut pollers, at(2_100), 40).is_empty());
 }
 
-/// Guards against a zone that is put out as a whole because the path to it is lost.
+/// Guards against a zone that is ejected as a whole because the path to it is lost.
 #[test]
-fn whole_zone_stays() {
+fn whole_zone_kept() {
     let mut pollers = Pollers::default();
     let in_zone = |n: &usize| n % ZONES == 2;
     for gateway in 0..10 {
@@ -145,7 +145,7 @@
 /// Guards against answers that grow with the number of failing servers, and processes of another
 /// release that send or understand none.
 #[test]
-fn news_are_bounded() {
+fn updates_bounded() {
     let mut pollers = Pollers::default();
     for gateway in 0..3 {
         let failures = (0..1_000).map(|n| count(n, 0, 100)).collect();
@@ -165,27 +165,27 @@
 const GATEWAYS: usize = 40;
 const SERVERS: usize = 72;
 
-/// The time of a step of a play, between two polls, and of a request at a server that is well, in
+/// The time of a step of the simulation, between two polls, and of a request at a healthy server, in
 /// milliseconds.
 const STEP: u64 = 10;
 const POLL: u64 = 70;
 const TOOK: u64 = 600;
 
-/// When all servers are well again, in milliseconds.
-const WELL: u64 = 7_000;
+/// When all servers are healthy again, in milliseconds.
+const HEALTHY_FROM: u64 = 7_000;
 
-/// The sends in one second of a play.
+/// The sends in one second of the simulation.
 #[derive(Debug, Clone, Copy, Default)]
 struct Second {
     sends: u32,
     /// Those that failed.
     failed: u32,
     /// Those to the servers that fail at first.
-    there: u32,
+    to_failing: u32,
 }
 
 /// 40 gateways before 72 servers. At first 7 servers fail everything, and 10 servers 39 in 100.
-struct Play {
+struct Simulation {
     gateways: Vec<Servers>,
     pollers: Pollers,
     running: Vec<(u64, usize, ServerId)>,
@@ -209,7 +209,7 @@
     }
 }
 
-impl Play {
+impl Simulation {
     fn new() -> Self {
         let gateway = |number: usize| {
             let mut servers = Servers::new(zone(number))
@@ -234,7 +234,7 @@
         fraction(self.chance)
     }
 
-    /// Plays 16 s; returns what was sent in each.
+    /// Runs 16 s, and returns what was sent in each second.
     fn run(mut self, shared: bool) -> Vec<Second> {
         for millis in (0..16_000).step_by(STEP as usize) {
             self.end_requests(millis);
@@ -293,7 +293,7 @@
             let Ok(choice) = chosen else { return };
             let number: usize = choice.server.as_str()[2..].parse().unwrap();
             let fails = match number {
-                _ if millis >= WELL => false,
+                _ if millis >= HEALTHY_FROM => false,
                 0..7 => true,
                 7..17 => self.draw() < 0.39,
                 _ => false,
@@ -301,7 +301,7 @@
             let second = &mut self.seconds[(millis / 1_000) as usize];
             second.sends += 1;
             second.failed += u32::from(fails);
-            second.there += u32::from(number < 17);
+            second.to_failing += u32::from(number < 17);
             if !fails {
                 self.running.push((millis + TOOK, gateway, choice.server));
                 return;
@@ -315,21 +315,21 @@
 }
 
 /// Guards against servers that fail at once, look idle, and draw a large part of all requests,
-/// because each of many gateways sees each of them only once or twice. Once they are well, they get
+/// because each of many gateways sees each of them only once or twice. Once they are healthy, they get
 /// their part again.
 #[test]
 fn fast_failures_left_out() {
     let sum = |seconds: &[Second], part: fn(&Second) -> u32| seconds.iter().map(part).sum::<u32>();
-    let alone = Play::new().run(false);
-    let seconds = Play::new().run(true);
-    let (ill, well) = (2..7, 13..16);
-    let failed = |seconds: &[Second]| sum(&seconds[ill.clone()], |s| s.failed);
-    let sends = sum(&seconds[ill.clone()], |s| s.sends);
+    let alone = Simulation::new().run(false);
+    let seconds = Simulation::new().run(true);
+    let (failing, healthy) = (2..7, 13..16);
+    let failed = |seconds: &[Second]| sum(&seconds[failing.clone()], |s| s.failed);
+    let sends = sum(&seconds[failing.clone()], |s| s.sends);
     let (before, after) = (failed(&alone), failed(&seconds));
     println!("{before} failed alone, {after} of {sends} shared: {seconds:?}");
     assert!(2 * after < before, "{after} of {before}");
     assert!(100 * after < 8 * sends, "{after} of {sends}");
-    let there = sum(&seconds[well.clone()], |s| s.there);
-    let usual = sum(&seconds[well], |s| s.sends) * 17 / SERVERS as u32;
-    assert!(4 * there > 3 * usual, "{there} of {usual}");
+    let to_failing = sum(&seconds[healthy.clone()], |s| s.to_failing);
+    let usual = sum(&seconds[healthy], |s| s.sends) * 17 / SERVERS as u32;
+    assert!(4 * to_failing > 3 * usual, "{to_failing} of {usual}");
 }
--- a/crates/registry/tests/parts.rs
+++ b/crates/registry/tests/parts.rs
@@ -10,8 +10,8 @@
 
 /// A step of the model, in ms.
 const STEP: u64 = 50;
-/// How long a prompt is read before its answer begins, how long an answer lasts, and after which part of it its part
-/// counts as survived, in ms.
+/// How long a prompt is read before its answer begins, how long an answer lasts, and after which share of it its part
+/// counts as harmless, in ms.
 const READING: u64 = 250;
 const ANSWER: u64 = 2_000;
 const PROVEN: u64 = 250;
@@ -62,32 +62,32 @@
 
 /// The size of a fleet, and what goes wrong in it.
 #[derive(Debug, Clone, Copy)]
-struct Scene {
+struct Scenario {
     seed: u64,
     gateways: usize,
     servers: usize,
     /// The number of servers of a group, which all stall with one.
     group: usize,
     /// The number of parts that crash servers, and the share of requests with one.
-    culprits: usize,
+    causes: usize,
     share: f64,
     /// What of a request crashes servers.
-    culprit: Culprit,
+    cause: Cause,
     /// Whether a third of the servers end twice for another reason.
     other_ends: bool,
-    /// Whether gateways start anew by and by, a few each second.
+    /// Whether gateways restart, a few each second.
     restarts: bool,
 }
 
 /// What of a request crashes servers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Culprit {
+enum Cause {
     /// A part of its prompt.
     Part,
     /// The whole request, which comes in copies.
     Request,
     /// The same, while gateways don't tell each other of copies.
-    UntoldRequest,
+    UnsharedRequest,
 }
 
 #[derive(Debug, Clone)]
@@ -97,7 +97,7 @@
     attempt: u32,
     causes: Causes,
     /// What of it crashes servers, if anything does.
-    culprit: Option<usize>,
+    cause: Option<usize>,
     arrived: u64,
 }
 
@@ -126,7 +126,7 @@
     table: CrashTable,
 }
 
-/// What happened in a scene.
+/// What happened in a scenario.
 #[derive(Debug, Default)]
 struct Outcome {
     /// When servers ended under requests with each crashing part.
@@ -142,25 +142,25 @@
 }
 
 impl Outcome {
-    /// Returns the number of sends that come too late after this number of crashes, of the culprit with most of them.
+    /// Returns the number of sends that come too late after this number of crashes, of the cause with most of them.
     fn late_sends(&self, allowed: usize) -> usize {
-        let late = self.crashes.iter().map(|(culprit, crashes)| {
+        let late = self.crashes.iter().map(|(cause, crashes)| {
             let Some(last) = crashes.get(allowed - 1) else {
                 return 0;
             };
-            let arrivals = &self.arrivals[culprit];
+            let arrivals = &self.arrivals[cause];
             arrivals.iter().filter(|at| **at > last + KNOWN).count()
         });
         late.max().unwrap_or(0)
     }
 
-    /// Returns the largest number of moments at which one culprit crashed servers: each puts its group out.
-    fn most_moments(&self) -> usize {
-        let moments = self.crashes.values().map(|crashes| {
+    /// Returns the largest number of outages of a group that one cause led to.
+    fn most_outages(&self) -> usize {
+        let outages = self.crashes.values().map(|crashes| {
             let gaps = crashes.windows(2).filter(|pair| pair[1] - pair[0] > STALL);
             1 + gaps.count()
         });
-        moments.max().unwrap_or(0)
+        outages.max().unwrap_or(0)
     }
 
     fn most_crashes(&self) -> usize {
@@ -169,7 +169,7 @@
 }
 
 struct Fleet {
-    scene: Scene,
+    scenario: Scenario,
     random: Random,
     now: u64,
     servers: Vec<Server>,
@@ -191,7 +191,7 @@
 }
 
 impl Fleet {
-    fn new(scene: Scene) -> Self {
+    fn new(scenario: Scenario) -> Self {
         let controllers = (0..3).map(|n| Controller {
             epoch: n + 1,
             table: CrashTable::new(),
@@ -202,13 +202,13 @@
             runs: Vec::new(),
         };
         Self {
-            scene,
-            random: Random(scene.seed),
+            scenario,
+            random: Random(scenario.seed),
             now: 0,
-            servers: vec![server; scene.servers],
-            gateways: (0..scene.gateways).map(|_| Self::gateway()).collect(),
+            servers: vec![server; scenario.servers],
+            gateways: (0..scenario.gateways).map(|_| Self::gateway()).collect(),
             controllers: controllers.collect(),
-            out: vec![(0, 0); scene.servers.div_ceil(scene.group)],
+            out: vec![(0, 0); scenario.servers.div_ceil(scenario.group)],
             numbers: 0,
             outcome: Outcome::default(),
         }
@@ -226,20 +226,20 @@
     fn draw(&mut self) -> Request {
         self.numbers += 1;
         let first = part(&format!("first{}", self.random.below(3)));
-        let subjects = 12 * self.scene.servers;
+        let subjects = 12 * self.scenario.servers;
         // New subjects come all the time.
         let newest = subjects + self.now as usize / 500;
         let rank = (self.random.share().powi(3) * subjects as f64) as usize;
         let subject = part(&format!("subject{}", newest - rank));
         let active = self.now >= BEGIN;
-        let culprit = active && self.random.share() < self.scene.share;
-        let culprit = culprit.then(|| self.random.below(self.scene.culprits));
+        let cause = active && self.random.share() < self.scenario.share;
+        let cause = cause.then(|| self.random.below(self.scenario.causes));
         let mut parts = vec![first, subject];
         let mut body = self.numbers.to_string();
-        let whole = self.scene.culprit != Culprit::Part;
-        match culprit {
-            Some(culprit) if whole => body = format!("dead{culprit}"),
-            Some(culprit) => parts.insert(1, part(&format!("dead{culprit}"))),
+        let whole = self.scenario.cause != Cause::Part;
+        match cause {
+            Some(cause) if whole => body = format!("dead{cause}"),
+            Some(cause) => parts.insert(1, part(&format!("dead{cause}"))),
             None => {
                 self.outcome.sound.insert(subject);
                 if whole && self.random.below(POPULAR) == 0 {
@@ -249,16 +249,16 @@
         }
         let request = Fingerprint::for_request("andes", "POST", "/x", body.as_bytes());
         Request {
-            gateway: self.random.below(self.scene.gateways),
+            gateway: self.random.below(self.scenario.gateways),
             attempt: self.numbers,
             causes: Causes::new(request).with_parts(parts),
-            culprit,
+            cause,
             arrived: self.now,
         }
     }
 
     fn arrive(&mut self) {
-        let mean = RATE * self.scene.servers as f64 * STEP as f64 / 1_000.0;
+        let mean = RATE * self.scenario.servers as f64 * STEP as f64 / 1_000.0;
         let count = mean as usize + usize::from(self.random.share() < mean.fract());
         for _ in 0..count {
             let request = self.draw();
@@ -279,7 +279,7 @@
                     continue;
                 }
                 let table = &mut self.gateways[gateway].table;
-                if self.scene.culprit == Culprit::Request {
+                if self.scenario.cause == Cause::Request {
                     let attempt = AttemptHash::new(&request.attempt.to_string());
                     let arrived = moment(request.arrived);
                     table.record_copy(moment(now), &request.causes.request, attempt, arrived);
@@ -287,7 +287,7 @@
                 table.refresh(moment(now));
                 let placed = match table.verdict_for(&request.causes) {
                     CrashVerdict::Quarantined => {
-                        if request.culprit.is_none() {
+                        if request.cause.is_none() {
                             let refused = &mut self.outcome.refused_requests;
                             refused.insert(request.causes.request);
                         }
@@ -300,8 +300,8 @@
                     self.gateways[gateway].waiting.push(request);
                     continue;
                 };
-                if let Some(culprit) = request.culprit {
-                    let arrivals = self.outcome.arrivals.entry(culprit).or_default();
+                if let Some(cause) = request.cause {
+                    let arrivals = self.outcome.arrivals.entry(cause).or_default();
                     arrivals.push(now);
                 }
                 self.servers[server].runs.push(Run {
@@ -317,7 +317,7 @@
         // Ten draws find a free server unless nearly all are busy.
         for _ in 0..10 {
             let server = self.random.below(self.servers.len());
-            let open = self.out[server / self.scene.group].0 <= self.now;
+            let open = self.out[server / self.scenario.group].0 <= self.now;
             let found = &self.servers[server];
             if open && found.ended.is_none() && found.runs.len() < SLOTS {
                 return Some(server);
@@ -329,19 +329,19 @@
     fn run(&mut self) {
         let now = self.now;
         for at in 0..self.servers.len() {
-            let stalled = self.out[at / self.scene.group].0 > now;
-            if stalled && now >= self.out[at / self.scene.group].1 {
+            let stalled = self.out[at / self.scenario.group].0 > now;
+            if stalled && now >= self.out[at / self.scenario.group].1 {
                 let broken = std::mem::take(&mut self.servers[at].runs);
-                self.try_again(broken);
+                self.retry(broken);
             }
             let mut crashed = false;
             for number in 0..self.servers[at].runs.len() {
                 let run = &mut self.servers[at].runs[number];
                 let begun = run.sent + READING;
-                if run.request.culprit.is_some() && now >= begun && !stalled {
+                if run.request.cause.is_some() && now >= begun && !stalled {
                     crashed = true;
                 }
-                if run.request.culprit.is_none() && !run.survived && now >= begun + PROVEN {
+                if run.request.cause.is_none() && !run.survived && now >= begun + PROVEN {
                     run.survived = true;
                     let request = run.request.clone();
                     let table = &mut self.gateways[request.gateway].table;
@@ -362,7 +362,7 @@
     }
 
     fn complete(&mut self, done: Vec<Run>) {
-        if self.scene.culprit == Culprit::Part {
+        if self.scenario.cause == Cause::Part {
             return;
         }
         for Run { request, .. } in done {
@@ -372,8 +372,8 @@
     }
 
     /// Gateways send requests again that had not begun, and callers whose answers broke off try again at some gateway.
-    fn try_again(&mut self, broken: Vec<Run>) {
-        if self.scene.culprit == Culprit::Part {
+    fn retry(&mut self, broken: Vec<Run>) {
+        if self.scenario.cause == Cause::Part {
             return;
         }
         for Run { request, sent, .. } in broken {
@@ -382,7 +382,7 @@
                 continue;
             }
             self.numbers += 1;
-            let gateway = self.random.below(self.scene.gateways);
+            let gateway = self.random.below(self.scenario.gateways);
             self.gateways[gateway].waiting.push(Request {
                 gateway,
                 attempt: self.numbers,
@@ -403,17 +403,17 @@
         let (start, runs) = (server.start, std::mem::take(&mut server.runs));
         let id = ServerId::new(format!("i-{at}")).unwrap();
         let crashing = runs.iter().filter(|r| now >= r.sent + READING);
-        let culprits: HashSet<usize> = crashing.filter_map(|r| r.request.culprit).collect();
-        for culprit in culprits {
-            self.outcome.crashes.entry(culprit).or_default().push(now);
+        let causes: HashSet<usize> = crashing.filter_map(|r| r.request.cause).collect();
+        for cause in causes {
+            self.outcome.crashes.entry(cause).or_default().push(now);
         }
         for run in &runs {
             let ended = EndedRun {
                 start: Incarnation(start),
                 attempt: AttemptHash::new(&run.request.attempt.to_string()),
-                arrived: match self.scene.culprit {
-                    Culprit::UntoldRequest => moment(now),
-                    Culprit::Part | Culprit::Request => moment(run.request.arrived),
+                arrived: match self.scenario.cause {
+                    Cause::UnsharedRequest => moment(now),
+                    Cause::Part | Cause::Request => moment(run.request.arrived),
                 },
                 sent: moment(run.sent),
                 ended: moment(now),
@@ -422,8 +422,8 @@
             let table = &mut self.gateways[run.request.gateway].table;
             table.record_end(moment(now), &run.request.causes, &id, ended);
         }
-        self.try_again(runs);
-        self.out[at / self.scene.group] = (now + OUTAGE, now + STALL);
+        self.retry(runs);
+        self.out[at / self.scenario.group] = (now + OUTAGE, now + STALL);
     }
 
     fn restart_servers(&mut self) {
@@ -437,7 +437,7 @@
 
     fn poll(&mut self) {
         let now = moment(self.now);
-        let wait = (20 * self.scene.gateways as u64 / 9).clamp(50, 500);
+        let wait = (20 * self.scenario.gateways as u64 / 9).clamp(50, 500);
         for number in 0..self.gateways.len() {
             for at in 0..self.controllers.len() {
                 let interval = if at == 0 { wait } else { 1_000 };
@@ -465,15 +465,15 @@
         }
     }
 
-    fn disturb(&mut self) {
+    fn apply_faults(&mut self) {
         let now = self.now;
-        if self.scene.other_ends && [12_000, 21_000].contains(&now) {
+        if self.scenario.other_ends && [12_000, 21_000].contains(&now) {
             for _ in 0..self.servers.len() / 3 {
                 let server = self.random.below(self.servers.len());
                 self.end(server);
             }
         }
-        if self.scene.restarts && now.is_multiple_of(1_000) {
+        if self.scenario.restarts && now.is_multiple_of(1_000) {
             for _ in 0..self.gateways.len().div_ceil(9) {
                 let gateway = self.random.below(self.gateways.len());
                 self.gateways[gateway] = Self::gateway();
@@ -483,7 +483,7 @@
 
     fn play(mut self) -> Outcome {
         while self.now < END {
-            self.disturb();
+            self.apply_faults();
             self.arrive();
             self.restart_servers();
             self.send();
@@ -502,38 +502,41 @@
     }
 }
 
-/// Plays a scene with several seeds, and checks what all gateways together sent.
-fn check(scene: Scene, seeds: u64) {
+/// Plays a scenario with several seeds, and checks what all gateways together sent.
+fn check(scenario: Scenario, seeds: u64) {
     for seed in 0..seeds {
-        let scene = Scene { seed, ..scene };
-        let outcome = Fleet::new(scene).play();
-        let allowed = match scene.culprit {
-            Culprit::Part => CRASHES,
-            Culprit::Request | Culprit::UntoldRequest => WHOLE_CRASHES,
+        let scenario = Scenario { seed, ..scenario };
+        let outcome = Fleet::new(scenario).play();
+        let allowed = match scenario.cause {
+            Cause::Part => CRASHES,
+            Cause::Request | Cause::UnsharedRequest => WHOLE_CRASHES,
         };
         let (late, crashes) = (outcome.late_sends(allowed), outcome.most_crashes());
         let (refused, sound) = (outcome.refused.len(), outcome.sound.len());
         assert!(
             late <= LATE_SENDS,
-            "{scene:?}: {late} late sends, {crashes} crashes"
+            "{scenario:?}: {late} late sends, {crashes} crashes"
+        );
+        assert!(
+            !outcome.first_refused,
+            "{scenario:?}: a first part is refused"
         );
-        assert!(!outcome.first_refused, "{scene:?}: a first part is refused");
         // Of the parts that are asked for, 4 in 100 may starve.
         assert!(
             refused * 100 <= sound * 4,
-            "{scene:?}: {refused} of {sound} refused"
+            "{scenario:?}: {refused} of {sound} refused"
         );
     }
 }
 
-const FLEET: Scene = Scene {
+const FLEET: Scenario = Scenario {
     seed: 0,
     gateways: 9,
     servers: 16,
     group: 16,
-    culprits: 1,
+    causes: 1,
     share: 0.03,
-    culprit: Culprit::Part,
+    cause: Cause::Part,
     other_ends: false,
     restarts: false,
 };
@@ -542,26 +545,26 @@
 #[test]
 fn each_size() {
     for (gateways, servers, group) in [(3, 6, 6), (9, 16, 16), (40, 72, 72), (149, 192, 96)] {
-        let scene = Scene {
+        let scenario = Scenario {
             gateways,
             servers,
             group,
             ..FLEET
         };
-        check(scene, if gateways > 9 { 1 } else { 8 });
+        check(scenario, if gateways > 9 { 1 } else { 8 });
     }
 }
 
 /// Guards against parts that crash servers by turns, or a few at once, and are never told apart.
 #[test]
 fn several_parts() {
-    for culprits in [2, 4] {
-        let scene = Scene {
-            culprits,
+    for causes in [2, 4] {
+        let scenario = Scenario {
+            causes,
             share: 0.06,
             ..FLEET
         };
-        check(scene, 10);
+        check(scenario, 10);
     }
 }
 
@@ -570,76 +573,76 @@
 #[test]
 fn beside_other_ends() {
     for (servers, group) in [(16, 16), (24, 1)] {
-        let scene = Scene {
+        let scenario = Scenario {
             servers,
             group,
             other_ends: true,
             ..FLEET
         };
-        check(scene, 10);
+        check(scenario, 10);
     }
 }
 
-/// Guards against what gateways that start anew no longer know.
+/// Guards against what restarted gateways no longer know.
 #[test]
 fn beside_restarts() {
     for group in [1, 16] {
-        let scene = Scene {
+        let scenario = Scenario {
             group,
             restarts: true,
             ..FLEET
         };
-        check(scene, 10);
+        check(scenario, 10);
     }
 }
 
 /// Guards against a crashing part that ends many servers before it is known, as each is a group of its own.
 #[test]
 fn plain_servers() {
-    let scene = Scene { group: 1, ..FLEET };
-    check(scene, 10);
-    let scene = Scene {
+    let scenario = Scenario { group: 1, ..FLEET };
+    check(scenario, 10);
+    let scenario = Scenario {
         gateways: 40,
         servers: 72,
         share: 0.1,
-        ..scene
+        ..scenario
     };
-    check(scene, 2);
+    check(scenario, 2);
 }
 
 /// Guards against what grows with the fleet.
 #[test]
 fn largest_fleet() {
-    let scene = Scene {
+    let scenario = Scenario {
         gateways: 431,
         servers: 576,
         group: 192,
         ..FLEET
     };
-    check(scene, 1);
+    check(scenario, 1);
 }
 
-/// What a request that comes in copies did in all plays of a scene.
+/// What a request that comes in copies did in all plays of a scenario.
 #[derive(Debug, PartialEq, Eq)]
 struct Played {
-    /// The moments at which it crashed servers.
-    moments: usize,
+    /// The outages of groups that it led to.
+    outages: usize,
     /// The sound requests that some gateway refused, by seed.
     refused: Vec<HashSet<Fingerprint>>,
 }
 
-/// Plays a scene with a request that comes in copies, and checks that it isn't sent too late.
-fn play_request(scene: Scene, seeds: u64) -> Played {
+/// Plays a scenario with a request that comes in copies, and checks that it isn't sent too late.
+fn play_request(scenario: Scenario, seeds: u64) -> Played {
     let mut played = Played {
-        moments: 0,
+        outages: 0,
         refused: Vec::new(),
     };
     for seed in 0..seeds {
-        let scene = Scene { seed, ..scene };
-        let outcome = Fleet::new(scene).play();
+        let scenario = Scenario { seed, ..scenario };
+        let outcome = Fleet::new(scenario).play();
         let late = outcome.late_sends(WHOLE_CRASHES);
-        assert!(late <= LATE_SENDS, "{scene:?}: {late} late sends");
-        played.moments += outcome.most_moments();
+        assert!(late <= LATE_SENDS, "{scenario:?}: {late} late sends");
+        played.outages += outcome.most_outages();
         played.refused.push(outcome.refused_requests);
     }
     played
@@ -657,24 +660,24 @@
     ];
     for (gateways, servers, group) in sizes {
         let seeds = if gateways > 40 { 1 } else { 10 };
-        let scene = Scene {
+        let scenario = Scenario {
             gateways,
             servers,
             group,
-            culprit: Culprit::Request,
+            cause: Cause::Request,
             ..FLEET
         };
-        let Played { moments, refused } = play_request(scene, seeds);
-        let culprit = Culprit::UntoldRequest;
-        let before = play_request(Scene { culprit, ..scene }, seeds).moments;
-        println!("{gateways} gateways, {servers} servers: {moments} moments in {seeds} plays, by three ends {before}");
+        let Played { outages, refused } = play_request(scenario, seeds);
+        let cause = Cause::UnsharedRequest;
+        let before = play_request(Scenario { cause, ..scenario }, seeds).outages;
+        println!("{gateways} gateways, {servers} servers: {outages} outages in {seeds} plays, by three ends {before}");
         assert!(
             refused.iter().all(HashSet::is_empty),
-            "{scene:?}: {refused:?}"
+            "{scenario:?}: {refused:?}"
         );
         assert!(
-            moments <= 2 * seeds as usize,
-            "{scene:?}: {moments} moments"
+            outages <= 2 * seeds as usize,
+            "{scenario:?}: {outages} outages"
         );
     }
 }
@@ -684,25 +687,25 @@
 #[test]
 fn copies_beside_other_ends() {
     for (servers, group) in [(16, 16), (24, 1)] {
-        let scene = Scene {
+        let scenario = Scenario {
             servers,
             group,
-            culprit: Culprit::Request,
+            cause: Cause::Request,
             share: 0.0,
             other_ends: true,
             ..FLEET
         };
-        let culprit = Culprit::UntoldRequest;
-        let by_three = play_request(Scene { culprit, ..scene }, 20);
-        assert_eq!(play_request(scene, 20), by_three, "{scene:?}");
+        let cause = Cause::UnsharedRequest;
+        let by_three = play_request(Scenario { cause, ..scenario }, 20);
+        assert_eq!(play_request(scenario, 20), by_three, "{scenario:?}");
         let refused: usize = by_three.refused.iter().map(HashSet::len).sum();
         println!(
             "{servers} servers in groups of {group}: {refused} sound requests refused in 20 plays"
         );
         play_request(
-            Scene {
+            Scenario {
                 share: 0.03,
-                ..scene
+                ..scenario
             },
             20,
         );
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -24,7 +24,7 @@
 /// each poll wakes all waiting answers, half a million times a second. Only a poll that shows
 /// something new may wake them.
 #[test]
-fn only_news_wakes() {
+fn only_changes_wake() {
     let mut pollers = Pollers::default();
     let mut note = |at, poll| pollers.record(Moment::from_millis(at), &poll);
     assert!(note(0, poll(1, 5)));
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -1,5 +1,5 @@
-//! Controllers of a gateway's own availability zone that pass changes on to it: how much it is sent, and that it never
-//! reports what it doesn't have.
+//! Controllers of a gateway's own availability zone that pass changes on to it: the number of entries that it is sent, and that it never
+//! acknowledges what it doesn't have.
 
 use std::net::SocketAddr;
 
@@ -132,7 +132,7 @@
         self.relays.record(address(controller), answer);
     }
 
-    /// Has all controllers exchange their tables, and the gateway poll all of them, some times in turn.
+    /// Has all controllers exchange their tables, and the gateway poll all of them, several times.
     fn settle(&mut self, now: Moment) {
         let count = self.controllers.len();
         for _ in 0..3 {
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Starts a controller anew, with an empty table.
+    /// Restarts a controller with an empty table.
     fn restart(&mut self, controller: usize) {
         let count = self.controllers.len();
         let known = &mut self.controllers[controller];
@@ -182,7 +182,7 @@
 
 /// Guards against a gateway that learns nothing because the controllers of its zone are cut off from the others.
 #[test]
-fn cut_off_relays_passed_by() {
+fn cut_off_relays_bypassed() {
     let mut fleet = Fleet::new(3, 1);
     fleet.settle(at(0));
     let table = &mut fleet.controllers[2].table;
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -4,6 +4,7 @@
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
 
+use snipemast_core::departures::Departure;
 use snipemast_core::prelude::*;
 use snipemast_registry::table::SILENCE_TIMEOUT;
 use snipemast_registry::{Announcement, Standing, StartState, Table};
@@ -66,7 +67,7 @@
     assert_eq!(known.announcement.start, Incarnation(53_000));
 }
 
-/// Guards against a server that was draining or had said goodbye and gets no requests after it
+/// Guards against a server that was draining or had deregistered and gets no requests after it
 /// restarted.
 #[test]
 fn leaving_ends_with_start() {
@@ -93,11 +94,11 @@
     assert_eq!((known.announcement.sequence, known.last_seen), (1, at(0)));
 }
 
-/// Guards against a request that reaches a server that has left: its goodbye arrived at a
+/// Guards against a request that reaches a server that has left: its deregistration arrived at a
 /// controller that was cut off and knew only the previous start. What the others report of the
-/// later start is older than the goodbye.
+/// later start is older than the deregistration.
 #[test]
-fn goodbye_of_unknown_start() {
+fn unknown_start_deregisters() {
     let (mut cut, mut other) = (Table::new(), Table::new());
     cut.record_heartbeat(at(0), heartbeat(1_000, 9, false));
     other.record_heartbeat(at(4_000), heartbeat(3_000, 1, false));
@@ -107,11 +108,11 @@
     assert_eq!(standing(&other), Some(Standing::Gone));
 }
 
-/// Guards against a server that gets no requests for as long as it runs: the goodbye of its earlier
+/// Guards against a server that gets no requests for as long as it runs: the deregistration of its earlier
 /// start was delayed and crossed the first heartbeats of the new one. The new start goes on
 /// announcing itself and becomes ready in the end.
 #[test]
-fn crossed_goodbye_refuted() {
+fn delayed_deregistration_refuted() {
     let mut table = Table::new();
     table.record_heartbeat(at(0), heartbeat(1_000, 9, false));
     table.record_heartbeat(at(3_000), heartbeat(3_000, 1, false));
@@ -125,7 +126,7 @@
     assert_eq!(standing(&table), Some(Standing::Ready));
 }
 
-/// Guards against a heartbeat that was sent before a goodbye, arrives some seconds after it, and
+/// Guards against a heartbeat that was sent before a deregistration, arrives some seconds after it, and
 /// brings the server back.
 #[test]
 fn late_heartbeat_ignored() {
@@ -136,6 +137,29 @@
     assert_eq!(standing(&table), Some(Standing::Gone));
 }
 
+/// Guards against a server that comes back by a late heartbeat at a controller that knows of its departure from the log
+/// only, and against a later start that the departure of an earlier one keeps away.
+#[test]
+fn departure_covers_start() {
+    let departure = Departure {
+        server: id(),
+        start: Some(Incarnation(1)),
+    };
+    let mut unknown = Table::new();
+    unknown.record_departure(at(1_000), &departure);
+    let mut known = Table::new();
+    known.record_heartbeat(at(500), heartbeat(1, 3, false));
+    assert!(known.record_departure(at(1_000), &departure));
+    for table in [&mut unknown, &mut known] {
+        table.record_heartbeat(at(5_000), heartbeat(1, 2, false));
+        assert_eq!(standing(table), Some(Standing::Gone));
+        table.record_heartbeat(at(6_000), heartbeat(2, 1, false));
+        assert_eq!(standing(table), Some(Standing::Ready));
+        assert!(!table.record_departure(at(7_000), &departure));
+        assert_eq!(standing(table), Some(Standing::Ready));
+    }
+}
+
 /// Guards against a server that never gets requests again: its clock was set back between two
 /// starts, so that the later one seems to be the earlier. It becomes ready once the other start has
 /// been silent for a long time.
@@ -178,7 +202,7 @@
 /// Guards against gateways that don't learn that a server has turned cold again while it runs, and against news of
 /// each heartbeat that merely counts the time down.
 #[test]
-fn cold_again_is_news() {
+fn cold_again_reported() {
     let mut table = Table::new();
     let cold = |sequence: u64, left: u64| Announcement {
         cold_left: Span::from_millis(left),
@@ -241,9 +265,9 @@
         state(&a) == state(&b) && state(&a) == start.map(|start| (start, standing))
     }
 
-    /// A goodbye arrives at one of two tables among heartbeats. Once both have exchanged entries,
-    /// none has the start as ready that was known where the goodbye arrived.
-    fn goodbye_holds(heartbeats: Vec<(Heartbeat, bool)>, at_first: bool) -> bool {
+    /// A deregistration arrives at one of two tables among heartbeats. Once both have exchanged entries,
+    /// none has the start as ready that was known where the deregistration arrived.
+    fn deregistration_holds(heartbeats: Vec<(Heartbeat, bool)>, at_first: bool) -> bool {
         let (mut a, mut b) = (Table::new(), Table::new());
         let mut now = at(0);
         for (sent, first) in &heartbeats {
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -139,7 +139,7 @@
             false => None,
         };
         let lead = next_takeover_ballot(self.rank.lead());
-        if !self.rank.overtake(lead, own, first.is_some()) {
+        if !self.rank.take_over(lead, own, first.is_some()) {
             return;
         }
         let pledged = first.is_some();
--- a/crates/sidecar/src/rank.rs
+++ b/crates/sidecar/src/rank.rs
@@ -88,8 +88,8 @@
 
     /// Takes over from the group's lead, unless the lead is about to finish its switch and its rank can't be
     /// ordered without it (`reaches`). Returns whether it did; no order of that lead is accepted after that.
-    pub(crate) fn overtake(&self, ballot: Ballot, state: &RankState, reaches: bool) -> bool {
-        self.executor.lock().overtake(ballot, state, reaches)
+    pub(crate) fn take_over(&self, ballot: Ballot, state: &RankState, reaches: bool) -> bool {
+        self.executor.lock().take_over(ballot, state, reaches)
     }
 
     /// Whether this process has pledged to leave the step that the rank is held at to the lead.
