--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONTENT_TYPE};
@@ -33,7 +33,7 @@
 /// The largest body of a call in bytes: four times the largest usual configuration.
 pub(crate) const MAX_BODY: usize = 16 << 20;
 
-/// How long a body may take to arrive.
+/// How long no part of a body may arrive.
 const BODY_TIMEOUT: Span = Span::from_secs(5);
 
 /// How long an acknowledgement waits until all gateways have a change in force: servers wait a
@@ -418,9 +418,14 @@
 }
 
 async fn read_body(request: Request<Incoming>) -> Option<Bytes> {
-    let body = Limited::new(request.into_body(), MAX_BODY).collect();
-    let body = within(BODY_TIMEOUT, body).await?;
-    Some(body.ok()?.to_bytes())
+    let mut body = Limited::new(request.into_body(), MAX_BODY);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(BODY_TIMEOUT, body.frame()).await? {
+        if let Ok(data) = frame.ok()?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Some(bytes.freeze())
 }
 
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
