--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`process`]: starts the parts of a controller and stops them.
 //! - [`state`]: the state that the parts share.
 //! - `voter`: runs the node of the replicated log, with `disk` for writes and `links` for messages.
+//! - `submit`: submissions to the log, and the configurations that it holds.
+//! - `departures`: deregistrations that outlast all processes.
 //! - `join`: finds the cluster, or forms it on the first start, and asks to join it.
 //! - `strangers`: the senders of announcements that are refused.
 //! - `peers`: the messages of calls between controllers.
@@ -24,6 +26,7 @@
 mod peers;
 mod spread;
 mod strangers;
+mod submit;
 mod voter;
 
 pub use process::run;
--- a/crates/controller/src/voter.rs
+++ b/crates/controller/src/voter.rs
@@ -8,8 +8,7 @@
 use event_listener::Event as Signal;
 use parking_lot::Mutex;
 
-use snipemast_control::documents::{Amendment, Command, Documents, Submission, Verdict};
-use snipemast_control::history::History;
+use snipemast_control::documents::{Documents, Submission};
 use snipemast_control::log_end::LogEnd;
 use snipemast_control::roster::Roster;
 use snipemast_control::{
@@ -19,17 +18,15 @@
 use snipemast_core::departures::Departure;
 use snipemast_core::prelude::*;
 use snipemast_core::recent::Recent;
-use snipemast_diff::Diff;
 use snipemast_net::exec::{pause, spawn, within};
 use snipemast_net::BootClock;
-use snipemast_registry::fetch::Original;
 
 use crate::disk::{self, Report, Writes};
 use crate::links::Links;
 
 /// How long a submission may wait for its verdict: below the time after which an operator tries
 /// another controller.
-const VERDICT_TIMEOUT: Span = Span::from_millis(900);
+pub(crate) const VERDICT_TIMEOUT: Span = Span::from_millis(900);
 
 /// The longest sleep of the clock task.
 const MAX_SLEEP: Span = Span::from_millis(1_000);
@@ -68,7 +65,7 @@
     /// The number of voters that the cluster should have.
     target_size: usize,
     links: Links,
-    running: Mutex<Option<Running>>,
+    pub(crate) running: Mutex<Option<Running>>,
     /// Wakes the clock task when the next tick is due earlier than before.
     wake: Signal,
     /// Notifies tasks that wait for a change of the configuration or of the leader.
@@ -77,41 +74,18 @@
 
 /// A running node and its callers.
 #[derive(Debug)]
-struct Running {
-    node: Node<Documents>,
+pub(crate) struct Running {
+    pub(crate) node: Node<Documents>,
     writes: Writes,
     tickets: HashMap<Ticket, Sender<Result<Vec<u8>, Refusal>>>,
     last_ticket: Ticket,
     joining: BTreeMap<VoterId, (Location, Moment)>,
-    log_end: LogEnd,
+    pub(crate) log_end: LogEnd,
     /// The addresses at which other voters receive answers, by the ids that messages name.
     reply_addresses: Recent<VoterId, SocketAddr>,
     next_tick: Moment,
 }
 
-/// A committed configuration with its latest changes.
-pub(crate) struct CommittedConfiguration {
-    version: Version,
-    text: Arc<Vec<u8>>,
-    history: History,
-}
-
-impl Original for CommittedConfiguration {
-    fn version(&self) -> Version {
-        self.version
-    }
-
-    fn has_changes_since(&self, version: Version) -> bool {
-        self.history.since(version).is_some()
-    }
-
-    fn changes_since(&self, version: Version) -> Vec<Diff> {
-        let changes = self.history.since(version);
-        let changes = changes.map(|c| c.iter().map(|d| Diff::clone(d)).collect());
-        changes.unwrap_or_else(|| vec![Diff::whole(&self.text)])
-    }
-}
-
 /// An open data folder and the parameters of the node on it.
 pub(crate) struct Folder {
     pub(crate) storage: DiskStorage,
@@ -273,82 +247,11 @@
         }
     }
 
-    /// Submits a command if this voter is the leader; returns the verdict, if there is one.
-    pub(crate) async fn submit(&self, command: Command) -> Option<Verdict> {
-        if let Some(verdict) = self.known_verdict(&command) {
-            return Some(verdict);
-        }
-        let answer = match command {
-            Command::Evacuate(_) | Command::Depart { .. } => self.propose(&command),
-            Command::Configure(submission) => self.propose_submission(submission),
-            Command::Amend(amendment) => match self.expand(&amendment) {
-                Some(submission) => self.propose_submission(submission),
-                None => return Some(Verdict::OtherBase),
-            },
-        };
-        let answer = within(VERDICT_TIMEOUT, async { answer?.recv().await.ok() }).await;
-        let verdict = answer.flatten()?.ok()?;
-        snipemast_net::rpc::decode(&verdict).ok()
-    }
-
-    fn propose(&self, command: &Command) -> Option<Receiver<Answer>> {
-        let command = snipemast_net::rpc::encode(command).to_vec();
-        self.submit_input(|ticket| Input::Propose { ticket, command })
-    }
-
-    /// Proposes a submission as a change of the configuration before it.
-    fn propose_submission(&self, submission: Submission) -> Option<Receiver<Answer>> {
-        let (term, last, draft) = {
-            let guard = self.running.lock();
-            let Running { node, log_end, .. } = guard.as_ref()?;
-            let applied = node.is_ready_leader().then(|| node.machine());
-            let draft = log_end.draft(node.term(), applied, submission);
-            (node.term(), node.log().last_index(), draft)
-        };
-        let answer = self.propose(&draft.command);
-        let mut guard = self.running.lock();
-        let Running { node, log_end, .. } = guard.as_mut()?;
-        let index = node.log().last_index();
-        if node.term() == term && index > last {
-            log_end.record(term, index, draft.end);
-        }
-        answer
-    }
-
-    /// Returns what an amendment leads to, if this voter has the configuration that it starts from.
-    fn expand(&self, amendment: &Amendment) -> Option<Submission> {
-        let guard = self.running.lock();
-        let Running { node, log_end, .. } = guard.as_ref()?;
-        let pending = log_end.text(node.term(), amendment.base);
-        let pending = pending.and_then(|text| amendment.diff.apply(text).ok());
-        let pending = pending.map(|text| Submission {
-            version: amendment.to,
-            text,
-        });
-        pending.or_else(|| node.machine().expand(amendment))
-    }
-
-    /// Writes a submission as a change of the configuration that this voter has, for the leader.
-    pub(crate) fn amend(&self, submission: &Submission) -> Option<Amendment> {
-        let guard = self.running.lock();
-        let machine = guard.as_ref()?.node.machine();
-        let base = machine.version();
-        (base > Version(0)).then(|| Amendment {
-            base,
-            to: submission.version,
-            diff: Diff::between(machine.text(), &submission.text),
-        })
-    }
-
-    /// Returns the verdict on a command that needs no entry in the log.
-    fn known_verdict(&self, command: &Command) -> Option<Verdict> {
-        let guard = self.running.lock();
-        let node = &guard.as_ref()?.node;
-        node.machine().known_verdict(command)
-    }
-
     /// Passes an input with a new ticket to the node; returns the receiver of its answer.
-    fn submit_input(&self, input: impl FnOnce(Ticket) -> Input) -> Option<Receiver<Answer>> {
+    pub(crate) fn submit_input(
+        &self,
+        input: impl FnOnce(Ticket) -> Input,
+    ) -> Option<Receiver<Answer>> {
         let (sender, receiver) = bounded(1);
         let ticket = {
             let mut guard = self.running.lock();
@@ -416,24 +319,6 @@
         machine.map_or(0, |m| m.evacuations().revision)
     }
 
-    /// Returns the text of the committed configuration that this voter knows, if there is one.
-    pub(crate) fn text(&self) -> Option<Arc<Vec<u8>>> {
-        let guard = self.running.lock();
-        let machine = guard.as_ref()?.node.machine();
-        (machine.version() > Version(0)).then(|| Arc::clone(machine.shared_text()))
-    }
-
-    /// Returns the committed configuration that this voter knows, with its latest changes.
-    pub(crate) fn original(&self) -> Option<CommittedConfiguration> {
-        let guard = self.running.lock();
-        let machine = guard.as_ref()?.node.machine();
-        Some(CommittedConfiguration {
-            version: machine.version(),
-            text: Arc::clone(machine.shared_text()),
-            history: machine.history().clone(),
-        })
-    }
-
     /// Returns the leader's address, and whether this host is the leader.
     pub(crate) fn leader(&self) -> Option<(SocketAddr, bool)> {
         let guard = self.running.lock();
@@ -576,7 +461,7 @@
 }
 
 /// The answer to a command or membership change.
-type Answer = Result<Vec<u8>, Refusal>;
+pub(crate) type Answer = Result<Vec<u8>, Refusal>;
 
 /// Returns the parameters of the node on a data folder.
 pub(crate) fn node_params(
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -85,6 +85,10 @@
         self.intake.has_most(open)
     }
 
+    fn checks_idle(&self) -> bool {
+        true
+    }
+
     fn idle_limits(&mut self, busy: usize) -> Option<IdleLimits> {
         self.intake.record_busy(busy);
         self.state.set_full(self.intake.is_full());
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -45,6 +45,9 @@
     /// Whether the longest idle connection has to go before a new one is read, beside this many open ones.
     fn is_full(&self, open: usize) -> bool;
 
+    /// Whether there may be limits on idle connections, which are then checked periodically.
+    fn checks_idle(&self) -> bool;
+
     /// Returns how long connections may be idle, now that this many have a request in progress; `None` if there is no limit.
     fn idle_limits(&mut self, busy: usize) -> Option<IdleLimits>;
 }
@@ -72,6 +75,10 @@
         false
     }
 
+    fn checks_idle(&self) -> bool {
+        false
+    }
+
     fn idle_limits(&mut self, _busy: usize) -> Option<IdleLimits> {
         None
     }
@@ -107,13 +114,16 @@
     let connections = OpenConnections::default();
     let mut next_check = Instant::now();
     loop {
-        if Instant::now() >= next_check {
+        if gate.checks_idle() && Instant::now() >= next_check {
             next_check = Instant::now() + IDLE_CHECK_INTERVAL.as_duration();
             if let Some(limits) = gate.idle_limits(connections.busy_count()) {
                 connections.close_expired(&limits);
             }
         }
-        let accepted = within(IDLE_CHECK_INTERVAL, listener.accept()).await;
+        let accepted = match gate.checks_idle() {
+            true => within(IDLE_CHECK_INTERVAL, listener.accept()).await,
+            false => Some(listener.accept().await),
+        };
         let (stream, peer) = match accepted {
             Some(Ok(accepted)) => accepted,
             Some(Err(_)) => {
--- a/crates/net/tests/idle.rs
+++ b/crates/net/tests/idle.rs
@@ -40,6 +40,10 @@
         open >= self.most
     }
 
+    fn checks_idle(&self) -> bool {
+        true
+    }
+
     fn idle_limits(&mut self, _busy: usize) -> Option<IdleLimits> {
         Some(self.limits)
     }
