Send large calls in parts of 32 KiB

Cause, by reading: a part of 128 KiB takes 0.29 s of the test's link alone, and with three transfers over it more than the 0.7 s that a part may take; after three such failures the whole message begins anew. A part must be a small portion of what a link carries within its limit. Change: 32 KiB.

--- a/crates/net/src/rpc.rs
+++ b/crates/net/src/rpc.rs
@@ -25,7 +25,7 @@
 const CONNECT_LIMIT: Span = Span::from_millis(800);
 
 /// The size of the parts of a large message: a small part of what a link carries within the limit of a call.
-const PART_BYTES: usize = 128 << 10;
+const PART_BYTES: usize = 32 << 10;
 
 /// How often in succession a part may fail before the call fails.
 const MAX_PART_FAILURES: u32 = 2;
