--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -12,8 +12,8 @@
 /// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
 const CALLER_FILES: f64 = 0.6;
 
-/// How long a caller may read nothing of its answer: longer than callers wait for a whole one. A caller whose host vanished
-/// meanwhile is found as late, unless its connection was idle.
+/// How long a caller may read nothing of its answer: longer than callers wait for a whole one. A caller whose host vanishes
+/// in the middle of its answer is noticed only after this time as well.
 const CALLER_ACK_TIMEOUT: Span = Span::from_secs(10);
 
 /// The part of the limit on idle connections after which one is closed. Callers use a connection that has been idle for
