Review: departures of servers that no controller knows yet

Cause: a DELETE at a controller that doesn't know the server is acknowledged, changes no entry that gateways get, and is logged without a start, which then covers the server's later starts.

--- a/review/stand-2/src/client.rs
+++ b/review/stand-2/src/client.rs
@@ -94,3 +94,25 @@
         _ => Seen::Cut(events),
     }
 }
+
+/// Asks for a plain answer on a new connection; returns its status, or 0 if there is none.
+pub fn get(front: SocketAddr, path: &str, attempt: &str, deadline: Duration) -> u16 {
+    let end = Instant::now() + deadline;
+    let Ok(mut conn) = Conn::open(front) else {
+        return 0;
+    };
+    let text = format!(
+        "GET {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\nConnection: close\r\n\r\n",
+        deadline.as_millis()
+    );
+    if conn.send(text.as_bytes()).is_err() {
+        return 0;
+    }
+    let Ok(head) = conn.read_head(end) else {
+        return 0;
+    };
+    match conn.read_body(&head, end, |_| {}) {
+        BodyEnd::Whole => head.status(),
+        _ => 0,
+    }
+}
--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -102,7 +102,9 @@
     pub ports: Ports,
     folder: PathBuf,
     binary: PathBuf,
-    children: Vec<(u8, Child)>,
+    children: Vec<(u8, String, Child)>,
+    /// Whether the whole system starts for the first time.
+    first: bool,
     /// The record of the case.
     pub record: Record,
 }
@@ -150,6 +152,7 @@
             folder,
             binary,
             children: Vec::new(),
+            first: true,
             record,
         })
     }
@@ -202,7 +205,7 @@
         format!(
             "node = \"{class}-{host}\"\nrole = \"{role}\"\nmachineClass = \"{class}\"\nserves = [\"{serves}\"]\n\
              ip = \"{}\"\nzone = \"{zone}\"\nregion = \"{region}\"\ninternalPorts = [{},{}]\nseeds = [{}]\n\
-             bootstrap = true\nfaultCounted = {counted}\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeatMs = 1200\n{data}\
+             bootstrap = {}\nfaultCounted = {counted}\ndiscovery = \"registry\"\nentry = \"vip\"\nheartbeatMs = 1200\n{data}\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"experts\"]\n\
              configMode = \"highest\"\n[zones]\n{zones}[listen]\n{listen}\n\
              [limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = {memory}\nmaxFds = {files}\nlinkMbps = 40.0\ndiskMb = 128\n\
@@ -210,7 +213,8 @@
             self.ip(host),
             ports.0,
             ports.1,
-            seeds.join(",")
+            seeds.join(","),
+            self.first
         )
     }
 
@@ -229,7 +233,7 @@
             .spawn()?;
         self.record
             .line(format!("start {role} on host {host}, pid {}", child.id()));
-        self.children.push((host, child));
+        self.children.push((host, role.to_owned(), child));
         Ok(())
     }
 
@@ -246,13 +250,34 @@
 
     /// Sends a signal to a host's process.
     pub fn signal(&self, host: u8, signal: i32) {
-        for (_, child) in self.children.iter().filter(|(h, _)| *h == host) {
+        for (_, _, child) in self.children.iter().filter(|(h, ..)| *h == host) {
             self.record.line(format!("signal {signal} to host {host}"));
             // The child is ours and was not waited for, so its id can't belong to another process.
             unsafe { kill(child.id() as i32, signal) };
         }
     }
 
+    /// Kills the processes of these hosts at the same moment, and starts them again with their disks.
+    pub fn restart(&mut self, hosts: &[u8]) -> std::io::Result<()> {
+        self.first = false;
+        let old = std::mem::take(&mut self.children);
+        let (mut killed, kept): (Vec<_>, Vec<_>) =
+            old.into_iter().partition(|(h, ..)| hosts.contains(h));
+        self.children = kept;
+        self.record
+            .line(format!("kill the processes of hosts {hosts:?}"));
+        for (_, _, child) in &mut killed {
+            child.kill()?;
+        }
+        for (_, _, child) in &mut killed {
+            child.wait()?;
+        }
+        for (host, role, _) in killed {
+            self.start(host, &role)?;
+        }
+        Ok(())
+    }
+
     /// Sends a configuration as the operator does, until it is acknowledged.
     pub fn configure(&self, text: &str, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -291,7 +316,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        for (_, child) in &mut self.children {
+        for (_, _, child) in &mut self.children {
             let _ = child.kill();
             let _ = child.wait();
         }
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -2,6 +2,7 @@
 //! rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
+mod departures;
 mod fleet;
 mod http;
 mod server;
@@ -47,6 +48,7 @@
     };
     record.line(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
+        "departures" => departures::run(&record, trouble),
         "silence" => silence::run(&record, trouble),
         _ => Outcome::Unable(format!("there is no case {case}")),
     };
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::fleet::{Fleet, Record, CONTROLS};
 use crate::http::{self, BodyEnd, Conn, Head};
@@ -12,7 +12,7 @@
 /// How requests are answered.
 #[derive(Debug, Clone, Copy)]
 pub struct Work {
-    /// The number of events of a stream.
+    /// The number of events of a stream; 0 for a plain answer after one interval.
     pub events: u64,
     /// The interval between two events.
     pub interval: Duration,
@@ -43,8 +43,13 @@
     address: SocketAddr,
     controls: Vec<SocketAddr>,
     work: Work,
+    /// The time of this start, in milliseconds since 1970.
+    born: u64,
     sequence: AtomicU64,
-    draining: AtomicBool,
+    /// Whether it sends heartbeats.
+    announcing: AtomicBool,
+    /// Whether it takes requests.
+    serving: AtomicBool,
     running: AtomicU64,
     runs: Mutex<Vec<Run>>,
     record: Record,
@@ -65,20 +70,29 @@
                 .map(|h| fleet.at(*h, fleet.ports.control))
                 .collect(),
             work,
+            born: SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64),
             sequence: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
+            announcing: AtomicBool::new(true),
+            serving: AtomicBool::new(true),
             running: AtomicU64::new(0),
             runs: Mutex::default(),
             record: fleet.record.clone(),
         });
         let beats = Arc::clone(&shared);
-        thread::spawn(move || loop {
-            beats.announce();
-            thread::sleep(Duration::from_millis(1_200));
+        thread::spawn(move || {
+            while beats.announcing.load(Ordering::Relaxed) {
+                beats.announce();
+                thread::sleep(Duration::from_millis(1_200));
+            }
         });
         let accepting = Arc::clone(&shared);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if !accepting.serving.load(Ordering::Relaxed) {
+                    return;
+                }
                 let shared = Arc::clone(&accepting);
                 thread::spawn(move || shared.serve(stream));
             }
@@ -86,6 +100,32 @@
         Self { shared }
     }
 
+    /// Leaves as a server does that never reports that it drains: deregisters, serves on for a while, and exits.
+    pub fn leave(&self, drain: Duration) {
+        let shared = &self.shared;
+        shared.announcing.store(false, Ordering::Relaxed);
+        let path = format!("/-/instances/{}", shared.id);
+        let until = Instant::now() + Duration::from_secs(8);
+        let mut turn = 0;
+        while Instant::now() < until {
+            let control = shared.controls[turn % shared.controls.len()];
+            turn += 1;
+            let answer = http::call(control, "DELETE", &path, "", Duration::from_secs(1));
+            let status = answer.map_or(0, |(status, _)| status);
+            let line = format!("{} deregisters at {control}: {status}", shared.id);
+            shared.record.line(line);
+            if status == 200 {
+                break;
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        thread::sleep(drain);
+        shared.serving.store(false, Ordering::Relaxed);
+        // Wakes the thread that accepts, which then closes the listener.
+        let _ = TcpStream::connect(shared.address);
+        shared.record.line(format!("{} exits", shared.id));
+    }
+
     /// Returns the runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().expect("not poisoned").clone()
@@ -96,18 +136,21 @@
     /// Sends one heartbeat, to the next controller if one doesn't answer.
     fn announce(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let state = match self.draining.load(Ordering::Relaxed) {
-            true => "draining",
-            false => "ready",
-        };
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":12,\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{sequence}}}",
-            self.service, self.address, self.zone
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":12,\"state\":\"ready\",\"coldLeftMs\":0,\"born\":{},\"seq\":{sequence}}}",
+            self.service, self.address, self.zone, self.born
         );
         let path = format!("/-/instances/{}", self.id);
         for control in &self.controls {
             let answer = http::call(*control, "PUT", &path, &body, Duration::from_secs(1));
-            if answer.is_some_and(|(status, _)| status == 200) {
+            let status = answer.map_or(0, |(status, _)| status);
+            if sequence == 1 || status != 200 {
+                self.record.line(format!(
+                    "{} born {} says ready to {control}: {status}",
+                    self.id, self.born
+                ));
+            }
+            if status == 200 {
                 return;
             }
         }
@@ -120,6 +163,9 @@
             let Ok(head) = conn.read_head(deadline) else {
                 return;
             };
+            if !self.serving.load(Ordering::Relaxed) {
+                return;
+            }
             let (_, path) = head.target();
             let path = path.to_owned();
             let body = conn.read_body(&head, deadline, |_| {});
@@ -169,6 +215,9 @@
             let headers = [("X-Attempt-Id", attempt.as_str()), ("X-Not-Run", "1")];
             return self.answer(conn, "421 Misdirected Request", &headers, "");
         }
+        if self.work.events == 0 {
+            return self.answer_plain(conn, &attempt);
+        }
         let last = head.header("last-event-id").and_then(|v| v.parse().ok());
         let last: u64 = last.unwrap_or(0);
         self.record
@@ -187,6 +236,23 @@
         whole
     }
 
+    /// Answers a request that is no stream.
+    fn answer_plain(&self, conn: &mut Conn, attempt: &str) -> bool {
+        self.running.fetch_add(1, Ordering::Relaxed);
+        thread::sleep(self.work.interval);
+        self.running.fetch_sub(1, Ordering::Relaxed);
+        let run = Run {
+            attempt: attempt.to_owned(),
+            server: self.id.clone(),
+            end: "complete".to_owned(),
+        };
+        self.runs.lock().expect("not poisoned").push(run);
+        let seal = format!("seal-{}-{attempt}", self.id);
+        let headers = [("X-Attempt-Id", attempt), ("X-Server-Seal", seal.as_str())];
+        let body = "x".repeat(800);
+        self.answer(conn, "200 OK", &headers, &body)
+    }
+
     /// Writes the events after one; stops when the caller has closed its connection.
     fn stream(&self, conn: &mut Conn, attempt: &str, last: u64) -> (bool, String) {
         let head = format!(
