--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -293,6 +293,9 @@
             if status == 200 {
                 return true;
             }
+            if [400, 409, 412, 413, 422].contains(&status) {
+                return false;
+            }
             thread::sleep(Duration::from_millis(200));
         }
         false
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -5,6 +5,7 @@
 mod departures;
 mod fleet;
 mod http;
+mod place;
 mod server;
 mod silence;
 
@@ -49,6 +50,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
+        "place" => place::run(&record, trouble),
         "silence" => silence::run(&record, trouble),
         _ => Outcome::Unable(format!("there is no case {case}")),
     };
