Review: the first start with a control host lost

Cause: only the seed with the lowest address forms the cluster, and only with an answer from every seed.

--- a/review/stand-2/src/fleet.rs
+++ b/review/stand-2/src/fleet.rs
@@ -80,6 +80,17 @@
              stall_ms = 1500\nrequireFence = false\n",
 };
 
+/// The deployment `vma-leuven`.
+pub const LEUVEN: Site = Site {
+    region: "be-flanders",
+    zones: ["hall-a", "hall-b", "hall-c"],
+    front: (260, 4_100),
+    bounds: "seedLagS = 3\nreuseAfterS = 2\nstableWindowMs = 3000\nackMs = 4000\ncatchUpS = 4\ndrainMs = 2000\n\
+             graceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\ndowngradeMs = 250\nskewMaxMs = 5000\n\
+             strictRevoke = false\nrevokeMs = 5000\nretryRatio = 0.2\nretryWindowS = 10\nretrySlack = 90\n\
+             recoveryS = 12\npassMs = 120\nretryAfterS = 0\nstall_ms = 1500\nrequireFence = false\n",
+};
+
 /// The ports of a day, the same on all hosts.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -104,7 +115,9 @@
     binary: PathBuf,
     children: Vec<(u8, String, Child)>,
     /// Whether the whole system starts for the first time.
-    first: bool,
+    pub first: bool,
+    /// The seeds of processes that are started from now on.
+    pub seeds: [u8; 3],
     /// The record of the case.
     pub record: Record,
 }
@@ -153,6 +166,7 @@
             binary,
             children: Vec::new(),
             first: true,
+            seeds: CONTROLS,
             record,
         })
     }
@@ -179,7 +193,9 @@
             .iter()
             .map(|z| format!("{z} = \"{region}\"\n"))
             .collect();
-        let seeds = CONTROLS.map(|h| format!("\"{}\"", self.at(h, self.ports.control)));
+        let seeds = self
+            .seeds
+            .map(|h| format!("\"{}\"", self.at(h, self.ports.control)));
         let folder = self.folder.join(host.to_string());
         let (class, serves, listen, data) = match role {
             "controller" => (
@@ -257,6 +273,17 @@
         }
     }
 
+    /// Kills a host's process, which doesn't come back.
+    pub fn remove(&mut self, host: u8) -> std::io::Result<()> {
+        self.record.line(format!("host {host} is lost for good"));
+        for (_, _, child) in self.children.iter_mut().filter(|(h, ..)| *h == host) {
+            child.kill()?;
+            child.wait()?;
+        }
+        self.children.retain(|(h, ..)| *h != host);
+        Ok(())
+    }
+
     /// Kills the processes of these hosts at the same moment, and starts them again with their disks.
     pub fn restart(&mut self, hosts: &[u8]) -> std::io::Result<()> {
         self.first = false;
@@ -280,10 +307,15 @@
 
     /// Sends a configuration as the operator does, until it is acknowledged.
     pub fn configure(&self, text: &str, limit: Duration) -> bool {
+        self.configure_at(&CONTROLS, text, limit)
+    }
+
+    /// Does the same with a list of the hosts that serve control.
+    pub fn configure_at(&self, controls: &[u8], text: &str, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         let mut turn = 0;
         while Instant::now() < until {
-            let host = CONTROLS[turn % CONTROLS.len()];
+            let host = controls[turn % controls.len()];
             turn += 1;
             let address = self.at(host, self.ports.control);
             let answer = http::call(address, "PUT", "/-/config", text, Duration::from_secs(2));
--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod departures;
 mod fleet;
+mod forming;
 mod http;
 mod place;
 mod server;
@@ -50,6 +51,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "departures" => departures::run(&record, trouble),
+        "forming" => forming::run(&record, trouble),
         "place" => place::run(&record, trouble),
         "silence" => silence::run(&record, trouble),
         _ => Outcome::Unable(format!("there is no case {case}")),
