Review: a heartbeat of another writer under a server's id

Cause: a heartbeat that names an unknown service is refused only under an unknown id, and its count outdates the server's own. Change: case 4 (Fault), a script; the others move on by one.

--- a/review/stand-2/src/main.rs
+++ b/review/stand-2/src/main.rs
@@ -9,6 +9,7 @@
 mod place;
 mod server;
 mod silence;
+mod writer;
 
 use std::process::ExitCode;
 
@@ -53,6 +54,7 @@
         "departures" => departures::run(&record, trouble),
         "forming" => forming::run(&record, trouble),
         "place" => place::run(&record, trouble),
+        "writer" => writer::run(&record, trouble),
         "silence" => silence::run(&record, trouble),
         _ => Outcome::Unable(format!("there is no case {case}")),
     };
--- a/review/stand-2/src/server.rs
+++ b/review/stand-2/src/server.rs
@@ -126,6 +126,11 @@
         shared.record.line(format!("{} exits", shared.id));
     }
 
+    /// Returns the time of its start.
+    pub fn born(&self) -> u64 {
+        self.shared.born
+    }
+
     /// Returns the runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().expect("not poisoned").clone()
