Read the name of a host by one rule, in check and lookup alike

Cause: `check` compared hosts as they were written, `Table` looked them up in lower case, so the later route replaced the earlier one.

Change: `routes::Host` has one spelling, made while the document is decoded: lower case, no port, no dot at the end. A gateway that gets a faulty configuration of an older release puts it into force as before and says so (FaultyInForce).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -137,6 +137,8 @@
     EvacuationRefused = 411;
     /// A piece of a configuration did not arrive, or the changes did not fit.
     DocumentFetchFailed = 412;
+    /// A version of the configuration came into force although it has a fault, which an older release had acknowledged.
+    FaultyInForce = 413;
     /// A member joined the view.
     MemberJoined = 500;
     /// A member began to drain.
--- a/crates/gateway/src/reader.rs
+++ b/crates/gateway/src/reader.rs
@@ -20,7 +20,7 @@
 use snipemast_registry::{
     CrashExchange, KnownServer, Poll, PollerKind, Standing, Table as Registry, Update,
 };
-use snipemast_routes::Table as Routes;
+use snipemast_routes::{check, Table as Routes};
 
 use crate::frozen;
 use crate::limits::named_limits;
@@ -151,9 +151,14 @@
             }
         };
         let version = document.version;
+        let faults = check(&document);
         if !self.state.apply(Routes::new(document)) {
             return;
         }
+        // An older release may have acknowledged it, so it is in force all the same.
+        for fault in faults {
+            journal.record(Event::FaultyInForce, version, fault);
+        }
         let sent = if source.is_change { "changes" } else { "whole" };
         let detail = format_args!(
             "{} bytes, {sent} in {} by {}",
--- a/crates/routes/src/check.rs
+++ b/crates/routes/src/check.rs
@@ -5,7 +5,8 @@
 
 use snipemast_core::prelude::*;
 
-use crate::document::{Document, Route};
+use crate::document::{Document, Route, Service};
+use crate::host::Host;
 
 /// A reason why a document can't come into force.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,8 +31,12 @@
     ZeroWeight(String),
     /// The timeout of a route is 0.
     ZeroTimeout(String),
-    /// The prefix of a route does not begin and end with a slash.
+    /// The prefix of a route does not begin and end with a slash, or no path can begin with it.
     MalformedPrefix(String),
+    /// No request can name the host of a route.
+    MalformedHost(String),
+    /// Two services have the same name.
+    DuplicateService(ServiceId),
     /// Two workspaces have the same key.
     SharedKey {
         /// The later workspace.
@@ -56,9 +61,13 @@
             Self::MalformedPrefix(route) => {
                 write!(
                     f,
-                    "the prefix of route {route} must begin and end with a slash"
+                    "the prefix of route {route} must begin and end with a slash, and hold only characters of a path"
                 )
             }
+            Self::MalformedHost(route) => {
+                write!(f, "no request can name the host of route {route}")
+            }
+            Self::DuplicateService(service) => write!(f, "service {service} is there twice"),
             Self::SharedKey { workspace, other } => {
                 write!(f, "workspace {workspace} has a key of workspace {other}")
             }
@@ -71,11 +80,11 @@
 /// Returns every fault of a document, which may come into force if there is none.
 pub fn check(document: &Document) -> Vec<Fault> {
     let mut faults = Vec::new();
-    let services: HashSet<&ServiceId> = document.services.iter().map(|s| &s.name).collect();
-    let mut places: HashMap<(&str, &str), &Route> = HashMap::new();
+    let services = check_services(&document.services, &mut faults);
+    let mut places: HashMap<(&Host, &str), &Route> = HashMap::new();
     for route in &document.routes {
         check_route(route, &services, &mut faults);
-        let place = (route.host.as_str(), route.prefix.as_str());
+        let place = (&route.host, route.prefix.as_str());
         if let Some(other) = places.insert(place, route) {
             let (route, other) = (route.name.clone(), other.name.clone());
             faults.push(Fault::DuplicatePlace { route, other });
@@ -85,6 +94,17 @@
     faults
 }
 
+/// Finds services that are there twice; returns the names of all.
+fn check_services<'a>(services: &'a [Service], faults: &mut Vec<Fault>) -> HashSet<&'a ServiceId> {
+    let mut names = HashSet::new();
+    for service in services {
+        if !names.insert(&service.name) {
+            faults.push(Fault::DuplicateService(service.name.clone()));
+        }
+    }
+    names
+}
+
 /// Finds the faults of a single route.
 fn check_route(route: &Route, services: &HashSet<&ServiceId>, faults: &mut Vec<Fault>) {
     let name = || route.name.clone();
@@ -105,20 +125,30 @@
     if route.timeout == Span::default() {
         faults.push(Fault::ZeroTimeout(name()));
     }
-    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+    if !is_path_prefix(&route.prefix) {
         faults.push(Fault::MalformedPrefix(name()));
     }
+    if !route.host.is_valid() {
+        faults.push(Fault::MalformedHost(name()));
+    }
+}
+
+/// Whether the path of a request can begin with this prefix. Prefixes are compared as they are written: their case counts,
+/// and nothing is decoded.
+fn is_path_prefix(prefix: &str) -> bool {
+    let is_path_char = |b: u8| b.is_ascii_graphic() && b != b'?' && b != b'#';
+    prefix.starts_with('/') && prefix.ends_with('/') && prefix.bytes().all(is_path_char)
 }
 
 /// Finds keys that several workspaces have.
 fn check_keys(document: &Document, faults: &mut Vec<Fault>) {
-    let mut owners: HashMap<&str, &str> = HashMap::new();
-    for workspace in &document.workspaces {
+    let mut owners: HashMap<&str, usize> = HashMap::new();
+    for (number, workspace) in document.workspaces.iter().enumerate() {
         for key in &workspace.keys {
-            match owners.insert(key, &workspace.name) {
-                Some(other) if other != workspace.name => faults.push(Fault::SharedKey {
+            match owners.insert(key, number) {
+                Some(other) if other != number => faults.push(Fault::SharedKey {
                     workspace: workspace.name.clone(),
-                    other: other.to_owned(),
+                    other: document.workspaces[other].name.clone(),
                 }),
                 _ => {}
             }
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -4,6 +4,7 @@
 use snipemast_core::prelude::*;
 
 use crate::engine::Engine;
+use crate::host::Host;
 
 data! {
     float
@@ -26,7 +27,7 @@
         /// The route's name.
         pub name: String,
         /// The host that callers address.
-        pub host: String,
+        pub host: Host,
         /// The path prefix, which begins and ends with a slash.
         pub prefix: String,
         /// Whether and how requests may be repeated.
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -4,6 +4,7 @@
 //! for the lookup of requests.
 //!
 //! - [`document`]: the document that operators send.
+//! - [`host`]: the name of a host in its only spelling.
 //! - [`engine`]: the published properties of a service's model engine.
 //! - [`check`](mod@check): finds every fault of a document.
 //! - [`table`]: finds the route and the workspace of a request by hash lookups.
@@ -11,9 +12,11 @@
 pub mod check;
 pub mod document;
 pub mod engine;
+pub mod host;
 pub mod table;
 
 pub use check::{check, Fault};
 pub use document::{CallerLimits, Document, Repeat, Route, Service, Share, Workspace};
 pub use engine::Engine;
+pub use host::Host;
 pub use table::{Denied, Match, Table};
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -6,6 +6,7 @@
 use snipemast_core::prelude::*;
 
 use crate::document::{CallerLimits, Document, Route, Service, Workspace};
+use crate::host::{self, Host};
 
 /// An indexed document.
 ///
@@ -14,7 +15,7 @@
 #[derive(Debug, Clone)]
 pub struct Table {
     version: Version,
-    host_routes: HashMap<String, HashMap<String, Arc<Route>>>,
+    host_routes: HashMap<Host, HashMap<String, Arc<Route>>>,
     keys: HashMap<String, Arc<Workspace>>,
     services: HashMap<ServiceId, Arc<Service>>,
     limits: CallerLimits,
@@ -42,13 +43,11 @@
 }
 
 impl Table {
-    /// Indexes a document.
+    /// Indexes a document. Where it has faults, the later of two routes, services or keys takes the earlier one's place.
     pub fn new(document: Document) -> Self {
-        let mut host_routes: HashMap<String, HashMap<String, Arc<Route>>> = HashMap::new();
+        let mut host_routes: HashMap<Host, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in document.routes {
-            let prefixes = host_routes
-                .entry(route.host.to_ascii_lowercase())
-                .or_default();
+            let prefixes = host_routes.entry(route.host.clone()).or_default();
             prefixes.insert(route.prefix.clone(), Arc::new(route));
         }
         let mut keys = HashMap::new();
@@ -107,11 +106,7 @@
     ///
     /// The prefixes are tried from the last slash of the path to the first.
     fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.split(':').next().unwrap_or(host);
-        let prefixes = match self.host_routes.get(host) {
-            Some(prefixes) => prefixes,
-            None => self.host_routes.get(&host.to_ascii_lowercase())?,
-        };
+        let prefixes = self.host_routes.get(host::normalize(host).as_ref())?;
         let path = path.split('?').next().unwrap_or(path);
         let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
         ends.find_map(|end| prefixes.get(&path[..end]))
