Count a request as in progress until its answer is written

Cause: a request ended once its answer was handed to the HTTP library. Sixteen pieces and 400 KB may wait behind that. A process that is told to end left 3.5 s after the signal with nothing "in progress"; the limits on idle connections took slow readers for idle by the same count.

Change: `net::idle` counts a request as in progress until the socket has taken its last byte, and shutdown waits for that. A connection that was told to close keeps a request that crossed this. The kernel's limit on unacknowledged bytes, which means different things beside a closed window, is off for callers; the gateway's own clock of taken bytes bounds them. AnswerCut says why an answer was cut, what the socket took, and who ended it.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -211,6 +211,8 @@
     IntakeClosed = 716;
     /// This process reads all new connections again.
     IntakeOpened = 717;
+    /// The connection of a caller failed, or was closed here, before its answer was written.
+    AnswerCut = 718;
 }
 
 impl Event {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,9 +1,10 @@
 //! Reads no more of new connections than this process gets done.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use snipemast_core::prelude::*;
-use snipemast_net::{Gate, IdleLimits};
+use snipemast_net::{CutAnswer, Gate, IdleLimits, SocketTimeouts};
 use snipemast_placement::intake::{Admission, Intake};
 
 use crate::metrics::ConnectionEnd;
@@ -12,9 +13,12 @@
 /// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
 const CALLER_FILES: f64 = 0.6;
 
-/// How long a caller may read nothing of its answer: longer than callers wait for a whole one. A caller whose host vanishes
-/// in the middle of its answer is noticed only after this time as well.
-const CALLER_ACK_TIMEOUT: Span = Span::from_secs(10);
+/// How long a caller may take no byte of its answer at least. Where a route's callers wait for longer than that, they may
+/// take as long as they wait.
+const MIN_STALL_LIMIT: Span = Span::from_secs(10);
+
+/// The number of unanswered probes, one a second, after which a silent caller is gone.
+const CALLER_PROBES: u32 = 9;
 
 /// The part of the limit on idle connections after which one is closed. Callers use a connection that has been idle for
 /// four fifths of it.
@@ -65,8 +69,13 @@
         self.state.set_shedding(self.intake.sheds_kept());
     }
 
-    fn ack_timeout(&self) -> Span {
-        CALLER_ACK_TIMEOUT
+    fn timeouts(&self) -> SocketTimeouts {
+        SocketTimeouts::without_ack(CALLER_PROBES)
+    }
+
+    fn cut_handler(&self) -> impl Fn(SocketAddr, &CutAnswer) + Send + 'static {
+        let journal = self.state.journal.clone();
+        move |caller, cut| journal.record(Event::AnswerCut, caller, cut)
     }
 
     fn admits(&mut self, open: usize) -> bool {
@@ -97,6 +106,7 @@
         Some(IdleLimits {
             idle: Span::from_micros((limits.idle.as_micros() as f64 * IDLE_SHARE) as u64),
             header: limits.header_time,
+            stall: routes.longest_timeout().max(MIN_STALL_LIMIT),
         })
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -11,7 +11,7 @@
 use snipemast_core::prelude::*;
 use snipemast_feed::Feed;
 use snipemast_net::exec::{pause, spawn};
-use snipemast_net::{serve, serve_gated, socket};
+use snipemast_net::{serve, serve_gated, socket, OpenConnections};
 use snipemast_platform::calls::{METRICS, READY};
 use snipemast_platform::settings::Settings;
 use snipemast_settings::Decisions;
@@ -69,9 +69,11 @@
     let reader = UpdateReader::new(Arc::clone(&state));
     let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
     let gate = CallerGate::new(Arc::clone(&state));
+    let connections = OpenConnections::default();
+    let from_callers = connections.clone();
     let (for_callers, for_balancer) = (Arc::clone(&state), Arc::clone(&state));
     let tasks = [
-        spawn(serve_gated(callers, gate, move |r, _| {
+        spawn(serve_gated(callers, gate, from_callers, move |r, _| {
             handle(Arc::clone(&for_callers), r)
         })),
         spawn(serve(balancer, move |r, _| {
@@ -84,25 +86,27 @@
     ];
     journal.record(Event::ProcessStarted, front, "gateway");
     end.await;
-    shut_down(&state, grace).await;
+    shut_down(&state, &connections, grace).await;
     drop(tasks);
     journal.record(Event::ProcessEnded, front, "gateway");
     Ok(())
 }
 
-/// Shuts the gateway down: it is not ready from now on, and serves until no request is left or the
-/// platform's grace period is over.
-async fn shut_down(state: &State, grace: Span) {
+/// Shuts the gateway down: it is not ready from now on, and serves until no request is left, to the last byte of its answer,
+/// or the platform's grace period is over.
+async fn shut_down(state: &State, connections: &OpenConnections, grace: Span) {
     const CHECK_INTERVAL: Span = Span::from_millis(50);
     state.shutdown.lock().begin(state.clock.now());
     let active = state.active_requests();
     let detail = format!("{active} active requests");
     state.journal.record(Event::DrainBegun, "gateway", detail);
     loop {
-        let (now, active) = (state.clock.now(), state.active_requests());
+        let unwritten = u32::try_from(connections.busy_count()).unwrap_or(u32::MAX);
+        let (now, active) = (state.clock.now(), state.active_requests().max(unwritten));
         if state.shutdown.lock().may_end(now, grace, active) {
             if active > 0 {
-                let detail = format_args!("{active} active requests");
+                let detail =
+                    format_args!("{active} active requests, or answers that aren't written");
                 state.journal.record(Event::DrainExpired, "gateway", detail);
             }
             return;
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -18,12 +18,21 @@
 use snipemast_core::prelude::*;
 
 use crate::exec::spawn;
-use crate::observed::ObservedStream;
-use crate::socket::{self, ACK_TIMEOUT};
+use crate::observed::{ObservedStream, TransferObserver};
+use crate::socket::{self, SocketTimeouts, ACK_TIMEOUT};
 
 /// The number of bytes that arrived on the connections to one peer.
 pub(crate) type Received = Arc<AtomicU64>;
 
+/// Counts the bytes that arrive.
+struct ReceivedCounter(Received);
+
+impl TransferObserver for ReceivedCounter {
+    fn record_read(&mut self, length: usize) {
+        self.0.fetch_add(length as u64, Ordering::Relaxed);
+    }
+}
+
 /// The result of connecting.
 pub type Result<T> = std::result::Result<T, Report<ConnectError>>;
 
@@ -112,16 +121,14 @@
     ack_timeout: Span,
     received: Received,
 ) -> Result<Connection> {
-    let opened = socket::open(address, limit, ack_timeout).await;
+    let opened = socket::open(address, limit, SocketTimeouts::new(ack_timeout)).await;
     let failure = opened.as_ref().err().map(ConnectFailure::new);
     let failed = || ConnectError {
         address,
         failure: failure.unwrap_or(ConnectFailure::Other),
     };
     let stream = opened.change_context_lazy(failed)?;
-    let counted = ObservedStream::new(stream, move |length| {
-        received.fetch_add(length as u64, Ordering::Relaxed);
-    });
+    let counted = ObservedStream::new(stream, ReceivedCounter(received));
     let (sender, connection) = handshake(FuturesIo::new(counted))
         .await
         .change_context_lazy(failed)?;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,13 +6,14 @@
 //! - [`connect`](mod@connect): a single connection to a peer, owned by its user.
 //! - [`kept`]: a persistent connection to one peer.
 //! - [`serve`](mod@serve): the accept loop of a listener.
+//! - [`idle`]: which connections of a listener have no request in progress.
 //! - [`rpc`]: calls between the system's own processes, with one MessagePack message each way.
 //! - [`parts`]: messages that arrive in parts.
 
 pub mod clock;
 pub mod connect;
 pub mod exec;
-mod idle;
+pub mod idle;
 pub mod kept;
 mod observed;
 pub mod parts;
@@ -23,7 +24,8 @@
 pub use clock::BootClock;
 pub use connect::{connect, ConnectError, ConnectFailure, Connection};
 pub use exec::{spawn, within};
-pub use idle::IdleLimits;
+pub use idle::{CutAnswer, CutReason, IdleLimits, OpenConnections};
 pub use kept::PersistentConnection;
 pub use rpc::{RpcClient, RpcError};
 pub use serve::{serve, serve_gated, Gate};
+pub use socket::SocketTimeouts;
--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -1,46 +1,76 @@
-//! A connection whose reads are observed.
+//! A connection whose transfers are observed.
 
-use std::io::{IoSlice, Result};
+use std::io::{self, IoSlice, Result};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
-/// A connection that calls a function with the number of bytes of each read.
+/// Is told of what a connection transfers.
+pub(crate) trait TransferObserver: Unpin {
+    /// Records that bytes arrived.
+    fn record_read(&mut self, length: usize);
+
+    /// Records that the socket took bytes.
+    fn record_write(&mut self, _length: usize) {}
+
+    /// Records that the socket takes no bytes for now.
+    fn record_stall(&mut self) {}
+
+    /// Records that the socket has taken all bytes that were handed over.
+    fn record_flush(&mut self) {}
+
+    /// Records that the connection failed.
+    fn record_error(&mut self, _kind: io::ErrorKind) {}
+}
+
+/// A connection that tells an observer of its transfers.
 #[derive(Debug)]
-pub(crate) struct ObservedStream<F> {
+pub(crate) struct ObservedStream<O> {
     stream: TcpStream,
-    on_read: F,
+    observer: O,
 }
 
-impl<F: Fn(usize) + Unpin> ObservedStream<F> {
-    pub(crate) fn new(stream: TcpStream, on_read: F) -> Self {
-        Self { stream, on_read }
+impl<O: TransferObserver> ObservedStream<O> {
+    pub(crate) fn new(stream: TcpStream, observer: O) -> Self {
+        Self { stream, observer }
+    }
+
+    fn observe_write(&mut self, written: &Poll<Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(length)) => self.observer.record_write(*length),
+            Poll::Ready(Err(e)) => self.observer.record_error(e.kind()),
+            Poll::Pending => self.observer.record_stall(),
+        }
     }
 }
 
-impl<F: Fn(usize) + Unpin> AsyncRead for ObservedStream<F> {
+impl<O: TransferObserver> AsyncRead for ObservedStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if let Poll::Ready(Ok(length)) = &read {
-            (self.on_read)(*length);
+        match &read {
+            Poll::Ready(Ok(length)) => self.observer.record_read(*length),
+            Poll::Ready(Err(e)) => self.observer.record_error(e.kind()),
+            Poll::Pending => {}
         }
         read
     }
 }
 
-impl<F: Unpin> AsyncWrite for ObservedStream<F> {
+impl<O: TransferObserver> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.observe_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -48,11 +78,18 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.observe_write(&written);
+        written
     }
 
+    // The HTTP library flushes a connection only once it has handed over all bytes.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.observer.record_flush();
+        }
+        flushed
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/net/src/serve.rs
+++ b/crates/net/src/serve.rs
@@ -18,9 +18,11 @@
 use snipemast_core::prelude::*;
 
 use crate::exec::{pause, spawn, within};
-use crate::idle::{IdleLimits, OpenConnection, OpenConnections, TrackedBody, CLOSE_TIME};
+use crate::idle::{
+    CutAnswer, IdleLimits, OpenConnection, OpenConnections, TrackedBody, CLOSE_TIME,
+};
 use crate::observed::ObservedStream;
-use crate::socket;
+use crate::socket::{self, SocketTimeouts};
 
 /// The delay after a failed accept: file descriptors may have run out, and some may be closed by then.
 const ACCEPT_RETRY_DELAY: Span = Span::from_millis(50);
@@ -36,8 +38,11 @@
     /// Records how long a turn of all tasks took that ended now.
     fn record_turn(&mut self, delay: Span);
 
-    /// How long written bytes of a connection may stay unacknowledged, or its peer may read nothing.
-    fn ack_timeout(&self) -> Span;
+    /// When the operating system takes a caller for gone.
+    fn timeouts(&self) -> SocketTimeouts;
+
+    /// Returns what is called when a connection ends before its answer is written.
+    fn cut_handler(&self) -> impl Fn(SocketAddr, &CutAnswer) + Send + 'static;
 
     /// Whether a new connection is read, beside this many open ones. It is closed otherwise.
     fn admits(&mut self, open: usize) -> bool;
@@ -63,8 +68,12 @@
 
     fn record_turn(&mut self, _delay: Span) {}
 
-    fn ack_timeout(&self) -> Span {
-        socket::ACK_TIMEOUT
+    fn timeouts(&self) -> SocketTimeouts {
+        SocketTimeouts::new(socket::ACK_TIMEOUT)
+    }
+
+    fn cut_handler(&self) -> impl Fn(SocketAddr, &CutAnswer) + Send + 'static {
+        |_, _: &CutAnswer| {}
     }
 
     fn admits(&mut self, _open: usize) -> bool {
@@ -96,13 +105,17 @@
     B::Data: Send,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
-    serve_gated(listener, OpenGate, handler).await;
+    serve_gated(listener, OpenGate, OpenConnections::default(), handler).await;
 }
 
-/// Does the same as [`serve`] for the connections that a gate lets in. The others are closed unread, so that their
-/// callers know that nothing ran.
-pub async fn serve_gated<H, F, B>(listener: TcpListener, mut gate: impl Gate, handler: H)
-where
+/// Does the same as [`serve`] for the connections that a gate lets in, and keeps them among `connections`. The others are
+/// closed unread, so that their callers know that nothing ran.
+pub async fn serve_gated<H, F, B>(
+    listener: TcpListener,
+    mut gate: impl Gate,
+    connections: OpenConnections,
+    handler: H,
+) where
     H: Fn(Request<Incoming>, SocketAddr) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body + Send + 'static,
@@ -111,7 +124,6 @@
 {
     let handler = Arc::new(handler);
     let mut tasks = Tasks::default();
-    let connections = OpenConnections::default();
     let mut next_check = Instant::now();
     loop {
         if gate.checks_idle() && Instant::now() >= next_check {
@@ -141,19 +153,23 @@
         if !gate.admits(connections.count()) {
             continue;
         }
-        if socket::set_options(&stream, gate.ack_timeout()).is_err() {
+        if socket::set_options(&stream, gate.timeouts()).is_err() {
             continue;
         }
         let handler = Arc::clone(&handler);
         let open = Arc::new(connections.open());
-        tasks.push(spawn(serve_connection(stream, open, move |request| {
-            handler(request, peer)
-        })));
+        let handle_cut = gate.cut_handler();
+        tasks.push(spawn(async move {
+            serve_connection(stream, &open, move |request| handler(request, peer)).await;
+            if let Some(cut) = open.cut_answer() {
+                handle_cut(peer, &cut);
+            }
+        }));
     }
 }
 
 /// Answers the requests of one connection, until either side closes it.
-async fn serve_connection<H, F, B>(stream: TcpStream, open: Arc<OpenConnection>, handler: H)
+async fn serve_connection<H, F, B>(stream: TcpStream, open: &Arc<OpenConnection>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
@@ -162,12 +178,7 @@
     B::Error: std::error::Error + Send + Sync + 'static,
 {
     let closing = open.closing();
-    let reading = Arc::clone(&open);
-    let stream = ObservedStream::new(stream, move |length| {
-        if length > 0 {
-            reading.record_bytes();
-        }
-    });
+    let stream = ObservedStream::new(stream, Arc::clone(open));
     let service = service_fn(|request| {
         let active = open.begin_request();
         let response = handler(request);
@@ -191,7 +202,12 @@
     };
     if !futures_lite::future::or(ended, told).await {
         connection.as_mut().graceful_shutdown();
-        let _ = within(CLOSE_TIME, connection).await;
+        // A request that crossed the decision may be in progress by then.
+        while within(CLOSE_TIME, connection.as_mut()).await.is_none() {
+            if !open.is_busy() || open.is_stalled_out() {
+                return;
+            }
+        }
     }
 }
 
--- a/crates/net/tests/idle.rs
+++ b/crates/net/tests/idle.rs
@@ -6,9 +6,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response};
+use smol::io::{AsyncReadExt, AsyncWriteExt};
 use snipemast_core::prelude::*;
 use snipemast_net::exec::{pause, run, spawn};
-use snipemast_net::{connect, serve_gated, socket, Connection, Gate, IdleLimits};
+use snipemast_net::{
+    connect, serve_gated, socket, Connection, CutAnswer, Gate, IdleLimits, OpenConnections,
+    SocketTimeouts,
+};
 
 /// Reads all connections, and keeps at most this many open.
 struct SmallGate {
@@ -19,6 +23,7 @@
 const PATIENT: IdleLimits = IdleLimits {
     idle: Span::from_secs(600),
     header: Span::from_secs(600),
+    stall: Span::from_secs(600),
 };
 
 impl Gate for SmallGate {
@@ -28,8 +33,12 @@
 
     fn record_turn(&mut self, _delay: Span) {}
 
-    fn ack_timeout(&self) -> Span {
-        socket::ACK_TIMEOUT
+    fn timeouts(&self) -> SocketTimeouts {
+        SocketTimeouts::without_ack(9)
+    }
+
+    fn cut_handler(&self) -> impl Fn(std::net::SocketAddr, &CutAnswer) + Send + 'static {
+        |_, _: &CutAnswer| {}
     }
 
     fn admits(&mut self, open: usize) -> bool {
@@ -49,8 +58,16 @@
     }
 }
 
+/// The size of the answers to `/large`: more than the operating system buffers for a peer that doesn't read.
+const LARGE: usize = 16 << 20;
+
 /// Starts a server whose answers to `/slow` never come, and returns its address.
 fn start(most: usize, limits: IdleLimits) -> std::net::SocketAddr {
+    start_observed(most, limits).0
+}
+
+/// Does the same, and returns its connections as well.
+fn start_observed(most: usize, limits: IdleLimits) -> (std::net::SocketAddr, OpenConnections) {
     static STARTED: OnceLock<()> = OnceLock::new();
     STARTED.get_or_init(|| {
         std::thread::spawn(|| run(pending::<()>()));
@@ -59,14 +76,43 @@
         smol::block_on(async { socket::listen("127.0.0.1:0".parse().unwrap()).unwrap() });
     let address = listener.local_addr().unwrap();
     let gate = SmallGate { most, limits };
-    let serving = serve_gated(listener, gate, |request: Request<_>, _| async move {
+    let connections = OpenConnections::default();
+    let handler = |request: Request<_>, _| async move {
         if request.uri().path() == "/slow" {
             pending::<()>().await;
         }
-        Response::new(Full::new(Bytes::from("answer")))
-    });
-    spawn(serving).detach();
-    address
+        let large = request.uri().path() == "/large";
+        let body = match large {
+            true => Bytes::from(vec![b'x'; LARGE]),
+            false => Bytes::from("answer"),
+        };
+        Response::new(Full::new(body))
+    };
+    spawn(serve_gated(listener, gate, connections.clone(), handler)).detach();
+    (address, connections)
+}
+
+/// Asks for a large answer, and reads only the beginning of it.
+async fn begin_large(address: std::net::SocketAddr) -> smol::net::TcpStream {
+    let mut stream = smol::net::TcpStream::connect(address).await.unwrap();
+    let request = b"GET /large HTTP/1.1\r\nhost: test\r\n\r\n";
+    stream.write_all(request).await.unwrap();
+    let mut status = [0; 12];
+    stream.read_exact(&mut status).await.unwrap();
+    assert_eq!(&status, b"HTTP/1.1 200");
+    stream
+}
+
+/// Reads until the connection ends or this many bytes have come; returns their number.
+async fn read_on(stream: &mut smol::net::TcpStream, most: usize) -> usize {
+    let (mut total, mut buffer) = (0, vec![0; 64 << 10]);
+    while total < most {
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => break,
+            Ok(length) => total += length,
+        }
+    }
+    total
 }
 
 async fn open(address: std::net::SocketAddr) -> Connection {
@@ -150,7 +196,6 @@
 /// Guards against heads of requests that come byte by byte and hold a connection for ever.
 #[test]
 fn slow_head_closed() {
-    use smol::io::{AsyncReadExt, AsyncWriteExt};
     let limits = IdleLimits {
         header: Span::from_millis(300),
         ..PATIENT
@@ -181,3 +226,42 @@
         assert!(is_answered(&mut idle).await);
     });
 }
+
+/// Guards against an answer that is lost because its connection counts as idle while its caller reads slowly: a place is
+/// needed, the limit on idle connections is over, or the process ends once nothing is in progress.
+#[test]
+fn unread_answer_stays() {
+    let limits = IdleLimits {
+        idle: Span::from_millis(300),
+        ..PATIENT
+    };
+    let (address, connections) = start_observed(1, limits);
+    smol::block_on(async {
+        let mut slow = begin_large(address).await;
+        pause(Span::from_millis(1_500)).await;
+        let mut other = open(address).await;
+        assert!(!is_answered(&mut other).await);
+        assert_eq!(connections.busy_count(), 1);
+        assert!(read_on(&mut slow, LARGE).await >= LARGE);
+        while connections.busy_count() > 0 {
+            pause(Span::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against connections that callers hold for ever by reading nothing, and against an answer that looks complete then.
+#[test]
+fn stalled_closed() {
+    let limits = IdleLimits {
+        stall: Span::from_millis(300),
+        ..PATIENT
+    };
+    let (address, connections) = start_observed(100, limits);
+    smol::block_on(async {
+        let mut slow = begin_large(address).await;
+        while connections.busy_count() > 0 {
+            pause(Span::from_millis(20)).await;
+        }
+        assert!(read_on(&mut slow, usize::MAX).await < LARGE);
+    });
+}
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -19,6 +19,7 @@
     keys: HashMap<String, Arc<Workspace>>,
     services: HashMap<ServiceId, Arc<Service>>,
     limits: CallerLimits,
+    longest_timeout: Span,
     key_required: bool,
 }
 
@@ -45,6 +46,8 @@
 impl Table {
     /// Indexes a document. Where it has faults, the later of two routes, services or keys takes the earlier one's place.
     pub fn new(document: Document) -> Self {
+        let timeouts = document.routes.iter().map(|r| r.timeout);
+        let longest_timeout = timeouts.max().unwrap_or_default();
         let mut host_routes: HashMap<Host, HashMap<String, Arc<Route>>> = HashMap::new();
         for route in document.routes {
             let prefixes = host_routes.entry(route.host.clone()).or_default();
@@ -64,6 +67,7 @@
             keys,
             services: services.map(|s| (s.name.clone(), Arc::new(s))).collect(),
             limits: document.limits,
+            longest_timeout,
             key_required,
         }
     }
@@ -78,6 +82,11 @@
         &self.limits
     }
 
+    /// Returns the longest time that callers of any route wait.
+    pub fn longest_timeout(&self) -> Span {
+        self.longest_timeout
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &ServiceId) -> Option<&Arc<Service>> {
         self.services.get(name)
