Leave a silent server only for a place at another one

Cause: one limit on silence for all routes, at which the run was dropped before anything was known to take it on; a stream without an attempt left was ended by it, which gains nothing.

Change: the limit follows the caller's wait (`placement::outage::longest_wait`, 1.75 s at least), and a stream leaves a silent server only if another one takes it now. Otherwise it stays until its time is over.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
+use snipemast_placement::outage::longest_wait;
 use snipemast_placement::{AnswerResult, EventSplitter};
 use snipemast_platform::response::event_id;
 use snipemast_routes::Repeat;
@@ -19,14 +20,14 @@
 use crate::handle::Attempt;
 use crate::metrics::Ended;
 use crate::request_log::AnswerTimes;
-use crate::send::{Job, Run};
+use crate::send::{Failure, Job, Run};
 
 /// How many pieces are buffered for a caller that reads slowly.
 pub(crate) const MAX_WAITING_PIECES: usize = 16;
 
-/// How long a stream may be silent before it is given up: longer than an engine's group stalls on a
-/// lost rank (1.5 s), and shorter than the 2 s after which callers give up.
-const SILENCE_TIMEOUT: Span = Span::from_millis(1_750);
+/// How long a stream may be silent at least before it moves to another server: longer than an engine's group stalls on a
+/// lost rank (1.5 s), and shorter than the 2 s after which the first callers give up.
+const MIN_SILENCE: Span = Span::from_millis(1_750);
 
 /// How one server's part of a stream ended.
 enum PartEnd {
@@ -34,8 +35,10 @@
     Complete,
     /// The caller is gone.
     CallerGone,
-    /// The server fell silent, or the time is over.
+    /// The server fell silent, and another one takes the stream.
     Silent,
+    /// The caller's time is over.
+    Late,
     /// The server broke the stream off.
     Broken(&'static str),
 }
@@ -74,6 +77,7 @@
                 return;
             }
             PartEnd::Silent => "silent",
+            PartEnd::Late => "the time is over",
             PartEnd::Broken(reason) => {
                 run.record_broken(&job);
                 job.record_outcome(&run.choice, AnswerResult::Failed);
@@ -123,6 +127,36 @@
     response.body_mut().frame().await
 }
 
+/// Waits for the next frame of an answer for as long as its caller waits, unless another server can take the stream.
+///
+/// A silent server may still go on, for example with a request that it has preempted. So a stream leaves it only for a
+/// place at another one, and ends there rather than not at all.
+async fn await_frame(
+    job: &Job,
+    attempt: &mut Attempt,
+    run: &mut Run,
+    last: Option<u64>,
+) -> Result<Option<hyper::Result<Frame<Bytes>>>, PartEnd> {
+    let mut silence = longest_wait(job.route.objective, job.route.gap).max(MIN_SILENCE);
+    loop {
+        let limit = silence.min(job.left());
+        let next = next_frame(job, &mut run.response, &mut run.beginning);
+        let next = job.wait_unless_frozen(&run.choice, attempt, last, limit, next);
+        match next.await {
+            Ok(frame) => return Ok(frame),
+            Err(Failure::Late) if job.left() == Span::default() => return Err(PartEnd::Late),
+            Err(Failure::Late) => {
+                let resumable = job.route.repeat == Repeat::ResumableStream;
+                if resumable && attempt.try_move(job, &run.choice.server, last) {
+                    return Err(PartEnd::Silent);
+                }
+                silence = MIN_SILENCE;
+            }
+            Err(_) => return Err(PartEnd::Silent),
+        }
+    }
+}
+
 /// Passes on what one server sends.
 async fn pass_part(
     job: &Job,
@@ -133,11 +167,9 @@
     sender: &Sender<Result<Bytes, IncompleteAnswer>>,
 ) -> PartEnd {
     loop {
-        let limit = SILENCE_TIMEOUT.min(job.left());
-        let next = next_frame(job, &mut run.response, &mut run.beginning);
-        let next = job.wait_unless_frozen(&run.choice, attempt, events.last_id(), limit, next);
-        let Ok(frame) = next.await else {
-            return PartEnd::Silent;
+        let frame = match await_frame(job, attempt, run, events.last_id()).await {
+            Ok(frame) => frame,
+            Err(end) => return end,
         };
         let bytes = match frame {
             None if events.is_complete() => return PartEnd::Complete,
