Bound what servers send without end for every reader of it

What would be seen: a server in trouble sends bytes that are no answer until its caller closes, for example answers with status 1xx. An event without its end that comes byte by byte was searched anew from its beginning with each byte, and bytes that complete no event put off the limit on silence. A sidecar took bodies of any length.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -5,7 +5,7 @@
 use async_channel::bounded;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::{Request, Response, StatusCode};
 
@@ -414,14 +414,25 @@
     let bytes: Bytes = match read {
         Some(Ok(body)) => body.to_bytes(),
         lost => {
-            // An answer that is too large, or takes longer than its caller waits, is no failure of
-            // the server.
-            let broken = matches!(lost, Some(Err(e)) if !e.is::<LengthLimitError>());
-            if broken {
+            // An answer of a known length that is too large, or one that takes longer than its caller waits, is no
+            // failure of the server.
+            let (too_long, late) = match &lost {
+                Some(Err(e)) => (e.is::<LengthLimitError>(), false),
+                _ => (false, true),
+            };
+            let endless = too_long && run.response.body().size_hint().exact().is_none();
+            if !too_long && !late {
                 run.record_broken(job);
+            }
+            if endless || !too_long && !late {
                 job.record_outcome(&run.choice, AnswerResult::Failed);
             }
-            let detail = format_args!("{}: broken off", run.choice.server);
+            let reason = match (too_long, late) {
+                (true, _) => "longer than is buffered",
+                (_, true) => "not whole in time",
+                _ => "broken off",
+            };
+            let detail = format_args!("{}: {reason}", run.choice.server);
             job.log_problem(Event::AnswerFailed, detail);
             return None;
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,14 +6,13 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HOST};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use snipemast_core::prelude::*;
 use snipemast_net::connect::SendError;
 use snipemast_net::exec::{pause, spawn, within};
-use snipemast_net::{connect, Connection};
+use snipemast_net::{connect, Connection, ResponseBody};
 use snipemast_placement::length::StreamLength;
 use snipemast_placement::outage::AllowedPools;
 use snipemast_placement::servers::SILENCE_LIMIT;
@@ -78,7 +77,7 @@
 pub(crate) struct Run {
     pub(crate) choice: Choice,
     pub(crate) reply: ResponseHead,
-    pub(crate) response: Response<Incoming>,
+    pub(crate) response: Response<ResponseBody>,
     connection: Connection,
     in_flight: InFlight,
     /// What was seen of the beginning of the answer.
@@ -341,7 +340,7 @@
     fn check_answer(
         &self,
         choice: Choice,
-        response: Response<Incoming>,
+        response: Response<ResponseBody>,
         connection: Connection,
         in_flight: InFlight,
         sent: Moment,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,11 +5,12 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::Response;
 
 use snipemast_core::prelude::*;
 use snipemast_net::exec::within;
+use snipemast_net::ResponseBody;
 use snipemast_placement::outage::longest_wait;
 use snipemast_placement::{AnswerResult, EventSplitter};
 use snipemast_platform::response::event_id;
@@ -111,7 +112,7 @@
 /// Waits for the next frame of an answer, and records meanwhile that the server goes on.
 async fn next_frame(
     job: &Job,
-    response: &mut Response<Incoming>,
+    response: &mut Response<ResponseBody>,
     beginning: &mut Beginning,
 ) -> Option<hyper::Result<Frame<Bytes>>> {
     if let Some(due) = beginning.survival_due() {
@@ -130,16 +131,17 @@
 /// Waits for the next frame of an answer for as long as its caller waits, unless another server can take the stream.
 ///
 /// A silent server may still go on, for example with a request that it has preempted. So a stream leaves it only for a
-/// place at another one, and ends there rather than not at all.
+/// place at another one, and ends there rather than not at all. `move_at` is when it leaves if nothing comes of it; bytes
+/// that complete no event don't put that off.
 async fn await_frame(
     job: &Job,
     attempt: &mut Attempt,
     run: &mut Run,
     last: Option<u64>,
+    move_at: &mut Moment,
 ) -> Result<Option<hyper::Result<Frame<Bytes>>>, PartEnd> {
-    let mut silence = longest_wait(job.route.objective, job.route.gap).max(MIN_SILENCE);
     loop {
-        let limit = silence.min(job.left());
+        let limit = job.state.clock.now().until(*move_at).min(job.left());
         let next = next_frame(job, &mut run.response, &mut run.beginning);
         let next = job.wait_unless_frozen(&run.choice, attempt, last, limit, next);
         match next.await {
@@ -150,7 +152,7 @@
                 if resumable && attempt.try_move(job, &run.choice.server, last) {
                     return Err(PartEnd::Silent);
                 }
-                silence = MIN_SILENCE;
+                *move_at = job.state.clock.now() + MIN_SILENCE;
             }
             Err(_) => return Err(PartEnd::Silent),
         }
@@ -166,8 +168,10 @@
     times: &mut Option<AnswerTimes>,
     sender: &Sender<Result<Bytes, IncompleteAnswer>>,
 ) -> PartEnd {
+    let silence = longest_wait(job.route.objective, job.route.gap).max(MIN_SILENCE);
+    let mut move_at = job.state.clock.now() + silence;
     loop {
-        let frame = match await_frame(job, attempt, run, events.last_id()).await {
+        let frame = match await_frame(job, attempt, run, events.last_id(), &mut move_at).await {
             Ok(frame) => frame,
             Err(end) => return end,
         };
@@ -186,6 +190,7 @@
         };
         if !complete.is_empty() {
             let now = job.state.clock.now();
+            move_at = now + silence;
             job.record_piece(&run.choice, now);
             run.record_shown(job);
             match times {
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -3,13 +3,15 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, Response};
 use smol::Task;
@@ -24,12 +26,61 @@
 /// The number of bytes that arrived on the connections to one peer.
 pub(crate) type Received = Arc<AtomicU64>;
 
+/// The most bytes that may arrive without the head or a further piece of a response in them: more than the HTTP library
+/// reads at once.
+const MAX_USELESS_BYTES: u64 = 512 << 10;
+
+/// Counts the bytes that arrived since the last head or piece of a response.
+type Useless = Arc<AtomicU64>;
+
 /// Counts the bytes that arrive.
-struct ReceivedCounter(Received);
+///
+/// Failure guarded against: a peer sends bytes that are no response, without end, such as responses with status 1xx or the
+/// zeros of a chunk's size. The HTTP library would skip them for as long as they come.
+struct ReceivedCounter {
+    all: Received,
+    useless: Useless,
+}
 
 impl TransferObserver for ReceivedCounter {
+    fn is_over(&self) -> bool {
+        self.useless.load(Ordering::Relaxed) > MAX_USELESS_BYTES
+    }
+
     fn record_read(&mut self, length: usize) {
-        self.0.fetch_add(length as u64, Ordering::Relaxed);
+        self.all.fetch_add(length as u64, Ordering::Relaxed);
+        self.useless.fetch_add(length as u64, Ordering::Relaxed);
+    }
+}
+
+/// The body of a response.
+#[derive(Debug)]
+pub struct ResponseBody {
+    body: Incoming,
+    useless: Useless,
+}
+
+impl Body for ResponseBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if matches!(frame, Poll::Ready(Some(Ok(_)))) {
+            self.useless.store(0, Ordering::Relaxed);
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -104,6 +155,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Task<()>,
+    useless: Useless,
     /// The number of requests that were sent on it.
     pub request_count: u32,
 }
@@ -128,7 +180,14 @@
         failure: failure.unwrap_or(ConnectFailure::Other),
     };
     let stream = opened.change_context_lazy(failed)?;
-    let counted = ObservedStream::new(stream, ReceivedCounter(received));
+    let useless = Useless::default();
+    let counted = ObservedStream::new(
+        stream,
+        ReceivedCounter {
+            all: received,
+            useless: Arc::clone(&useless),
+        },
+    );
     let (sender, connection) = handshake(FuturesIo::new(counted))
         .await
         .change_context_lazy(failed)?;
@@ -139,6 +198,7 @@
     Ok(Connection {
         sender,
         driver,
+        useless,
         request_count: 0,
     })
 }
@@ -148,13 +208,18 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> std::result::Result<Response<Incoming>, SendError> {
+    ) -> std::result::Result<Response<ResponseBody>, SendError> {
         self.request_count += 1;
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
         }
+        self.useless.store(0, Ordering::Relaxed);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.useless.store(0, Ordering::Relaxed);
+                let useless = Arc::clone(&self.useless);
+                Ok(response.map(|body| ResponseBody { body, useless }))
+            }
             Err(mut failed) => Err(match failed.take_message() {
                 Some(_) => SendError::Unsent,
                 None => SendError::Unknown(failed.into_error()),
--- a/crates/net/src/kept.rs
+++ b/crates/net/src/kept.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
 use smol::lock::Mutex;
 
@@ -15,6 +15,9 @@
 use crate::connect::{connect_counted, Connection, Received};
 use crate::socket::ACK_TIMEOUT;
 
+/// The largest body of a response of the system's own processes: several times the largest configuration.
+const MAX_RESPONSE: Size = Size::from_mib(32);
+
 /// The result of an exchange.
 pub type Result<T> = std::result::Result<T, Report<ExchangeError>>;
 
@@ -39,6 +42,7 @@
     address: SocketAddr,
     limit: Span,
     ack_timeout: Span,
+    max_response: Size,
     received: Received,
     idle: Mutex<Option<Connection>>,
 }
@@ -52,6 +56,7 @@
             address,
             limit,
             ack_timeout: ACK_TIMEOUT,
+            max_response: MAX_RESPONSE,
             received: Received::default(),
             idle: Mutex::new(None),
         }
@@ -66,6 +71,15 @@
         }
     }
 
+    /// Sets the largest body of a response; a longer one fails its exchange.
+    #[must_use]
+    pub fn with_max_response(self, max_response: Size) -> Self {
+        Self {
+            max_response,
+            ..self
+        }
+    }
+
     /// Returns how many bytes have arrived from the peer.
     pub fn received(&self) -> u64 {
         self.received.load(Ordering::Relaxed)
@@ -95,8 +109,9 @@
         };
         let response = connection.send(request).await.change_context(failed)?;
         let status = response.status();
-        let body = response.into_body().collect().await;
-        let body = body.change_context(failed)?.to_bytes();
+        let bound = self.max_response.as_bytes() as usize;
+        let body = Limited::new(response.into_body(), bound).collect().await;
+        let body = body.map_err(|_| failed)?.to_bytes();
         *idle = Some(connection);
         Ok((status, body))
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod socket;
 
 pub use clock::BootClock;
-pub use connect::{connect, ConnectError, ConnectFailure, Connection};
+pub use connect::{connect, ConnectError, ConnectFailure, Connection, ResponseBody};
 pub use exec::{spawn, within};
 pub use idle::{CutAnswer, CutReason, IdleLimits, OpenConnections};
 pub use kept::PersistentConnection;
--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -9,6 +9,11 @@
 
 /// Is told of what a connection transfers.
 pub(crate) trait TransferObserver: Unpin {
+    /// Whether the connection has to end, because what arrived is of no use.
+    fn is_over(&self) -> bool {
+        false
+    }
+
     /// Records that bytes arrived.
     fn record_read(&mut self, length: usize);
 
@@ -25,16 +30,28 @@
     fn record_error(&mut self, _kind: io::ErrorKind) {}
 }
 
+/// The number of reads in a row after which other tasks get a turn.
+///
+/// Failure guarded against: a peer sends without end, as fast as the link bears, what the HTTP library skips within one
+/// turn. No other task of the process would run meanwhile.
+const READS_PER_TURN: u32 = 16;
+
 /// A connection that tells an observer of its transfers.
 #[derive(Debug)]
 pub(crate) struct ObservedStream<O> {
     stream: TcpStream,
     observer: O,
+    /// The number of reads since the connection last gave other tasks a turn.
+    reads: u32,
 }
 
 impl<O: TransferObserver> ObservedStream<O> {
     pub(crate) fn new(stream: TcpStream, observer: O) -> Self {
-        Self { stream, observer }
+        Self {
+            stream,
+            observer,
+            reads: 0,
+        }
     }
 
     fn observe_write(&mut self, written: &Poll<Result<usize>>) {
@@ -52,11 +69,22 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
+        if self.observer.is_over() {
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        if self.reads >= READS_PER_TURN {
+            self.reads = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         match &read {
-            Poll::Ready(Ok(length)) => self.observer.record_read(*length),
+            Poll::Ready(Ok(length)) => {
+                self.reads += 1;
+                self.observer.record_read(*length);
+            }
             Poll::Ready(Err(e)) => self.observer.record_error(e.kind()),
-            Poll::Pending => {}
+            Poll::Pending => self.reads = 0,
         }
         read
     }
--- a/crates/placement/src/events.rs
+++ b/crates/placement/src/events.rs
@@ -5,7 +5,7 @@
 pub type IdReader = fn(&[u8]) -> Option<u64>;
 
 /// The most bytes of an incomplete event that are buffered.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Splits a stream into complete events.
 ///
@@ -17,6 +17,8 @@
     read_id: IdReader,
     last_id: Option<u64>,
     partial: Vec<u8>,
+    /// The length of the complete lines of `partial`, which are read once: an event may come byte by byte.
+    read: usize,
 }
 
 /// The error for a stream that can't be passed on, because an event of it is too long.
@@ -30,6 +32,7 @@
             read_id,
             last_id,
             partial: Vec::new(),
+            read: 0,
         }
     }
 
@@ -46,40 +49,39 @@
     /// Discards the incomplete event, because the stream is resumed at another server.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.read = 0;
     }
 
     /// Takes bytes of the stream and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventTooLong> {
+        let mut searched = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let mut complete = Vec::new();
-        let mut start = 0;
-        while let Some(length) = event_length(&self.partial[start..]) {
-            let event = &self.partial[start..start + length];
-            let id = event.split(|b| *b == b'\n').find_map(self.read_id);
-            let seen = matches!((id, self.last_id), (Some(id), Some(last_id)) if id <= last_id);
-            if !seen {
-                complete.extend_from_slice(event);
-                self.last_id = id.or(self.last_id);
+        let (mut complete, mut start) = (Vec::new(), 0);
+        while let Some(length) = self.partial[searched..].iter().position(|b| *b == b'\n') {
+            let line = &self.partial[self.read..searched + length];
+            searched += length + 1;
+            self.read = searched;
+            if line.is_empty() || line == b"\r" {
+                self.complete_event(start, &mut complete);
+                start = self.read;
             }
-            start += length;
         }
         self.partial.drain(..start);
+        self.read -= start;
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
         Ok(complete)
     }
-}
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut at = 0;
-    while let Some(end) = bytes[at..].iter().position(|b| *b == b'\n') {
-        let line = &bytes[at..at + end];
-        at += end + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(at);
+    /// Adds the event that ends where was read to the complete ones, unless it was passed on before.
+    fn complete_event(&mut self, start: usize, complete: &mut Vec<u8>) {
+        let event = &self.partial[start..self.read];
+        let id = event.split(|b| *b == b'\n').find_map(self.read_id);
+        let seen = matches!((id, self.last_id), (Some(id), Some(last_id)) if id <= last_id);
+        if !seen {
+            complete.extend_from_slice(event);
+            self.last_id = id.or(self.last_id);
         }
     }
-    None
 }
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -26,6 +26,9 @@
 /// unbalanced map or stands still.
 const ORDER_TIMEOUT: Span = Span::from_millis(30);
 
+/// The largest answer of a rank: several times the counts of 58 sets of 256 experts.
+const MAX_RESPONSE: Size = Size::from_mib(1);
+
 /// A call to the rank that got no readable answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct EngineError;
@@ -48,7 +51,8 @@
     /// Creates the client of the rank at this address.
     pub(crate) fn new(address: SocketAddr) -> Self {
         Self {
-            connection: PersistentConnection::new(address, CALL_TIMEOUT),
+            connection: PersistentConnection::new(address, CALL_TIMEOUT)
+                .with_max_response(MAX_RESPONSE),
         }
     }
 
