Let no other writer's heartbeat change a known server

Somebody had sent one heartbeat under the id and start of each of three servers, with a service that no configuration has and a count of 900; from then on the servers' own heartbeats were late by their count.

Cause: an unknown service was refused only where the id was unknown; the table took service, address and count of whoever named a known id.

Change: a service must be configured, or be the one that the server serves; a start doesn't change its service, availability zone or address. What contradicts that gets 400 and changes nothing.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -252,13 +252,23 @@
         };
         let (server, standing) = (announcement.id.clone(), announcement.standing());
         let address = announcement.address;
-        let known = self.state.table.lock().get(&server).is_some();
+        let now = self.state.clock.now();
+        let (serves_it, foreign) = {
+            let table = self.state.table.lock();
+            let known = table.get(&server).map(|k| &k.announcement.service);
+            let serves_it = known == Some(&announcement.service);
+            (serves_it, table.is_foreign(now, &announcement))
+        };
         let (unknown_senders, voter) = (&self.state.unknown_senders, &self.state.voter);
-        if !known && !unknown_senders.has_service(voter, &announcement.service) {
+        // A server goes on announcing a service that the newest configuration has dropped.
+        if !serves_it && !unknown_senders.has_service(voter, &announcement.service) {
             let reason = format!("service {} is not configured", announcement.service);
             return self.refuse_announcement(id, &reason);
         }
-        let now = self.state.clock.now();
+        if foreign {
+            let reason = "another service, zone or address than this start announced before";
+            return self.refuse_announcement(id, reason);
+        }
         if self
             .state
             .update_table(|table| table.record_heartbeat(now, announcement))
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -118,8 +118,27 @@
         Self::default()
     }
 
-    /// Records a heartbeat; returns whether it changed more than the time.
+    /// Whether an announcement under the id and start of a known server is from another writer: a server doesn't change its
+    /// service, zone or address while it runs.
+    ///
+    /// One that gives no time of its start may have started again. Where the known one is the other writer's, the server
+    /// itself holds again once that has been silent for long.
+    pub fn is_foreign(&self, now: Moment, announcement: &Announcement) -> bool {
+        let Some(known) = self.servers.get(&announcement.id) else {
+            return false;
+        };
+        let own = &known.announcement;
+        let same_start = own.start == announcement.start;
+        let moved = own.address != announcement.address && own.start != Incarnation(0);
+        let differs = own.service != announcement.service || own.zone != announcement.zone || moved;
+        same_start && differs && now < known.last_seen + SILENCE_TIMEOUT
+    }
+
+    /// Records a heartbeat; returns whether it changed more than the time. One of another writer changes nothing.
     pub fn record_heartbeat(&mut self, now: Moment, announcement: Announcement) -> bool {
+        if self.is_foreign(now, &announcement) {
+            return false;
+        }
         let standing = announcement.standing();
         let changed = self.apply(now, announcement, standing);
         if standing == Standing::Draining {
