Tell departures of unknown servers on, for the starts up to now

Cause: the departure was logged without a start, which counted as every start, later ones too; and a table that doesn't know the server had nothing to pass on, so the wait for gateways, which knew the server from before, was over at once.

Change: starts are numbered by the time of their beginning, so such a departure is of the starts up to now. The controller enters the server as gone with that number; gateways and other controllers get it as every change, and the acknowledgement waits for them. A departure without a start in an older log says nothing when it is entered again.

--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface for operators and servers, and for the system's own processes.
 
 use std::sync::Arc;
+use std::time::UNIX_EPOCH;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
@@ -303,21 +304,27 @@
             Err(report) => return text_answer(StatusCode::BAD_REQUEST, &report.to_string()),
         };
         let now = self.state.clock.now();
-        if self
-            .state
-            .update_table(|table| table.record_deregistration(now, &id))
-        {
-            self.state
-                .journal
-                .record(Event::MemberRemoved, &id, "good-bye");
+        let known = {
+            let table = self.state.table.lock();
+            table.get(&id).map(|k| k.announcement.start)
+        };
+        // Starts are numbered by their time, so one that isn't known here is none of the future.
+        let start = known.unwrap_or_else(|| Incarnation(unix_millis()));
+        let changed = self.state.update_table(|table| {
+            let changed = table.record_deregistration(now, &id);
+            changed || table.record_unknown_deregistration(now, &id, start)
+        });
+        if changed {
+            let detail = match known {
+                Some(_) => "good-bye",
+                None => "good-bye, not known here",
+            };
+            self.state.journal.record(Event::MemberRemoved, &id, detail);
         }
-        let start = self
-            .state
-            .table
-            .lock()
-            .get(&id)
-            .map(|k| k.announcement.start);
-        let departure = Departure { server: id, start };
+        let departure = Departure {
+            server: id,
+            start: Some(start),
+        };
         let (_, stored) =
             futures_lite::future::zip(self.wait_for_gateways(), self.store_departure(departure))
                 .await;
@@ -438,6 +445,12 @@
     Some(bytes.freeze())
 }
 
+/// Returns the time of this host's clock in milliseconds since 1970, as servers give the times of their starts.
+fn unix_millis() -> u64 {
+    let since = UNIX_EPOCH.elapsed();
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
     rpc::decode(body).ok()
 }
--- a/crates/core/src/departures.rs
+++ b/crates/core/src/departures.rs
@@ -16,7 +16,7 @@
     pub struct Departure {
         /// The server.
         pub server: ServerId,
-        /// Its latest start, as far as it was known.
+        /// Its latest start, or a later time where that was not known; `None` in logs of earlier releases.
         pub start: Option<Incarnation>,
     }
 
--- a/crates/registry/src/announcement.rs
+++ b/crates/registry/src/announcement.rs
@@ -47,7 +47,25 @@
     }
 }
 
+/// The service and availability zone of a server of which only the departure is known.
+const UNKNOWN: &str = "unknown";
+
 impl Announcement {
+    /// Returns what is known of a server that has left, of which only the id and the latest possible start are known.
+    pub(crate) fn of_unknown(id: ServerId, latest: Incarnation) -> Self {
+        Self {
+            id,
+            start: latest,
+            service: ServiceId::new(UNKNOWN).expect("the name is valid"),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            zone: ZoneId::new(UNKNOWN).expect("the name is valid"),
+            slots: 0,
+            draining: false,
+            cold_left: Span::default(),
+            sequence: 0,
+        }
+    }
+
     /// Returns the standing that the server asks for.
     pub fn standing(&self) -> Standing {
         if self.draining {
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -169,13 +169,38 @@
         changed
     }
 
+    /// Records the deregistration of a server that this table doesn't know, and of which other tables may know a start up to
+    /// `latest`; returns whether it changed the table. They learn of it as of a start that has left.
+    ///
+    /// Failure guarded against: controllers that have just started acknowledge the deregistration, and gateways, which know
+    /// the server from before, go on sending requests to it.
+    pub fn record_unknown_deregistration(
+        &mut self,
+        now: Moment,
+        id: &ServerId,
+        latest: Incarnation,
+    ) -> bool {
+        if self.servers.contains_key(id) {
+            return false;
+        }
+        let announcement = Announcement::of_unknown(id.clone(), latest);
+        self.put(now, announcement, Standing::Gone);
+        self.awaited_revision = self.revision;
+        true
+    }
+
     /// Records the deregistration of a start that another controller acknowledged, or this one before it restarted; returns
     /// whether that changed the table. Heartbeats of this start that arrive later than it change nothing.
+    ///
+    /// Departures are entered again whenever a controller starts. One without a start, as an earlier release stored it, may
+    /// be older than the start that is running now, so it says nothing.
     pub fn record_departure(&mut self, now: Moment, departure: &Departure) -> bool {
         let Departure { server, start } = departure;
+        let Some(left) = *start else {
+            return false;
+        };
         if let Some(known) = self.servers.get(server) {
-            let later = start.is_some_and(|start| known.announcement.start > start);
-            if later || known.standing == Standing::Gone {
+            if known.announcement.start > left || known.standing == Standing::Gone {
                 return false;
             }
         }
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -160,6 +160,26 @@
     }
 }
 
+/// Guards against requests to a server that has left, because a controller that didn't know it told nobody, and against a
+/// later start that gets none. Servers of some deployments give no time of their start.
+#[test]
+fn unknown_departure_told() {
+    for start in [0, 1_000] {
+        let (mut gateway, mut controller) = (Table::new(), Table::new());
+        gateway.record_heartbeat(at(0), heartbeat(start, 9, false));
+        controller.record_deregistration(at(3_000), &id());
+        assert!(controller.record_unknown_deregistration(at(3_000), &id(), Incarnation(5_000)));
+        exchange(at(3_500), &mut gateway, &mut controller);
+        for table in [&mut gateway, &mut controller] {
+            assert_eq!(standing(table), Some(Standing::Gone));
+            table.record_heartbeat(at(4_000), heartbeat(start, 10, false));
+            assert_eq!(standing(table), Some(Standing::Gone));
+            table.record_heartbeat(at(8_000), heartbeat(7_000, 1, false));
+            assert_eq!(standing(table), Some(Standing::Ready));
+        }
+    }
+}
+
 /// Guards against a server that never gets requests again: its clock was set back between two
 /// starts, so that the later one seems to be the earlier. It becomes ready once the other start has
 /// been silent for a long time.
