--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -316,8 +316,8 @@
         });
         if changed {
             let detail = match known {
-                Some(_) => "good-bye",
-                None => "good-bye, not known here",
+                Some(_) => "deregistered",
+                None => "deregistered, not known here",
             };
             self.state.journal.record(Event::MemberRemoved, &id, detail);
         }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -6,7 +6,7 @@
 //! - `submit`: submissions to the log, and the configurations that it holds.
 //! - `departures`: deregistrations that outlast all processes.
 //! - `join`: finds the cluster, or forms it on the first start, and asks to join it.
-//! - `strangers`: the senders of announcements that are refused.
+//! - `unknown_senders`: the senders of announcements that are refused.
 //! - `peers`: the messages of calls between controllers.
 //! - `api`: the HTTP interface for operators, servers and the system's own processes.
 //! - `evacuation`: operators' orders to evacuate an availability zone, and to take it back.
@@ -25,8 +25,8 @@
 mod links;
 mod peers;
 mod spread;
-mod strangers;
 mod submit;
+mod unknown_senders;
 mod voter;
 
 pub use process::run;
--- a/crates/controller/src/process.rs
+++ b/crates/controller/src/process.rs
@@ -23,7 +23,7 @@
 use crate::join::{request_membership, run_voter, OwnHost};
 use crate::spread::Peers;
 use crate::state::State;
-use crate::strangers::UnknownSenders;
+use crate::unknown_senders::UnknownSenders;
 use crate::voter::Voter;
 
 /// The result of starting a controller.
--- a/crates/controller/src/state.rs
+++ b/crates/controller/src/state.rs
@@ -21,7 +21,7 @@
 };
 use snipemast_requests::CrashTable;
 
-use crate::strangers::UnknownSenders;
+use crate::unknown_senders::UnknownSenders;
 use crate::voter::Voter;
 
 /// The state that the parts of a controller share.
--- a/crates/registry/tests/crashes.rs
+++ b/crates/registry/tests/crashes.rs
@@ -185,8 +185,7 @@
     assert_eq!(fleet.count_quarantining(), 3);
 }
 
-/// Guards against gateways that all receive each request that a crashed server was running, although others crashed it, and against
-/// polls that are answered at once for ever.
+/// Guards against gateways that get each request that a crashed server was running, although others crashed it.
 #[test]
 fn unrelated_not_sent() {
     let mut fleet = Fleet::new(3, 1);
@@ -204,8 +203,7 @@
     }
 }
 
-/// Guards against polls that hold cursors for ever, because some server once
-/// ended under some request.
+/// Guards against polls that hold cursors for ever after a single crash.
 #[test]
 fn idle_polls_empty() {
     let mut fleet = Fleet::new(9, 3);
@@ -220,8 +218,7 @@
     assert_eq!(fleet.controllers[1].table.len(), 1);
 }
 
-/// Guards against polls that are answered at once for ever, because a controller has forgotten the records that a
-/// gateway lacks.
+/// Guards against polls that never wait, because a controller has forgotten records that a gateway lacks.
 #[test]
 fn forgotten_not_awaited() {
     let mut fleet = Fleet::new(3, 1);
--- a/crates/registry/tests/fetch.rs
+++ b/crates/registry/tests/fetch.rs
@@ -94,8 +94,7 @@
     changes.fold(base, |text, change| change.apply(&text).unwrap())
 }
 
-/// Guards against links between availability zones that carry each configuration once for each controller. That happens if
-/// a process asks all that reported it, while the one of its own zone still sends it.
+/// Guards against links between availability zones that carry each configuration once for each controller.
 #[test]
 fn one_asked_at_a_time() {
     let mut fetcher = Fetcher::new(1);
--- a/crates/registry/tests/foreign.rs
+++ b/crates/registry/tests/foreign.rs
@@ -28,8 +28,7 @@
 }
 
 quickcheck! {
-    /// Guards against a server that gets no requests because another writer named its id and start: it named another
-    /// service, zone or address, and counted far ahead.
+    /// Guards against a server without requests, because a heartbeat of another writer under its id counts as its own.
     fn other_writer_ignored(messages: Vec<(u16, u8)>) -> bool {
         let (mut table, mut alone) = (Table::new(), Table::new());
         for (sequence, (ahead, other)) in (1..).zip(messages) {
--- a/crates/registry/tests/grants.rs
+++ b/crates/registry/tests/grants.rs
@@ -44,8 +44,7 @@
     assert_eq!(grant(&mut grants, at(10_500), 2, (1, 2), 9), 1);
 }
 
-/// Guards against a burst after a time without demand: the requests that were allowed
-/// meanwhile would all be granted at once.
+/// Guards against a burst of grants after a time without demand.
 #[test]
 fn burst_bounded() {
     let mut grants = Grants::default();
@@ -53,8 +52,7 @@
     assert_eq!(grant(&mut grants, at(60_000), 1, (1, 8), 99), 4);
 }
 
-/// Guards against a lower limit that takes effect late: more requests are accumulated than it allows, or the time
-/// before it counts by the higher limit.
+/// Guards against a lower limit that takes effect late.
 #[test]
 fn lower_limit_immediate() {
     let mut grants = Grants::default();
@@ -63,8 +61,7 @@
     assert_eq!(grant(&mut grants, at(10_500), 1, (1, 1), 99), 0);
 }
 
-/// Guards against a server that restarts under its id and gets what was accumulated for its earlier
-/// start.
+/// Guards against a restarted server that gets what was accumulated for its earlier start.
 #[test]
 fn restart_resets_allowance() {
     let mut grants = Grants::default();
@@ -72,8 +69,7 @@
     assert_eq!(grant(&mut grants, at(10_000), 1, (2, 8), 99), 0);
 }
 
-/// Guards against one gateway that gets more than it asks for, so that requests of a single zone
-/// use up a server's limit in a burst.
+/// Guards against one gateway that is granted more than it asks for, and uses up a limit in a burst.
 #[test]
 fn no_more_than_asked() {
     let mut grants = Grants::default();
@@ -83,8 +79,7 @@
     assert_eq!(grant(&mut grants, at(1_000), 1, (1, 8), 9), 1);
 }
 
-/// Guards against the end of a limit that nobody notices, because each gateway that is granted a
-/// request prefers another server. One request a second is therefore due.
+/// Guards against the end of a limit that nobody notices, because no request is sent there any more.
 #[test]
 fn one_request_due() {
     let mut grants = Grants::default();
--- a/crates/registry/tests/last_seen.rs
+++ b/crates/registry/tests/last_seen.rs
@@ -94,8 +94,7 @@
     bytes
 }
 
-/// Guards against traffic between controllers that grows with servers times controllers times controllers although
-/// nothing changes: each answer held every server.
+/// Guards against traffic between controllers that holds every server although nothing changes.
 #[test]
 fn idle_exchange_small() {
     const SERVERS: usize = 600;
@@ -152,8 +151,7 @@
     assert_eq!(known.announcement.sequence, 9);
 }
 
-/// Guards against a server that stays lost here for good after this controller was cut off, although others received its
-/// heartbeats and nothing about it changed.
+/// Guards against a server that stays lost at a controller that was cut off, although others hear it.
 #[test]
 fn lost_server_found() {
     let mut all = [Controller::new(2), Controller::new(2)];
@@ -196,8 +194,7 @@
 }
 
 quickcheck! {
-    /// Three controllers of which two may not reach each other: a server whose heartbeats one of them receives is lost at none, as long
-    /// as each reaches another one.
+    /// Guards against a server that counts as lost, although one of the connected controllers receives its heartbeats.
     fn no_live_server_lost(cuts: Vec<u8>, hears: u8) -> TestResult {
         let mut all = [(); 3].map(|()| Controller::new(3));
         let hears = usize::from(hears) % 3;
--- a/crates/registry/tests/leaving.rs
+++ b/crates/registry/tests/leaving.rs
@@ -38,8 +38,7 @@
     table.record_leaving(now, &id(), Incarnation(1))
 }
 
-/// Guards against a server that is leaving and becomes ready again, due to a late heartbeat or an
-/// older entry of another controller.
+/// Guards against a leaving server that is ready again by a late heartbeat or an older entry.
 #[test]
 fn leaving_is_final() {
     let mut table = table();
@@ -50,8 +49,7 @@
     assert_eq!(table.leaving_since(&id()), Some(at(10)));
 }
 
-/// Guards against a server that restarted and never gets a request again, because its earlier start
-/// was leaving.
+/// Guards against a restarted server without requests, because its earlier start was leaving.
 #[test]
 fn restart_not_leaving() {
     let mut table = table();
@@ -62,8 +60,7 @@
     assert_eq!(table.leaving_since(&id()), None);
 }
 
-/// Guards against a leaving server that is absent from the updates for a while and comes back as
-/// ready.
+/// Guards against a leaving server that is ready again after it was absent from updates for a while.
 #[test]
 fn leaving_remembered() {
     let mut table = table();
@@ -75,8 +72,7 @@
     assert_eq!(table.leaving_since(&id()), Some(at(10)));
 }
 
-/// Guards against a server whose announcement that it is leaving reached one gateway only, so that all the others go
-/// on sending to it.
+/// Guards against gateways that go on sending to a server which told only one of them that it is leaving.
 #[test]
 fn all_gateways_know() {
     let (mut gateway, mut leader, mut other) = (table(), table(), table());
@@ -136,8 +132,7 @@
 }
 
 quickcheck! {
-    /// A start that once said that it is leaving goes on leaving, whatever arrives in whatever
-    /// order.
+    /// Guards against a leaving start that is ready again, in whatever order messages arrive.
     fn never_ready_again(reports: Vec<(u8, u8)>) -> bool {
         let mut table = table();
         announce_leaving(&mut table, at(0));
--- a/crates/registry/tests/limits.rs
+++ b/crates/registry/tests/limits.rs
@@ -25,8 +25,7 @@
     }
 }
 
-/// Guards against an answer that was begun before a server named its limit, arrives after the
-/// answer that names it, and ends the limit.
+/// Guards against a limit that is ended by an answer which was begun before the server named it.
 #[test]
 fn older_answer_ignored() {
     let mut table = table(1);
@@ -40,8 +39,7 @@
     assert!(!table.record_limit(&id(), update(Some(2), 50, 150)));
 }
 
-/// Guards against a lower limit that is ignored because its request was sent long before the higher
-/// limit was seen.
+/// Guards against a lower limit that is ignored, because its request was sent before the higher one was seen.
 #[test]
 fn lower_limit_immediate() {
     let mut table = table(1);
@@ -50,8 +48,7 @@
     assert_eq!(table.limit(&id()), Some(Rate::per_second(1)));
 }
 
-/// Guards against a server that restarts under its id and is held to the limit of its earlier
-/// start.
+/// Guards against a restarted server that is held to the limit of its earlier start.
 #[test]
 fn restart_resets_limit() {
     let mut table = table(1);
@@ -63,8 +60,7 @@
 }
 
 quickcheck! {
-    /// Guards against two hosts that hear of two answers in different orders and end with different
-    /// limits.
+    /// Guards against two hosts that end with different limits after the same answers in another order.
     fn any_order(one: (Option<u8>, u8, u8), other: (Option<u8>, u8, u8)) -> bool {
         let update = |(rate, sent, took): (Option<u8>, u8, u8)| {
             let sent = u64::from(sent);
@@ -80,8 +76,7 @@
     }
 }
 
-/// Guards against a limit that comes back from the leader a little lower than a gateway reported
-/// it: each answer would seem to name another limit, and the grants would be lost each time.
+/// Guards against grants that are lost each time, because a limit comes back rounded and seems to be another one.
 #[test]
 fn forwarded_unchanged() {
     for thousandths in [1, 333, 1_234, 2_137, 999_999] {
--- a/crates/registry/tests/outcomes.rs
+++ b/crates/registry/tests/outcomes.rs
@@ -83,8 +83,7 @@
     assert_eq!(outliers(&mut pollers, at(100), 40).len(), 5);
 }
 
-/// Guards against a server that is ejected because the gateways that it failed at report it at
-/// once, and those that it answered well were not asked yet.
+/// Guards against an ejected server whose good answers were not reported yet.
 #[test]
 fn good_answers_awaited() {
     let mut pollers = Pollers::default();
@@ -105,8 +104,7 @@
     assert!(pollers.suspects(at(200), || placed(40)).is_empty());
 }
 
-/// Guards against a poll that comes twice and counts twice, and against a leader that answers with
-/// what it knew before it was suspended, or that a new leader would have to receive again.
+/// Guards against a repeated poll that counts twice, and a leader that goes by what it knew before it was suspended.
 #[test]
 fn polls_replace() {
     let mut pollers = Pollers::default();
@@ -142,8 +140,7 @@
     assert!(outliers(&mut pollers, at(100), 36).is_empty());
 }
 
-/// Guards against answers that grow with the number of failing servers, and processes of another
-/// release that send or understand none.
+/// Guards against answers that grow with the number of failing servers.
 #[test]
 fn updates_bounded() {
     let mut pollers = Pollers::default();
@@ -314,9 +311,7 @@
     }
 }
 
-/// Guards against servers that fail at once, look idle, and draw a large part of all requests,
-/// because each of many gateways sees each of them only once or twice. Once they are healthy, they get
-/// their part again.
+/// Guards against servers that fail at once, look idle and draw a large part of all requests.
 #[test]
 fn fast_failures_left_out() {
     let sum = |seconds: &[Second], part: fn(&Second) -> u32| seconds.iter().map(part).sum::<u32>();
--- a/crates/registry/tests/parts.rs
+++ b/crates/registry/tests/parts.rs
@@ -568,8 +568,7 @@
     }
 }
 
-/// Guards against a crashing part that goes on, and sound ones that are refused, while a third of the servers end twice
-/// for another reason.
+/// Guards against a wrong verdict on parts while a third of the servers end twice for another reason.
 #[test]
 fn beside_other_ends() {
     for (servers, group) in [(16, 16), (24, 1)] {
@@ -682,8 +681,7 @@
     }
 }
 
-/// Guards against sound requests that are refused because they came in copies and were at two ends, while a third of the
-/// servers end twice for another reason.
+/// Guards against refused copies of sound requests while a third of the servers end twice for another reason.
 #[test]
 fn copies_beside_other_ends() {
     for (servers, group) in [(16, 16), (24, 1)] {
--- a/crates/registry/tests/pollers.rs
+++ b/crates/registry/tests/pollers.rs
@@ -20,9 +20,7 @@
     }
 }
 
-/// Guards against a controller of 350 hosts that has no processor time left for operators, because
-/// each poll wakes all waiting answers, half a million times a second. Only a poll that shows
-/// something new may wake them.
+/// Guards against a controller without processor time, because each poll wakes all waiting answers.
 #[test]
 fn only_changes_wake() {
     let mut pollers = Pollers::default();
@@ -45,9 +43,7 @@
     assert!(pollers.has_version(now, Version(2)));
 }
 
-/// Guards against counts that fill a controller's link: 149 gateways receive four times a second
-/// what the others have in flight at 198 servers. The counts must fit into a tenth of the link of
-/// 170 Mbit/s.
+/// Guards against counts of requests in flight that fill a controller's link.
 #[test]
 fn counts_are_short() {
     let mut pollers = Pollers::default();
@@ -71,8 +67,7 @@
     assert!(149 * 4 * bytes * 8 <= 17_000_000, "{bytes} bytes");
 }
 
-/// Guards against controllers that stay unknown because another set of them has the same digest, and against answers that
-/// name all of them anew because they are in another order.
+/// Guards against controllers that stay unknown, because another set of them has the same digest.
 #[test]
 fn controllers_told_apart() {
     let address = |host: u8| SocketAddr::from(([10, 1, 0, host], 7_340));
--- a/crates/registry/tests/ranks.rs
+++ b/crates/registry/tests/ranks.rs
@@ -49,8 +49,7 @@
     Some(table.rank(known)?.group.to_string())
 }
 
-/// Guards against a rank that moves to a group whose epochs are lower and stays in the old group,
-/// also if another table passes on the older update later.
+/// Guards against a rank that stays in its old group, because the epochs of the new one are lower.
 #[test]
 fn last_update_holds() {
     let mut table = Table::new();
@@ -74,8 +73,7 @@
     assert_eq!(group(&other, "i-1").as_deref(), Some("g1"));
 }
 
-/// Guards against a server that crashes, restarts at its address and inherits the place of its
-/// earlier start, and against the loss of an update that arrives before the first heartbeat.
+/// Guards against a restarted server that inherits the place of its earlier start, or loses an early update.
 #[test]
 fn place_per_start() {
     let mut table = Table::new();
@@ -90,8 +88,7 @@
     assert_eq!(group(&table, "i-1"), None);
 }
 
-/// Guards against a changed place that isn't in the updates, and against updates of a place that didn't
-/// change.
+/// Guards against a changed place that isn't in the updates, and against updates without a change.
 #[test]
 fn only_changes_reported() {
     let mut table = Table::new();
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -157,8 +157,7 @@
     }
 }
 
-/// Guards against changes that every controller sends to every gateway: 25 times each, most of it between availability
-/// zones.
+/// Guards against changes that every controller sends to every gateway.
 #[test]
 fn changes_sent_by_zone() {
     const SERVERS: usize = 200;
@@ -219,8 +218,7 @@
     assert!(fleet.table.get(&id(1)).is_some());
 }
 
-/// Guards against a gateway that waits in vain for the only controller of its zone after the updates no longer name it, and
-/// with that ends its polls: the changes of the others come at once, also if an answer to the last poll is late.
+/// Guards against a gateway that waits in vain for the only controller of its zone, which nobody polls any more.
 #[test]
 fn unpolled_relay_replaced() {
     let mut fleet = Fleet::new(3, 1);
@@ -242,8 +240,7 @@
     assert!(!fleet.relays.lags(address(0)));
 }
 
-/// Guards against the acknowledgement of a drain that waits for gateways which are not woken for it, and against
-/// gateways that every controller wakes for changes that it only received.
+/// Guards against an acknowledged drain that waits for gateways which are not woken for it.
 #[test]
 fn only_reported_drains_awaited() {
     let mut fleet = Fleet::new(2, 1);
@@ -266,8 +263,7 @@
 }
 
 quickcheck! {
-    /// What a gateway reports to a controller, on which the acknowledgement of a drain waits, it has: whatever the order of
-    /// exchanges, answers lost, and controllers that start anew.
+    /// Guards against a drain that is acknowledged although a gateway lacks it, in whatever order messages arrive.
     fn reports_what_it_has(steps: Vec<(u8, u8)>) -> bool {
         let mut fleet = Fleet::new(4, 2);
         let mut drained: Vec<(usize, Cursor, usize)> = Vec::new();
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -51,8 +51,7 @@
     }
 }
 
-/// Guards against a server that restarts under its id and gets no requests: its heartbeats count
-/// from 1 again, and each of them seems to be a late one of the earlier start.
+/// Guards against a restarted server without requests, whose heartbeats count from 1 again and seem to be late.
 #[test]
 fn sequence_restarts() {
     let mut table = Table::new();
@@ -67,8 +66,7 @@
     assert_eq!(known.announcement.start, Incarnation(53_000));
 }
 
-/// Guards against a server that was draining or had deregistered and gets no requests after it
-/// restarted.
+/// Guards against a restarted server without requests, because its earlier start was draining or gone.
 #[test]
 fn leaving_ends_with_start() {
     let mut table = Table::new();
@@ -82,8 +80,7 @@
     assert_eq!(standing(&table), Some(Standing::Ready));
 }
 
-/// Guards against a request that is sent to a server's earlier start, because a heartbeat of it was
-/// delayed by a cut and arrives after one of the new start. It is ignored, whatever its sequence.
+/// Guards against requests to a server's earlier start, a heartbeat of which was delayed by a cut.
 #[test]
 fn earlier_start_outdated() {
     let mut table = Table::new();
@@ -94,9 +91,7 @@
     assert_eq!((known.announcement.sequence, known.last_seen), (1, at(0)));
 }
 
-/// Guards against a request that reaches a server that has left: its deregistration arrived at a
-/// controller that was cut off and knew only the previous start. What the others report of the
-/// later start is older than the deregistration.
+/// Guards against requests to a server that deregistered at a controller which knew only its earlier start.
 #[test]
 fn unknown_start_deregisters() {
     let (mut cut, mut other) = (Table::new(), Table::new());
@@ -108,9 +103,7 @@
     assert_eq!(standing(&other), Some(Standing::Gone));
 }
 
-/// Guards against a server that gets no requests for as long as it runs: the deregistration of its earlier
-/// start was delayed and crossed the first heartbeats of the new one. The new start goes on
-/// announcing itself and becomes ready in the end.
+/// Guards against a server without requests, because its earlier start's deregistration was delayed.
 #[test]
 fn delayed_deregistration_refuted() {
     let mut table = Table::new();
@@ -126,8 +119,7 @@
     assert_eq!(standing(&table), Some(Standing::Ready));
 }
 
-/// Guards against a heartbeat that was sent before a deregistration, arrives some seconds after it, and
-/// brings the server back.
+/// Guards against a server that is back by a heartbeat which was sent before its deregistration.
 #[test]
 fn late_heartbeat_ignored() {
     let mut table = Table::new();
@@ -137,8 +129,7 @@
     assert_eq!(standing(&table), Some(Standing::Gone));
 }
 
-/// Guards against a server that comes back by a late heartbeat at a controller that knows of its departure from the log
-/// only, and against a later start that the departure of an earlier one keeps away.
+/// Guards against a departure in the log that spares late heartbeats, or covers a later start.
 #[test]
 fn departure_covers_start() {
     let departure = Departure {
@@ -160,8 +151,7 @@
     }
 }
 
-/// Guards against requests to a server that has left, because a controller that didn't know it told nobody, and against a
-/// later start that gets none. Servers of some deployments give no time of their start.
+/// Guards against requests to a server that left, because the controller didn't know it and told nobody.
 #[test]
 fn unknown_departure_told() {
     for start in [0, 1_000] {
@@ -180,9 +170,7 @@
     }
 }
 
-/// Guards against a server that never gets requests again: its clock was set back between two
-/// starts, so that the later one seems to be the earlier. It becomes ready once the other start has
-/// been silent for a long time.
+/// Guards against a restarted server without requests, because its clock was set back.
 #[test]
 fn clock_set_back() {
     let (mut table, mut other) = (Table::new(), Table::new());
@@ -199,9 +187,7 @@
     }
 }
 
-/// Guards against requests for a crashed server that reach the server which has its address by now:
-/// a delayed heartbeat of the first server arrives after the other's. The server that started last
-/// holds the address.
+/// Guards against requests for a crashed server that reach the one which has its address now.
 #[test]
 fn address_of_later_start() {
     let mut table = Table::new();
@@ -219,8 +205,7 @@
     assert_eq!(table.get(&other).map(|k| k.standing), Some(Standing::Ready));
 }
 
-/// Guards against gateways that don't learn that a server has turned cold again while it runs, and against news of
-/// each heartbeat that merely counts the time down.
+/// Guards against gateways that don't learn that a running server has turned cold again.
 #[test]
 fn cold_again_reported() {
     let mut table = Table::new();
@@ -260,8 +245,7 @@
 }
 
 quickcheck! {
-    /// Heartbeats of several starts arrive in any order at either of two tables, which exchange
-    /// entries. Both tables end with the latest start, which drains if it ever said so.
+    /// Guards against tables that disagree on the latest start, in whatever order heartbeats arrive.
     fn any_order_converges(heartbeats: Vec<(Heartbeat, bool)>, between: Vec<bool>) -> bool {
         let (mut a, mut b) = (Table::new(), Table::new());
         let mut now = at(0);
@@ -285,8 +269,7 @@
         state(&a) == state(&b) && state(&a) == start.map(|start| (start, standing))
     }
 
-    /// A deregistration arrives at one of two tables among heartbeats. Once both have exchanged entries,
-    /// none has the start as ready that was known where the deregistration arrived.
+    /// Guards against a deregistered start that another table brings back, in whatever order heartbeats arrive.
     fn deregistration_holds(heartbeats: Vec<(Heartbeat, bool)>, at_first: bool) -> bool {
         let (mut a, mut b) = (Table::new(), Table::new());
         let mut now = at(0);
@@ -304,8 +287,7 @@
     }
 }
 
-/// Guards against a server that counts as ended because it is silent, or has not announced itself to this table, and
-/// against one that leaves and counts as crashed.
+/// Guards against a silent or unknown server that counts as ended, and a leaving one that counts as crashed.
 #[test]
 fn end_told_apart() {
     let mut table = Table::new();
--- a/crates/sidecar/src/calls.rs
+++ b/crates/sidecar/src/calls.rs
@@ -115,25 +115,25 @@
     /// Queries the state of ranks, all at once; returns nothing for those that don't answer.
     pub(crate) async fn query_states(
         &mut self,
-        asked: Vec<(SocketAddr, StateQuery)>,
+        queries: Vec<(SocketAddr, StateQuery)>,
     ) -> Vec<(SocketAddr, RankReport)> {
-        let tasks: Vec<_> = asked
+        let tasks: Vec<_> = queries
             .into_iter()
             .map(|(address, query)| {
                 let client = self.clients.get(address);
                 spawn(async move {
-                    let seen = client
+                    let report = client
                         .call::<_, RankReport>(path::STATE, &query, STATE_TIMEOUT)
                         .await;
-                    seen.ok().map(|seen| (address, seen))
+                    report.ok().map(|report| (address, report))
                 })
             })
             .collect();
-        let mut all = Vec::with_capacity(tasks.len());
+        let mut reports = Vec::with_capacity(tasks.len());
         for task in tasks {
-            all.extend(task.await);
+            reports.extend(task.await);
         }
-        all
+        reports
     }
 
     /// Queries the state of ranks, and queries those that didn't answer again, [`STATE_ROUNDS`] times in all.
@@ -142,22 +142,22 @@
     /// answered. Querying all of them anew for one that is missing would take 0.3 s each time.
     pub(crate) async fn query_until_complete(
         &mut self,
-        mut asked: Vec<SocketAddr>,
+        mut processes: Vec<SocketAddr>,
         query: &StateQuery,
     ) -> Vec<(SocketAddr, RankReport)> {
-        let mut seen = Vec::with_capacity(asked.len());
+        let mut reports = Vec::with_capacity(processes.len());
         for round in 0..STATE_ROUNDS {
             if round > 0 {
                 pause(RETRY_PAUSE).await;
             }
-            let queries = asked.iter().map(|address| (*address, query.clone()));
-            seen.extend(self.query_states(queries.collect()).await);
-            asked.retain(|address| seen.iter().all(|(answered, _)| answered != address));
-            if asked.is_empty() {
+            let queries = processes.iter().map(|address| (*address, query.clone()));
+            reports.extend(self.query_states(queries.collect()).await);
+            processes.retain(|address| reports.iter().all(|(answered, _)| answered != address));
+            if processes.is_empty() {
                 break;
             }
         }
-        seen
+        reports
     }
 
     /// Sends orders; [`next_outcome`](Self::next_outcome) returns the outcome of each.
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/deputy.rs
@@ -90,16 +90,16 @@
         if !state.open || known.is_some_and(|g| g.epoch == state.epoch) {
             return;
         }
-        let asked = self.reader.rank_processes();
-        let mut all = self
+        let processes = self.reader.rank_processes();
+        let mut reports = self
             .calls
-            .query_until_complete(asked, &StateQuery::default())
+            .query_until_complete(processes, &StateQuery::default())
             .await;
-        all.retain(|(_, seen)| seen.group == *self.reader.group());
-        all.sort_by_key(|(_, seen)| seen.rank);
-        let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
-        let same = seen.iter().all(|s| s.state.epoch == state.epoch);
-        let whole = seen.first().is_some_and(|first| first.size == seen.len());
+        reports.retain(|(_, report)| report.group == *self.reader.group());
+        reports.sort_by_key(|(_, report)| report.rank);
+        let (addresses, reports): (Vec<SocketAddr>, Vec<RankReport>) = reports.into_iter().unzip();
+        let same = reports.iter().all(|r| r.state.epoch == state.epoch);
+        let whole = (reports.first()).is_some_and(|first| first.size == reports.len());
         if whole && same {
             let epoch = state.epoch;
             self.group = Some(KnownGroup { epoch, addresses });
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -138,8 +138,8 @@
         };
         let queries = group.queries(whole);
         let (whole, asked) = (queries.len() == group.addresses.len(), queries.len());
-        let seen = self.calls.query_states(queries).await;
-        if seen.iter().any(|(_, s)| !s.state.open) {
+        let reports = self.calls.query_states(queries).await;
+        if reports.iter().any(|(_, r)| !r.state.open) {
             self.poll_all = false;
             return;
         }
@@ -147,13 +147,13 @@
         let Some(group) = self.group.as_mut() else {
             return;
         };
-        if !group.apply_reports(now, &seen) {
+        if !group.apply_reports(now, &reports) {
             // The group has formed again: whatever was under way no longer matters.
             self.drop_group("the group formed again");
             return;
         }
         self.reader.set_slow(group.slow_ranks());
-        if whole && seen.len() == asked {
+        if whole && reports.len() == asked {
             self.poll_all = false;
             let states = group.states.clone();
             let orders = group.switch.observe(now, &states);
@@ -172,30 +172,30 @@
             experts: true,
             counted: None,
         };
-        let asked = self.reader.rank_processes();
-        let mut all = self.calls.query_until_complete(asked, &query).await;
-        all.retain(|(_, seen)| seen.group == *self.reader.group());
-        all.sort_by_key(|(_, seen)| seen.rank);
-        let Some(first) = all.first().map(|(_, seen)| seen.clone()) else {
+        let processes = self.reader.rank_processes();
+        let mut reports = self.calls.query_until_complete(processes, &query).await;
+        reports.retain(|(_, report)| report.group == *self.reader.group());
+        reports.sort_by_key(|(_, report)| report.rank);
+        let Some(first) = reports.first().map(|(_, report)| report.clone()) else {
             return;
         };
-        let whole =
-            all.len() == first.size && all.iter().enumerate().all(|(n, (_, s))| s.rank == n);
+        let whole = reports.len() == first.size
+            && reports.iter().enumerate().all(|(n, (_, r))| r.rank == n);
         let alike = |s: &RankState| s.epoch == first.state.epoch && s.open;
-        if !whole || !all.iter().all(|(_, seen)| alike(&seen.state)) {
+        if !whole || !reports.iter().all(|(_, report)| alike(&report.state)) {
             return;
         }
-        let (addresses, seen): (Vec<SocketAddr>, Vec<RankReport>) = all.into_iter().unzip();
-        if !self.yields_group(&seen) {
-            self.adopt_group(addresses, &seen);
+        let (addresses, reports): (Vec<SocketAddr>, Vec<RankReport>) = reports.into_iter().unzip();
+        if !self.yields_group(&reports) {
+            self.adopt_group(addresses, &reports);
         }
     }
 
     /// Whether the group is left to a takeover that is under way.
-    fn yields_group(&mut self, seen: &[RankReport]) -> bool {
+    fn yields_group(&mut self, reports: &[RankReport]) -> bool {
         let now = self.clock.now();
-        let highest = seen.iter().map(|s| s.lead).max().unwrap_or_default();
-        let held = seen.iter().any(|s| s.state.held.is_some());
+        let highest = reports.iter().map(|r| r.lead).max().unwrap_or_default();
+        let held = reports.iter().any(|r| r.state.held.is_some());
         let since = *self.yields_since.get_or_insert(now);
         let yields = yields_to_takeover(highest, held, since.until(now));
         if !yields {
@@ -205,11 +205,11 @@
     }
 
     /// Adopts a group: one that has formed again, or one that an earlier lead left.
-    fn adopt_group(&mut self, addresses: Vec<SocketAddr>, seen: &[RankReport]) {
+    fn adopt_group(&mut self, addresses: Vec<SocketAddr>, reports: &[RankReport]) {
         let Some(experts) = self.experts() else {
             return;
         };
-        let Some(map) = map_in_force(&experts, seen) else {
+        let Some(map) = map_in_force(&experts, reports) else {
             return;
         };
         if let Some(process) = addresses.get(DEPUTY_RANK).copied() {
@@ -218,9 +218,9 @@
             };
             self.calls.set_holder(server, process, &self.journal);
         }
-        let leads = seen.iter().map(|s| s.lead);
+        let leads = reports.iter().map(|r| r.lead);
         let lead = self.calls.raise_lead(leads.max().unwrap_or_default());
-        let mut group = Group::new(lead, addresses, seen, map);
+        let mut group = Group::new(lead, addresses, reports, map);
         if let Some(demand) = self.previous_demand.take() {
             group.demand.carry_over(&demand);
             group.settled = true;
@@ -231,7 +231,7 @@
         let orders = group.switch.recover(&group.states);
         self.group = Some(group);
         self.journal
-            .record(Event::GroupRestarted, &seen[0].group, detail);
+            .record(Event::GroupRestarted, &reports[0].group, detail);
         self.send_orders(orders);
         self.plan_switch();
     }
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -98,7 +98,7 @@
     loop {
         let place = rank.place().await;
         let wanted = place.filter(|(_, place)| [LEAD_RANK, DEPUTY_RANK].contains(place));
-        if group_task.as_ref().map(|d| (&d.group, d.place)) != wanted.as_ref().map(|(g, p)| (g, *p))
+        if group_task.as_ref().map(|t| (&t.group, t.place)) != wanted.as_ref().map(|(g, p)| (g, *p))
         {
             group_task = wanted.map(|place| start_group_task(place, &settings, &rank, &journal));
         }
