Don't take a caller's pause for its server's silence

Found on reading the diff before the landing: the time at which a silent stream moves was counted from the last whole event, so a caller that reads nothing for longer than that would have had its stream moved from a sound server the moment it reads on. It counts from when the event was passed on now. What becomes of an incomplete answer is told apart in one place.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -416,22 +416,20 @@
         lost => {
             // An answer of a known length that is too large, or one that takes longer than its caller waits, is no
             // failure of the server.
-            let (too_long, late) = match &lost {
-                Some(Err(e)) => (e.is::<LengthLimitError>(), false),
-                _ => (false, true),
+            let (reason, failed) = match &lost {
+                Some(Err(e)) if e.is::<LengthLimitError>() => {
+                    let has_length = run.response.body().size_hint().exact().is_some();
+                    ("longer than is buffered", !has_length)
+                }
+                Some(Err(_)) => {
+                    run.record_broken(job);
+                    ("broken off", true)
+                }
+                _ => ("not whole in time", false),
             };
-            let endless = too_long && run.response.body().size_hint().exact().is_none();
-            if !too_long && !late {
-                run.record_broken(job);
-            }
-            if endless || !too_long && !late {
+            if failed {
                 job.record_outcome(&run.choice, AnswerResult::Failed);
             }
-            let reason = match (too_long, late) {
-                (true, _) => "longer than is buffered",
-                (_, true) => "not whole in time",
-                _ => "broken off",
-            };
             let detail = format_args!("{}: {reason}", run.choice.server);
             job.log_problem(Event::AnswerFailed, detail);
             return None;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -190,7 +190,6 @@
         };
         if !complete.is_empty() {
             let now = job.state.clock.now();
-            move_at = now + silence;
             job.record_piece(&run.choice, now);
             run.record_shown(job);
             match times {
@@ -198,8 +197,12 @@
                 None => *times = Some(job.record_begun()),
             }
         }
-        if !complete.is_empty() && sender.send(Ok(complete.into())).await.is_err() {
-            return PartEnd::CallerGone;
+        if !complete.is_empty() {
+            if sender.send(Ok(complete.into())).await.is_err() {
+                return PartEnd::CallerGone;
+            }
+            // A caller that reads slowly is no silence of the server.
+            move_at = job.state.clock.now() + silence;
         }
     }
 }
