--- a/crates/controller/src/api.rs
+++ b/crates/controller/src/api.rs
@@ -308,7 +308,7 @@
             let table = self.state.table.lock();
             table.get(&id).map(|k| k.announcement.start)
         };
-        // Starts are numbered by their time, so one that isn't known here is none of the future.
+        // A start is numbered by the time at which it began, so one that isn't known here has at most the present time.
         let start = known.unwrap_or_else(|| Incarnation(unix_millis()));
         let changed = self.state.update_table(|table| {
             let changed = table.record_deregistration(now, &id);
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -13,8 +13,8 @@
 /// The part of the process's files and sockets that callers' connections may use. The rest is for servers.
 const CALLER_FILES: f64 = 0.6;
 
-/// How long a caller may take no byte of its answer at least. Where a route's callers wait for longer than that, they may
-/// take as long as they wait.
+/// The shortest limit on how long a caller may take no byte of an answer that waits for it. The limit is longer where the
+/// timeout of some route is.
 const MIN_STALL_LIMIT: Span = Span::from_secs(10);
 
 /// The number of unanswered probes, one a second, after which a silent caller is gone.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -130,9 +130,9 @@
 
 /// Waits for the next frame of an answer for as long as its caller waits, unless another server can take the stream.
 ///
-/// A silent server may still go on, for example with a request that it has preempted. So a stream leaves it only for a
-/// place at another one, and ends there rather than not at all. `move_at` is when it leaves if nothing comes of it; bytes
-/// that complete no event don't put that off.
+/// A silent server may still go on, for example with a request that it has preempted. So a stream leaves it only if another
+/// server takes the stream now, and otherwise stays until its caller's time is over. From `move_at` on the stream may leave;
+/// bytes that complete no event don't put that off.
 async fn await_frame(
     job: &Job,
     attempt: &mut Attempt,
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -28,10 +28,10 @@
 
 /// The most bytes that may arrive without the head or a further piece of a response in them: more than the HTTP library
 /// reads at once.
-const MAX_USELESS_BYTES: u64 = 512 << 10;
+const MAX_BYTES_WITHOUT_PROGRESS: u64 = 512 << 10;
 
 /// Counts the bytes that arrived since the last head or piece of a response.
-type Useless = Arc<AtomicU64>;
+type BytesSinceProgress = Arc<AtomicU64>;
 
 /// Counts the bytes that arrive.
 ///
@@ -39,17 +39,18 @@
 /// zeros of a chunk's size. The HTTP library would skip them for as long as they come.
 struct ReceivedCounter {
     all: Received,
-    useless: Useless,
+    since_progress: BytesSinceProgress,
 }
 
 impl TransferObserver for ReceivedCounter {
-    fn is_over(&self) -> bool {
-        self.useless.load(Ordering::Relaxed) > MAX_USELESS_BYTES
+    fn must_end(&self) -> bool {
+        self.since_progress.load(Ordering::Relaxed) > MAX_BYTES_WITHOUT_PROGRESS
     }
 
     fn record_read(&mut self, length: usize) {
         self.all.fetch_add(length as u64, Ordering::Relaxed);
-        self.useless.fetch_add(length as u64, Ordering::Relaxed);
+        self.since_progress
+            .fetch_add(length as u64, Ordering::Relaxed);
     }
 }
 
@@ -57,7 +58,7 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     body: Incoming,
-    useless: Useless,
+    since_progress: BytesSinceProgress,
 }
 
 impl Body for ResponseBody {
@@ -70,7 +71,7 @@
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, hyper::Error>>> {
         let frame = Pin::new(&mut self.body).poll_frame(context);
         if matches!(frame, Poll::Ready(Some(Ok(_)))) {
-            self.useless.store(0, Ordering::Relaxed);
+            self.since_progress.store(0, Ordering::Relaxed);
         }
         frame
     }
@@ -155,7 +156,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: Task<()>,
-    useless: Useless,
+    since_progress: BytesSinceProgress,
     /// The number of requests that were sent on it.
     pub request_count: u32,
 }
@@ -180,12 +181,12 @@
         failure: failure.unwrap_or(ConnectFailure::Other),
     };
     let stream = opened.change_context_lazy(failed)?;
-    let useless = Useless::default();
+    let since_progress = BytesSinceProgress::default();
     let counted = ObservedStream::new(
         stream,
         ReceivedCounter {
             all: received,
-            useless: Arc::clone(&useless),
+            since_progress: Arc::clone(&since_progress),
         },
     );
     let (sender, connection) = handshake(FuturesIo::new(counted))
@@ -198,7 +199,7 @@
     Ok(Connection {
         sender,
         driver,
-        useless,
+        since_progress,
         request_count: 0,
     })
 }
@@ -213,12 +214,15 @@
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
         }
-        self.useless.store(0, Ordering::Relaxed);
+        self.since_progress.store(0, Ordering::Relaxed);
         match self.sender.try_send_request(request).await {
             Ok(response) => {
-                self.useless.store(0, Ordering::Relaxed);
-                let useless = Arc::clone(&self.useless);
-                Ok(response.map(|body| ResponseBody { body, useless }))
+                self.since_progress.store(0, Ordering::Relaxed);
+                let since_progress = Arc::clone(&self.since_progress);
+                Ok(response.map(|body| ResponseBody {
+                    body,
+                    since_progress,
+                }))
             }
             Err(mut failed) => Err(match failed.take_message() {
                 Some(_) => SendError::Unsent,
--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -9,8 +9,8 @@
 
 /// Is told of what a connection transfers.
 pub(crate) trait TransferObserver: Unpin {
-    /// Whether the connection has to end, because what arrived is of no use.
-    fn is_over(&self) -> bool {
+    /// Whether the connection has to end, because too much arrived of which nothing comes.
+    fn must_end(&self) -> bool {
         false
     }
 
@@ -32,8 +32,8 @@
 
 /// The number of reads in a row after which other tasks get a turn.
 ///
-/// Failure guarded against: a peer sends without end, as fast as the link bears, what the HTTP library skips within one
-/// turn. No other task of the process would run meanwhile.
+/// Failure guarded against: a peer sends bytes without end, as fast as the link bears, and the HTTP library skips them all
+/// within one turn. No other task of the process would run meanwhile.
 const READS_PER_TURN: u32 = 16;
 
 /// A connection that tells an observer of its transfers.
@@ -69,7 +69,7 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
-        if self.observer.is_over() {
+        if self.observer.must_end() {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         if self.reads >= READS_PER_TURN {
--- a/crates/net/src/socket.rs
+++ b/crates/net/src/socket.rs
@@ -40,7 +40,8 @@
         }
     }
 
-    /// Creates the timeouts of a connection whose peer may read nothing for any time: they concern silence only.
+    /// Creates the timeouts of a connection whose peer may pause reading for any time. They end it only if the peer answers
+    /// no probe while nothing is to be sent.
     pub const fn without_ack(probes: u32) -> Self {
         Self { ack: None, probes }
     }
--- a/crates/registry/src/table.rs
+++ b/crates/registry/src/table.rs
@@ -121,8 +121,8 @@
     /// Whether an announcement under the id and start of a known server is from another writer: a server doesn't change its
     /// service, zone or address while it runs.
     ///
-    /// One that gives no time of its start may have started again. Where the known one is the other writer's, the server
-    /// itself holds again once that has been silent for long.
+    /// A server that gives no time of its start may have started again at another address. If the other writer announced
+    /// itself first, the server's own heartbeats count once the other one has been silent for [`SILENCE_TIMEOUT`].
     pub fn is_foreign(&self, now: Moment, announcement: &Announcement) -> bool {
         let Some(known) = self.servers.get(&announcement.id) else {
             return false;
@@ -170,7 +170,7 @@
     }
 
     /// Records the deregistration of a server that this table doesn't know, and of which other tables may know a start up to
-    /// `latest`; returns whether it changed the table. They learn of it as of a start that has left.
+    /// `latest`; returns whether it changed the table. The entry takes the place of any such start when tables are merged.
     ///
     /// Failure guarded against: controllers that have just started acknowledge the deregistration, and gateways, which know
     /// the server from before, go on sending requests to it.
@@ -193,7 +193,7 @@
     /// whether that changed the table. Heartbeats of this start that arrive later than it change nothing.
     ///
     /// Departures are entered again whenever a controller starts. One without a start, as an earlier release stored it, may
-    /// be older than the start that is running now, so it says nothing.
+    /// be older than the start that is running now, so it is ignored.
     pub fn record_departure(&mut self, now: Moment, departure: &Departure) -> bool {
         let Departure { server, start } = departure;
         let Some(left) = *start else {
--- a/crates/routes/src/host.rs
+++ b/crates/routes/src/host.rs
@@ -39,7 +39,7 @@
 /// Returns the only spelling of a host's name; the result is borrowed if the text has it already.
 pub(crate) fn normalize(text: &str) -> Cow<'_, str> {
     let mut host = text;
-    // Repeated, so that the only spelling of a name is its own only spelling.
+    // Repeated until nothing changes, so that a name that is normalized again stays as it is.
     while let Some(shorter) = strip_port(host).or_else(|| host.strip_suffix('.')) {
         host = shorter;
     }
