Pass on no answer whose head is spoilt

The head had been spoilt where it tells the length of the body, or held a line that is no field.

Cause: the gateway left it to the HTTP library to say where an answer ends. The library takes a transfer coding that it doesn't know, and a head that a line feed alone ends, for a body that ends with its connection; it passes statuses 101 and 600 to 999 on; of a length and chunks at once it leaves both in the answer, and a debug build of the gateway panics. A length that is too small gives the beginning of the body.

Change: crates/http reads the bytes of each connection to a server beside the library, and ends the connection at a head that is not valid: the server failed, and the caller gets 502 or the next attempt. Where bytes that begin no further answer follow a body of a known length, the answer isn't passed on.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -412,7 +412,7 @@
     let body = Limited::new(run.response.body_mut(), MAX_BUFFERED_BYTES).collect();
     let read = within(job.left(), body).await;
     let bytes: Bytes = match read {
-        Some(Ok(body)) => body.to_bytes(),
+        Some(Ok(body)) if !run.has_excess() => body.to_bytes(),
         lost => {
             // An answer of a known length that is too large, or one that takes longer than its caller waits, is no
             // failure of the server.
@@ -425,7 +425,8 @@
                     run.record_broken(job);
                     ("broken off", true)
                 }
-                _ => ("not whole in time", false),
+                Some(Ok(_)) => ("more bytes than its length", true),
+                None => ("not whole in time", false),
             };
             if failed {
                 job.record_outcome(&run.choice, AnswerResult::Failed);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -212,10 +212,10 @@
                     );
                     return Err(Failure::NotRun);
                 }
-                Err(SendError::Unknown(e)) => {
+                Err(lost @ (SendError::Unknown(_) | SendError::Invalid(_))) => {
                     self.state.connections.close_idle(choice.address);
                     self.record_broken_run(&choice, sent, Beginning::default());
-                    self.record_fault(&choice, ServerFault::Broken, &e.to_string());
+                    self.record_fault(&choice, ServerFault::Broken, &lost.to_string());
                     return Err(Failure::Unknown);
                 }
             }
@@ -507,6 +507,11 @@
         self.response.status().is_server_error()
     }
 
+    /// Whether bytes that belong to no answer have arrived behind this one, so that its length may be wrong.
+    pub(crate) fn has_excess(&self) -> bool {
+        self.connection.has_excess()
+    }
+
     /// Records that the server began a good answer.
     pub(crate) fn record_shown(&mut self, job: &Job) {
         if self.beginning.show(job.state.clock.now()) && !self.is_failure() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -176,6 +176,7 @@
             Err(end) => return end,
         };
         let bytes = match frame {
+            None if run.has_excess() => return PartEnd::Broken("more bytes than its length"),
             None if events.is_complete() => return PartEnd::Complete,
             None => return PartEnd::Broken("ended inside an event"),
             Some(Err(_)) => return PartEnd::Broken("broken off"),
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -14,10 +14,12 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{Request, Response};
+use parking_lot::Mutex;
 use smol::Task;
 use smol_hyper::rt::FuturesIo;
 
 use snipemast_core::prelude::*;
+use snipemast_http::{HeadError, ResponseScanner};
 
 use crate::exec::spawn;
 use crate::observed::{ObservedStream, TransferObserver};
@@ -33,24 +35,26 @@
 /// Counts the bytes that arrived since the last head or piece of a response.
 type BytesSinceProgress = Arc<AtomicU64>;
 
-/// Counts the bytes that arrive.
+/// Counts and scans the bytes that arrive.
 ///
 /// Failure guarded against: a peer sends bytes that are no response, without end, such as responses with status 1xx or the
 /// zeros of a chunk's size. The HTTP library would skip them for as long as they come.
-struct ReceivedCounter {
-    all: Received,
+struct ResponseObserver {
+    received: Received,
     since_progress: BytesSinceProgress,
+    scanner: Arc<Mutex<ResponseScanner>>,
 }
 
-impl TransferObserver for ReceivedCounter {
-    fn must_end(&self) -> bool {
-        self.since_progress.load(Ordering::Relaxed) > MAX_BYTES_WITHOUT_PROGRESS
-    }
-
-    fn record_read(&mut self, length: usize) {
-        self.all.fetch_add(length as u64, Ordering::Relaxed);
-        self.since_progress
-            .fetch_add(length as u64, Ordering::Relaxed);
+impl TransferObserver for ResponseObserver {
+    fn record_read(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let length = bytes.len() as u64;
+        self.received.fetch_add(length, Ordering::Relaxed);
+        let before = self.since_progress.fetch_add(length, Ordering::Relaxed);
+        if before + length > MAX_BYTES_WITHOUT_PROGRESS {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        let scanned = self.scanner.lock().push(bytes);
+        scanned.map_err(|e| io::Error::new(io::ErrorKind::InvalidData, e))
     }
 }
 
@@ -138,6 +142,8 @@
     Unsent,
     /// The request may have reached the peer.
     Unknown(hyper::Error),
+    /// The peer responded with a head that is not valid.
+    Invalid(HeadError),
 }
 
 impl fmt::Display for SendError {
@@ -145,6 +151,7 @@
         match self {
             Self::Unsent => f.write_str("nothing was written"),
             Self::Unknown(e) => write!(f, "it may have arrived: {e}"),
+            Self::Invalid(e) => e.fmt(f),
         }
     }
 }
@@ -157,6 +164,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: Task<()>,
     since_progress: BytesSinceProgress,
+    scanner: Arc<Mutex<ResponseScanner>>,
     /// The number of requests that were sent on it.
     pub request_count: u32,
 }
@@ -182,14 +190,14 @@
     };
     let stream = opened.change_context_lazy(failed)?;
     let since_progress = BytesSinceProgress::default();
-    let counted = ObservedStream::new(
-        stream,
-        ReceivedCounter {
-            all: received,
-            since_progress: Arc::clone(&since_progress),
-        },
-    );
-    let (sender, connection) = handshake(FuturesIo::new(counted))
+    let scanner = Arc::<Mutex<ResponseScanner>>::default();
+    let observer = ResponseObserver {
+        received,
+        since_progress: Arc::clone(&since_progress),
+        scanner: Arc::clone(&scanner),
+    };
+    let observed = ObservedStream::new(stream, observer);
+    let (sender, connection) = handshake(FuturesIo::new(observed))
         .await
         .change_context_lazy(failed)?;
     let driver = spawn(async move {
@@ -200,6 +208,7 @@
         sender,
         driver,
         since_progress,
+        scanner,
         request_count: 0,
     })
 }
@@ -215,6 +224,7 @@
             return Err(SendError::Unsent);
         }
         self.since_progress.store(0, Ordering::Relaxed);
+        self.scanner.lock().restart();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.since_progress.store(0, Ordering::Relaxed);
@@ -224,13 +234,20 @@
                     since_progress,
                 }))
             }
-            Err(mut failed) => Err(match failed.take_message() {
-                Some(_) => SendError::Unsent,
-                None => SendError::Unknown(failed.into_error()),
+            Err(mut failed) => Err(match (failed.take_message(), self.scanner.lock().error()) {
+                (Some(_), _) => SendError::Unsent,
+                (None, Some(error)) => SendError::Invalid(error),
+                (None, None) => SendError::Unknown(failed.into_error()),
             }),
         }
     }
 
+    /// Whether bytes that begin no further response have arrived behind the body of the last one, which may be longer than
+    /// its length says.
+    pub fn has_excess(&self) -> bool {
+        self.scanner.lock().has_excess()
+    }
+
     /// Whether a request can be sent now: the last response was read to its end, and the peer has
     /// not closed the connection.
     pub fn is_ready(&self) -> bool {
--- a/crates/net/src/idle.rs
+++ b/crates/net/src/idle.rs
@@ -294,12 +294,13 @@
 }
 
 impl TransferObserver for Arc<OpenConnection> {
-    fn record_read(&mut self, length: usize) {
+    fn record_read(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.all.update(self.number, |state| {
-            if length > 0 && state.requests == 0 {
+            if !bytes.is_empty() && state.requests == 0 {
                 state.begun.get_or_insert_with(Instant::now);
             }
         });
+        Ok(())
     }
 
     fn record_write(&mut self, length: usize) {
--- a/crates/net/src/observed.rs
+++ b/crates/net/src/observed.rs
@@ -9,13 +9,8 @@
 
 /// Is told of what a connection transfers.
 pub(crate) trait TransferObserver: Unpin {
-    /// Whether the connection has to end, because too much arrived of which nothing comes.
-    fn must_end(&self) -> bool {
-        false
-    }
-
-    /// Records that bytes arrived.
-    fn record_read(&mut self, length: usize);
+    /// Records the bytes that arrived; an error ends the connection.
+    fn record_read(&mut self, bytes: &[u8]) -> Result<()>;
 
     /// Records that the socket took bytes.
     fn record_write(&mut self, _length: usize) {}
@@ -69,9 +64,6 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<Result<usize>> {
-        if self.observer.must_end() {
-            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
-        }
         if self.reads >= READS_PER_TURN {
             self.reads = 0;
             context.waker().wake_by_ref();
@@ -81,7 +73,7 @@
         match &read {
             Poll::Ready(Ok(length)) => {
                 self.reads += 1;
-                self.observer.record_read(*length);
+                self.observer.record_read(&buffer[..*length])?;
             }
             Poll::Ready(Err(e)) => self.observer.record_error(e.kind()),
             Poll::Pending => self.reads = 0,
