Let no spoilt answer of a backend server end an agent

Cause: trillium-client 0.6.2 unwraps its reading of the status, and takes any transfer coding for chunks.

Change: the transport below the library reads answers with the scanner of crates/http, and fails the connection before the library sees them. Orders use this transport, too.

--- a/crates/servers/src/orders.rs
+++ b/crates/servers/src/orders.rs
@@ -5,10 +5,10 @@
 use error_stack::{Report, ResultExt};
 use futures_lite::FutureExt;
 use trillium_client::{Client, Status};
-use trillium_smol::ClientConfig;
 
 use snipemast_config::wishes::Action;
 use snipemast_core::prelude::*;
+use snipemast_wire::connect::EagerConnector;
 use snipemast_wire::order::OrderId;
 
 use crate::engine::{EngineError, Result};
@@ -47,7 +47,7 @@
 impl OrderClient {
     /// Creates a client for the engine that listens at this address.
     pub fn new(address: SocketAddr) -> Self {
-        let client = Client::new(ClientConfig::default().with_nodelay(true));
+        let client = Client::new(EagerConnector::default());
         Self { address, client }
     }
 
--- a/crates/wire/src/connect.rs
+++ b/crates/wire/src/connect.rs
@@ -13,7 +13,8 @@
 use std::task::{ready, Context, Poll};
 
 use futures_lite::{AsyncRead, AsyncWrite};
-use trillium_client::{async_trait, Client, Connector, Url};
+use snipemast_http::{HeadError, ResponseScanner};
+use trillium_client::{async_trait, Client, Connector, Status, Url};
 use trillium_server_common::Transport;
 use trillium_smol::async_net::TcpStream;
 use trillium_smol::{ClientConfig, SmolTransport};
@@ -71,6 +72,8 @@
     phase: Phase,
     /// Bytes that the client has written but that are not sent yet.
     unsent: Vec<u8>,
+    /// Reads the answers.
+    scanner: ResponseScanner,
 }
 
 /// The phase of the exchange on a connection.
@@ -91,9 +94,27 @@
             inner,
             phase: Phase::Head,
             unsent: Vec::new(),
+            scanner: ResponseScanner::new(),
         }
     }
 
+    /// Checks bytes of an answer.
+    ///
+    /// Failure guarded against: the client panics at a status that it has no name for, and takes a body whose length is
+    /// too small for whole.
+    fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let invalid = |e| io::Error::new(io::ErrorKind::InvalidData, e);
+        self.scanner.push(bytes).map_err(invalid)?;
+        let status = self.scanner.status();
+        if status.is_some_and(|s| Status::try_from(s).is_err()) {
+            return Err(invalid(HeadError::Status));
+        }
+        if self.scanner.has_excess() {
+            return Err(invalid(HeadError::Length));
+        }
+        Ok(())
+    }
+
     /// Sends the unsent bytes.
     fn poll_unsent(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.unsent.is_empty() {
@@ -128,8 +149,11 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        if self.phase == Phase::Head && self.buffer_head(bytes) {
-            return Poll::Ready(Ok(bytes.len()));
+        if self.phase == Phase::Head {
+            self.scanner.restart();
+            if self.buffer_head(bytes) {
+                return Poll::Ready(Ok(bytes.len()));
+            }
         }
         if !self.unsent.is_empty() && self.unsent.len() + bytes.len() <= COMBINED_BYTES {
             self.unsent.extend_from_slice(bytes);
@@ -171,7 +195,9 @@
         ready!(self.poll_unsent(cx))?;
         // A client that reads the answer has sent its whole body, so it writes a head next.
         self.phase = Phase::Head;
-        Pin::new(&mut self.inner).poll_read(cx, buffer)
+        let count = ready!(Pin::new(&mut self.inner).poll_read(cx, buffer))?;
+        self.check(&buffer[..count])?;
+        Poll::Ready(Ok(count))
     }
 }
 
