Pass on no success without a server's signature

Cause: the signature was passed on unread. Change: a success without it counts as the server's failure, 502 or the next attempt.

Evidence: unsigned_refused failed on (status 200, without signature, on a safe route), run alone there; it passes now.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -354,6 +354,11 @@
             self.record_fault(&choice, ServerFault::Broken, "an answer to another request");
             return Err(Failure::Unknown);
         }
+        if status.is_success() && !reply.signed {
+            self.state.connections.close_idle(choice.address);
+            self.record_fault(&choice, ServerFault::Broken, "a success without signature");
+            return Err(Failure::Unknown);
+        }
         self.record_unknown_headers(&choice, response.headers());
         if self.is_from_chosen(status, &reply) {
             self.record_limit(&choice, &reply.limit, sent);
