Answer every request before a gateway ends

Cause: a request counts as early by its head, so one whose body came late was passed on; and at the end all tasks were dropped with what servers still ran.

Change: a request is checked again once its body is whole; what is left to it ends with the gateway, for servers, too; half a second before the end of the grace period each request without an answer gets 503 (it waits) or 504.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -42,7 +42,16 @@
 /// Answers a caller's request.
 pub(crate) async fn handle(state: Arc<State>, request: Request<Incoming>) -> Answer {
     let active = state.begin_request();
-    let mut answer = process_request(&state, request, active).await;
+    let unanswered = async {
+        state.await_ending().await;
+        state.metrics.count_end(Ended::Unknown);
+        local_answer(
+            StatusCode::GATEWAY_TIMEOUT,
+            "this host ends; it may have run",
+        )
+    };
+    let processed = process_request(&state, request, active);
+    let mut answer = futures_lite::future::or(processed, unanswered).await;
     if state.closes_connections() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
@@ -56,8 +65,8 @@
     active: ActiveRequest,
 ) -> Answer {
     let started = state.clock.now();
-    if !state.shutdown.lock().accepts_requests(started) {
-        return refusal("this host is leaving", RETRY_ELSEWHERE);
+    if !state.accepts_requests(started) {
+        return refuse_leaving();
     }
     let Some(routes) = state.routes() else {
         return refusal("no configuration is known yet", RETRY_AFTER_OUT);
@@ -86,6 +95,10 @@
         Some(Err(_)) => return local_answer(StatusCode::BAD_REQUEST, "the body can't be read"),
         None => return local_answer(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
+    // A body may take longer than requests are accepted.
+    if !state.accepts_requests(state.clock.now()) {
+        return refuse_leaving();
+    }
     let number = state.next_number();
     let name = ask.attempt.clone().unwrap_or_else(|| number.to_string());
     let spent = {
@@ -126,6 +139,10 @@
     place_request(Arc::new(job), active).await
 }
 
+fn refuse_leaving() -> Answer {
+    refusal("this host is leaving", RETRY_ELSEWHERE)
+}
+
 fn deny(state: &State, denied: Denied, request: &Request<Incoming>) -> Answer {
     let path = request.uri().path();
     let detail = format_args!("{denied:?}, version {}", state.version());
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -64,7 +64,6 @@
     let taken = |a| move || GatewayError::Taken(a);
     let callers = socket::listen(front).change_context_lazy(taken(front))?;
     let balancer = socket::listen(ready).change_context_lazy(taken(ready))?;
-    let grace = settings.bounds.grace;
     let state = State::new(settings.clone(), decisions, journal.clone());
     let reader = UpdateReader::new(Arc::clone(&state));
     let feed = Feed::new(Arc::clone(&reader), journal.clone(), None);
@@ -86,35 +85,44 @@
     ];
     journal.record(Event::ProcessStarted, front, "gateway");
     end.await;
-    shut_down(&state, &connections, grace).await;
+    shut_down(&state, &connections).await;
     drop(tasks);
     journal.record(Event::ProcessEnded, front, "gateway");
     Ok(())
 }
 
 /// Shuts the gateway down: it is not ready from now on, and serves until no request is left, to the last byte of its answer,
-/// or the platform's grace period is over.
-async fn shut_down(state: &State, connections: &OpenConnections, grace: Span) {
+/// or the platform's grace period is over. Shortly before that it answers what no server has answered.
+async fn shut_down(state: &State, connections: &OpenConnections) {
     const CHECK_INTERVAL: Span = Span::from_millis(50);
-    state.shutdown.lock().begin(state.clock.now());
+    state.begin_shutdown();
     let active = state.active_requests();
     let detail = format!("{active} active requests");
     state.journal.record(Event::DrainBegun, "gateway", detail);
+    let mut answered = false;
     loop {
         let unwritten = u32::try_from(connections.busy_count()).unwrap_or(u32::MAX);
         let (now, active) = (state.clock.now(), state.active_requests().max(unwritten));
-        if state.shutdown.lock().may_end(now, grace, active) {
+        if state.may_end(now, active) {
             if active > 0 {
-                let detail =
-                    format_args!("{active} active requests, or answers that aren't written");
-                state.journal.record(Event::DrainExpired, "gateway", detail);
+                log_expired(state, active, "are cut");
             }
             return;
         }
+        if !answered && state.answers_at().is_some_and(|at| now >= at) {
+            answered = true;
+            log_expired(state, active, "end, those without an answer with 504");
+            state.ending.notify(usize::MAX);
+        }
         pause(CHECK_INTERVAL).await;
     }
 }
 
+fn log_expired(state: &State, active: u32, end: &str) {
+    let detail = format_args!("{active} active requests, or answers that aren't written, {end}");
+    state.journal.record(Event::DrainExpired, "gateway", detail);
+}
+
 /// Answers the load balancer's readiness checks and reads of metrics.
 async fn answer_probe(state: Arc<State>, request: Request<Incoming>) -> Answer {
     match request.uri().path() {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -116,9 +116,11 @@
 }
 
 impl Job {
-    /// Returns how long the caller still waits.
+    /// Returns how long the caller still waits, or the process still runs if that is less.
     pub(crate) fn left(&self) -> Span {
-        self.state.clock.now().until(self.deadline)
+        let answers_at = self.state.answers_at();
+        let end = answers_at.map_or(self.deadline, |at| self.deadline.min(at));
+        self.state.clock.now().until(end)
     }
 
     /// Returns the estimated length of the answer, or nothing if it is no stream.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -55,7 +55,9 @@
     pub(crate) unknown: UnknownHeaders,
     pub(crate) broken_runs: BrokenRuns,
     pub(crate) crashes: Crashes,
-    pub(crate) shutdown: Mutex<Shutdown>,
+    shutdown: Mutex<Shutdown>,
+    /// Wakes requests without an answer when the process is about to end.
+    pub(crate) ending: Signal,
     /// Whether callers should leave the connections that they keep open.
     shedding: AtomicBool,
     /// Whether no new connection can be read.
@@ -115,6 +117,7 @@
             broken_runs: BrokenRuns::default(),
             crashes: Crashes::default(),
             shutdown: Mutex::new(Shutdown::new()),
+            ending: Signal::new(),
             shedding: AtomicBool::new(false),
             full: AtomicBool::new(false),
             active: AtomicU32::new(0),
@@ -209,6 +212,40 @@
         self.shedding.load(Ordering::Relaxed) || self.is_shutting_down()
     }
 
+    /// Begins the shutdown.
+    pub(crate) fn begin_shutdown(&self) {
+        self.shutdown.lock().begin(self.clock.now());
+    }
+
+    /// Whether the process still accepts requests.
+    pub(crate) fn accepts_requests(&self, now: Moment) -> bool {
+        let grace = self.settings.bounds.grace;
+        self.shutdown.lock().accepts_requests(now, grace)
+    }
+
+    /// Returns when the process answers the requests that no server has answered, if it is shutting down.
+    pub(crate) fn answers_at(&self) -> Option<Moment> {
+        self.shutdown.lock().answers_at(self.settings.bounds.grace)
+    }
+
+    /// Whether the process may end, with this many requests in progress.
+    pub(crate) fn may_end(&self, now: Moment, in_flight: u32) -> bool {
+        let grace = self.settings.bounds.grace;
+        self.shutdown.lock().may_end(now, grace, in_flight)
+    }
+
+    /// Waits until the process answers the requests that no server has answered.
+    pub(crate) async fn await_ending(&self) {
+        loop {
+            let ending = self.ending.listen();
+            let answers_at = self.answers_at();
+            if answers_at.is_some_and(|at| self.clock.now() >= at) {
+                return;
+            }
+            ending.await;
+        }
+    }
+
     /// Whether the process is shutting down.
     pub(crate) fn is_shutting_down(&self) -> bool {
         self.shutdown.lock().has_begun()
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -167,7 +167,12 @@
             job.await_quarantine().await;
             None
         };
-        match futures_lite::future::or(call, quarantined).await {
+        let ending = async {
+            job.state.await_ending().await;
+            Some(Call::Refuse)
+        };
+        let stopped = futures_lite::future::or(quarantined, ending);
+        match futures_lite::future::or(call, stopped).await {
             Some(Call::Look(_)) => return None,
             Some(Call::Refuse) => {
                 let after = match decline(&job.blocked_request()) {
