Bound bytes without progress before a read, not after it

What would be seen: streams of some MB whose callers pause are broken off when they read on. It is checked before a read again.

--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -28,8 +28,8 @@
 /// The number of bytes that arrived on the connections to one peer.
 pub(crate) type Received = Arc<AtomicU64>;
 
-/// The most bytes that may arrive without the head or a further piece of a response in them: more than the HTTP library
-/// reads at once.
+/// The most bytes without the head or a further piece of a response in them after which more is read. The HTTP library may
+/// read more than that at once.
 const MAX_BYTES_WITHOUT_PROGRESS: u64 = 512 << 10;
 
 /// Counts the bytes that arrived since the last head or piece of a response.
@@ -50,7 +50,7 @@
         let length = bytes.len() as u64;
         self.received.fetch_add(length, Ordering::Relaxed);
         let before = self.since_progress.fetch_add(length, Ordering::Relaxed);
-        if before + length > MAX_BYTES_WITHOUT_PROGRESS {
+        if before > MAX_BYTES_WITHOUT_PROGRESS {
             return Err(io::ErrorKind::InvalidData.into());
         }
         let scanned = self.scanner.lock().push(bytes);
