Send an exchange anew whose kept connection its peer has just spoilt

Sidecars and calls between own processes were concerned; gateways repeat such a send already.

Cause: SendError::Unsent dropped the request, and PersistentConnection::exchange gave up. A second cause showed beside load: the peer's bytes come once the next request is written ("invalid HTTP version parsed"), so its outcome is unknown.

Change: the error gives the request back, and the exchange sends it on a new connection; after a failure with an unknown outcome it does so for idempotent methods only.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -205,8 +205,8 @@
                     return self.check_answer(choice, response, connection, in_flight, sent);
                 }
                 // The server closed the pooled connection before anything was written to it.
-                Err(SendError::Unsent) if !new_connection => new_connection = true,
-                Err(SendError::Unsent) => {
+                Err(SendError::Unsent(_)) if !new_connection => new_connection = true,
+                Err(SendError::Unsent(_)) => {
                     self.record_fault(
                         &choice,
                         ServerFault::Broken,
--- a/crates/net/src/connect.rs
+++ b/crates/net/src/connect.rs
@@ -138,8 +138,8 @@
 /// Why a request got no response.
 #[derive(Debug)]
 pub enum SendError {
-    /// No part of it was written, so the peer has not seen it.
-    Unsent,
+    /// No part of this request was written, so the peer has not seen it.
+    Unsent(Box<Request<Full<Bytes>>>),
     /// The request may have reached the peer.
     Unknown(hyper::Error),
     /// The peer responded with a head that is not valid.
@@ -149,7 +149,7 @@
 impl fmt::Display for SendError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Unsent => f.write_str("nothing was written"),
+            Self::Unsent(_) => f.write_str("nothing was written"),
             Self::Unknown(e) => write!(f, "it may have arrived: {e}"),
             Self::Invalid(e) => e.fmt(f),
         }
@@ -221,7 +221,7 @@
     ) -> std::result::Result<Response<ResponseBody>, SendError> {
         self.request_count += 1;
         if self.sender.ready().await.is_err() {
-            return Err(SendError::Unsent);
+            return Err(SendError::Unsent(Box::new(request)));
         }
         self.since_progress.store(0, Ordering::Relaxed);
         self.scanner.lock().restart();
@@ -235,7 +235,7 @@
                 }))
             }
             Err(mut failed) => Err(match (failed.take_message(), self.scanner.lock().error()) {
-                (Some(_), _) => SendError::Unsent,
+                (Some(request), _) => SendError::Unsent(Box::new(request)),
                 (None, Some(error)) => SendError::Invalid(error),
                 (None, None) => SendError::Unknown(failed.into_error()),
             }),
--- a/crates/net/src/kept.rs
+++ b/crates/net/src/kept.rs
@@ -7,12 +7,12 @@
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use smol::lock::Mutex;
 
 use snipemast_core::prelude::*;
 
-use crate::connect::{connect_counted, Connection, Received};
+use crate::connect::{connect_counted, Connection, Received, ResponseBody, SendError};
 use crate::socket::ACK_TIMEOUT;
 
 /// The largest body of a response of the system's own processes: several times the largest configuration.
@@ -21,6 +21,9 @@
 /// The result of an exchange.
 pub type Result<T> = std::result::Result<T, Report<ExchangeError>>;
 
+/// A connection on which a request was sent, and the head of its response.
+type Sent = (Connection, Response<ResponseBody>);
+
 /// The error for a request without a complete response, as the connection failed or broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ExchangeError(
@@ -92,22 +95,27 @@
 
     /// Sends a request and reads the whole response.
     ///
+    /// A request with an idempotent method may be sent twice, if the connection that was kept fails.
+    ///
     /// The connection is removed during the exchange, so that a cancelled exchange
     /// leaves none behind.
     pub async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes)> {
         let failed = ExchangeError(self.address);
         let mut idle = self.idle.lock().await;
-        let usable = idle.take().filter(Connection::is_ready);
-        let mut connection = match usable {
-            Some(connection) => connection,
-            None => {
-                let received = Received::clone(&self.received);
-                connect_counted(self.address, self.limit, self.ack_timeout, received)
-                    .await
-                    .change_context(failed)?
+        let kept = idle.take().filter(Connection::is_ready);
+        let (connection, response) = match kept {
+            Some(connection) => {
+                let again = request.method().is_idempotent().then(|| request.clone());
+                match (Self::send(connection, request).await, again) {
+                    // The peer closed the connection before anything was written to it.
+                    (Err(SendError::Unsent(request)), _) => self.send_anew(*request).await?,
+                    // Bytes of the peer that belong to no response spoilt the connection.
+                    (Err(_), Some(request)) => self.send_anew(request).await?,
+                    (sent, _) => sent.change_context(failed)?,
+                }
             }
+            None => self.send_anew(request).await?,
         };
-        let response = connection.send(request).await.change_context(failed)?;
         let status = response.status();
         let bound = self.max_response.as_bytes() as usize;
         let body = Limited::new(response.into_body(), bound).collect().await;
@@ -115,4 +123,21 @@
         *idle = Some(connection);
         Ok((status, body))
     }
+
+    /// Sends a request on a new connection.
+    async fn send_anew(&self, request: Request<Full<Bytes>>) -> Result<Sent> {
+        let failed = ExchangeError(self.address);
+        let received = Received::clone(&self.received);
+        let connection = connect_counted(self.address, self.limit, self.ack_timeout, received);
+        let connection = connection.await.change_context(failed)?;
+        Self::send(connection, request).await.change_context(failed)
+    }
+
+    async fn send(
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<Sent, SendError> {
+        let response = connection.send(request).await?;
+        Ok((connection, response))
+    }
 }
--- a/crates/net/tests/endless.rs
+++ b/crates/net/tests/endless.rs
@@ -78,3 +78,19 @@
         }
     });
 }
+
+/// Guards against an exchange that fails because its peer has just spoilt the kept connection, where a new one would do.
+#[test]
+fn spoilt_connection_replaced() {
+    const ROUNDS: u32 = 2_000;
+    let address = start("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", "x");
+    let peer = PersistentConnection::new(address, Span::from_secs(5));
+    smol::block_on(async {
+        let mut failed = 0;
+        for _ in 0..ROUNDS {
+            let exchanged = peer.exchange(get()).await;
+            failed += u32::from(exchanged.is_err());
+        }
+        assert_eq!(failed, 0, "of {ROUNDS}");
+    });
+}
