Bound what the bodies of requests hold, and count it

Change: bytes of bodies, answers and pieces of streams are counted while they are held; a body that doesn't fit into a quarter of the host's memory is read, not kept, and refused with 503; bodies of over 64 KiB leave a quarter of that to others. A body is read into one buffer of its length. A body that announces too much gets 413 before it is read. The sum is on the metrics address.

The memory of a process wasn't measured.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,12 +21,13 @@
 use snipemast_routes::{Denied, Match, Route, Table as Routes};
 
 use crate::answer::{local_answer, refusal, Answer, AnswerBody, Pieces};
+use crate::body::{self, BodyError};
 use crate::metrics::Ended;
 use crate::request_log::UnloggedLines;
 use crate::send::{Failure, Job, Run};
 use crate::state::{ActiveRequest, State};
 use crate::stream;
-use crate::waiting::{wait_for_server, Waiting, RETRY_AFTER_OUT};
+use crate::waiting::{wait_for_server, Waiting, RETRY_AFTER_FULL, RETRY_AFTER_OUT};
 
 /// The largest answer that is buffered before it is passed on, so that the request can be sent
 /// again if the answer breaks off.
@@ -86,13 +87,17 @@
     let priority = RequestPriority::new(workspace_priority, route.priority);
     let patience = ask.timeout.unwrap_or(route.timeout).min(route.timeout);
     let (parts, body) = request.into_parts();
-    let bound = routes.limits().body.as_bytes() as usize;
-    let body = match within(patience, Limited::new(body, bound).collect()).await {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(e)) if e.is::<LengthLimitError>() => {
+    let path = parts.uri.path();
+    let bound = routes.limits().body;
+    let body = match within(patience, body::read(&state.memory, body, bound)).await {
+        Some(Ok(body)) => body,
+        Some(Err(BodyError::TooLarge)) => {
             return local_answer(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
         }
-        Some(Err(_)) => return local_answer(StatusCode::BAD_REQUEST, "the body can't be read"),
+        Some(Err(BodyError::Unreadable)) => {
+            return local_answer(StatusCode::BAD_REQUEST, "the body can't be read");
+        }
+        Some(Err(BodyError::NoMemory)) => return refuse_large(state, path),
         None => return local_answer(StatusCode::REQUEST_TIMEOUT, "the body took too long"),
     };
     // A body may take longer than requests are accepted.
@@ -143,6 +148,14 @@
     refusal("this host is leaving", RETRY_ELSEWHERE)
 }
 
+fn refuse_large(state: &State, path: &str) -> Answer {
+    let (held, limit) = (state.memory.held(), state.memory.limit());
+    let detail = format_args!("no room for the body: {held} of {limit} are held");
+    state.journal.record(Event::RequestRefused, path, detail);
+    state.metrics.count_end(Ended::Refused);
+    refusal("this host holds too many bytes", RETRY_AFTER_FULL)
+}
+
 fn deny(state: &State, denied: Denied, request: &Request<Incoming>) -> Answer {
     let path = request.uri().path();
     let detail = format_args!("{denied:?}, version {}", state.version());
@@ -429,7 +442,7 @@
     let body = Limited::new(run.response.body_mut(), MAX_BUFFERED_BYTES).collect();
     let read = within(job.left(), body).await;
     let bytes: Bytes = match read {
-        Some(Ok(body)) if !run.has_excess() => body.to_bytes(),
+        Some(Ok(body)) if !run.has_excess() => body::count(&job.state.memory, body.to_bytes()),
         lost => {
             // An answer of a known length that is too large, or one that takes longer than its caller waits, is no
             // failure of the server.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `reader`: polls controllers and applies their updates.
 //! - `intake`: which new connections are read.
 //! - `handle`: the path of a request from its caller to an answer.
+//! - `body`: reads the bodies of requests, and counts the bytes that are held.
 //! - `send`: one send of a request to one server.
 //! - `crashes`: finds out whether servers ended under requests.
 //! - `frozen`: health checks of servers that show nothing.
@@ -28,6 +29,7 @@
 pub mod state;
 
 mod answer;
+mod body;
 mod connections;
 mod crashes;
 mod frozen;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -145,6 +145,12 @@
     ));
     let servers = state.servers.lock().count();
     text.push_str(&format!("snipemast_servers {servers}\n"));
+    let (held, limit) = (state.memory.held(), state.memory.limit());
+    text.push_str(&format!("snipemast_held_bytes {}\n", held.as_bytes()));
+    text.push_str(&format!(
+        "snipemast_held_bytes_limit {}\n",
+        limit.as_bytes()
+    ));
     let (requests, parts) = state.crashes.quarantined();
     text.push_str(&format!("snipemast_quarantined_requests {requests}\n"));
     text.push_str(&format!("snipemast_quarantined_parts {parts}\n"));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,6 +8,7 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::BootClock;
+use snipemast_placement::memory::MemoryBudget;
 use snipemast_placement::servers::OutlierChanges;
 use snipemast_placement::{
     CallerPatience, LoadLimits, Outages, PassTimes, Pool, RetryBudget, RetrySchedule, Servers,
@@ -52,6 +53,8 @@
     /// Wakes requests that wait for short forward passes.
     pub(crate) shortened: Signal,
     pub(crate) connections: ConnectionPool,
+    /// The bytes that requests and answers hold.
+    pub(crate) memory: Arc<MemoryBudget>,
     pub(crate) unknown: UnknownHeaders,
     pub(crate) broken_runs: BrokenRuns,
     pub(crate) crashes: Crashes,
@@ -113,6 +116,7 @@
             passes: Mutex::new(PassTimes::new()),
             shortened: Signal::new(),
             connections: ConnectionPool::default(),
+            memory: MemoryBudget::new(settings.max_memory),
             unknown: UnknownHeaders::default(),
             broken_runs: BrokenRuns::default(),
             crashes: Crashes::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use snipemast_routes::Repeat;
 
 use crate::answer::IncompleteAnswer;
+use crate::body;
 use crate::crashes::Beginning;
 use crate::handle::Attempt;
 use crate::metrics::Ended;
@@ -199,7 +200,8 @@
             }
         }
         if !complete.is_empty() {
-            if sender.send(Ok(complete.into())).await.is_err() {
+            let piece = body::count(&job.state.memory, complete);
+            if sender.send(Ok(piece)).await.is_err() {
                 return PartEnd::CallerGone;
             }
             // A caller that reads slowly is no silence of the server.
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -18,7 +18,7 @@
 
 /// When a caller may come back after a refusal: after a forward pass of the engine, or after a
 /// restart of a process.
-const RETRY_AFTER_FULL: Span = Span::from_millis(300);
+pub(crate) const RETRY_AFTER_FULL: Span = Span::from_millis(300);
 pub(crate) const RETRY_AFTER_OUT: Span = Span::from_millis(700);
 
 /// The wait of a request for a place at a server.
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -32,6 +32,7 @@
 //! Taking requests:
 //!
 //! - [`intake`]: which new connections are read, by what the process gets done.
+//! - [`memory`]: how many bytes of requests and answers are held at once.
 //!
 //! Shutting down:
 //!
@@ -44,6 +45,7 @@
 pub mod events;
 pub mod intake;
 pub mod length;
+pub mod memory;
 pub mod outage;
 pub mod outcomes;
 pub mod passes;
