--- a/crates/gateway/src/frozen.rs
+++ b/crates/gateway/src/frozen.rs
@@ -1,6 +1,8 @@
-//! Health checks of servers that show nothing, and the wait until frozen ones answer again.
+//! Waits for servers that show nothing, checks their health, and waits until frozen ones answer again.
 
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,10 +13,13 @@
 use snipemast_core::prelude::*;
 use snipemast_net::connect;
 use snipemast_net::exec::{pause, spawn, within};
-use snipemast_placement::{Choice, ServerFault};
+use snipemast_placement::servers::SILENCE_LIMIT;
+use snipemast_placement::{AnswerResult, Choice, ServerFault};
 use snipemast_platform::server;
+use snipemast_routes::Repeat;
 
-use crate::send::{Job, CONNECT_TIMEOUT};
+use crate::handle::Attempt;
+use crate::send::{Failure, Job, CONNECT_TIMEOUT};
 use crate::state::State;
 
 /// How long a server may take to answer a health check: several times what this takes between
@@ -24,6 +29,14 @@
 /// How often a frozen server is checked until it answers.
 const CHECK_INTERVAL: Span = Span::from_millis(500);
 
+/// How often it is checked again whether a server is frozen. Its group may stall as a whole at
+/// first and then run without it.
+const RUN_CHECK_INTERVAL: Span = Span::from_millis(100);
+
+/// How long a stream may show nothing before this counts as a failure of its server: longer than the
+/// queue of a healthy one, and shorter than the 2 s after which callers give up.
+const MUTE_LIMIT: Span = Span::from_millis(1_500);
+
 /// A start of a server that shows nothing.
 #[derive(Debug)]
 pub(crate) struct FrozenServer {
@@ -71,6 +84,82 @@
 }
 
 impl Job {
+    /// Waits for a server's work within a limit, but not once the server alone shows nothing and
+    /// another server can take the request.
+    ///
+    /// A request that no other server can take goes on waiting: it may still be answered, and it
+    /// would fail if it were given up.
+    pub(crate) async fn wait_unless_frozen<T>(
+        &self,
+        choice: &Choice,
+        attempt: &mut Attempt,
+        last: Option<u64>,
+        limit: Span,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        let since = self.state.clock.now();
+        let (mut next_check, end) = (since + SILENCE_LIMIT, since + limit);
+        let mut work = pin!(work);
+        let mut recorded = !self.route.repeat.is_stream();
+        loop {
+            let ejected = self.state.recheck.listen();
+            let now = self.state.clock.now();
+            if now >= end {
+                return Err(Failure::Late);
+            }
+            let done = within(now.until(next_check.min(end)), work.as_mut());
+            let ejected = async {
+                ejected.await;
+                None
+            };
+            if let Some(done) = futures_lite::future::or(done, ejected).await {
+                return Ok(done);
+            }
+            self.record_copy();
+            let now = self.state.clock.now();
+            if !recorded && now >= since + MUTE_LIMIT {
+                recorded = true;
+                self.record_outcome(choice, AnswerResult::Failed);
+            }
+            let due = now >= next_check;
+            if due {
+                next_check = now + RUN_CHECK_INTERVAL;
+            }
+            if !(self.is_frozen(choice) || due && self.seems_frozen(choice, since)) {
+                continue;
+            }
+            let done = async { Some(work.as_mut().await) };
+            let checked = async {
+                self.eject_if_frozen(choice).await;
+                None
+            };
+            if let Some(done) = futures_lite::future::or(done, checked).await {
+                return Ok(done);
+            }
+            if attempt.try_move(self, &choice.server, last) {
+                self.state.connections.close_idle(choice.address);
+                return Err(Failure::Unknown);
+            }
+        }
+    }
+
+    /// Whether a server is known to be frozen and the request may go elsewhere.
+    fn is_frozen(&self, choice: &Choice) -> bool {
+        let servers = self.state.servers.lock();
+        self.route.repeat == Repeat::ResumableStream
+            && servers.is_frozen(&choice.server, choice.start)
+    }
+
+    /// Whether a request that has seen nothing for a while should move: its server is left out, or
+    /// shows nothing while others run.
+    fn seems_frozen(&self, choice: &Choice, since: Moment) -> bool {
+        let now = self.state.clock.now();
+        let servers = self.state.servers.lock();
+        let is_suspicious =
+            servers.is_failing(&choice.server) || servers.seems_frozen(now, &choice.server, since);
+        self.route.repeat == Repeat::ResumableStream && is_suspicious
+    }
+
     /// Checks a server that shows nothing, and ejects it if it does not answer.
     ///
     /// In a large group a stream may wait a second and more in a rank's queue. If such healthy
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,5 @@
 //! One send of a request to one server.
 
-use std::future::Future;
-use std::pin::pin;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
@@ -11,17 +9,16 @@
 
 use snipemast_core::prelude::*;
 use snipemast_net::connect::SendError;
-use snipemast_net::exec::{pause, spawn, within};
+use snipemast_net::exec::{pause, spawn};
 use snipemast_net::{connect, Connection, ResponseBody};
 use snipemast_placement::length::StreamLength;
 use snipemast_placement::outage::AllowedPools;
-use snipemast_placement::servers::SILENCE_LIMIT;
 use snipemast_placement::urgency::QueueOrder;
 use snipemast_placement::{AnswerResult, Choice, Pool, RequestClass, ServerFault, Urgency};
 use snipemast_platform::request::{forward_headers, Forward, RequestHeaders};
 use snipemast_platform::response::ResponseHead;
 use snipemast_requests::Causes;
-use snipemast_routes::{Repeat, Route};
+use snipemast_routes::Route;
 
 use crate::crashes::Beginning;
 use crate::frozen::FrozenServer;
@@ -33,14 +30,6 @@
 /// the wait after a lost packet, because another server is nearer than that.
 pub(crate) const CONNECT_TIMEOUT: Span = Span::from_millis(250);
 
-/// How often it is checked again whether a server is frozen. Its group may stall as a whole at
-/// first and then run without it.
-const FROZEN_CHECK_INTERVAL: Span = Span::from_millis(100);
-
-/// How long a stream may show nothing before this counts as a failure of its server: longer than the
-/// queue of a healthy one, and shorter than the 2 s after which callers give up.
-const MUTE_LIMIT: Span = Span::from_millis(1_500);
-
 /// How long beyond the deadline a server may take to report itself that the time is over.
 const DEADLINE_GRACE: Span = Span::from_millis(60);
 
@@ -224,82 +213,6 @@
         }
     }
 
-    /// Waits for a server's work within a limit, but not once the server alone shows nothing and
-    /// another server can take the request.
-    ///
-    /// A request that no other server can take goes on waiting: it may still be answered, and it
-    /// would fail if it were given up.
-    pub(crate) async fn wait_unless_frozen<T>(
-        &self,
-        choice: &Choice,
-        attempt: &mut Attempt,
-        last: Option<u64>,
-        limit: Span,
-        work: impl Future<Output = T>,
-    ) -> Result<T, Failure> {
-        let since = self.state.clock.now();
-        let (mut next_check, end) = (since + SILENCE_LIMIT, since + limit);
-        let mut work = pin!(work);
-        let mut recorded = !self.route.repeat.is_stream();
-        loop {
-            let ejected = self.state.recheck.listen();
-            let now = self.state.clock.now();
-            if now >= end {
-                return Err(Failure::Late);
-            }
-            let done = within(now.until(next_check.min(end)), work.as_mut());
-            let ejected = async {
-                ejected.await;
-                None
-            };
-            if let Some(done) = futures_lite::future::or(done, ejected).await {
-                return Ok(done);
-            }
-            self.record_copy();
-            let now = self.state.clock.now();
-            if !recorded && now >= since + MUTE_LIMIT {
-                recorded = true;
-                self.record_outcome(choice, AnswerResult::Failed);
-            }
-            let due = now >= next_check;
-            if due {
-                next_check = now + FROZEN_CHECK_INTERVAL;
-            }
-            if !(self.is_frozen(choice) || due && self.seems_frozen(choice, since)) {
-                continue;
-            }
-            let done = async { Some(work.as_mut().await) };
-            let checked = async {
-                self.eject_if_frozen(choice).await;
-                None
-            };
-            if let Some(done) = futures_lite::future::or(done, checked).await {
-                return Ok(done);
-            }
-            if attempt.try_move(self, &choice.server, last) {
-                self.state.connections.close_idle(choice.address);
-                return Err(Failure::Unknown);
-            }
-        }
-    }
-
-    /// Whether a server is known to be frozen and the request may go elsewhere.
-    fn is_frozen(&self, choice: &Choice) -> bool {
-        let servers = self.state.servers.lock();
-        self.route.repeat == Repeat::ResumableStream
-            && servers.is_frozen(&choice.server, choice.start)
-    }
-
-    /// Whether a request that has seen nothing for a while should move: its server is left out, or
-    /// shows nothing while others run.
-    fn seems_frozen(&self, choice: &Choice, since: Moment) -> bool {
-        let now = self.state.clock.now();
-        let servers = self.state.servers.lock();
-        let is_suspicious =
-            servers.is_failing(&choice.server) || servers.seems_frozen(now, &choice.server, since);
-        self.route.repeat == Repeat::ResumableStream && is_suspicious
-    }
-
     /// Whether the request may be sent on a pooled connection.
     ///
     /// This guards against a pooled connection that the server has closed, that is silent, or that
