One announced server for the tests of the registry

Four files built the same announcement and moments on their own beside common/mod.rs; they use that now.

--- a/crates/registry/tests/foreign.rs
+++ b/crates/registry/tests/foreign.rs
@@ -1,32 +1,28 @@
 //! Announcements of other writers under the id of a known server.
 
+mod common;
+
 use quickcheck::quickcheck;
 
 use snipemast_core::prelude::*;
 use snipemast_registry::table::SILENCE_TIMEOUT;
 use snipemast_registry::{Announcement, Standing, Table};
 
+use common::{announced, at};
+
 /// Returns an announcement of a server's only start. Bits of `other` give it another service, zone or address.
 fn announcement(sequence: u64, other: u8) -> Announcement {
     let name = |bit: u8, own: &'static str| if other & bit == 0 { own } else { "other" };
     let host = 1 + (other & 4);
     Announcement {
-        id: ServerId::new("i-1").expect("a valid id"),
-        start: Incarnation(1_000),
         service: ServiceId::new(name(1, "lector")).expect("a valid name"),
         address: ([10, 0, 0, host], 80).into(),
         zone: ZoneId::new(name(2, "a")).expect("a valid name"),
-        slots: 4,
-        draining: false,
-        cold_left: Span::default(),
         sequence,
+        ..announced(1_000)
     }
 }
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(100_000 + millis)
-}
-
 quickcheck! {
     /// Guards against a server without requests, because a heartbeat of another writer under its id counts as its own.
     fn other_writer_ignored(messages: Vec<(u16, u8)>) -> bool {
--- a/crates/registry/tests/ranks.rs
+++ b/crates/registry/tests/ranks.rs
@@ -1,14 +1,14 @@
 //! A server's place in a group, as the sidecar beside it reports.
 
+mod common;
+
 use std::net::SocketAddr;
 
 use snipemast_core::prelude::*;
 use snipemast_registry::rank::{GroupRank, RankUpdate};
 use snipemast_registry::{Announcement, Table};
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(100_000 + millis)
-}
+use common::{announced, at};
 
 fn address() -> SocketAddr {
     "10.0.0.1:80".parse().unwrap()
@@ -17,14 +17,8 @@
 fn heartbeat(id: &str, start: u64, sequence: u64) -> Announcement {
     Announcement {
         id: ServerId::new(id).unwrap(),
-        start: Incarnation(start),
-        service: ServiceId::new("lector").unwrap(),
-        address: address(),
-        zone: ZoneId::new("a").unwrap(),
-        slots: 4,
-        draining: false,
-        cold_left: Span::default(),
         sequence,
+        ..announced(start)
     }
 }
 
--- a/crates/registry/tests/relays.rs
+++ b/crates/registry/tests/relays.rs
@@ -1,6 +1,8 @@
 //! Controllers of a gateway's own availability zone that pass changes on to it: the number of entries that it is sent, and that it never
 //! acknowledges what it doesn't have.
 
+mod common;
+
 use std::net::SocketAddr;
 
 use quickcheck::quickcheck;
@@ -9,9 +11,7 @@
 use snipemast_registry::relays::{Coverage, RelayAnswer, Relays};
 use snipemast_registry::{Announcement, Cursor, Standing, Table};
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(100_000 + millis)
-}
+use common::{announced, at};
 
 fn address(controller: usize) -> SocketAddr {
     ([10, 1, 0, controller as u8 + 1], 7_340).into()
@@ -24,14 +24,10 @@
 fn heartbeat(number: usize, sequence: u64, draining: bool) -> Announcement {
     Announcement {
         id: id(number),
-        start: Incarnation(1),
-        service: ServiceId::new("lector").unwrap(),
         address: ([10, 0, 0, number as u8], 80).into(),
-        zone: ZoneId::new("a").unwrap(),
-        slots: 6,
         draining,
-        cold_left: Span::default(),
         sequence,
+        ..announced(1)
     }
 }
 
--- a/crates/registry/tests/restarts.rs
+++ b/crates/registry/tests/restarts.rs
@@ -1,6 +1,6 @@
 //! Servers that restart under their previous id.
 
-use std::net::SocketAddr;
+mod common;
 
 use quickcheck::{quickcheck, Arbitrary, Gen};
 
@@ -9,32 +9,16 @@
 use snipemast_registry::table::SILENCE_TIMEOUT;
 use snipemast_registry::{Announcement, Standing, StartState, Table};
 
-fn id() -> ServerId {
-    ServerId::new("i-1").expect("a valid id")
-}
-
-fn address(number: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, number], 80))
-}
+use common::{announced, at, id};
 
 fn heartbeat(start: u64, sequence: u64, draining: bool) -> Announcement {
     Announcement {
-        id: id(),
-        start: Incarnation(start),
-        service: ServiceId::new("lector").expect("a valid name"),
-        address: address(1),
-        zone: ZoneId::new("a").expect("a valid name"),
-        slots: 4,
         draining,
-        cold_left: Span::default(),
         sequence,
+        ..announced(start)
     }
 }
 
-fn at(millis: u64) -> Moment {
-    Moment::from_millis(100_000 + millis)
-}
-
 fn standing(table: &Table) -> Option<Standing> {
     table.get(&id()).map(|k| k.standing)
 }
