Call the process that takes over for a silent lead the standby

The code called it a deputy, a word of its own; the field's term is standby. The tests of both packages pass.

--- a/crates/groups/src/lib.rs
+++ b/crates/groups/src/lib.rs
@@ -27,7 +27,7 @@
 //! - [`draft`]: encodes a new map as its difference from one that ranks know.
 //! - [`delivery`]: how orders reach many ranks over narrow links.
 //! - [`executor`]: carries out a lead's orders on one rank.
-//! - [`takeover`]: how a deputy releases a held group whose lead no longer answers.
+//! - [`takeover`]: how a standby releases a held group whose lead no longer answers.
 //! - [`stall`]: detects that a rank makes no progress with its group's passes.
 //! - [`demand`]: the demand for experts, from the counts of a sample of the ranks.
 //! - [`even`]: rebalances a group after a shift of the demand, with few copies.
--- a/crates/groups/src/switch.rs
+++ b/crates/groups/src/switch.rs
@@ -11,7 +11,7 @@
 //!    not to be armed.
 //! 4. Only then is the group released.
 //!
-//! Where the lead stops answering in between, the sidecar of the second rank, the deputy, releases
+//! Where the lead stops answering in between, the sidecar of the second rank, the standby, releases
 //! the group ([`takeover`](crate::takeover)). Until the lead has announced that it is about to arm
 //! its own rank, that rank is known not to be armed, and all others can be disarmed.
 //!
@@ -30,7 +30,7 @@
 use crate::draft::Draft;
 use crate::map::ExpertMap;
 pub use crate::order::{Order, Outcome, Phase, RankOrder, RankState};
-use crate::takeover::DEPUTY_RANK;
+use crate::takeover::STANDBY_RANK;
 
 use self::stage::{holds, Hold, Stage, OWN_RANK};
 
@@ -368,7 +368,7 @@
     /// Returns the rank that holds the group. It is not on the lead's host, so its sidecar can
     /// release the group where that host is frozen.
     fn holder(&self) -> usize {
-        DEPUTY_RANK.min(self.ranks - 1)
+        STANDBY_RANK.min(self.ranks - 1)
     }
 
     fn handle_held(&mut self, now: Moment, outcome: Outcome) -> Vec<RankOrder> {
--- a/crates/groups/src/takeover.rs
+++ b/crates/groups/src/takeover.rs
@@ -1,27 +1,27 @@
-//! How a deputy releases a held group whose lead no longer answers.
+//! How a standby releases a held group whose lead no longer answers.
 //!
 //! The second rank holds the group for the lead, whose process on the first rank's host is frozen
 //! or gone and may continue at any moment where it stopped. On a frozen host the rank takes no
 //! orders either, so a takeover does without the first rank, except in one case. The sidecar of the
-//! second rank, the deputy, takes over:
+//! second rank, the standby, takes over:
 //!
 //! 1. It accepts no order of the lead from then on. It therefore accepts no pledge, and the lead's
 //!    rank is not armed.
 //! 2. It disarms every rank but the first, under a ballot above the lead's.
 //! 3. It releases its own rank, and the group continues with its old map.
 //!
-//! Where the deputy has pledged to leave the switch to the lead, the lead may have armed its own
-//! rank. The deputy then takes over only if it can give the first rank orders from its own host,
+//! Where the standby has pledged to leave the switch to the lead, the lead may have armed its own
+//! rank. The standby then takes over only if it can give the first rank orders from its own host,
 //! which is so where the lead's process is gone and its host is not. It disarms the first rank like
 //! the others.
 //!
 //! A lead that continues is told that it was overtaken, and adopts the group again with a higher
 //! ballot.
 //!
-//! Lead and deputy may overtake each other again and again, where the lead's process restarts while
+//! Lead and standby may overtake each other again and again, where the lead's process restarts while
 //! a takeover is under way. In a large group behind slow links each round of orders takes seconds,
 //! and the group would stand still throughout. A lead therefore gives a takeover [`FINISH_TIME`] to
-//! end, and a deputy that was overtaken doubles its timeout before it tries again.
+//! end, and a standby that was overtaken doubles its timeout before it tries again.
 
 use std::collections::BTreeSet;
 
@@ -32,10 +32,10 @@
 /// The lead's rank.
 pub const LEAD_RANK: usize = 0;
 
-/// The rank that holds the group and whose sidecar, the deputy, takes over.
-pub const DEPUTY_RANK: usize = 1;
+/// The rank that holds the group and whose sidecar, the standby, takes over.
+pub const STANDBY_RANK: usize = 1;
 
-/// How long the group must stand still before the deputy checks whether the lead answers. An uneven
+/// How long the group must stand still before the standby checks whether the lead answers. An uneven
 /// pass takes up to this long.
 pub const STANDSTILL_TIMEOUT: Span = Span::from_millis(200);
 
@@ -131,7 +131,7 @@
 enum Stage {
     /// Every rank that may be armed is being disarmed.
     Disarming { pending: BTreeSet<usize> },
-    /// The deputy's own rank is being released.
+    /// The standby's own rank is being released.
     Releasing,
     /// The takeover has ended.
     Over,
@@ -140,7 +140,7 @@
 impl Takeover {
     /// Begins a takeover of a group with this many ranks and returns it with its first orders.
     ///
-    /// The ballot is above the lead's, and the deputy's own rank, which holds the group at the
+    /// The ballot is above the lead's, and the standby's own rank, which holds the group at the
     /// step, accepts no order of the lead any more. `pledged` tells whether the lead's rank may be
     /// armed.
     pub fn begin(
@@ -150,7 +150,7 @@
         step: Step,
         pledged: bool,
     ) -> (Self, Vec<RankOrder>) {
-        let first = if pledged { LEAD_RANK } else { DEPUTY_RANK };
+        let first = if pledged { LEAD_RANK } else { STANDBY_RANK };
         let pending: BTreeSet<usize> = (first..ranks).collect();
         let takeover = Self {
             step,
@@ -221,7 +221,7 @@
 
     fn go_order(&self) -> RankOrder {
         let step = self.step;
-        self.order_for(DEPUTY_RANK, Order::Go { step })
+        self.order_for(STANDBY_RANK, Order::Go { step })
     }
 
     fn order_for(&self, rank: usize, order: Order) -> RankOrder {
--- a/crates/groups/tests/ordered/mod.rs
+++ b/crates/groups/tests/ordered/mod.rs
@@ -1,4 +1,4 @@
-//! A simulated group with a lead and a deputy, whose engines lose answers and carry out orders
+//! A simulated group with a lead and a standby, whose engines lose answers and carry out orders
 //! late.
 
 // Each test binary uses only a part of this module.
@@ -18,7 +18,7 @@
 use snipemast_groups::switch::{Order, Outcome, Phase, RankOrder, RankState, Switch, SwitchResult};
 use snipemast_groups::takeover::{
     next_lead_ballot, next_takeover_ballot, yields_to_takeover, StandstillDetector, Takeover,
-    DEPUTY_RANK, LEAD_RANK,
+    LEAD_RANK, STANDBY_RANK,
 };
 
 pub(crate) use engine::Engine;
@@ -29,7 +29,7 @@
 /// host.
 pub(crate) const HOLDER: usize = usize::MAX;
 
-/// The index of the deputy's own executor for the first rank.
+/// The index of the standby's own executor for the first rank.
 pub(crate) const FIRST: usize = usize::MAX - 1;
 
 /// The age of a rank's report when it reaches another host, in ms.
@@ -54,7 +54,7 @@
 /// How late an answer may be before a process counts as silent, in ms.
 pub(crate) const ANSWER: u64 = 150;
 
-/// The interval at which the deputy checks its rank while it is held, in ms.
+/// The interval at which the standby checks its rank while it is held, in ms.
 pub(crate) const WATCH_HELD: u64 = 20;
 
 /// How long a rank takes to copy the experts of a map, in ms.
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy)]
 pub(crate) enum Sender {
     Lead(Phase),
-    Deputy(Phase),
+    Standby(Phase),
 }
 
 /// The size of a call on the wire without its order, in bytes.
@@ -117,25 +117,25 @@
     Adopt,
     /// The host of a rank's sidecar freezes until a time.
     Freeze(usize, u64),
-    /// The deputy checks whether its group stands still.
+    /// The standby checks whether its group stands still.
     Watch,
 }
 
 impl Event {
     /// Returns the rank whose sidecar the event happens to, where that matters. The lead runs in
-    /// the sidecar of the first rank, from where it also holds the second, and the deputy in that
+    /// the sidecar of the first rank, from where it also holds the second, and the standby in that
     /// of the second.
     pub(crate) fn process(&self) -> Option<usize> {
         match self {
             Self::Poll | Self::Polled(_) | Self::Outcome(_, Sender::Lead(_), _) => Some(LEAD_RANK),
-            Self::Watch | Self::Outcome(_, Sender::Deputy(_), _) => Some(DEPUTY_RANK),
+            Self::Watch | Self::Outcome(_, Sender::Standby(_), _) => Some(STANDBY_RANK),
             Self::Relay(rank, ..)
             | Self::Arrive(rank, _)
             | Self::Copying(rank, ..)
             | Self::Work(rank)
             | Self::Answered(rank, ..) => match *rank {
                 HOLDER => Some(LEAD_RANK),
-                FIRST => Some(DEPUTY_RANK),
+                FIRST => Some(STANDBY_RANK),
                 rank => Some(rank),
             },
             Self::Pass
@@ -151,7 +151,7 @@
 /// Returns the rank whose engine an executor gives orders to.
 pub(crate) fn engine_of(process: usize) -> usize {
     match process {
-        HOLDER => DEPUTY_RANK,
+        HOLDER => STANDBY_RANK,
         FIRST => LEAD_RANK,
         rank => rank,
     }
@@ -194,7 +194,7 @@
     pub(crate) processes: Vec<Process>,
     /// The lead's own executor for the second rank.
     pub(crate) holder: Process,
-    /// The deputy's own executor for the first rank.
+    /// The standby's own executor for the first rank.
     pub(crate) first: Process,
     /// Until when the first rank's host is frozen, so that the rank takes no order.
     pub(crate) lead_frozen: u64,
@@ -208,8 +208,8 @@
     pub(crate) standstill: StandstillDetector,
     /// Since when the restarted lead leaves the group to a takeover.
     pub(crate) waits: Option<u64>,
-    /// The deputy's ballot, and the number of its orders.
-    pub(crate) deputy: (u64, u64),
+    /// The standby's ballot, and the number of its orders.
+    pub(crate) standby: (u64, u64),
     /// The number of takeovers.
     pub(crate) takeovers: u32,
     /// When the last pass began.
@@ -262,7 +262,7 @@
             takeover: None,
             standstill: StandstillDetector::new(Moment::from_millis(0)),
             waits: None,
-            deputy: (0, 0),
+            standby: (0, 0),
             takeovers: 0,
             began: 0,
             longest: 0,
@@ -359,11 +359,11 @@
                 self.send(sends);
                 self.conclude();
             }
-            Event::Outcome(rank, Sender::Deputy(phase), outcome) => {
+            Event::Outcome(rank, Sender::Standby(phase), outcome) => {
                 let rank = engine_of(rank);
                 let takeover = self.takeover.as_mut();
                 let sends = takeover.map(|t| t.handle_outcome(rank, phase, outcome));
-                self.send_as_deputy(sends.unwrap_or_default());
+                self.send_as_standby(sends.unwrap_or_default());
                 if self.takeover.as_ref().is_some_and(Takeover::is_over) {
                     self.standstill.back_off(self.moment());
                     self.takeover = None;
@@ -441,9 +441,9 @@
         self.send(sends);
     }
 
-    /// Lets the deputy take over where its group stands still and the lead is silent.
+    /// Lets the standby take over where its group stands still and the lead is silent.
     pub(crate) fn watch(&mut self) {
-        let state = self.states()[DEPUTY_RANK];
+        let state = self.states()[STANDBY_RANK];
         let often = state.held.is_some();
         self.after(if often { WATCH_HELD } else { POLL }, Event::Watch);
         if self.takeover.is_some() {
@@ -454,15 +454,15 @@
         let Some(step) = state.held.filter(|_| still && silent) else {
             return;
         };
-        let own = self.processes[DEPUTY_RANK].executor.lead();
-        let ballot = next_takeover_ballot(own.max(Ballot(self.deputy.0)));
+        let own = self.processes[STANDBY_RANK].executor.lead();
+        let ballot = next_takeover_ballot(own.max(Ballot(self.standby.0)));
         let reaches = self.lead_frozen <= self.now;
-        let executor = &mut self.processes[DEPUTY_RANK].executor;
+        let executor = &mut self.processes[STANDBY_RANK].executor;
         let pledged = executor.is_pledged(&state);
         if !executor.take_over(ballot, &state, reaches) {
             return;
         }
-        self.deputy = (ballot.get(), 0);
+        self.standby = (ballot.get(), 0);
         self.takeovers += 1;
         self.first = Process {
             executor: Executor::remote(),
@@ -470,22 +470,22 @@
         };
         let (takeover, sends) = Takeover::begin(self.ranks, ballot, &state, step, pledged);
         self.takeover = Some(takeover);
-        self.send_as_deputy(sends);
+        self.send_as_standby(sends);
     }
 
-    /// Sends the deputy's orders.
-    pub(crate) fn send_as_deputy(&mut self, sends: Vec<RankOrder>) {
+    /// Sends the standby's orders.
+    pub(crate) fn send_as_standby(&mut self, sends: Vec<RankOrder>) {
         let (here, others): (Vec<RankOrder>, Vec<RankOrder>) =
             sends.into_iter().partition(|s| s.rank == LEAD_RANK);
-        let mut all = plan_deliveries(others, self.deputy.1);
+        let mut all = plan_deliveries(others, self.standby.1);
         all.extend(here.into_iter().map(Delivery::Direct));
         for delivery in all {
-            self.deputy.1 += 1;
+            self.standby.1 += 1;
             let seq = OrderSeq {
-                lead: Ballot(self.deputy.0),
-                number: self.deputy.1,
+                lead: Ballot(self.standby.0),
+                number: self.standby.1,
             };
-            self.deliver(DEPUTY_RANK, delivery, seq, Sender::Deputy, self.reach);
+            self.deliver(STANDBY_RANK, delivery, seq, Sender::Standby, self.reach);
         }
     }
 
@@ -507,7 +507,7 @@
                 };
                 let to = match (&given.order, host, send.rank) {
                     (Order::Hold { .. }, ..) => HOLDER,
-                    (_, DEPUTY_RANK, LEAD_RANK) => FIRST,
+                    (_, STANDBY_RANK, LEAD_RANK) => FIRST,
                     (.., rank) => rank,
                 };
                 let near = to == host || to == HOLDER || to == FIRST;
@@ -661,7 +661,7 @@
             state = self.old_report(state);
         }
         if rank == HOLDER {
-            let floor = self.processes[DEPUTY_RANK].executor.floor();
+            let floor = self.processes[STANDBY_RANK].executor.floor();
             self.holder
                 .executor
                 .observe_remote(Incarnation(1), &state, floor);
--- a/crates/groups/tests/takeover.rs
+++ b/crates/groups/tests/takeover.rs
@@ -9,11 +9,11 @@
 use ordered::{Event, World, POLL};
 use snipemast_control::SplitMix64;
 use snipemast_groups::map::ExpertMap;
-use snipemast_groups::takeover::{DEPUTY_RANK, LEAD_RANK};
+use snipemast_groups::takeover::{LEAD_RANK, STANDBY_RANK};
 
 quickcheck! {
     /// Failure guarded against: every stream stands still for seconds. The lead's host freezes and
-    /// continues where it stopped, while the deputy, whose host freezes too, is taking over.
+    /// continues where it stopped, while the standby, whose host freezes too, is taking over.
     fn lead_freezes(seed: u64) -> TestResult {
         frozen_lead(seed, 10)
     }
@@ -25,7 +25,7 @@
 /// How long it may take after the lead's restart until another map is in force, in ms.
 const MAX_RECOVERY: u64 = 2_000;
 
-/// Plays a world in which lead and deputy freeze and continue at any moment, and the lead is killed
+/// Plays a world in which lead and standby freeze and continue at any moment, and the lead is killed
 /// now and then.
 fn frozen_lead(seed: u64, mute: u64) -> TestResult {
     let mut world = World::new(seed, mute);
@@ -34,7 +34,7 @@
     for second in 0..20 {
         let at = second * 3_000 + chance.below(3_000);
         let rank = if chance.below(3) == 0 {
-            DEPUTY_RANK
+            STANDBY_RANK
         } else {
             LEAD_RANK
         };
@@ -48,7 +48,7 @@
 }
 
 /// Failure guarded against: a pass runs on two maps. The lead's process is killed, also after the
-/// pledge, and the deputy gives its rank orders by old reports of it; lead and deputy freeze as
+/// pledge, and the standby gives its rank orders by old reports of it; lead and standby freeze as
 /// well.
 fn killed_lead(seed: u64, mute: u64) -> TestResult {
     let mut world = World::new(seed, mute);
@@ -60,7 +60,7 @@
         world.after(at, Event::Kill(50 + chance.below(1_200)));
         if chance.below(4) == 0 {
             let rank = if chance.below(2) == 0 {
-                DEPUTY_RANK
+                STANDBY_RANK
             } else {
                 LEAD_RANK
             };
@@ -94,7 +94,7 @@
 }
 
 /// Failure guarded against: a pass runs on two maps, for a different reason in each schedule: the
-/// deputy continues and disarms the lead's rank for a map of a later lead; the lead is back and
+/// standby continues and disarms the lead's rank for a map of a later lead; the lead is back and
 /// releases the group while orders to disarm are on their way; the lead's rank is disarmed remotely
 /// after it was ordered to arm again; a pledge crosses the first order of a takeover; a late order
 /// to disarm arrives after ranks were given new orders.
@@ -201,9 +201,9 @@
 }
 
 /// Failure guarded against: every stream stands still for 26 s. The lead's process is killed while
-/// it holds a large group, and orders to disarm with a full map take 4.4 s to leave the deputy's
+/// it holds a large group, and orders to disarm with a full map take 4.4 s to leave the standby's
 /// host. The lead is back meanwhile and overtakes it with orders that take as long, during which
-/// its host does not answer the deputy.
+/// its host does not answer the standby.
 #[test]
 fn large_group_recovers() {
     for seed in 0..24 {
--- a/crates/sidecar/src/lead.rs
+++ b/crates/sidecar/src/lead.rs
@@ -8,7 +8,7 @@
 use snipemast_groups::draft::Base;
 use snipemast_groups::even::{rebalance, Rebalanced, Thresholds};
 use snipemast_groups::switch::{RankOrder, RankState, SwitchResult};
-use snipemast_groups::takeover::{yields_to_takeover, DEPUTY_RANK};
+use snipemast_groups::takeover::{yields_to_takeover, STANDBY_RANK};
 use snipemast_net::BootClock;
 use snipemast_routes::engine::Experts;
 
@@ -212,7 +212,7 @@
         let Some(map) = map_in_force(&experts, reports) else {
             return;
         };
-        if let Some(process) = addresses.get(DEPUTY_RANK).copied() {
+        if let Some(process) = addresses.get(STANDBY_RANK).copied() {
             let Some(server) = self.reader.server_at(process.ip()) else {
                 return;
             };
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,14 +9,13 @@
 //! - `relay`: forwards an order to several ranks.
 //! - `group`: the state of a group as its lead knows it.
 //! - `lead`: on rank 0, balances the load of the group's experts.
-//! - `deputy`: on rank 1, releases a group that this rank holds for a lead which no longer answers.
+//! - `standby`: on rank 1, releases a group that this rank holds for a lead which no longer answers.
 //! - `updates`: sends controllers the rank's place in its group, and whether the group makes progress.
 //! - `reader`: reads the addresses of the other ranks from controllers' updates.
 
 pub mod process;
 
 mod calls;
-mod deputy;
 mod engine;
 mod group;
 mod lead;
@@ -24,6 +23,7 @@
 mod rank;
 mod reader;
 mod relay;
+mod standby;
 mod updates;
 
 pub use process::run;
--- a/crates/sidecar/src/process.rs
+++ b/crates/sidecar/src/process.rs
@@ -13,18 +13,18 @@
 
 use snipemast_core::prelude::*;
 use snipemast_feed::Feed;
-use snipemast_groups::takeover::{DEPUTY_RANK, LEAD_RANK};
+use snipemast_groups::takeover::{LEAD_RANK, STANDBY_RANK};
 use snipemast_net::exec::{pause, spawn};
 use snipemast_net::{rpc, serve, socket};
 use snipemast_platform::settings::Settings;
 
-use crate::deputy::Deputy;
 use crate::engine::Engine;
 use crate::lead::Lead;
 use crate::peers::path;
 use crate::rank::Rank;
 use crate::reader::UpdateReader;
 use crate::relay::{forward_order, Clients};
+use crate::standby::Standby;
 use crate::updates::UpdateSender;
 
 /// The result of starting.
@@ -84,7 +84,7 @@
     Ok(())
 }
 
-/// The task of this process as lead or deputy of its group, with its feed of updates.
+/// The task of this process as lead or standby of its group, with its feed of updates.
 struct GroupTask {
     group: GroupId,
     place: usize,
@@ -92,12 +92,12 @@
     _tasks: [Task<()>; 2],
 }
 
-/// Runs the lead while the rank is the first of its group, and the deputy while it is the second.
+/// Runs the lead while the rank is the first of its group, and the standby while it is the second.
 async fn follow_place(mut settings: Settings, rank: Arc<Rank>, journal: Journal) {
     let mut group_task: Option<GroupTask> = None;
     loop {
         let place = rank.place().await;
-        let wanted = place.filter(|(_, place)| [LEAD_RANK, DEPUTY_RANK].contains(place));
+        let wanted = place.filter(|(_, place)| [LEAD_RANK, STANDBY_RANK].contains(place));
         if group_task.as_ref().map(|t| (&t.group, t.place)) != wanted.as_ref().map(|(g, p)| (g, *p))
         {
             group_task = wanted.map(|place| start_group_task(place, &settings, &rank, &journal));
@@ -110,7 +110,7 @@
     }
 }
 
-/// Starts the lead or the deputy of a group.
+/// Starts the lead or the standby of a group.
 fn start_group_task(
     (group, place): (GroupId, usize),
     settings: &Settings,
@@ -124,7 +124,7 @@
     let task = if place == LEAD_RANK {
         spawn(Lead::new(reader, journal.clone()).run())
     } else {
-        spawn(Deputy::new(reader, Arc::clone(rank), journal.clone()).run())
+        spawn(Standby::new(reader, Arc::clone(rank), journal.clone()).run())
     };
     GroupTask {
         group,
--- a/crates/sidecar/src/deputy.rs
+++ b/crates/sidecar/src/standby.rs
@@ -16,10 +16,10 @@
 use crate::reader::UpdateReader;
 use crate::relay::Clients;
 
-/// How often the deputy checks its own rank.
+/// How often the standby checks its own rank.
 const CHECK_INTERVAL: Span = Span::from_millis(100);
 
-/// How often the deputy checks its own rank while that is held: the group may stand still for all of this time.
+/// How often the standby checks its own rank while that is held: the group may stand still for all of this time.
 const HELD_CHECK_INTERVAL: Span = Span::from_millis(20);
 
 /// How long the process beside rank 0 may take to answer before it counts as silent: several times as long as
@@ -27,7 +27,7 @@
 const LEAD_TIMEOUT: Span = Span::from_millis(150);
 
 /// Watches a group from beside its second rank.
-pub(crate) struct Deputy {
+pub(crate) struct Standby {
     reader: Arc<UpdateReader>,
     journal: Journal,
     clock: BootClock,
@@ -38,15 +38,15 @@
     group: Option<KnownGroup>,
 }
 
-/// What the deputy knows of a group until that forms again.
+/// What the standby knows of a group until that forms again.
 struct KnownGroup {
     epoch: GroupIncarnation,
     /// The processes beside the ranks.
     addresses: Vec<SocketAddr>,
 }
 
-impl Deputy {
-    /// Creates the deputy beside its rank.
+impl Standby {
+    /// Creates the standby beside its rank.
     pub(crate) fn new(reader: Arc<UpdateReader>, rank: Arc<Rank>, journal: Journal) -> Self {
         let clock = BootClock::new();
         let standstill = StandstillDetector::new(clock.now());
