Let no killed process hold the soak while it ends

No fault of the product.

Change: the soak checks every 5 ms whether the process has ended, and starts none of its host before. All controllers are still killed at once; what counts as a violation is unchanged.

--- a/tests/src/soak.rs
+++ b/tests/src/soak.rs
@@ -382,11 +382,11 @@
         match fault {
             Fault::Terminate(host) => self.terminate(host).await,
             Fault::Kill(host) => {
-                fleet.kill(host);
+                fleet.kill(host).await;
                 self.wait_running(host).await;
             }
             Fault::KillControllers => {
-                fleet.controllers().for_each(|host| fleet.kill(host));
+                fleet.kill_controllers().await;
                 for host in fleet.controllers() {
                     self.wait_running(host).await;
                 }
@@ -397,8 +397,7 @@
                 fleet.signal(host, Signal::CONT);
             }
             Fault::Wipe(host) => {
-                fleet.kill(host);
-                fleet.wipe(host);
+                fleet.kill_and_wipe(host).await;
                 self.wait_running(host).await;
             }
             Fault::Full(host, span) => {
@@ -458,7 +457,7 @@
         self.fleet.signal(host, Signal::TERM);
         let gone = || async { self.fleet.process_id(host) != process };
         if !load::wait_until(END_TIMEOUT, gone).await {
-            self.fleet.kill(host);
+            self.fleet.kill(host).await;
         }
         self.wait_running(host).await;
     }
--- a/tests/src/soak/fleet.rs
+++ b/tests/src/soak/fleet.rs
@@ -5,11 +5,13 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use parking_lot::Mutex;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
 
+use snipemast_core::prelude::*;
+use snipemast_net::exec::pause;
 use snipemast_platform::settings::{Settings, SETTINGS_VARIABLE};
 use snipemast_site::hosts::{self, Ports};
 
@@ -20,6 +22,9 @@
 /// listens.
 const PROCESS_OFFSET: u8 = 100;
 
+/// How often it is checked whether a killed process has ended.
+const END_CHECK_INTERVAL: Span = Span::from_millis(5);
+
 /// The processes of one soak. Dropping the fleet kills those that still run.
 #[derive(Debug)]
 pub struct Fleet {
@@ -36,6 +41,8 @@
 struct Host {
     number: u8,
     child: Mutex<Option<Child>>,
+    /// The number of kills that wait for the process to end; none is started meanwhile.
+    kills: AtomicU32,
     internal: Proxy,
     external: Proxy,
 }
@@ -63,6 +70,7 @@
             let host = Host {
                 number,
                 child: Mutex::new(None),
+                kills: AtomicU32::new(0),
                 internal: Proxy::start(internal, process_address(internal))?,
                 external: Proxy::start(external, process_address(external))?,
             };
@@ -99,8 +107,9 @@
 
     /// Starts a host's process. `first` is true if the whole system starts for the first time.
     pub fn start(&self, number: u8, first: bool) -> io::Result<()> {
-        let mut child = self.host(number).child.lock();
-        if self.stopped.load(Ordering::SeqCst) {
+        let host = self.host(number);
+        let mut child = host.child.lock();
+        if self.stopped.load(Ordering::SeqCst) || host.kills.load(Ordering::SeqCst) > 0 {
             return Err(io::ErrorKind::Interrupted.into());
         }
         let folder = self.data_folder(number);
@@ -182,7 +191,41 @@
     }
 
     /// Kills a host's process and waits until it has ended.
-    pub fn kill(&self, number: u8) {
+    pub async fn kill(&self, number: u8) {
+        self.kill_then(&[number], || ()).await;
+    }
+
+    /// Kills all controllers at once and waits until they have ended.
+    pub async fn kill_controllers(&self) {
+        let controllers: Vec<u8> = self.controllers().collect();
+        self.kill_then(&controllers, || ()).await;
+    }
+
+    /// Kills a host's process and removes its folder before another one starts.
+    pub async fn kill_and_wipe(&self, number: u8) {
+        self.kill_then(&[number], || self.wipe(number)).await;
+    }
+
+    /// Kills processes, waits until all have ended, and does something before any of them starts again.
+    ///
+    /// Callers, servers and proxies run on this thread: a process that waits for its disk must not hold them while it ends.
+    async fn kill_then(&self, numbers: &[u8], then: impl FnOnce()) {
+        for number in numbers {
+            let host = self.host(*number);
+            host.kills.fetch_add(1, Ordering::SeqCst);
+            self.signal(*number, Signal::KILL);
+        }
+        while numbers.iter().any(|n| self.is_running(*n)) {
+            pause(END_CHECK_INTERVAL).await;
+        }
+        then();
+        for number in numbers {
+            self.host(*number).kills.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Kills a host's process and holds the thread until it has ended.
+    fn kill_now(&self, number: u8) {
         if let Some(mut child) = self.host(number).child.lock().take() {
             // A process that has already ended can't be killed, and is only waited for.
             let _ = child.kill();
@@ -197,12 +240,12 @@
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
         for host in &self.hosts {
-            self.kill(host.number);
+            self.kill_now(host.number);
         }
     }
 
     /// Removes a host's folder.
-    pub fn wipe(&self, number: u8) {
+    fn wipe(&self, number: u8) {
         // A folder that was never created needs no removal.
         let _ = std::fs::remove_dir_all(self.data_folder(number));
     }
