Don't let one late answer make every later one late

Operators of the stand-alone product would see that no patch is accepted any more.

Every vote is one election late from then on, so no leader is elected.

Change: the queue counts the answers that exchanges wait for, and returns what is left over in addition.

The roles on the users' platform don't use this transport.

--- a/crates/entry/src/voter/links.rs
+++ b/crates/entry/src/voter/links.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 
 use async_channel::{Receiver, Sender};
-use futures_lite::FutureExt;
 use parking_lot::Mutex;
 use smol::Task;
 
@@ -15,7 +14,7 @@
 use snipemast_core::prelude::*;
 use snipemast_core::recent::Recent;
 use snipemast_wire::control::{path, Batch};
-use snipemast_wire::Peer;
+use snipemast_wire::{AnswerQueue, Peer};
 
 use super::engine::Request;
 use super::{spawn_task, VoterShared};
@@ -40,7 +39,7 @@
     own: VoterId,
     shared: Arc<VoterShared>,
     links: Mutex<Recent<VoterId, Link>>,
-    answers: Mutex<Recent<VoterId, AnswerQueue>>,
+    answers: Mutex<Recent<VoterId, AnswerQueue<Envelope>>>,
 }
 
 struct Link {
@@ -49,12 +48,6 @@
     _senders: Vec<Task<()>>,
 }
 
-#[derive(Clone)]
-struct AnswerQueue {
-    sender: Sender<Envelope>,
-    receiver: Receiver<Envelope>,
-}
-
 impl Links {
     pub(super) fn new(own: VoterId, shared: Arc<VoterShared>) -> Self {
         Self {
@@ -67,41 +60,24 @@
 
     /// Queues a message; it is dropped if the queue is full or the address is unknown.
     pub(super) fn send(&self, address: Option<SocketAddr>, envelope: Envelope) {
-        let queue = if is_answer(&envelope.message) {
-            self.answer_queue(envelope.to).sender
-        } else {
-            let Some(address) = address else {
-                return;
-            };
-            self.with_link(envelope.to, address, |link| link.queue.clone())
+        if is_answer(&envelope.message) {
+            return self.answer_queue(envelope.to).push(envelope);
+        }
+        let Some(address) = address else {
+            return;
         };
+        let queue = self.with_link(envelope.to, address, |link| link.queue.clone());
         let _ = queue.try_send(envelope);
     }
 
     /// Handles a batch, and waits briefly for as many answers as the batch has messages.
-    ///
-    /// Failure guarded against: one exchange returns the answer that another waits for. The other
-    /// exchange then keeps its connection busy until its wait ends, and a patch takes half a second
-    /// on an idle log. An exchange therefore returns no more answers than it received messages.
     pub(super) async fn receive(&self, batch: Batch) -> Batch {
-        let answers = self.answer_queue(batch.from).receiver;
-        let wanted = batch.envelopes.len();
-        for envelope in batch.envelopes {
-            self.pass_to_voter(envelope);
-        }
-        let mut envelopes = Vec::new();
-        let mut wait = ANSWER_WAIT;
-        while envelopes.len() < wanted {
-            let Some(envelope) = answer_within(wait, answers.recv()).await else {
-                break;
-            };
-            envelopes.push(envelope);
-            // One answer may cover several messages, so the wait for the next one is shorter.
-            wait = NEXT_WAIT;
-        }
+        let answers = self.answer_queue(batch.from);
+        let pass = |envelope| self.pass_to_voter(envelope);
+        let envelopes = answers.exchange(batch.envelopes, pass, ANSWER_WAIT, NEXT_WAIT);
         Batch {
             from: self.own,
-            envelopes,
+            envelopes: envelopes.await,
         }
     }
 
@@ -124,13 +100,11 @@
     }
 
     /// Returns the queue of answers that wait for a voter's next requests.
-    fn answer_queue(&self, to: VoterId) -> AnswerQueue {
+    fn answer_queue(&self, to: VoterId) -> AnswerQueue<Envelope> {
         let mut answers = self.answers.lock();
-        let new_queue = || {
-            let (sender, receiver) = async_channel::bounded(MAX_QUEUED);
-            AnswerQueue { sender, receiver }
-        };
-        answers.get_or_insert_with(to, new_queue).clone()
+        answers
+            .get_or_insert_with(to, || AnswerQueue::new(MAX_QUEUED))
+            .clone()
     }
 
     /// Reads the connections to a voter, which are made anew if its address is new.
@@ -194,16 +168,6 @@
     }
 }
 
-/// Waits for the next answer, or returns `None` when the wait is over.
-async fn answer_within(wait: Span, answer: async_channel::Recv<'_, Envelope>) -> Option<Envelope> {
-    let timeout = async {
-        smol::Timer::after(wait.as_duration()).await;
-        None
-    };
-    let answer = async { answer.await.ok() };
-    answer.or(timeout).await
-}
-
 fn is_answer(message: &Message) -> bool {
     match message {
         Message::PreVoted { .. }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`message`]: the messages between entries and agents.
 //! - [`config`]: the messages that distribute the configuration.
 //! - [`follow`]: keeps the configuration of a process up to date.
+//! - [`answers`]: answers that return with the exchanges that a peer begins.
 //! - [`control`]: the messages between voters, and to the control leader.
 //! - [`frame`]: the framed, offset-addressed answer stream from agent to entry.
 //! - [`group`]: the messages between the agents of a group, and to their engines.
@@ -15,6 +16,7 @@
 //! - [`stamp`]: stamps of the hybrid logical clock in a header of each message.
 //! - [`mod@pipe`]: a bounded byte pipe for a streaming HTTP body.
 
+pub mod answers;
 pub mod codec;
 pub mod config;
 pub mod connect;
@@ -30,6 +32,7 @@
 pub mod serve;
 pub mod stamp;
 
+pub use answers::AnswerQueue;
 pub use codec::{decode, encode, encode_into, CodecError};
 pub use config::ConfigPoll;
 pub use follow::{follow_forever, ConfigSink};
