--- a/crates/http/src/scanner.rs
+++ b/crates/http/src/scanner.rs
@@ -35,6 +35,8 @@
     returned: bool,
     head: Head,
     error: Option<HeadError>,
+    /// How many bytes behind the body agree with [`RESPONSE_START`] so far.
+    matched: usize,
     has_excess: bool,
 }
 
@@ -49,7 +51,8 @@
         self.line.clear();
         self.head.clear();
         (self.part, self.error) = (Part::StatusLine, None);
-        (self.shortened, self.returned, self.has_excess) = (false, false, false);
+        (self.shortened, self.returned) = (false, false);
+        (self.matched, self.has_excess) = (0, false);
     }
 
     /// Returns the status of the response, if its line has arrived.
@@ -129,8 +132,18 @@
             return;
         };
         let end = length.saturating_sub(received) as usize;
-        let rest = bytes[end..].trim_ascii_start();
-        let compared = rest.len().min(RESPONSE_START.len());
-        self.has_excess |= rest[..compared] != RESPONSE_START[..compared];
+        self.push_rest(&bytes[end..]);
+    }
+
+    /// Reads what follows a whole body, up to the beginning of a further response.
+    fn push_rest(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            match RESPONSE_START.get(self.matched) {
+                Some(expected) if byte == expected => self.matched += 1,
+                Some(_) if self.matched == 0 && byte.is_ascii_whitespace() => {}
+                Some(_) => self.has_excess = true,
+                None => return,
+            }
+        }
     }
 }
--- a/crates/http/tests/scanner.rs
+++ b/crates/http/tests/scanner.rs
@@ -45,7 +45,7 @@
         cut.0 == whole.0
     }
 
-    /// Guards against bytes without end that make the scanner fail or grow.
+    /// Guards against bytes that are valid or not by how they arrive.
     fn any_bytes(bytes: Vec<u8>, lengths: Vec<u8>) -> bool {
         scan(&bytes, &lengths).0 == scan(&bytes, &[]).0
     }
@@ -71,6 +71,28 @@
     }
 }
 
+/// Guards against a sound answer that is refused because an additional one behind it arrives in several reads.
+#[test]
+fn split_response_is_no_excess() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for rest in [answer, "\r\nHTTP/1.1 200 OK\r\n"] {
+        let bytes = format!("{answer}{rest}");
+        let mut scanner = ResponseScanner::new();
+        for piece in [
+            &bytes[..answer.len()],
+            &bytes[answer.len()..answer.len() + 9],
+            &bytes[answer.len() + 9..],
+        ] {
+            scanner.push(piece.as_bytes()).unwrap();
+        }
+        assert!(!scanner.has_excess(), "{rest:?}");
+    }
+    let spoilt = format!("{answer}\r\nHTML");
+    for length in 1..6 {
+        assert_eq!(scan(spoilt.as_bytes(), &[length]), (None, true));
+    }
+}
+
 /// Guards against an interim response whose headers are taken for those of the final one.
 #[test]
 fn interim_forgotten() {
--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -17,8 +17,8 @@
 
 /// The bytes that requests and answers of a process may hold at once, and those that they do.
 ///
-/// Load answered: many callers send large bodies at once. What does not fit is refused before it is read, and the process
-/// does not run out of memory.
+/// Load answered: many callers send large bodies at once. What does not fit is not kept, and its request is refused, so that
+/// the process does not run out of memory.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: u64,
